--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: each one compares with a baseline in the same run."""
--- /dev/null
+++ b/tests/whole/test_path.py
@@ -0,0 +1,123 @@
+"""The whole path through separate processes."""
+
+import hashlib
+from typing import Any
+
+import pytest
+
+from standins.file_maker import demo_key
+from standins.fleet import SmallFleet
+
+KEY = demo_key("clerks")
+
+
+def test_query_is_answered_whole(fleet: SmallFleet) -> None:
+    for box in fleet.boxes:
+        response = fleet.query(box, KEY, "ledger")
+        answer = response.json()
+        assert response.status_code == 200, answer
+        assert answer["whole"] is True
+        assert answer["covered"] == [0, 1, 2, 3, 4, 5]
+        assert answer["lacking"] == []
+        assert len({item for shard in answer["items"] for item in shard["items"]}) == 18
+
+
+def test_answer_carries_its_own_digest(fleet: SmallFleet) -> None:
+    response = fleet.query(fleet.boxes[0], KEY, "ledger")
+    digest = hashlib.sha256(response.content).hexdigest()
+    assert response.headers["trackwheel-digest"] == f"sha256={digest}"
+    assert int(response.headers["content-length"]) == len(response.content)
+    assert response.json()["end"] is True
+
+
+@pytest.mark.parametrize(
+    ("key", "path", "body", "status", "code"),
+    [
+        pytest.param("", "/v1/query", {"service": "ledger"}, 401, "unauthenticated", id="no-key"),
+        pytest.param("x", "/v1/query", {"service": "ledger"}, 401, "unauthenticated", id="bad-key"),
+        pytest.param(KEY, "/v1/query", {"service": "other"}, 403, "forbidden", id="foreign"),
+        pytest.param(KEY, "/v1/query", {"servce": "ledger"}, 400, "bad_request", id="bad-field"),
+        pytest.param(
+            KEY,
+            "/v1/query",
+            {"service": "ledger", "deadline_ms": -1},
+            400,
+            "bad_request",
+            id="bad-deadline",
+        ),
+        pytest.param(
+            KEY,
+            "/v1/query",
+            {"service": "ledger", "query": "x" * 300_000},
+            413,
+            "too_large",
+            id="big",
+        ),
+        pytest.param(KEY, "/v1/ids", {"count": 0}, 400, "bad_request", id="no-ids"),
+        pytest.param(
+            KEY, "/v1/execute", {"service": "ledger", "key": "k"}, 400, "id_missing", id="no-id"
+        ),
+        pytest.param(
+            KEY,
+            "/v1/execute",
+            {"service": "ledger", "key": "k", "id": "a-1-2-b"},
+            504,
+            "outcome_unknown",
+            id="unknown-issuer",
+        ),
+    ],
+)
+def test_refusals(
+    fleet: SmallFleet, key: str, path: str, body: dict[str, Any], status: int, code: str
+) -> None:
+    response = fleet.call(fleet.boxes[0], key, path, body)
+    assert response.status_code == status
+    error = response.json()["error"]
+    assert error["code"] == code
+    assert error["step"] and error["peer"] and error["remedy"]
+
+
+def test_broken_json_is_refused(fleet: SmallFleet) -> None:
+    url = f"http://{fleet.boxes[0].callers}/v1/query"
+    headers = {"Authorization": f"Bearer {KEY}"}
+    response = fleet.http.post(url, content=b"\xff{", headers=headers)
+    assert response.status_code == 400
+
+
+def test_request_runs_once_at_any_box(fleet: SmallFleet) -> None:
+    ids = fleet.call(fleet.boxes[0], KEY, "/v1/ids", {"count": 3}).json()["ids"]
+    for place, request_id in enumerate(ids):
+        body = {"service": "ledger", "key": "pallet-7", "body": "promise", "id": request_id}
+        first = fleet.call(fleet.boxes[place], KEY, "/v1/execute", body)
+        assert first.status_code == 200, first.text
+        assert first.json()["outcome"] == "done"
+        repeated = fleet.call(fleet.boxes[(place + 1) % 3], KEY, "/v1/execute", body)
+        assert repeated.json()["repeated"] is True
+        assert repeated.json()["answer"] == first.json()["answer"]
+
+
+def test_id_of_another_group_is_refused(fleet: SmallFleet) -> None:
+    ids = fleet.call(fleet.boxes[0], KEY, "/v1/ids", {}).json()["ids"]
+    body = {"service": "ledger", "key": "k", "id": ids[0]}
+    response = fleet.call(fleet.boxes[0], demo_key("drivers"), "/v1/execute", body)
+    assert response.json()["error"]["code"] == "id_invalid"
+
+
+def test_explain_shows_each_ask(fleet: SmallFleet) -> None:
+    box = fleet.boxes[2]
+    query_id = fleet.query(box, KEY, "ledger").headers["trackwheel-query-id"]
+    report = fleet.http.get(f"http://{box.operators}/v1/explain/{query_id}").json()
+    assert report["outcome"] == "whole"
+    assert {step["instance"] for step in report["steps"]} == set(range(6))
+    assert KEY not in str(report)
+
+
+def test_operators_read_state_and_burn(fleet: SmallFleet) -> None:
+    fleet.query(fleet.boxes[0], KEY, "ledger")
+    state = fleet.show(fleet.boxes[0])
+    assert state["revision"] == 1
+    assert [box["revision"] for box in state["boxes"]] == [1, 1, 1]
+    rows = fleet.http.get(f"http://{fleet.boxes[0].operators}/v1/burn").json()["rows"]
+    assert {row["group"] for row in rows} >= {"clerks"}
+    ready = fleet.http.get(f"http://{fleet.boxes[0].operators}/health/ready")
+    assert ready.json() == {"ready": True}
--- /dev/null
+++ b/trackwheel/app.py
@@ -0,0 +1,236 @@
+"""The one composition root: it wires the parts of a box, runs them and stops them."""
+
+import os
+import signal
+import time
+from typing import Any, Final
+
+import anyio
+import hypercorn.asyncio
+from hypercorn.config import Config
+
+from trackwheel.dispatch.models import DISPATCH_MESSAGES
+from trackwheel.dispatch.service import DispatchService
+from trackwheel.files.confirm import Confirmations
+from trackwheel.files.models import FILES_MESSAGES, InForce
+from trackwheel.files.service import FilesService
+from trackwheel.fleet.membership import Timing
+from trackwheel.fleet.models import FLEET_MESSAGES, Member, Status, TargetNote
+from trackwheel.fleet.service import FleetService
+from trackwheel.gateway.board import Board
+from trackwheel.gateway.forwarding import Forwarder
+from trackwheel.gateway.http import CallersApp
+from trackwheel.gateway.models import GATEWAY_MESSAGES
+from trackwheel.gateway.once import OnceRunner
+from trackwheel.gateway.queries import QueryRunner
+from trackwheel.operators import OperatorsApp
+from trackwheel.peers.codec import Codec
+from trackwheel.peers.hub import Hub
+from trackwheel.peers.models import PeerIdentity
+from trackwheel.platform.clients import HttpBoxList, HttpKeyValue
+from trackwheel.settings import Settings
+from trackwheel.targets.client import AiohttpTargetClient
+from trackwheel.telemetry.burn import Burn
+from trackwheel.telemetry.explain import Traces
+from trackwheel.telemetry.logs import Log
+from trackwheel.telemetry.metrics import Metrics
+from trackwheel.telemetry.samples import box_samples
+from trackwheel.tls import load_contexts, reload_contexts
+
+LOG = Log("box")
+
+ALL_MESSAGES: Final = (
+    *DISPATCH_MESSAGES,
+    *FLEET_MESSAGES,
+    *FILES_MESSAGES,
+    *GATEWAY_MESSAGES,
+)
+LEAVE_GRACE_S: Final = 2.0
+"""How long a leaving box still serves callers whom the balancer sends to it."""
+IDLE_CHECK_S: Final = 0.05
+
+
+class Box:
+    """Hold the parts of one box."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        boot = os.urandom(6).hex()
+        self.identity = PeerIdentity(
+            settings.box_id, boot, settings.peers, settings.region, settings.failure_domain
+        )
+        self.tls = load_contexts(settings.tls)
+        self.hub = Hub(self.identity, Codec(ALL_MESSAGES), self.tls)
+        self.client = AiohttpTargetClient()
+        self.store = HttpKeyValue(settings.key_value)
+        self.box_list = HttpBoxList(settings.box_list)
+        self.traces = Traces()
+        self.burn = Burn()
+        self.board = Board(seed=0)
+        self.fleet = FleetService(
+            self.hub, self._own_member(), self._timing(), self.box_list, seed=os.getpid()
+        )
+        self.files = FilesService(self.hub, self.store)
+        self.dispatch = DispatchService(self.hub, self.client, self.fleet.tell_leaving)
+        self.queries = QueryRunner(self.hub, self.fleet, self.board, self.traces)
+        self.once = OnceRunner(self.hub, self.fleet, self.board, self.traces)
+        self.forwarder = Forwarder(self.hub, self.fleet)
+        self.confirmations = Confirmations(
+            self.hub,
+            lambda: [member.address for member in self.fleet.members],
+            lambda: self.files.manifest.revision,
+        )
+        self.metrics = Metrics()
+        self.metrics.add(lambda: box_samples(self))
+        self.leaving = False
+        self._wire()
+
+    def ready(self) -> bool:
+        """Return whether callers should be sent here."""
+        return self.files.heard_of_files and self.files.in_force.revision > 0 and not self.leaving
+
+    def serving(self) -> bool:
+        """Return whether callers who come are served; a leaving box still serves them."""
+        return self.files.in_force.revision > 0
+
+    def callers_app(self) -> CallersApp:
+        """Return the callers' interface."""
+        return CallersApp(
+            lambda: self.files.in_force,
+            self.serving,
+            self.queries,
+            self.once,
+            self.forwarder,
+            self.burn,
+        )
+
+    def operators_app(self) -> OperatorsApp:
+        """Return the operators' interface."""
+        return OperatorsApp(
+            self.settings.box_id,
+            self.files,
+            self.fleet,
+            self.dispatch,
+            self.confirmations,
+            self.traces,
+            self.burn,
+            self.metrics,
+            self.ready,
+        )
+
+    def busy(self) -> bool:
+        """Return whether anything is in flight here."""
+        return bool(self.queries.running or self.once.running or self.dispatch.busy)
+
+    async def close(self) -> None:
+        """Close what the parts have open."""
+        await self.client.close()
+        await self.store.close()
+        await self.box_list.close()
+
+    def _own_member(self) -> Member:
+        settings, identity = self.settings, self.identity
+        # Wall-clock milliseconds put a new boot before the last one of the same address.
+        incarnation = int(time.time() * 1000)
+        return Member(
+            address=settings.peers,
+            box_id=settings.box_id,
+            boot=identity.boot,
+            region=settings.region,
+            failure_domain=settings.failure_domain,
+            incarnation=incarnation,
+            status=Status.ALIVE,
+        )
+
+    def _timing(self) -> Timing:
+        settings = self.settings
+        return Timing(settings.probe_period_s, settings.probe_timeout_s, settings.suspicion_s)
+
+    def _wire(self) -> None:
+        self.fleet.on_members(self._take_members)
+        self.fleet.on_revision(self.files.peer_revision)
+        self.fleet.on_notes(self._take_notes)
+        self.files.on_in_force(self._take_in_force)
+
+    def _take_members(self, members: tuple[Member, ...]) -> None:
+        self.files.set_watching(self.fleet.is_watcher())
+        self.files.set_neighbours(self.fleet.monitored)
+
+    def _take_notes(self, notes: tuple[TargetNote, ...]) -> None:
+        self.dispatch.told_leaving(notes)
+        for note in notes:
+            self.board.set_leaving(note.address, True)
+
+    def _take_in_force(self, in_force: InForce) -> None:
+        self.fleet.set_files_revision(in_force.revision)
+        self.dispatch.set_in_force(in_force)
+        services = in_force.service_by_name.values()
+        instances = (instance for service in services for instance in service.targets_by_instance)
+        self.board.forget_except({target.address for instance in instances for target in instance})
+
+
+async def run_box(settings: Settings) -> None:
+    """Run a box until it is told to stop and has finished what it began."""
+    box = Box(settings)
+    stopped = anyio.Event()
+    try:
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(box.hub.run)
+            tasks.start_soon(box.fleet.run)
+            tasks.start_soon(box.files.run)
+            tasks.start_soon(box.dispatch.run)
+            callers = box.callers_app()
+            tasks.start_soon(box.forwarder.run, callers.serve_forward)
+            tasks.start_soon(_serve_http, callers.app(), settings.callers, settings, stopped)
+            operators = box.operators_app().app()
+            tasks.start_soon(_serve_http, operators, settings.operators, settings, stopped)
+            LOG.info(f"Box {settings.box_id} runs as boot {box.identity.boot}.")
+            await _until_stopped(box)
+            await _drain(box)
+            stopped.set()
+            await anyio.sleep(IDLE_CHECK_S)
+            tasks.cancel_scope.cancel()
+    finally:
+        with anyio.CancelScope(shield=True):
+            await box.close()
+    LOG.info("All work is finished. The box stops.")
+
+
+async def _until_stopped(box: Box) -> None:
+    """Return at the first signal to stop; at a hang-up, read the certificates anew."""
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        async for received in signals:
+            if received != signal.SIGHUP:
+                return
+            if box.settings.tls is not None:
+                reload_contexts(box.tls, box.settings.tls)
+                LOG.info("The certificates were read anew.")
+
+
+async def _drain(box: Box) -> None:
+    """Leave the fleet, let others take the targets, and finish what is in flight."""
+    LOG.info("The box is leaving. It finishes what is in flight.")
+    box.leaving = True
+    box.fleet.leave()
+    end = time.monotonic() + box.settings.drain_s
+    await anyio.sleep(min(LEAVE_GRACE_S, box.settings.drain_s))
+    while box.busy() and time.monotonic() < end:
+        await anyio.sleep(IDLE_CHECK_S)
+
+
+async def _serve_http(app: Any, address: str, settings: Settings, stopped: anyio.Event) -> None:
+    """Serve one ASGI application with hypercorn until the box stops."""
+    config = Config()
+    config.bind = [address]
+    config.graceful_timeout = settings.drain_s
+    config.accesslog = None
+    config.errorlog = None
+    config.h11_max_incomplete_size = 32 * 1024
+    config.include_server_header = False
+    config.use_reloader = False
+    await hypercorn.asyncio.serve(app, config, shutdown_trigger=stopped.wait)
+
+
+def run(settings: Settings) -> None:
+    """Run a box in this process."""
+    anyio.run(run_box, settings, backend_options={"use_uvloop": True})
--- /dev/null
+++ b/trackwheel/dispatch/const.py
@@ -0,0 +1,35 @@
+"""Numbers of queues, limits and ejection."""
+
+from typing import Final
+
+ADMIT_MARGIN: Final = 0.85
+"""Work is shed on arrival when its estimated end uses more than this part of its time."""
+SMOOTHING: Final = 0.1
+DEFAULT_SERVICE_S: Final = 0.005
+GROUP_IDLE_S: Final = 5.0
+
+SLOW_START_SUCCESSES: Final = 2
+GOOD_ENOUGH_RATE: Final = 0.95
+EXPLORE_COMPLETIONS: Final = 12
+EXPLORE_FIRST_S: Final = 1.0
+EXPLORE_LAST_S: Final = 30.0
+SPARE_CONNECTIONS: Final = 1
+"""Connections left free for health checks and for work that is being cancelled."""
+
+SHED_PAUSE_FIRST_S: Final = 0.01
+SHED_PAUSE_LAST_S: Final = 0.5
+
+EJECT_AFTER_FAILURES: Final = 3
+EJECT_AFTER_STALLS: Final = 5
+EJECT_FIRST_S: Final = 0.5
+EJECT_LAST_S: Final = 30.0
+STALL_FACTOR: Final = 4.0
+"""A request that ran this many times the mean before it was withdrawn counts as stalled."""
+
+HEALTH_PERIOD_S: Final = 1.0
+LINE_IDLE_S: Final = 60.0
+PERMIT_TIMEOUT_S: Final = 1.0
+EXECUTE_TIMEOUT_S: Final = 20.0
+"""How long a permitted request may run at its target before its outcome is unknown."""
+LEAST_RETRY_AFTER_S: Final = 0.05
+MAX_QUEUED_PER_TARGET: Final = 2_000
--- /dev/null
+++ b/trackwheel/dispatch/owner.py
@@ -0,0 +1,192 @@
+"""The decisions of one owner over all of its targets."""
+
+from typing import NamedTuple
+
+from trackwheel.dispatch.const import LEAST_RETRY_AFTER_S
+from trackwheel.dispatch.line import TargetLine
+from trackwheel.dispatch.models import (
+    DispatchCommand,
+    Ended,
+    ExecuteAsk,
+    Outcome,
+    Refuse,
+    Scatter,
+    Withdraw,
+    Work,
+    WorkKey,
+)
+from trackwheel.files.models import NOTHING_IN_FORCE, InForce, ServiceSpec
+from trackwheel.fleet.models import TargetNote
+
+
+class LineState(NamedTuple):
+    """Describe one target for metrics and operators."""
+
+    target: str
+    running: int
+    waiting: int
+    limit: int
+    leaving: bool
+    ejected: bool
+
+
+class Owner:
+    """Route events to the lines of the targets and keep a line only while it is used."""
+
+    def __init__(self) -> None:
+        self._in_force = NOTHING_IN_FORCE
+        self._service_by_target: dict[str, ServiceSpec] = {}
+        self._line_by_target: dict[str, TargetLine] = {}
+        self._note_by_target: dict[str, TargetNote] = {}
+
+    def states(self, now: float) -> list[LineState]:
+        """Return the state of every line."""
+        return [
+            LineState(
+                line.target,
+                line.running,
+                line.waiting,
+                line.limit,
+                line.leaving,
+                line.ejected(now),
+            )
+            for line in self._line_by_target.values()
+        ]
+
+    def busy(self) -> bool:
+        """Return whether any work waits or runs."""
+        return any(line.running or line.waiting for line in self._line_by_target.values())
+
+    def set_in_force(self, in_force: InForce) -> list[DispatchCommand]:
+        """Take the files in force; a target that they no longer name gets nothing new."""
+        self._in_force = in_force
+        self._service_by_target = {
+            target.address: service
+            for service in in_force.service_by_name.values()
+            for instance in service.targets_by_instance
+            for target in instance
+        }
+        commands: list[DispatchCommand] = []
+        for target, line in self._line_by_target.items():
+            commands += line.set_removed(target not in self._service_by_target)
+        return commands
+
+    def scatter(self, gateway: str, message: Scatter, now: float) -> list[DispatchCommand]:
+        """Take a query's sub-requests."""
+        commands: list[DispatchCommand] = []
+        deadline = now + message.deadline_ms / 1000
+        for ask in message.asks:
+            work = Work(
+                key=WorkKey(gateway, message.query_id, ask.nonce, ask.target),
+                service=message.service,
+                group=message.group,
+                deadline=deadline,
+                version=message.version,
+                text=message.query,
+                last_resort=ask.last_resort,
+            )
+            commands += self._offer(work, now)
+        return commands
+
+    def execute(self, gateway: str, message: ExecuteAsk, now: float) -> list[DispatchCommand]:
+        """Take a request that may run only once."""
+        work = Work(
+            key=WorkKey(gateway, message.query_id, message.nonce, message.target),
+            service=message.service,
+            group=message.group,
+            deadline=now + message.deadline_ms / 1000,
+            version=None,
+            text=message.body,
+            last_resort=False,
+            request_id=message.request_id,
+            gateway_boot=message.gateway_boot,
+        )
+        return self._offer(work, now)
+
+    def withdraw(self, gateway: str, message: Withdraw, now: float) -> list[DispatchCommand]:
+        """Take sub-requests back."""
+        commands: list[DispatchCommand] = []
+        for ask in message.asks:
+            line = self._line_by_target.get(ask.target)
+            if line is not None:
+                key = WorkKey(gateway, message.query_id, ask.nonce, ask.target)
+                commands += line.withdraw(key, now)
+        return commands
+
+    def gateway_lost(self, gateway: str, now: float) -> list[DispatchCommand]:
+        """Take back everything of a gateway that nobody can answer any more."""
+        commands: list[DispatchCommand] = []
+        for line in self._line_by_target.values():
+            for key in line.keys_of(gateway):
+                commands += line.withdraw(key, now)
+        return commands
+
+    def permit(self, key: WorkKey, granted: bool, now: float) -> list[DispatchCommand]:
+        """Take a gateway's answer to a permit request."""
+        line = self._line_by_target.get(key.target)
+        return line.permit(key, granted, now) if line is not None else []
+
+    def ended(self, event: Ended, now: float) -> list[DispatchCommand]:
+        """Take the end of a request at a target."""
+        line = self._line_by_target.get(event.key.target)
+        return line.ended(event, now) if line is not None else []
+
+    def health(
+        self, target: str, reachable: bool, boot: str, leaving: bool, now: float
+    ) -> list[DispatchCommand]:
+        """Take what a target's health page says."""
+        line = self._line_by_target.get(target)
+        if line is None:
+            return []
+        return line.health(reachable, boot, leaving, now)
+
+    def told_leaving(self, notes: tuple[TargetNote, ...]) -> list[DispatchCommand]:
+        """Take other boxes' word that targets are leaving."""
+        commands: list[DispatchCommand] = []
+        for note in notes:
+            self._note_by_target[note.address] = note
+            line = self._line_by_target.get(note.address)
+            if line is not None:
+                commands += line.told_leaving(note.target_boot)
+        return commands
+
+    def tick(self, now: float) -> list[DispatchCommand]:
+        """Do what is due and forget lines that nobody uses."""
+        commands: list[DispatchCommand] = []
+        for target, line in list(self._line_by_target.items()):
+            if line.idle(now):
+                del self._line_by_target[target]
+            elif line.next_wake() <= now:
+                commands += line.tick(now)
+        return commands
+
+    def next_wake(self) -> float:
+        """Return when `tick` is next needed (seconds)."""
+        lines = self._line_by_target.values()
+        return min((line.next_wake() for line in lines), default=float("inf"))
+
+    def delay(self, work: Work, now: float) -> float:
+        """Return how long more work like this would wait (seconds)."""
+        line = self._line_by_target.get(work.target)
+        if line is None:
+            return 0.0
+        return line.delay(work.group, self._share(work.group), work.deadline, now)
+
+    def _share(self, group: str) -> float:
+        spec = self._in_force.group_by_name.get(group)
+        return spec.share if spec is not None else 1.0
+
+    def _offer(self, work: Work, now: float) -> list[DispatchCommand]:
+        service = self._service_by_target.get(work.target)
+        if service is None or service.name != work.service:
+            return [Refuse(work, Outcome.UNKNOWN_TARGET, 0.0, LEAST_RETRY_AFTER_S)]
+        commands: list[DispatchCommand] = []
+        line = self._line_by_target.get(work.target)
+        if line is None:
+            line = TargetLine(work.target, service.slots, service.connections, now)
+            self._line_by_target[work.target] = line
+            note = self._note_by_target.get(work.target)
+            commands += line.first_commands
+            if note is not None:
+                commands += line.told_leaving(note.target_boot)
+        return commands + line.offer(work, self._share(work.group), now)
--- /dev/null
+++ b/trackwheel/dispatch/service.py
@@ -0,0 +1,394 @@
+"""The task that owns the dispatch decisions: it sends to targets and answers gateways."""
+
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+import anyio
+import anyio.abc
+import msgspec
+
+from trackwheel.dispatch.const import EXECUTE_TIMEOUT_S, LEAST_RETRY_AFTER_S
+from trackwheel.dispatch.models import (
+    AskPermit,
+    CancelSend,
+    CheckHealth,
+    DispatchCommand,
+    Ended,
+    ExecuteAnswer,
+    ExecuteAsk,
+    Outcome,
+    PermitReply,
+    PermitRequest,
+    Refuse,
+    RunOutcome,
+    Scatter,
+    SendExecute,
+    SendQuery,
+    SubAnswer,
+    TellLeaving,
+    Warm,
+    Withdraw,
+    Work,
+    WorkKey,
+)
+from trackwheel.dispatch.owner import LineState, Owner
+from trackwheel.files.models import InForce
+from trackwheel.fleet.models import TargetNote
+from trackwheel.inbox import Inbox
+from trackwheel.peers.hub import Hub
+from trackwheel.peers.models import PeerIdentity
+from trackwheel.targets.const import HEALTH_TIMEOUT_S, PATH_EXECUTE, PATH_HEALTH, PATH_QUERY
+from trackwheel.targets.errors import TargetBrokenError, TargetUnreachableError
+from trackwheel.targets.models import (
+    AnswerHead,
+    ExecuteRefusal,
+    ExecuteReply,
+    HealthPage,
+    TargetClient,
+    TargetReply,
+    WrongVersion,
+)
+from trackwheel.telemetry.logs import Log
+
+LOG = Log("dispatch")
+
+STATUS_OK = 200
+STATUS_CONFLICT = 409
+STATUSES_SHED = (429, 503)
+
+
+class _FromGateway(NamedTuple):
+    """Event: a gateway's message arrived."""
+
+    gateway: str
+    message: Scatter | ExecuteAsk | Withdraw | PermitReply
+
+
+class _GatewayLost(NamedTuple):
+    """Event: the last link to a box is gone."""
+
+    gateway: str
+
+
+class _HealthRead(NamedTuple):
+    """Event: a health page was read, or could not be."""
+
+    target: str
+    reachable: bool
+    boot: str
+    leaving: bool
+
+
+class _Exchanged(NamedTuple):
+    """Event: an exchange with a target ended; the answer for the gateway goes with it."""
+
+    ended: Ended
+    work: Work
+    body: bytes
+    holds: list[int]
+    retry_after_s: float
+
+
+class _InForceChanged(NamedTuple):
+    """Event: other files are in force."""
+
+    in_force: InForce
+
+
+class _NotesLearnt(NamedTuple):
+    """Event: targets are leaving, another box says."""
+
+    notes: tuple[TargetNote, ...]
+
+
+_Event = _FromGateway | _GatewayLost | _HealthRead | _Exchanged | _InForceChanged | _NotesLearnt
+
+
+class DispatchService:
+    """Run the owner's decisions against real targets."""
+
+    def __init__(
+        self, hub: Hub, client: TargetClient, tell_leaving: Callable[[TargetNote], None]
+    ) -> None:
+        self._hub = hub
+        self._client = client
+        self._tell_leaving = tell_leaving
+        self._owner = Owner()
+        self._scope_by_key: dict[WorkKey, anyio.CancelScope] = {}
+        self._inbox: Inbox[_Event] = Inbox()
+        self.sent_by_outcome: dict[str, int] = {}
+        self.refused_by_outcome: dict[str, int] = {}
+        for message_type in (Scatter, ExecuteAsk, Withdraw, PermitReply):
+            hub.register(message_type, self._from_gateway)
+        hub.on_link_lost(lambda address: self._inbox.put(_GatewayLost(address)))
+
+    @property
+    def busy(self) -> bool:
+        """Return whether any work waits or runs."""
+        return self._owner.busy()
+
+    def states(self) -> list[LineState]:
+        """Return the state of every target that is in use."""
+        return self._owner.states(time.monotonic())
+
+    def set_in_force(self, in_force: InForce) -> None:
+        """Take the files in force."""
+        self._inbox.put(_InForceChanged(in_force))
+
+    def told_leaving(self, notes: tuple[TargetNote, ...]) -> None:
+        """Take other boxes' word that targets are leaving."""
+        self._inbox.put(_NotesLearnt(notes))
+
+    async def run(self) -> None:
+        """Decide and act until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                events = await self._inbox.take(self._owner.next_wake())
+                commands = self._decide(events)
+                self._perform(commands, tasks)
+
+    def _from_gateway(
+        self, sender: PeerIdentity, message: Scatter | ExecuteAsk | Withdraw | PermitReply
+    ) -> None:
+        self._inbox.put(_FromGateway(sender.address, message))
+
+    def _decide(self, events: list[_Event]) -> list[DispatchCommand]:
+        now = time.monotonic()
+        commands: list[DispatchCommand] = []
+        # All events are handled before any command is performed, so that a box that wakes
+        # from a freeze does not send what its gateway took back meanwhile.
+        for event in events:
+            commands += self._handle(event, now)
+        return commands + self._owner.tick(now)
+
+    def _handle(self, event: _Event, now: float) -> list[DispatchCommand]:
+        match event:
+            case _FromGateway(gateway, message):
+                return self._handle_gateway(gateway, message, now)
+            case _Exchanged():
+                commands = self._owner.ended(event.ended, now)
+                self._answer(event, now)
+                return commands
+            case _HealthRead():
+                return self._owner.health(*event, now)
+            case _GatewayLost(gateway):
+                return self._owner.gateway_lost(gateway, now)
+            case _InForceChanged(in_force):
+                return self._owner.set_in_force(in_force)
+            case _NotesLearnt(notes):
+                return self._owner.told_leaving(notes)
+
+    def _handle_gateway(
+        self,
+        gateway: str,
+        message: Scatter | ExecuteAsk | Withdraw | PermitReply,
+        now: float,
+    ) -> list[DispatchCommand]:
+        match message:
+            case Scatter():
+                return self._owner.scatter(gateway, message, now)
+            case ExecuteAsk():
+                return self._owner.execute(gateway, message, now)
+            case Withdraw():
+                return self._owner.withdraw(gateway, message, now)
+            case PermitReply():
+                key = WorkKey(gateway, message.query_id, message.nonce, message.target)
+                return self._owner.permit(key, message.granted, now)
+
+    def _perform(self, commands: list[DispatchCommand], tasks: anyio.abc.TaskGroup) -> None:
+        for command in commands:
+            match command:
+                case SendQuery(work):
+                    scope = anyio.CancelScope(deadline=work.deadline)
+                    self._scope_by_key[work.key] = scope
+                    tasks.start_soon(self._query, work, scope)
+                case SendExecute(work):
+                    tasks.start_soon(self._execute, work)
+                case AskPermit(work):
+                    self._ask_permit(work)
+                case CancelSend(key):
+                    running = self._scope_by_key.pop(key, None)
+                    if running is not None:
+                        running.cancel()
+                case Refuse():
+                    self._refuse(command)
+                case CheckHealth(target):
+                    tasks.start_soon(self._check_health, target)
+                case Warm(target, connections):
+                    for _ in range(connections):
+                        tasks.start_soon(self._warm, target)
+                case TellLeaving(target, boot):
+                    LOG.info(f"Target {target} is leaving and gets no new work.")
+                    self._tell_leaving(TargetNote(target, boot))
+
+    def _ask_permit(self, work: Work) -> None:
+        key = work.key
+        request = PermitRequest(
+            key.query_id, key.nonce, key.target, work.request_id, work.gateway_boot
+        )
+        self._hub.send(key.gateway, request)
+
+    def _refuse(self, command: Refuse) -> None:
+        work = command.work
+        outcome = command.outcome
+        self.refused_by_outcome[outcome] = self.refused_by_outcome.get(outcome, 0) + 1
+        retry_ms = command.retry_after_s * 1000
+        query_id, nonce = work.key.query_id, work.key.nonce
+        answer: ExecuteAnswer | SubAnswer
+        if work.once:
+            answer = ExecuteAnswer(query_id, nonce, RunOutcome.NOT_RUN, outcome, b"", retry_ms)
+        else:
+            delay_ms = command.delay_s * 1000
+            answer = SubAnswer(query_id, nonce, outcome, b"", [], delay_ms, 0.0, retry_ms)
+        self._hub.send(work.key.gateway, answer)
+
+    def _answer(self, event: _Exchanged, now: float) -> None:
+        """Send the end of a sub-request to its gateway."""
+        work = event.work
+        if work.once:
+            return
+        answer = SubAnswer(
+            query_id=work.key.query_id,
+            nonce=work.key.nonce,
+            outcome=event.ended.outcome,
+            body=event.body,
+            holds=event.holds,
+            delay_ms=self._owner.delay(work, now) * 1000,
+            service_ms=event.ended.service_s * 1000,
+            retry_after_ms=event.retry_after_s * 1000,
+        )
+        self._hub.send(work.key.gateway, answer)
+
+    async def _query(self, work: Work, scope: anyio.CancelScope) -> None:
+        """Exchange one sub-request with its target."""
+        if scope.cancel_called:
+            return
+        started = time.monotonic()
+        body = msgspec.json.encode(
+            {
+                "nonce": work.key.wire(),
+                "service": work.service,
+                "group": work.group,
+                "version": work.version,
+                "query": work.text,
+            }
+        )
+        reply: TargetReply | None = None
+        outcome = Outcome.LATE
+        holds: list[int] = []
+        with scope:
+            left_ms = (work.deadline - started) * 1000
+            try:
+                reply = await self._client.post(work.target, PATH_QUERY, body, left_ms)
+                outcome, holds = _judge_query(work, reply)
+            except (TargetUnreachableError, TargetBrokenError):
+                outcome = Outcome.FAILED
+        if self._scope_by_key.pop(work.key, None) is None:
+            return
+        self.sent_by_outcome[outcome] = self.sent_by_outcome.get(outcome, 0) + 1
+        service_s = time.monotonic() - started
+        self._inbox.put(_exchanged(work, outcome, service_s, reply, holds))
+
+    async def _execute(self, work: Work) -> None:
+        """Run permitted work once; whatever is not certain is told as unknown."""
+        started = time.monotonic()
+        body = msgspec.json.encode(
+            {
+                "nonce": work.key.wire(),
+                "id": work.request_id,
+                "service": work.service,
+                "group": work.group,
+                "body": work.text,
+            }
+        )
+        run, reason, reply = RunOutcome.UNKNOWN, "no_answer", None
+        with anyio.move_on_after(EXECUTE_TIMEOUT_S):
+            try:
+                left_ms = EXECUTE_TIMEOUT_S * 1000
+                reply = await self._client.post(work.target, PATH_EXECUTE, body, left_ms)
+                run, reason = _judge_execute(work, reply)
+            except TargetUnreachableError:
+                run, reason = RunOutcome.NOT_RUN, Outcome.FAILED
+            except TargetBrokenError:
+                run, reason = RunOutcome.UNKNOWN, "connection_broke"
+        outcome = _outcome_of_run(run, reply)
+        service_s = time.monotonic() - started
+        self._inbox.put(_exchanged(work, outcome, service_s, reply, []))
+        retry_ms = 1000 * max(LEAST_RETRY_AFTER_S, reply.retry_after_s if reply else 0.0)
+        done = reply.body if reply is not None and run is RunOutcome.DONE else b""
+        answer = ExecuteAnswer(work.key.query_id, work.key.nonce, run, reason, done, retry_ms)
+        self._hub.send(work.key.gateway, answer)
+
+    async def _check_health(self, target: str) -> None:
+        read = _HealthRead(target, False, "", False)
+        with anyio.move_on_after(HEALTH_TIMEOUT_S):
+            try:
+                reply = await self._client.get(target, PATH_HEALTH)
+                page = msgspec.json.decode(reply.body, type=HealthPage)
+                leaving = page.draining or reply.draining
+                read = _HealthRead(target, True, page.boot or reply.boot, leaving)
+            except (TargetUnreachableError, TargetBrokenError, msgspec.DecodeError):
+                pass
+        self._inbox.put(read)
+
+    async def _warm(self, target: str) -> None:
+        """Open one connection ahead of need by reading the health page over it."""
+        with anyio.move_on_after(HEALTH_TIMEOUT_S):
+            try:
+                await self._client.get(target, PATH_HEALTH)
+            except (TargetUnreachableError, TargetBrokenError):
+                return
+
+
+def _exchanged(
+    work: Work, outcome: Outcome, service_s: float, reply: TargetReply | None, holds: list[int]
+) -> _Exchanged:
+    boot = reply.boot if reply is not None else ""
+    leaving = reply is not None and reply.draining
+    ended = Ended(work.key, outcome, service_s, boot, leaving)
+    body = reply.body if reply is not None and outcome is Outcome.OK else b""
+    retry_s = max(LEAST_RETRY_AFTER_S, reply.retry_after_s if reply is not None else 0.0)
+    return _Exchanged(ended, work, body, holds, retry_s)
+
+
+def _judge_query(work: Work, reply: TargetReply) -> tuple[Outcome, list[int]]:
+    """Return how a sub-request ended; an answer that is not its own counts as failed."""
+    try:
+        if reply.status == STATUS_OK:
+            head = msgspec.json.decode(reply.body, type=AnswerHead)
+            own = head.nonce == work.key.wire() and head.end
+            return (Outcome.OK if own else Outcome.FAILED), []
+        if reply.status == STATUS_CONFLICT:
+            wrong = msgspec.json.decode(reply.body, type=WrongVersion)
+            return Outcome.WRONG_VERSION, wrong.holds
+    except msgspec.DecodeError:
+        return Outcome.FAILED, []
+    if reply.status in STATUSES_SHED:
+        return (Outcome.LEAVING if reply.draining else Outcome.SHED), []
+    return Outcome.FAILED, []
+
+
+def _judge_execute(work: Work, reply: TargetReply) -> tuple[RunOutcome, str]:
+    """Return what is known of permitted work; only the work's own nonce proves anything."""
+    try:
+        if reply.status == STATUS_OK:
+            done = msgspec.json.decode(reply.body, type=ExecuteReply)
+            if done.nonce == work.key.wire() and done.end:
+                return RunOutcome.DONE, ""
+            return RunOutcome.UNKNOWN, "foreign_answer"
+        if reply.not_run:
+            refusal = msgspec.json.decode(reply.body, type=ExecuteRefusal)
+            if refusal.nonce == work.key.wire():
+                return RunOutcome.NOT_RUN, refusal.code
+    except msgspec.DecodeError:
+        return RunOutcome.UNKNOWN, "broken_answer"
+    return RunOutcome.UNKNOWN, f"status_{reply.status}"
+
+
+def _outcome_of_run(run: RunOutcome, reply: TargetReply | None) -> Outcome:
+    if run is RunOutcome.DONE:
+        return Outcome.OK
+    if run is RunOutcome.NOT_RUN and reply is not None:
+        return Outcome.LEAVING if reply.draining else Outcome.SHED
+    return Outcome.FAILED
--- /dev/null
+++ b/trackwheel/files/const.py
@@ -0,0 +1,36 @@
+"""Names, defaults and limits of operators' files."""
+
+from typing import Final
+
+SECTION_FILE: Final = "file"
+KIND_GROUP: Final = "group"
+KIND_SERVICE: Final = "service"
+KIND_TARGETS: Final = "targets"
+KIND_POLICY: Final = "policy"
+
+CONF_NAME: Final = "name"
+CONF_KEY_SHA256: Final = "key_sha256"
+CONF_SHARE: Final = "share"
+CONF_SERVICES: Final = "services"
+CONF_SLOTS: Final = "slots"
+CONF_CONNECTIONS: Final = "connections"
+CONF_NEW_CONNECTION: Final = "new_connection"
+CONF_DEADLINE: Final = "deadline"
+CONF_WAIT: Final = "wait"
+CONF_LEAST_COVERAGE: Final = "least_coverage"
+CONF_EXTRA_LOAD: Final = "extra_load"
+CONF_OBJECTIVE: Final = "objective"
+
+DEFAULT_NEW_CONNECTION: Final = 0.006
+DEFAULT_LEAST_COVERAGE: Final = 1.0
+DEFAULT_EXTRA_LOAD: Final = 0.05
+DEFAULT_OBJECTIVE: Final = 0.99
+
+MAX_FILE_BYTES: Final = 1_000_000
+"""The platform's service holds values up to a megabyte."""
+
+MAX_RECENT_APPLIES: Final = 16
+"""How many apply ids an entry keeps, so that a lost reply can be read back."""
+
+KEY_MANIFEST: Final = "trackwheel/manifest"
+KEY_CONTENT_PREFIX: Final = "trackwheel/content/"
--- /dev/null
+++ b/trackwheel/fleet/rumours.py
@@ -0,0 +1,38 @@
+"""Rumours that ride on other messages, each a bounded number of times."""
+
+import math
+from collections.abc import Hashable
+from typing import Generic, TypeVar
+
+from trackwheel.fleet.const import MAX_RUMOURS_PER_MESSAGE, RUMOUR_SENDS_PER_DOUBLING
+
+K = TypeVar("K", bound=Hashable)
+V = TypeVar("V")
+
+
+class Rumours(Generic[K, V]):
+    """Keep what is still to be told, the least told first."""
+
+    def __init__(self) -> None:
+        self._value_and_sends_by_key: dict[K, tuple[V, int]] = {}
+
+    def __len__(self) -> int:
+        return len(self._value_and_sends_by_key)
+
+    def add(self, key: K, value: V) -> None:
+        """Start telling a value; it replaces an older one under the same key."""
+        self._value_and_sends_by_key[key] = (value, 0)
+
+    def take(self, fleet_size: int) -> list[V]:
+        """Return what the next message should carry."""
+        if not self._value_and_sends_by_key:
+            return []
+        limit = RUMOUR_SENDS_PER_DOUBLING * max(1, math.ceil(math.log2(fleet_size + 1)))
+        waiting = sorted(self._value_and_sends_by_key.items(), key=lambda item: item[1][1])
+        chosen = waiting[:MAX_RUMOURS_PER_MESSAGE]
+        for key, (value, sends) in chosen:
+            if sends + 1 >= limit:
+                del self._value_and_sends_by_key[key]
+            else:
+                self._value_and_sends_by_key[key] = (value, sends + 1)
+        return [value for _, (value, _) in chosen]
--- /dev/null
+++ b/trackwheel/fleet/service.py
@@ -0,0 +1,206 @@
+"""The task that owns the membership, and what the other duties ask of it."""
+
+import time
+from collections.abc import Callable
+from functools import partial
+
+import anyio
+import xxhash
+from returns.result import Success
+
+from trackwheel.files.models import ServiceSpec
+from trackwheel.fleet.const import ALONE_PERIOD_S, BOX_LIST_PERIOD_S
+from trackwheel.fleet.membership import Membership, Timing
+from trackwheel.fleet.models import (
+    FLEET_MESSAGES,
+    FleetCommand,
+    Member,
+    MembersChanged,
+    NotesLearnt,
+    PeerRevision,
+    Rejoined,
+    Send,
+    Status,
+    TargetNote,
+)
+from trackwheel.fleet.ownership import may_own, owners_of
+from trackwheel.inbox import Inbox
+from trackwheel.peers.hub import Hub
+from trackwheel.peers.models import PeerIdentity
+from trackwheel.platform.models import BoxListClient
+from trackwheel.telemetry.logs import Log
+
+LOG = Log("fleet")
+
+WATCHERS_PER_DOMAIN = 2
+UNREACHABLE_S = 2.0
+"""How long a gateway passes over an owner to which its link broke."""
+
+Decide = Callable[[float], list[FleetCommand]]
+"""An event: it takes the time and changes the membership."""
+
+
+class FleetService:
+    """Run the membership's decisions and answer who owns what."""
+
+    def __init__(
+        self, hub: Hub, own: Member, timing: Timing, box_list: BoxListClient, seed: int
+    ) -> None:
+        self._hub = hub
+        self._box_list = box_list
+        self._membership = Membership(own, timing, seed)
+        self._inbox: Inbox[Decide] = Inbox()
+        self._owners_by_service: dict[str, tuple[ServiceSpec, dict[str, Member]]] = {}
+        self._owners_valid_until = float("inf")
+        self._unreachable_until_by_address: dict[str, float] = {}
+        self._on_members: list[Callable[[tuple[Member, ...]], None]] = []
+        self._on_revision: list[Callable[[str, int], None]] = []
+        self._on_notes: list[Callable[[tuple[TargetNote, ...]], None]] = []
+        self.members: tuple[Member, ...] = (own,)
+        self.own = own
+        self.rejoins = 0
+        for message_type in FLEET_MESSAGES:
+            hub.register(message_type, self._receive)
+        hub.on_link_lost(self._link_lost)
+
+    @property
+    def monitored(self) -> tuple[str, ...]:
+        """Return the boxes that this box probes and pushes news to."""
+        return self._membership.monitored
+
+    def on_members(self, handler: Callable[[tuple[Member, ...]], None]) -> None:
+        """Call a handler whenever the view of the fleet is another one."""
+        self._on_members.append(handler)
+
+    def on_revision(self, handler: Callable[[str, int], None]) -> None:
+        """Call a handler with each revision that a peer says it has in force."""
+        self._on_revision.append(handler)
+
+    def on_notes(self, handler: Callable[[tuple[TargetNote, ...]], None]) -> None:
+        """Call a handler with targets that are leaving."""
+        self._on_notes.append(handler)
+
+    def set_files_revision(self, revision: int) -> None:
+        """Take the revision that this box has in force."""
+        self._membership.set_files_revision(revision)
+        self._owners_by_service.clear()
+
+    def leave(self) -> None:
+        """Say to the fleet that this box is leaving."""
+        self._inbox.put(lambda now: self._membership.leave())
+
+    def tell_leaving(self, note: TargetNote) -> None:
+        """Tell the fleet that a target is leaving."""
+        self._inbox.put(lambda now: self._membership.note_leaving_target(note, now))
+
+    def boot_address(self, boot: str) -> str | None:
+        """Return the address of the member with a boot, None when there is none."""
+        return next((m.address for m in self.members if m.boot == boot), None)
+
+    def owner(self, service: ServiceSpec, target: str) -> Member | None:
+        """Return the box that owns a target, None when nobody does."""
+        if time.monotonic() >= self._owners_valid_until:
+            self._owners_by_service.clear()
+        held = self._owners_by_service.get(service.name)
+        if held is None or held[0] is not service:
+            held = (service, owners_of(service, self._reachable()))
+            self._owners_by_service[service.name] = held
+        return held[1].get(target)
+
+    def pass_over(self, address: str) -> None:
+        """Give an unreachable box's targets to others for a while, as seen from here."""
+        if address == self.own.address:
+            return
+        self._unreachable_until_by_address[address] = time.monotonic() + UNREACHABLE_S
+        self._owners_by_service.clear()
+
+    def is_watcher(self) -> bool:
+        """Return whether this box is one of the few in its domain that watch the store."""
+        domain = [
+            member
+            for member in self.members
+            if member.failure_domain == self.own.failure_domain and may_own(member)
+        ]
+        ranked = sorted(domain, key=lambda m: xxhash.xxh64_intdigest(m.address.encode()))
+        first = {member.address for member in ranked[:WATCHERS_PER_DOMAIN]}
+        return self.own.address in first or self.own.status is Status.LEAVING
+
+    async def run(self) -> None:
+        """Decide and act until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._read_box_list)
+            while True:
+                events = await self._inbox.take(self._membership.next_wake())
+                now = time.monotonic()
+                commands = [command for decide in events for command in decide(now)]
+                commands += self._membership.tick(now)
+                self._perform(commands)
+
+    def _receive(self, sender: PeerIdentity, message: object) -> None:
+        address = sender.address
+        self._inbox.put(lambda now: self._membership.receive(address, message, now))
+
+    def _link_lost(self, address: str) -> None:
+        self.pass_over(address)
+        self._inbox.put(lambda now: self._membership.link_lost(address, now))
+
+    def _reachable(self) -> tuple[Member, ...]:
+        """Return the members without those to which links broke, unless none is left."""
+        now = time.monotonic()
+        until = self._unreachable_until_by_address
+        for address in [address for address, end in until.items() if end <= now]:
+            del until[address]
+        self._owners_valid_until = min(until.values(), default=float("inf"))
+        return tuple(member for member in self.members if member.address not in until)
+
+    def _perform(self, commands: list[FleetCommand]) -> None:
+        for command in commands:
+            match command:
+                case Send(address, message):
+                    self._hub.send(address, message)
+                case MembersChanged(members):
+                    self._take_members(members)
+                case PeerRevision(address, revision):
+                    for on_revision in self._on_revision:
+                        on_revision(address, revision)
+                case NotesLearnt(notes):
+                    for on_notes in self._on_notes:
+                        on_notes(notes)
+                case Rejoined(away_s):
+                    self.rejoins += 1
+                    LOG.warning(f"This box was away for {away_s:.1f} s. It joins again.")
+
+    def _take_members(self, members: tuple[Member, ...]) -> None:
+        self._log_changes(members)
+        self.members = members
+        self.own = self._membership.own
+        self._owners_by_service.clear()
+        for on_members in self._on_members:
+            on_members(members)
+
+    def _log_changes(self, members: tuple[Member, ...]) -> None:
+        before = {member.address: member for member in self.members}
+        after = {member.address: member for member in members}
+        for address in before.keys() - after.keys():
+            LOG.warning(f"Box {before[address].box_id} at {address} is gone.")
+        for address, member in after.items():
+            old = before.get(address)
+            if old is None or old.boot != member.boot:
+                LOG.info(f"Box {member.box_id} at {address} is here.")
+            elif old.status is not member.status:
+                LOG.info(f"Box {member.box_id} at {address} is {member.status.name.lower()}.")
+
+    async def _read_box_list(self) -> None:
+        """Read the platform's list while alone or one of the few that watch the platform."""
+        while True:
+            if len(self.members) == 1 or self.is_watcher():
+                result = await self._box_list.read()
+                match result:
+                    case Success(boxes):
+                        seeds = tuple(boxes.live) + tuple(boxes.leaving)
+                        self._inbox.put(partial(self._set_seeds, seeds))
+            await anyio.sleep(BOX_LIST_PERIOD_S if len(self.members) > 1 else ALONE_PERIOD_S)
+
+    def _set_seeds(self, seeds: tuple[str, ...], now: float) -> list[FleetCommand]:
+        self._membership.set_seeds(seeds)
+        return self._membership.tick(now)
--- /dev/null
+++ b/trackwheel/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' side: admit, plan, scatter, gather, and answer truly."""
--- /dev/null
+++ b/trackwheel/gateway/board.py
@@ -0,0 +1,161 @@
+"""What a gateway has learnt of targets from answers: latency, queues, leaving, ejection."""
+
+import random
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+
+from trackwheel.gateway.const import (
+    DEFAULT_HEDGE_S,
+    EJECTED_VALID_S,
+    HEDGE_PERCENTILE,
+    HEDGE_REFRESH_S,
+    LATENCY_SMOOTHING,
+    LATENCY_WINDOW_S,
+    LEAST_HEDGE_S,
+    SCORE_HALF_LIFE_S,
+    SCORE_NOISE,
+)
+
+_LEAST_US = 1
+_MOST_US = 60_000_000
+_DIGITS = 2
+_LEAST_SAMPLES = 50
+
+
+class LatencyWindow:
+    """Give a high quantile of the latencies of the last few seconds."""
+
+    def __init__(self) -> None:
+        self._current: Any = HdrHistogram(_LEAST_US, _MOST_US, _DIGITS)
+        self._last: Any = HdrHistogram(_LEAST_US, _MOST_US, _DIGITS)
+        self._turn_at = 0.0
+        self._fresh_until = 0.0
+        self._quantile_s = DEFAULT_HEDGE_S
+
+    def record(self, seconds: float, now: float) -> None:
+        """Take one latency."""
+        if now >= self._turn_at:
+            self._current, self._last = self._last, self._current
+            self._current.reset()
+            self._turn_at = now + LATENCY_WINDOW_S
+        self._current.record_value(max(_LEAST_US, min(_MOST_US, int(seconds * 1e6))))
+
+    def quantile(self, now: float) -> float:
+        """Return the quantile at which a hedge is worth its load (seconds)."""
+        if now < self._fresh_until:
+            return self._quantile_s
+        self._fresh_until = now + HEDGE_REFRESH_S
+        histograms = (self._current, self._last)
+        filled = [h for h in histograms if h.get_total_count() >= _LEAST_SAMPLES]
+        if filled:
+            values = [h.get_value_at_percentile(HEDGE_PERCENTILE) for h in filled]
+            self._quantile_s = max(LEAST_HEDGE_S, max(values) / 1e6)
+        return self._quantile_s
+
+
+class _TargetNotes:
+    """Hold what is known of one target."""
+
+    __slots__ = ("ejected_until", "latency_s", "learnt_at")
+
+    def __init__(self) -> None:
+        self.latency_s = 0.0
+        self.learnt_at = 0.0
+        self.ejected_until = 0.0
+
+
+class Board:
+    """Choose among an instance's targets by what their answers have shown."""
+
+    def __init__(self, seed: int) -> None:
+        self._random = random.Random(seed)
+        self._notes_by_target: dict[str, _TargetNotes] = {}
+        self._leaving_targets: set[str] = set()
+        self._window_by_service: dict[str, LatencyWindow] = {}
+        self._version_by_service: dict[str, int] = {}
+
+    def forget_except(self, targets: set[str]) -> None:
+        """Keep notes only of targets that the files in force name."""
+        kept = self._notes_by_target.items()
+        self._notes_by_target = {name: notes for name, notes in kept if name in targets}
+        self._leaving_targets &= targets
+
+    def set_leaving(self, target: str, leaving: bool) -> None:
+        """Take whether a target is leaving."""
+        if leaving:
+            self._leaving_targets.add(target)
+        else:
+            self._leaving_targets.discard(target)
+
+    def is_leaving(self, target: str) -> bool:
+        """Return whether a target is known to leave."""
+        return target in self._leaving_targets
+
+    def learn_latency(self, service: str, target: str, seconds: float, now: float) -> None:
+        """Take how long a target's answer took, seen from this gateway."""
+        notes = self._notes(target)
+        if notes.latency_s == 0.0:
+            notes.latency_s = seconds
+        notes.latency_s += LATENCY_SMOOTHING * (seconds - notes.latency_s)
+        notes.learnt_at = now
+        notes.ejected_until = 0.0
+        self._window(service).record(seconds, now)
+
+    def learn_at_least(self, target: str, seconds: float, now: float) -> None:
+        """Take that a target had not answered after a time."""
+        notes = self._notes(target)
+        if seconds > notes.latency_s:
+            notes.latency_s += LATENCY_SMOOTHING * (seconds - notes.latency_s)
+            notes.learnt_at = now
+
+    def learn_ejected(self, target: str, now: float) -> None:
+        """Take that the owner leaves a target out."""
+        self._notes(target).ejected_until = now + EJECTED_VALID_S
+
+    def learn_version(self, service: str, version: int) -> None:
+        """Take the version of a service's index that was last answered from."""
+        self._version_by_service[service] = version
+
+    def version(self, service: str) -> int | None:
+        """Return the version to ask a service for first."""
+        return self._version_by_service.get(service)
+
+    def hedge_delay(self, service: str, now: float) -> float:
+        """Return after how long a second target is asked (seconds)."""
+        return self._window(service).quantile(now)
+
+    def choose(self, targets: tuple[str, ...], excluded: set[str], now: float) -> str | None:
+        """Return the target to ask, None when every one is excluded, leaving or ejected."""
+        able = [
+            target
+            for target in targets
+            if target not in excluded
+            and target not in self._leaving_targets
+            and self._notes(target).ejected_until <= now
+        ]
+        return min(able, key=lambda target: self._score(target, now), default=None)
+
+    def last_resort(self, targets: tuple[str, ...], now: float) -> str | None:
+        """Return the target to ask when all others are out; never one that is leaving."""
+        able = [target for target in targets if target not in self._leaving_targets]
+        return min(able, key=lambda target: self._score(target, now), default=None)
+
+    def _score(self, target: str, now: float) -> float:
+        """Return a latency that fades with time, so that slow targets are tried again."""
+        notes = self._notes(target)
+        age_s = now - notes.learnt_at
+        faded: float = notes.latency_s * 0.5 ** (age_s / SCORE_HALF_LIFE_S)
+        return faded * self._random.uniform(1 - SCORE_NOISE, 1 + SCORE_NOISE)
+
+    def _notes(self, target: str) -> _TargetNotes:
+        notes = self._notes_by_target.get(target)
+        if notes is None:
+            notes = self._notes_by_target[target] = _TargetNotes()
+        return notes
+
+    def _window(self, service: str) -> LatencyWindow:
+        window = self._window_by_service.get(service)
+        if window is None:
+            window = self._window_by_service[service] = LatencyWindow()
+        return window
--- /dev/null
+++ b/trackwheel/gateway/budget.py
@@ -0,0 +1,28 @@
+"""The one budget from which all extra load on targets is paid."""
+
+from trackwheel.gateway.const import BUDGET_CAP, BUDGET_START
+
+
+class Budget:
+    """Allow extra sub-requests as a part of the first tries."""
+
+    def __init__(self, part: float) -> None:
+        self.part = part
+        self._tokens = BUDGET_START
+        self.first_tries = 0
+        self.extras = 0
+        self.denied = 0
+
+    def first(self, count: int) -> None:
+        """Count first tries."""
+        self.first_tries += count
+        self._tokens = min(BUDGET_CAP, self._tokens + count * self.part)
+
+    def take(self) -> bool:
+        """Pay for one extra sub-request; return False when the budget is used up."""
+        if self._tokens < 1.0:
+            self.denied += 1
+            return False
+        self._tokens -= 1.0
+        self.extras += 1
+        return True
--- /dev/null
+++ b/trackwheel/gateway/execution.py
@@ -0,0 +1,147 @@
+"""The decisions of one request that may run only once: which target, which permit, what to say."""
+
+from typing import NamedTuple
+
+from trackwheel.dispatch.models import ExecuteAnswer, Outcome, PermitRequest, RunOutcome
+from trackwheel.gateway.board import Board
+from trackwheel.gateway.const import LEAST_RETRY_AFTER_S
+from trackwheel.gateway.ledger import Ledger
+
+
+class AskOnce(NamedTuple):
+    """Command: put the request in the queue of a target."""
+
+    nonce: int
+    target: str
+
+
+class WithdrawOnce(NamedTuple):
+    """Command: take the request out of a queue again."""
+
+    nonce: int
+    target: str
+
+
+class AnswerPermit(NamedTuple):
+    """Command: answer an owner's permit request."""
+
+    nonce: int
+    target: str
+    granted: bool
+
+
+class Settled(NamedTuple):
+    """Command: tell the caller the outcome (seconds until it may come back)."""
+
+    outcome: RunOutcome
+    reason: str
+    body: bytes
+    retry_after_s: float
+
+
+ExecutionCommand = AskOnce | WithdrawOnce | AnswerPermit | Settled
+
+
+class ExecutionPlan(NamedTuple):
+    """Hold one attempt at one request (deadline on this box's monotonic clock)."""
+
+    query_id: str
+    request_id: str
+    attempt: int
+    targets: tuple[str, ...]
+    deadline: float
+
+
+class Execution:
+    """Decide, from events and the time, how one attempt goes on."""
+
+    def __init__(self, plan: ExecutionPlan, ledger: Ledger, board: Board) -> None:
+        self.plan = plan
+        self._ledger = ledger
+        self._board = board
+        self._nonce = 0
+        self._target = ""
+        self._permitted = False
+        self._tried: set[str] = set()
+        self._reason = "no_target"
+        self._retry_after_s = LEAST_RETRY_AFTER_S
+        self.settled = False
+
+    def start(self, now: float) -> list[ExecutionCommand]:
+        """Ask the first target."""
+        return self._ask_next(now)
+
+    def permit_requested(self, request: PermitRequest) -> list[ExecutionCommand]:
+        """Grant a permit to the one ask that is under way, deny it to any other."""
+        plan = self.plan
+        current = request.nonce == self._nonce and request.target == self._target
+        granted = (
+            current
+            and not self.settled
+            and request.request_id == plan.request_id
+            and self._ledger.permit(plan.request_id, plan.attempt)
+        )
+        self._permitted = self._permitted or granted
+        return [AnswerPermit(request.nonce, request.target, granted)]
+
+    def answered(self, answer: ExecuteAnswer, now: float) -> list[ExecutionCommand]:
+        """Take the end of an ask; a late `done` is remembered even when the caller has gone."""
+        if answer.nonce != self._nonce:
+            return []
+        plan = self.plan
+        if answer.outcome is RunOutcome.DONE:
+            self._ledger.done(plan.request_id, plan.attempt, answer.body)
+            return self._settle(RunOutcome.DONE, "", answer.body)
+        if self.settled:
+            return []
+        if answer.outcome is RunOutcome.UNKNOWN:
+            return self._give_up(answer.reason)
+        self._ledger.refused(plan.request_id, plan.attempt)
+        self._permitted = False
+        self._reason = answer.reason
+        self._retry_after_s = max(self._retry_after_s, answer.retry_after_ms / 1000)
+        if answer.reason == Outcome.LEAVING:
+            self._board.set_leaving(self._target, True)
+        elif answer.reason == Outcome.EJECTED:
+            self._board.learn_ejected(self._target, now)
+        return self._ask_next(now)
+
+    def owner_lost(self, now: float) -> list[ExecutionCommand]:
+        """Take that the owner cannot be reached: unknown after a permit, another target before."""
+        if self.settled:
+            return []
+        if self._permitted:
+            return self._give_up("owner_lost")
+        self._reason = Outcome.NO_OWNER
+        return self._ask_next(now)
+
+    def expire(self) -> list[ExecutionCommand]:
+        """Take that the caller's time is up."""
+        if self.settled:
+            return []
+        withdraw = WithdrawOnce(self._nonce, self._target)
+        return [withdraw, *self._give_up("deadline")]
+
+    @property
+    def target(self) -> str:
+        """Return the target whose queue the request is in."""
+        return self._target
+
+    def _ask_next(self, now: float) -> list[ExecutionCommand]:
+        target = self._board.choose(self.plan.targets, self._tried, now)
+        if target is None or now >= self.plan.deadline:
+            return self._give_up(self._reason)
+        self._nonce += 1
+        self._target = target
+        self._tried.add(target)
+        return [AskOnce(self._nonce, target)]
+
+    def _give_up(self, reason: str) -> list[ExecutionCommand]:
+        outcome = self._ledger.give_up(self.plan.request_id, self.plan.attempt)
+        return self._settle(outcome, reason, b"")
+
+    def _settle(self, outcome: RunOutcome, reason: str, body: bytes) -> list[ExecutionCommand]:
+        if self.settled:
+            return []
+        self.settled = True
+        return [Settled(outcome, reason, body, self._retry_after_s)]
--- /dev/null
+++ b/trackwheel/gateway/once.py
@@ -0,0 +1,279 @@
+"""The task of each request that may run only once, at the box that issued its id."""
+
+import itertools
+import secrets
+import time
+from typing import NamedTuple
+
+import anyio
+import msgspec
+import xxhash
+
+from trackwheel.dispatch.const import EXECUTE_TIMEOUT_S
+from trackwheel.dispatch.models import (
+    Ask,
+    ExecuteAnswer,
+    ExecuteAsk,
+    PermitReply,
+    PermitRequest,
+    RunOutcome,
+    Withdraw,
+)
+from trackwheel.files.models import ServiceSpec
+from trackwheel.gateway.admission import Admission
+from trackwheel.gateway.board import Board
+from trackwheel.gateway.errors import CallerError, Code, refuse
+from trackwheel.gateway.execution import (
+    AnswerPermit,
+    AskOnce,
+    Execution,
+    ExecutionCommand,
+    ExecutionPlan,
+    Settled,
+    WithdrawOnce,
+)
+from trackwheel.gateway.ledger import Ledger, Verdict
+from trackwheel.gateway.queries import Owners
+from trackwheel.inbox import Inbox
+from trackwheel.peers.hub import Hub
+from trackwheel.peers.models import PeerIdentity
+from trackwheel.telemetry.explain import Trace, Traces
+
+LATE_ANSWERS_S = EXECUTE_TIMEOUT_S + 5.0
+"""How long an attempt that was given up still takes the answer of its target."""
+
+
+class OnceRequest(NamedTuple):
+    """Hold a caller's request that may run only once (deadline in seconds)."""
+
+    request_id: str
+    group: str
+    service: ServiceSpec
+    routing_key: str
+    body: str
+    deadline_s: float
+
+
+class OnceResult(NamedTuple):
+    """Say what is known of the request."""
+
+    request_id: str
+    outcome: RunOutcome
+    reason: str
+    body: bytes
+    retry_after_s: float
+
+
+class _Attempt:
+    """Hold one attempt that is under way or still takes a late answer."""
+
+    def __init__(self, request: OnceRequest, execution: Execution, trace: Trace) -> None:
+        self.request = request
+        self.execution = execution
+        self.trace = trace
+        self.owner_by_nonce: dict[int, str] = {}
+        self.lost_owners: Inbox[str] = Inbox()
+        self.settled: OnceResult | None = None
+        self.changed = anyio.Event()
+
+
+class OnceRunner:
+    """Issue ids, run requests once, and remember what came of them."""
+
+    def __init__(self, hub: Hub, owners: Owners, board: Board, traces: Traces) -> None:
+        self._hub = hub
+        self._owners = owners
+        self._board = board
+        self._traces = traces
+        self._ledger = Ledger(hub.identity.boot, secrets.token_bytes(32))
+        self._admission = Admission(seed=2)
+        self._numbers = itertools.count(1)
+        self._attempt_by_query_id: dict[str, _Attempt] = {}
+        self._attempt_by_request_id: dict[str, _Attempt] = {}
+        self._late_until_by_query_id: dict[str, float] = {}
+        self.count_by_outcome: dict[str, int] = {}
+        hub.register(PermitRequest, self._take_permit_request)
+        hub.register(ExecuteAnswer, self._take_answer)
+        hub.on_link_lost(self._link_lost)
+
+    @property
+    def running(self) -> int:
+        """Return how many attempts are under way."""
+        return len(self._attempt_by_request_id)
+
+    def issue(self, group: str, count: int) -> list[str]:
+        """Return fresh ids for a group."""
+        return self._ledger.issue(group, count, time.monotonic())
+
+    async def run(self, request: OnceRequest) -> OnceResult:
+        """Return the outcome of a request whose id this box issued; raise `CallerError`."""
+        content = msgspec.json.encode([request.service.name, request.routing_key, request.body])
+        now = time.monotonic()
+        decision = self._ledger.begin(request.request_id, request.group, content, now)
+        match decision.verdict:
+            case Verdict.START:
+                attempt = self._start(request, decision.attempt, now)
+                return await self._follow(attempt)
+            case Verdict.JOIN:
+                joined = self._attempt_by_request_id.get(request.request_id)
+                if joined is not None:
+                    return await self._join(joined, request)
+            case Verdict.FINAL:
+                outcome, body = decision.outcome, decision.body
+                return OnceResult(request.request_id, outcome, "repeated", body, 0.0)
+        return _answer_verdict(decision.verdict, request.request_id)
+
+    def _start(self, request: OnceRequest, number: int, now: float) -> _Attempt:
+        query_id = f"{self._hub.identity.boot}-x{next(self._numbers)}"
+        instances = request.service.targets_by_instance
+        place = xxhash.xxh64_intdigest(request.routing_key.encode()) % len(instances)
+        targets = tuple(target.address for target in instances[place])
+        deadline = now + request.deadline_s
+        plan = ExecutionPlan(query_id, request.request_id, number, targets, deadline)
+        trace = self._traces.open(request.request_id, request.service.name, request.group)
+        attempt = _Attempt(request, Execution(plan, self._ledger, self._board), trace)
+        self._forget_late(now)
+        self._attempt_by_query_id[query_id] = attempt
+        self._attempt_by_request_id[request.request_id] = attempt
+        return attempt
+
+    async def _follow(self, attempt: _Attempt) -> OnceResult:
+        """Drive an attempt until it is settled; a caller that goes away does not end it."""
+        with anyio.CancelScope(shield=True):
+            self._perform(attempt, attempt.execution.start(time.monotonic()))
+            while attempt.settled is None:
+                lost = await attempt.lost_owners.take(attempt.execution.plan.deadline)
+                for owner in lost:
+                    self._take_lost_owner(attempt, owner)
+                if not lost:
+                    self._perform(attempt, attempt.execution.expire())
+        assert attempt.settled is not None, "the loop ends when the attempt is settled"
+        return attempt.settled
+
+    async def _join(self, attempt: _Attempt, request: OnceRequest) -> OnceResult:
+        """Wait for the attempt that another exchange of the same request drives."""
+        with anyio.move_on_after(request.deadline_s):
+            while attempt.settled is None:
+                await attempt.changed.wait()
+        if attempt.settled is not None:
+            return attempt.settled
+        return OnceResult(request.request_id, RunOutcome.UNKNOWN, "under_way", b"", 0.1)
+
+    def _perform(self, attempt: _Attempt, commands: list[ExecutionCommand]) -> None:
+        execution = attempt.execution
+        query_id = execution.plan.query_id
+        for command in commands:
+            match command:
+                case AskOnce(nonce, target):
+                    self._ask(attempt, nonce, target)
+                case WithdrawOnce(nonce, target):
+                    owner = attempt.owner_by_nonce.get(nonce, "")
+                    if owner:
+                        self._hub.send(owner, Withdraw(query_id, [Ask(nonce, target, False)]))
+                case AnswerPermit(nonce, target, granted):
+                    owner = attempt.owner_by_nonce.get(nonce, "")
+                    attempt.trace.note("permit", -1, target, owner, str(granted))
+                    if owner:
+                        self._hub.send(owner, PermitReply(query_id, nonce, target, granted))
+                case Settled():
+                    self._settle(attempt, command)
+
+    def _ask(self, attempt: _Attempt, nonce: int, target: str) -> None:
+        request, plan = attempt.request, attempt.execution.plan
+        member = self._owners.owner(request.service, target)
+        owner = member.address if member is not None else ""
+        attempt.owner_by_nonce[nonce] = owner
+        attempt.trace.note("ask", -1, target, owner)
+        message = ExecuteAsk(
+            query_id=plan.query_id,
+            nonce=nonce,
+            request_id=request.request_id,
+            gateway_boot=self._hub.identity.boot,
+            service=request.service.name,
+            group=request.group,
+            target=target,
+            deadline_ms=(plan.deadline - time.monotonic()) * 1000,
+            body=request.body,
+        )
+        if not owner or not self._hub.send(owner, message):
+            attempt.lost_owners.put(owner)
+
+    def _settle(self, attempt: _Attempt, settled: Settled) -> None:
+        request = attempt.request
+        outcome = settled.outcome
+        self.count_by_outcome[outcome] = self.count_by_outcome.get(outcome, 0) + 1
+        attempt.trace.end(f"{outcome} {settled.reason}")
+        retry_s = 0.0
+        if outcome is RunOutcome.NOT_RUN:
+            retry_s = self._admission.retry_after(settled.retry_after_s)
+        attempt.settled = OnceResult(
+            request.request_id, outcome, settled.reason, settled.body, retry_s
+        )
+        del self._attempt_by_request_id[request.request_id]
+        query_id = attempt.execution.plan.query_id
+        self._late_until_by_query_id[query_id] = time.monotonic() + LATE_ANSWERS_S
+        attempt.changed.set()
+        attempt.lost_owners.put("")
+
+    def _forget_late(self, now: float) -> None:
+        """Drop attempts whose late answers nobody waits for any more, the oldest first."""
+        while self._late_until_by_query_id:
+            query_id, until = next(iter(self._late_until_by_query_id.items()))
+            if until > now:
+                return
+            del self._late_until_by_query_id[query_id]
+            self._attempt_by_query_id.pop(query_id, None)
+
+    def _take_permit_request(self, sender: PeerIdentity, request: PermitRequest) -> None:
+        """Answer an owner; whoever asks another boot, or for nothing known, is denied."""
+        attempt = self._attempt_by_query_id.get(request.query_id)
+        owner = attempt.owner_by_nonce.get(request.nonce) if attempt is not None else None
+        foreign = request.gateway_boot != self._hub.identity.boot or owner != sender.address
+        if attempt is None or foreign:
+            denied = PermitReply(request.query_id, request.nonce, request.target, False)
+            self._hub.send(sender.address, denied)
+            return
+        self._perform(attempt, attempt.execution.permit_requested(request))
+
+    def _take_answer(self, sender: PeerIdentity, answer: ExecuteAnswer) -> None:
+        attempt = self._attempt_by_query_id.get(answer.query_id)
+        if attempt is None or attempt.owner_by_nonce.get(answer.nonce) != sender.address:
+            return
+        attempt.trace.note("end", -1, "", sender.address, f"{answer.outcome} {answer.reason}")
+        self._perform(attempt, attempt.execution.answered(answer, time.monotonic()))
+
+    def _link_lost(self, address: str) -> None:
+        for attempt in self._attempt_by_request_id.values():
+            attempt.lost_owners.put(address)
+
+    def _take_lost_owner(self, attempt: _Attempt, owner: str) -> None:
+        execution = attempt.execution
+        nonces = attempt.owner_by_nonce
+        current = nonces[max(nonces)] if nonces else ""
+        if attempt.settled is None and owner == current:
+            self._perform(attempt, execution.owner_lost(time.monotonic()))
+
+
+def _answer_verdict(verdict: Verdict, request_id: str) -> OnceResult:
+    """Return or raise what a caller is told when its request is not started."""
+    remedy = "Get an id with POST /v1/ids and send it again only with that id"
+    if verdict is Verdict.INVALID:
+        raise refuse(Code.ID_INVALID, "begin", "the id was not issued to this group", remedy)
+    if verdict is Verdict.REUSED:
+        detail = "the id was used for another request"
+        raise refuse(Code.ID_REUSED, "begin", detail, remedy)
+    if verdict is Verdict.FULL:
+        detail = "too many requests are remembered"
+        raise refuse(Code.OVERLOADED, "begin", detail, "Come back later", 5.0)
+    return OnceResult(request_id, RunOutcome.UNKNOWN, verdict, b"", 0.0)
+
+
+def error_of(result: OnceResult) -> CallerError:
+    """Return the error that tells a caller of an outcome other than done."""
+    if result.outcome is RunOutcome.NOT_RUN:
+        detail = f"the request was not run: {result.reason}"
+        remedy = "Send it again with the same id"
+        return refuse(Code.NOT_RUN, "execute", detail, remedy, result.retry_after_s)
+    detail = f"it is not known whether the request ran: {result.reason}"
+    remedy = "Ask again with the same id; it is not run twice"
+    return refuse(Code.OUTCOME_UNKNOWN, "execute", detail, remedy, result.retry_after_s)
--- /dev/null
+++ b/trackwheel/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Links between boxes: typed messages in CBOR over websockets, several to a frame."""
--- /dev/null
+++ b/trackwheel/settings.py
@@ -0,0 +1,165 @@
+"""The settings of one box, read from INI and checked key by key."""
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import Final, NamedTuple
+
+from trackwheel.ini import IniError, IniReader, InvalidIniError, parse_duration, parse_words
+
+SECTION_BOX: Final = "box"
+SECTION_LISTEN: Final = "listen"
+SECTION_PLATFORM: Final = "platform"
+SECTION_TLS: Final = "tls"
+SECTION_LOG: Final = "log"
+SECTION_FLEET: Final = "fleet"
+
+CONF_ID: Final = "id"
+CONF_REGION: Final = "region"
+CONF_FAILURE_DOMAIN: Final = "failure_domain"
+CONF_CALLERS: Final = "callers"
+CONF_PEERS: Final = "peers"
+CONF_OPERATORS: Final = "operators"
+CONF_KEY_VALUE: Final = "key_value"
+CONF_BOX_LIST: Final = "box_list"
+CONF_AUTHORITY: Final = "authority"
+CONF_CERTIFICATE: Final = "certificate"
+CONF_PRIVATE_KEY: Final = "private_key"
+CONF_FORMAT: Final = "format"
+CONF_LEVEL: Final = "level"
+CONF_PROBE_PERIOD: Final = "probe_period"
+CONF_PROBE_TIMEOUT: Final = "probe_timeout"
+CONF_SUSPICION: Final = "suspicion"
+CONF_DRAIN: Final = "drain"
+
+DEFAULT_PROBE_PERIOD: Final = 0.3
+DEFAULT_PROBE_TIMEOUT: Final = 0.25
+DEFAULT_SUSPICION: Final = 0.7
+DEFAULT_DRAIN: Final = 30.0
+LOG_FORMATS: Final = ("text", "json")
+LOG_LEVELS: Final = ("debug", "info", "warning", "error")
+LOOPBACK: Final = ("127.0.0.1", "[::1]", "localhost")
+
+
+class TlsSettings(NamedTuple):
+    """Name the files that authenticate this box to its peers."""
+
+    authority: Path
+    certificate: Path
+    private_key: Path
+
+
+class Settings(NamedTuple):
+    """Hold everything that one box must know before it starts."""
+
+    box_id: str
+    region: str
+    failure_domain: str
+    callers: str
+    peers: str
+    operators: str
+    key_value: str
+    box_list: str
+    tls: TlsSettings | None
+    log_format: str
+    log_level: str
+    probe_period_s: float
+    probe_timeout_s: float
+    suspicion_s: float
+    drain_s: float
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of `host:port`; raise ValueError when it is not one."""
+    host, separator, port = address.rpartition(":")
+    if not separator or not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError("an address is written IP:PORT")
+    return host.strip("[]"), int(port)
+
+
+def _parse_address(text: str) -> str:
+    split_address(text)
+    return text
+
+
+def _parse_url(text: str) -> str:
+    if not text.startswith(("http://", "https://")):
+        raise ValueError("a URL starts with http:// or https://")
+    return text.rstrip("/")
+
+
+def _one_of(choices: tuple[str, ...]) -> Callable[[str], str]:
+    def parse(text: str) -> str:
+        if text not in choices:
+            raise ValueError(f"it is one of {', '.join(choices)}")
+        return text
+
+    return parse
+
+
+def _parse_name(text: str) -> str:
+    words = parse_words(text)
+    if len(words) != 1 or any(character.isspace() for character in words[0]):
+        raise ValueError("a name is one word")
+    return words[0]
+
+
+def parse_settings(file: str, text: str) -> Settings:
+    """Return checked settings; raise `InvalidIniError` that name every mistake."""
+    reader = IniReader(file, text)
+    known = (
+        SECTION_BOX,
+        SECTION_LISTEN,
+        SECTION_PLATFORM,
+        SECTION_TLS,
+        SECTION_LOG,
+        SECTION_FLEET,
+    )
+    for section in reader.sections():
+        if section not in known:
+            remedy = f"Use one of {', '.join(known)}"
+            reader.fail(section, "", "the section is unknown", remedy)
+            reader.keys(section)
+    box, listen, platform = SECTION_BOX, SECTION_LISTEN, SECTION_PLATFORM
+    settings = Settings(
+        box_id=reader.get(box, CONF_ID, _parse_name),
+        region=reader.get(box, CONF_REGION, _parse_name),
+        failure_domain=reader.get(box, CONF_FAILURE_DOMAIN, _parse_name),
+        callers=reader.get(listen, CONF_CALLERS, _parse_address),
+        peers=reader.get(listen, CONF_PEERS, _parse_address),
+        operators=reader.get(listen, CONF_OPERATORS, _parse_address),
+        key_value=reader.get(platform, CONF_KEY_VALUE, _parse_url),
+        box_list=reader.get(platform, CONF_BOX_LIST, _parse_url),
+        tls=_read_tls(reader),
+        log_format=reader.get(SECTION_LOG, CONF_FORMAT, _one_of(LOG_FORMATS), "text"),
+        log_level=reader.get(SECTION_LOG, CONF_LEVEL, _one_of(LOG_LEVELS), "info"),
+        probe_period_s=_duration(reader, CONF_PROBE_PERIOD, DEFAULT_PROBE_PERIOD),
+        probe_timeout_s=_duration(reader, CONF_PROBE_TIMEOUT, DEFAULT_PROBE_TIMEOUT),
+        suspicion_s=_duration(reader, CONF_SUSPICION, DEFAULT_SUSPICION),
+        drain_s=_duration(reader, CONF_DRAIN, DEFAULT_DRAIN),
+    )
+    reader.check_unknown()
+    reader.finish()
+    return settings
+
+
+def _duration(reader: IniReader, key: str, default: float) -> float:
+    return reader.get(SECTION_FLEET, key, parse_duration, default)
+
+
+def _read_tls(reader: IniReader) -> TlsSettings | None:
+    if SECTION_TLS not in reader.sections():
+        return None
+    authority = reader.get(SECTION_TLS, CONF_AUTHORITY, Path)
+    certificate = reader.get(SECTION_TLS, CONF_CERTIFICATE, Path)
+    private_key = reader.get(SECTION_TLS, CONF_PRIVATE_KEY, Path)
+    return TlsSettings(authority, certificate, private_key)
+
+
+def load_settings(path: Path) -> Settings:
+    """Return the checked settings in a file; raise `InvalidIniError`."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        problem = IniError(str(path), "", "", str(error), "Name a readable UTF-8 file")
+        raise InvalidIniError([problem]) from error
+    return parse_settings(str(path), text)
--- /dev/null
+++ b/trackwheel/targets/__init__.py
@@ -0,0 +1,1 @@
+"""The edge towards targets: HTTP as docs/TARGETS.md describes it."""
--- /dev/null
+++ b/trackwheel/targets/client.py
@@ -0,0 +1,95 @@
+"""The client towards targets, on aiohttp; docs/decisions/0002 has the measurement."""
+
+from typing import Final
+
+import aiohttp
+
+from trackwheel.targets.const import (
+    HEADER_BOOT,
+    HEADER_DEADLINE,
+    HEADER_DRAINING,
+    HEADER_RETRY_AFTER,
+    HEADER_RUN,
+    KEEP_ALIVE_S,
+    MAX_ANSWER_BYTES,
+    RUN_NO,
+)
+from trackwheel.targets.errors import broken, unreachable
+from trackwheel.targets.models import TargetReply
+
+_SKIPPED_HEADERS: Final = ("User-Agent", "Accept-Encoding", "Accept")
+
+
+class AiohttpTargetClient:
+    """Keep connections to targets alive; how many run at a time is the owner's decision."""
+
+    def __init__(self) -> None:
+        connector = aiohttp.TCPConnector(
+            limit=0, limit_per_host=0, keepalive_timeout=KEEP_ALIVE_S, use_dns_cache=False
+        )
+        self._session = aiohttp.ClientSession(
+            connector=connector,
+            timeout=aiohttp.ClientTimeout(total=None),
+            auto_decompress=False,
+            skip_auto_headers=_SKIPPED_HEADERS,
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+
+    async def post(self, target: str, path: str, body: bytes, deadline_ms: float) -> TargetReply:
+        """Return the whole reply; raise `TargetUnreachableError` or `TargetBrokenError`."""
+        headers = {HEADER_DEADLINE: f"{deadline_ms:.0f}", "Content-Type": "application/json"}
+        return await self._exchange("POST", target, path, body, headers)
+
+    async def get(self, target: str, path: str) -> TargetReply:
+        """Return the whole reply; raise `TargetUnreachableError` or `TargetBrokenError`."""
+        return await self._exchange("GET", target, path, None, {})
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
+
+    async def _exchange(
+        self, method: str, target: str, path: str, body: bytes | None, headers: dict[str, str]
+    ) -> TargetReply:
+        url = f"http://{target}{path}"
+        try:
+            async with self._session.request(
+                method, url, data=body, headers=headers, allow_redirects=False
+            ) as response:
+                content = await self._read(response)
+        except aiohttp.ClientConnectorError as error:
+            raise unreachable(target, error) from error
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            raise broken(target, error) from error
+        return _reply(response, content)
+
+    async def _read(self, response: aiohttp.ClientResponse) -> bytes:
+        """Read the whole body within the size limit; leaving early closes the connection."""
+        if (response.content_length or 0) > MAX_ANSWER_BYTES:
+            raise ValueError("the answer is too large")
+        if response.content_length is not None:
+            return await response.read()
+        parts = []
+        size = 0
+        async for part in response.content.iter_any():
+            size += len(part)
+            if size > MAX_ANSWER_BYTES:
+                raise ValueError("the answer is too large")
+            parts.append(part)
+        return b"".join(parts)
+
+
+def _reply(response: aiohttp.ClientResponse, content: bytes) -> TargetReply:
+    headers = response.headers
+    return TargetReply(
+        status=response.status,
+        boot=headers.get(HEADER_BOOT, ""),
+        draining=headers.get(HEADER_DRAINING) == "1",
+        not_run=headers.get(HEADER_RUN) == RUN_NO,
+        retry_after_s=_seconds(headers.get(HEADER_RETRY_AFTER, "")),
+        body=content,
+    )
+
+
+def _seconds(text: str) -> float:
+    return min(float(text), 3600.0) if text.isdigit() else 0.0
--- /dev/null
+++ b/trackwheel/targets/errors.py
@@ -0,0 +1,21 @@
+"""Errors of the edge towards targets."""
+
+from trackwheel.errors import Problem, TrackwheelError
+
+
+class TargetUnreachableError(TrackwheelError):
+    """Say that nothing was sent: no connection could be opened."""
+
+
+class TargetBrokenError(TrackwheelError):
+    """Say that the exchange broke after the request may have been sent."""
+
+
+def unreachable(target: str, error: Exception) -> TargetUnreachableError:
+    """Return the error for a connection that could not be opened."""
+    return TargetUnreachableError(Problem("unreachable", "connect", target, repr(error)))
+
+
+def broken(target: str, error: Exception) -> TargetBrokenError:
+    """Return the error for an exchange that broke."""
+    return TargetBrokenError(Problem("broken", "exchange", target, repr(error)))
--- /dev/null
+++ b/trackwheel/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""What the box tells about itself: logs, metrics, explanations, burn."""
--- /dev/null
+++ b/trackwheel/telemetry/burn.py
@@ -0,0 +1,152 @@
+"""Service-level burn: how fast each group's error budget at each service is used up."""
+
+import time
+from collections import deque
+from collections.abc import Iterable
+from typing import Final, NamedTuple
+
+from hdrh.histogram import HdrHistogram
+
+from trackwheel.files.models import Policy, ServiceSpec
+
+BUCKET_S: Final = 10.0
+FAST_WINDOW_S: Final = 300.0
+SLOW_WINDOW_S: Final = 3600.0
+GOOD: Final = "good"
+LATE: Final = "late"
+_LEAST_US: Final = 1
+_MOST_US: Final = 60_000_000
+
+
+class BurnRow(NamedTuple):
+    """Report one group at one service; a rate of 1 uses up the budget just in time."""
+
+    group: str
+    service: str
+    objective: float
+    total: int
+    bad_by_cause: dict[str, int]
+    fast_rate: float
+    slow_rate: float
+    budget_left: float
+    p50_ms: float
+    p99_ms: float
+
+
+class _Bucket:
+    """Count the ends of queries for some seconds."""
+
+    __slots__ = ("bad_by_cause", "start", "total")
+
+    def __init__(self, start: float) -> None:
+        self.start = start
+        self.total = 0
+        self.bad_by_cause: dict[str, int] = {}
+
+
+class _Account:
+    """Hold one group's counts at one service."""
+
+    def __init__(self, objective: float) -> None:
+        self.objective = objective
+        self.buckets: deque[_Bucket] = deque(maxlen=int(SLOW_WINDOW_S / BUCKET_S))
+        self.latencies = HdrHistogram(_LEAST_US, _MOST_US, 2)
+
+    def bucket(self, now: float) -> _Bucket:
+        start = now - now % BUCKET_S
+        if not self.buckets or self.buckets[-1].start != start:
+            self.buckets.append(_Bucket(start))
+        return self.buckets[-1]
+
+    def rate(self, window_s: float, now: float) -> float:
+        """Return the part of bad ends over the part that the objective allows."""
+        recent = [bucket for bucket in self.buckets if bucket.start > now - window_s]
+        total = sum(bucket.total for bucket in recent)
+        bad = sum(sum(bucket.bad_by_cause.values()) for bucket in recent)
+        allowed = 1.0 - self.objective
+        if not total:
+            return 0.0
+        return (bad / total) / allowed if allowed > 0 else float(bad > 0) * 1000.0
+
+
+class Burn:
+    """Count how queries end and report the burn."""
+
+    def __init__(self) -> None:
+        self._account_by_group_and_service: dict[tuple[str, str], _Account] = {}
+
+    def count(
+        self, group: str, service: ServiceSpec, policy: Policy, outcome: str, took_s: float
+    ) -> None:
+        """Count one query; a whole answer after its deadline is bad as well."""
+        key = (group, service.name)
+        account = self._account_by_group_and_service.get(key)
+        if account is None:
+            account = self._account_by_group_and_service[key] = _Account(service.objective)
+        account.objective = service.objective
+        cause = LATE if outcome == GOOD and took_s > policy.deadline_s else outcome
+        bucket = account.bucket(time.time())
+        bucket.total += 1
+        if cause != GOOD:
+            bucket.bad_by_cause[cause] = bucket.bad_by_cause.get(cause, 0) + 1
+        account.latencies.record_value(max(_LEAST_US, min(_MOST_US, int(took_s * 1e6))))
+
+    def rows(self) -> list[BurnRow]:
+        """Return the report of this box."""
+        now = time.time()
+        return [
+            self._row(group, service, account, now)
+            for (group, service), account in sorted(self._account_by_group_and_service.items())
+        ]
+
+    def _row(self, group: str, service: str, account: _Account, now: float) -> BurnRow:
+        bad: dict[str, int] = {}
+        for bucket in account.buckets:
+            for cause, count in bucket.bad_by_cause.items():
+                bad[cause] = bad.get(cause, 0) + count
+        slow_rate = account.rate(SLOW_WINDOW_S, now)
+        return BurnRow(
+            group=group,
+            service=service,
+            objective=account.objective,
+            total=sum(bucket.total for bucket in account.buckets),
+            bad_by_cause=bad,
+            fast_rate=account.rate(FAST_WINDOW_S, now),
+            slow_rate=slow_rate,
+            budget_left=max(0.0, 1.0 - slow_rate),
+            p50_ms=account.latencies.get_value_at_percentile(50) / 1000,
+            p99_ms=account.latencies.get_value_at_percentile(99) / 1000,
+        )
+
+
+def merge_rows(rows: Iterable[BurnRow]) -> list[BurnRow]:
+    """Return one row for each group and service from the rows of several boxes.
+
+    Rates are weighted by the boxes' counts; of percentiles the worst box's is shown.
+    """
+    merged: dict[tuple[str, str], BurnRow] = {}
+    for row in rows:
+        key = (row.group, row.service)
+        old = merged.get(key)
+        merged[key] = row if old is None else _merge(old, row)
+    return [merged[key] for key in sorted(merged)]
+
+
+def _merge(one: BurnRow, other: BurnRow) -> BurnRow:
+    total = one.total + other.total
+    weight = one.total / total if total else 0.5
+    causes = one.bad_by_cause.keys() | other.bad_by_cause.keys()
+    fast = weight * one.fast_rate + (1 - weight) * other.fast_rate
+    slow = weight * one.slow_rate + (1 - weight) * other.slow_rate
+    return one._replace(
+        total=total,
+        bad_by_cause={
+            cause: one.bad_by_cause.get(cause, 0) + other.bad_by_cause.get(cause, 0)
+            for cause in sorted(causes)
+        },
+        fast_rate=fast,
+        slow_rate=slow,
+        budget_left=max(0.0, 1.0 - slow),
+        p50_ms=max(one.p50_ms, other.p50_ms),
+        p99_ms=max(one.p99_ms, other.p99_ms),
+    )
--- /dev/null
+++ b/trackwheel/telemetry/explain.py
@@ -0,0 +1,116 @@
+"""Why answers came out as they did: a bounded record of each query's steps."""
+
+import time
+from collections import OrderedDict
+from typing import Final, NamedTuple, TypedDict
+
+MAX_TRACES: Final = 2_000
+MAX_STEPS: Final = 400
+
+
+class Step(NamedTuple):
+    """Note one step of a query; `at_ms` counts from its start."""
+
+    at_ms: float
+    what: str
+    instance: int
+    target: str
+    owner: str
+    detail: str
+
+
+class StepRow(TypedDict):
+    """Show one step to an operator."""
+
+    at_ms: float
+    what: str
+    instance: int
+    target: str
+    owner: str
+    detail: str
+
+
+class TraceReport(TypedDict):
+    """Show one query to an operator; keys and contents are never part of it."""
+
+    id: str
+    service: str
+    group: str
+    box: str
+    outcome: str
+    took_ms: float
+    steps: list[StepRow]
+
+
+class Trace:
+    """Collect the steps of one query."""
+
+    __slots__ = ("group", "outcome", "query_id", "service", "started", "steps", "took_ms")
+
+    def __init__(self, query_id: str, service: str, group: str) -> None:
+        self.query_id = query_id
+        self.service = service
+        self.group = group
+        self.started = time.monotonic()
+        self.steps: list[Step] = []
+        self.outcome = "under way"
+        self.took_ms = 0.0
+
+    def note(
+        self, what: str, instance: int = -1, target: str = "", owner: str = "", detail: str = ""
+    ) -> None:
+        """Note a step."""
+        if len(self.steps) < MAX_STEPS:
+            at_ms = (time.monotonic() - self.started) * 1000
+            self.steps.append(Step(at_ms, what, instance, target, owner, detail))
+
+    def end(self, outcome: str) -> None:
+        """Note how the query ended."""
+        self.outcome = outcome
+        self.took_ms = (time.monotonic() - self.started) * 1000
+
+    def report(self, box: str) -> TraceReport:
+        """Return the trace for an operator."""
+        rows = [
+            StepRow(
+                at_ms=round(step.at_ms, 2),
+                what=step.what,
+                instance=step.instance,
+                target=step.target,
+                owner=step.owner,
+                detail=step.detail,
+            )
+            for step in self.steps
+        ]
+        return TraceReport(
+            id=self.query_id,
+            service=self.service,
+            group=self.group,
+            box=box,
+            outcome=self.outcome,
+            took_ms=round(self.took_ms, 2),
+            steps=rows,
+        )
+
+
+class Traces:
+    """Keep the traces of the latest queries."""
+
+    def __init__(self) -> None:
+        self._trace_by_id: OrderedDict[str, Trace] = OrderedDict()
+
+    def open(self, query_id: str, service: str, group: str) -> Trace:
+        """Begin a trace and forget the oldest one when there are too many."""
+        trace = Trace(query_id, service, group)
+        self._trace_by_id[query_id] = trace
+        if len(self._trace_by_id) > MAX_TRACES:
+            self._trace_by_id.popitem(last=False)
+        return trace
+
+    def get(self, query_id: str) -> Trace | None:
+        """Return a trace, None when it is not known (any more)."""
+        return self._trace_by_id.get(query_id)
+
+    def latest(self) -> list[str]:
+        """Return the ids of the latest queries, newest first."""
+        return list(self._trace_by_id)[::-1][:20]
