Prove the decisions of gather, permits and one target's line

Cause: the decision modules stood without tests; the first tables found four faults.

Also: an owner that falls silent (a frozen box keeps its links) is pinged after 15 ms and passed over after 55 ms; a permit that reaches an owner too late is returned as not run instead of leaving the caller with unknown; asks for another version go on the budget as a debt.

Conclusion: these modules hold in tables. Through real processes under faults they are not proved yet.

--- /dev/null
+++ b/bench/one_target.py
@@ -0,0 +1,147 @@
+"""One target and its line of work in virtual time: a small queue experiment, no cluster."""
+
+import heapq
+import itertools
+import random
+from collections import defaultdict
+from collections.abc import Callable
+
+from trackwheel.dispatch.line import TargetLine
+from trackwheel.dispatch.models import (
+    CheckHealth,
+    DispatchCommand,
+    Ended,
+    Outcome,
+    Refuse,
+    SendQuery,
+    Work,
+    WorkKey,
+)
+
+Action = Callable[[], None]
+
+
+class OneTarget:
+    """Drive a line's decisions against a model of a target (seconds of virtual time)."""
+
+    def __init__(
+        self, slots: int = 2, claimed: int = 2, connections: int = 25, service_s: float = 0.01
+    ) -> None:
+        self.now = 0.0
+        self.service_s = service_s
+        self.true_slots = slots
+        self.shedding = False
+        self.random = random.Random(7)
+        self.slot_s_by_group: defaultdict[str, float] = defaultdict(float)
+        self.refused_by_outcome: defaultdict[Outcome, int] = defaultdict(int)
+        self.latency_by_group: defaultdict[str, list[float]] = defaultdict(list)
+        self.finished = 0
+        self.late = 0
+        self.peak_sent = 0
+        self._arrived: dict[WorkKey, float] = {}
+        self._sent = 0
+        self._free_at = [0.0] * slots
+        self._events: list[tuple[float, int, Action]] = []
+        self._numbers = itertools.count()
+        self.line = TargetLine("t", claimed, connections, 0.0)
+        self.perform(self.line.first_commands)
+
+    def at(self, time: float, action: Action) -> None:
+        """Do something at a time."""
+        heapq.heappush(self._events, (time, next(self._numbers), action))
+
+    def offer(self, group: str, share: float, deadline_s: float) -> None:
+        """Offer one unit of work now."""
+        key = WorkKey("g", "q", next(self._numbers), "t")
+        work = Work(key, "s", group, self.now + deadline_s, None, "", False)
+        self._arrived[key] = self.now
+        self.perform(self.line.offer(work, share, self.now))
+
+    def arrivals(
+        self, group: str, share: float, rate: float, deadline_s: float, start: float, end: float
+    ) -> None:
+        """Offer work at random times between start and end."""
+        time = start
+        while True:
+            time += self.random.expovariate(rate)
+            if time >= end:
+                return
+            self.at(time, lambda: self.offer(group, share, deadline_s))
+
+    def run(self, until: float) -> None:
+        """Let time pass."""
+        while True:
+            wake = self.line.next_wake()
+            event_at = self._events[0][0] if self._events else float("inf")
+            if min(wake, event_at) > until:
+                self.now = until
+                return
+            if event_at <= wake:
+                self.now, _, action = heapq.heappop(self._events)
+                action()
+                continue
+            self.now = max(self.now, wake)
+            self.perform(self.line.tick(self.now))
+
+    def perform(self, commands: list[DispatchCommand]) -> None:
+        """Act on the line's commands."""
+        for command in commands:
+            match command:
+                case SendQuery(work):
+                    self._serve(work)
+                case Refuse(work, outcome, _, _):
+                    self.refused_by_outcome[outcome] += 1
+                    self._arrived.pop(work.key, None)
+                case CheckHealth():
+                    self.at(self.now + 0.001, self._healthy)
+
+    def _healthy(self) -> None:
+        self.perform(self.line.health(True, "boot", False, self.now))
+
+    def _serve(self, work: Work) -> None:
+        self._sent += 1
+        self.peak_sent = max(self.peak_sent, self._sent)
+        if self.shedding:
+            self.at(self.now + 0.001, lambda: self._end(work, Outcome.SHED, 0.001))
+            return
+        slot = min(range(self.true_slots), key=lambda number: self._free_at[number])
+        start = max(self.now, self._free_at[slot])
+        took = self.service_s * self.random.uniform(0.5, 1.5)
+        self._free_at[slot] = start + took
+        self.slot_s_by_group[work.group] += took
+        sent_at = self.now
+        end = start + took
+        self.at(end, lambda: self._end(work, Outcome.OK, end - sent_at))
+
+    def _end(self, work: Work, outcome: Outcome, service_s: float) -> None:
+        self._sent -= 1
+        arrived = self._arrived.pop(work.key, self.now)
+        if outcome is Outcome.OK:
+            self.finished += 1
+            self.late += self.now > work.deadline
+            self.latency_by_group[work.group].append(self.now - arrived)
+        ended = Ended(work.key, outcome, service_s, "boot", False)
+        self.perform(self.line.ended(ended, self.now))
+
+
+def max_min_shares(
+    capacity: float, demand_and_share: dict[str, tuple[float, float]]
+) -> dict[str, float]:
+    """Return what each group gets of a capacity when shares are honoured and nothing idles."""
+    left = dict(demand_and_share)
+    result: dict[str, float] = {}
+    while left:
+        total = sum(share for _, share in left.values())
+        satisfied = {
+            group: demand
+            for group, (demand, share) in left.items()
+            if demand <= capacity * share / total
+        }
+        if not satisfied:
+            result |= {group: capacity * share / total for group, (_, share) in left.items()}
+            return result
+        result |= satisfied
+        capacity -= sum(satisfied.values())
+        for group in satisfied:
+            del left[group]
+    return result
--- /dev/null
+++ b/tests/gateway/test_gather.py
@@ -0,0 +1,404 @@
+"""The gather: snapshots, coverage, hedges, retries and giving up, in tables of events."""
+
+from collections.abc import Iterable
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.golden import Transcript
+from trackwheel.dispatch.models import Outcome
+from trackwheel.files.models import Policy
+from trackwheel.gateway.board import Board
+from trackwheel.gateway.budget import Budget
+from trackwheel.gateway.gather import Gather
+from trackwheel.gateway.models import (
+    Answer,
+    Answered,
+    AskTarget,
+    GatherCommand,
+    GivenUp,
+    Plan,
+    ShardAnswer,
+    Snapshot,
+    WithdrawAsk,
+)
+
+STRICT = Policy(deadline_s=0.1, wait_s=0.1, least_coverage=1.0)
+PATIENT = Policy(deadline_s=0.1, wait_s=0.4, least_coverage=0.9)
+QUICK = Policy(deadline_s=0.1, wait_s=0.1, least_coverage=0.5)
+
+
+class Session:
+    """Drive one gather and remember what it asked for."""
+
+    def __init__(
+        self,
+        instances: int = 3,
+        replicas: int = 2,
+        policy: Policy = STRICT,
+        hint: int | None = None,
+        budget: float = 1.0,
+        board: Board | None = None,
+    ) -> None:
+        self.board = board or Board(seed=1)
+        self.budget = Budget(budget)
+        targets = tuple(
+            tuple(f"t{number}{'abc'[replica]}" for replica in range(replicas))
+            for number in range(instances)
+        )
+        plan = Plan("q1", "ledger", "clerks", policy, targets, hint)
+        self.instances = instances
+        self.gather = Gather(plan, self.board, self.budget, 0.0)
+        self.open: dict[int, AskTarget] = {}
+        self.all_asks: list[AskTarget] = []
+        self.end: Answered | GivenUp | None = None
+        self.transcript = Transcript()
+        self.now = 0.0
+        self.take(self.gather.start(0.0))
+
+    def take(self, commands: Iterable[GatherCommand]) -> None:
+        commands = list(commands)
+        self.transcript.commands(commands)
+        for command in commands:
+            match command:
+                case AskTarget():
+                    self.open[command.nonce] = command
+                    self.all_asks.append(command)
+                case WithdrawAsk(nonce, _):
+                    self.open.pop(nonce, None)
+                case Answered() | GivenUp():
+                    assert self.end is None, "a query ends once"
+                    self.end = command
+
+    def ask_of(self, instance: int) -> AskTarget:
+        return next(ask for ask in self.open.values() if ask.instance == instance)
+
+    def answer(
+        self,
+        ask: AskTarget,
+        version: int = 1,
+        shards: tuple[int, ...] | None = None,
+        map_size: int | None = None,
+        at: float | None = None,
+    ) -> None:
+        shards = (ask.instance,) if shards is None else shards
+        items = {shard: [raw(f"v{version}s{shard}")] for shard in shards}
+        snapshot = Snapshot(version, map_size or self.instances)
+        self.send(ask, ShardAnswer(ask.nonce, Outcome.OK, snapshot, items, (), 0.0), at)
+
+    def fail(
+        self,
+        ask: AskTarget,
+        outcome: Outcome,
+        holds: tuple[int, ...] = (),
+        retry_after_s: float = 0.0,
+        at: float | None = None,
+    ) -> None:
+        event = ShardAnswer(ask.nonce, outcome, None, {}, holds, retry_after_s)
+        self.send(ask, event, at)
+
+    def send(self, ask: AskTarget, event: ShardAnswer, at: float | None) -> None:
+        self.now = self.now if at is None else at
+        self.open.pop(ask.nonce, None)
+        self.transcript.event(self.now, event)
+        self.take(self.gather.answered(event, self.now))
+
+    def tick(self, at: float) -> None:
+        self.now = at
+        self.transcript.event(at, "tick")
+        self.take(self.gather.tick(at))
+
+    @property
+    def result(self) -> Answer:
+        assert self.end is not None, "the query has ended"
+        return self.end.answer
+
+
+def raw(text: str) -> msgspec.Raw:
+    return msgspec.Raw(msgspec.json.encode(text))
+
+
+def versions_in(answer: Answer) -> set[str]:
+    items = (item for found in answer.items_by_shard.values() for item in found)
+    return {msgspec.json.decode(item).split("s")[0] for item in items}
+
+
+def test_whole_answer_ends_at_once() -> None:
+    session = Session()
+    for instance in range(3):
+        session.answer(session.ask_of(instance))
+    assert isinstance(session.end, Answered)
+    assert session.result.whole
+    assert session.budget.extras == 0
+
+
+@pytest.mark.parametrize("order", [(0, 1, 2), (2, 1, 0), (1, 2, 0)], ids=str)
+def test_answers_in_any_order(order: tuple[int, ...]) -> None:
+    session = Session()
+    for instance in order:
+        session.answer(session.ask_of(instance))
+    assert list(sorted(session.result.items_by_shard)) == [0, 1, 2]
+
+
+def test_doubled_and_foreign_answers_are_passed_over() -> None:
+    session = Session()
+    first = session.ask_of(0)
+    session.answer(first)
+    session.answer(first, version=9)
+    session.answer(first._replace(nonce=99), version=9)
+    session.answer(session.ask_of(1))
+    session.answer(session.ask_of(2))
+    assert session.result.snapshot == Snapshot(1, 3)
+
+
+def test_flip_to_a_new_version_is_never_mixed() -> None:
+    session = Session(hint=1)
+    session.answer(session.ask_of(0))
+    session.fail(session.ask_of(1), Outcome.WRONG_VERSION, holds=(2,))
+    session.fail(session.ask_of(1), Outcome.WRONG_VERSION, holds=(2,))
+    while session.end is None and session.open:
+        ask = next(iter(session.open.values()))
+        assert ask.version == 2, "everyone is asked at the new version"
+        session.answer(ask, version=2)
+    assert session.result.snapshot == Snapshot(2, 3)
+    assert versions_in(session.result) == {"v2"}
+
+
+def test_only_what_differs_is_asked_again() -> None:
+    session = Session(hint=None)
+    session.answer(session.ask_of(0), version=2)
+    session.answer(session.ask_of(1), version=1)
+    session.answer(session.ask_of(2), version=2)
+    again = [ask for ask in session.all_asks if ask.reason == "retry"]
+    assert [ask.instance for ask in again] == [1]
+    assert again[0].version == 2
+    session.answer(again[0], version=2)
+    assert session.result.whole
+
+
+def test_version_that_arrives_late_is_awaited() -> None:
+    session = Session(replicas=1, policy=PATIENT, hint=2)
+    session.answer(session.ask_of(0), version=2)
+    session.answer(session.ask_of(1), version=2)
+    session.fail(session.ask_of(2), Outcome.WRONG_VERSION, holds=(1,))
+    assert session.end is None
+    session.tick(0.02)
+    session.answer(session.ask_of(2), version=2)
+    assert session.result.whole
+
+
+def test_repartition_counts_shards_of_the_pinned_map() -> None:
+    session = Session(hint=None)
+    session.answer(session.ask_of(0), version=2, shards=(0, 3), map_size=6)
+    session.answer(session.ask_of(1), version=2, shards=(1, 4), map_size=6)
+    session.answer(session.ask_of(2), version=2, shards=(2, 5), map_size=6)
+    assert session.result.whole
+    assert len(session.result.items_by_shard) == 6
+
+
+def test_moved_shard_is_counted_once_and_a_lost_one_is_listed() -> None:
+    session = Session(policy=QUICK)
+    session.answer(session.ask_of(0), shards=(0, 1), map_size=4)
+    session.answer(session.ask_of(1), shards=(1,), map_size=4)
+    session.answer(session.ask_of(2), shards=(2,), map_size=4)
+    assert sorted(session.result.items_by_shard) == [0, 1, 2]
+    assert [lack.shard for lack in session.result.lacking] == [3]
+    assert len(session.result.items_by_shard[1]) == 1
+
+
+@pytest.mark.parametrize(
+    ("policy", "answered", "ends_at", "given_up"),
+    [
+        pytest.param(QUICK, 6, 0.1, False, id="quick-answers-at-deadline"),
+        pytest.param(QUICK, 4, 0.1, True, id="quick-gives-up-below-least"),
+        pytest.param(PATIENT, 9, 0.1, False, id="patient-has-enough-at-deadline"),
+        pytest.param(PATIENT, 8, 0.4, True, id="patient-waits-then-gives-up"),
+        pytest.param(STRICT, 9, 0.1, True, id="strict-wants-all"),
+    ],
+)
+def test_time_against_coverage(
+    policy: Policy, answered: int, ends_at: float, given_up: bool
+) -> None:
+    session = Session(instances=10, replicas=1, policy=policy)
+    for instance in range(answered):
+        session.answer(session.ask_of(instance))
+    while session.end is None:
+        session.tick(session.gather.next_wake())
+    assert session.now == pytest.approx(ends_at)
+    assert isinstance(session.end, GivenUp) is given_up
+    assert len(session.result.items_by_shard) == answered
+    assert {lack.reason for lack in session.result.lacking} == {"late"}
+
+
+def test_patient_query_takes_the_late_shard() -> None:
+    session = Session(instances=10, replicas=1, policy=PATIENT)
+    for instance in range(8):
+        session.answer(session.ask_of(instance))
+    session.tick(0.1)
+    assert session.end is None
+    session.answer(session.ask_of(8), at=0.2)
+    assert isinstance(session.end, Answered)
+    assert [lack.shard for lack in session.result.lacking] == [9]
+
+
+def test_hedge_after_the_quantile_and_loser_is_withdrawn() -> None:
+    session = Session()
+    session.answer(session.ask_of(0))
+    session.answer(session.ask_of(1))
+    slow = session.ask_of(2)
+    session.tick(0.031)
+    hedge = next(ask for ask in session.open.values() if ask.reason == "hedge")
+    assert hedge.target != slow.target
+    session.answer(hedge)
+    assert session.result.whole
+    assert session.open == {}, "the slow one is withdrawn"
+    assert session.budget.extras == 1
+
+
+def test_hedges_stop_at_the_budget() -> None:
+    session = Session(instances=40, budget=0.0)
+    session.tick(0.031)
+    hedges = [ask for ask in session.all_asks if ask.reason == "hedge"]
+    assert len(hedges) == 10, "what the budget starts with, and no more"
+    assert session.budget.denied > 0
+
+
+@pytest.mark.parametrize(
+    "outcome", [Outcome.FAILED, Outcome.SHED, Outcome.LEAVING, Outcome.NO_OWNER], ids=str
+)
+def test_other_replica_is_asked_after_a_failure(outcome: Outcome) -> None:
+    session = Session()
+    failed = session.ask_of(1)
+    session.fail(failed, outcome)
+    for instance in range(3):
+        session.answer(session.ask_of(instance))
+    assert session.result.whole
+
+
+def test_lost_replicas_are_given_up_at_once_when_all_is_wanted() -> None:
+    session = Session()
+    session.fail(session.ask_of(1), Outcome.SHED, retry_after_s=0.2)
+    session.fail(session.ask_of(1), Outcome.SHED, retry_after_s=0.7, at=0.004)
+    assert isinstance(session.end, GivenUp)
+    assert session.end.overloaded
+    assert session.end.retry_after_s == pytest.approx(0.7)
+    assert session.now < 0.005, "at once, not near the deadline"
+    assert session.open == {}, "no work is left behind"
+
+
+def test_lost_replicas_are_listed_when_a_part_is_enough() -> None:
+    session = Session(policy=QUICK)
+    session.fail(session.ask_of(1), Outcome.FAILED)
+    session.fail(session.ask_of(1), Outcome.FAILED)
+    session.answer(session.ask_of(0))
+    session.answer(session.ask_of(2))
+    assert isinstance(session.end, Answered)
+    assert session.result.lacking[0].shard == 1
+    assert session.result.lacking[0].reason == "failed"
+
+
+def test_leaving_target_is_not_asked() -> None:
+    board = Board(seed=1)
+    board.set_leaving("t1a", True)
+    session = Session(board=board)
+    assert "t1a" not in [ask.target for ask in session.all_asks]
+    board.set_leaving("t1b", True)
+    session = Session(board=board, policy=QUICK)
+    assert not any(ask.instance == 1 for ask in session.all_asks)
+
+
+def test_last_replicas_are_asked_even_when_ejected() -> None:
+    session = Session()
+    session.fail(session.ask_of(0), Outcome.EJECTED)
+    session.fail(session.ask_of(0), Outcome.EJECTED)
+    resort = session.ask_of(0)
+    assert resort.last_resort
+    session.answer(resort)
+    session.answer(session.ask_of(1))
+    session.answer(session.ask_of(2))
+    assert session.result.whole
+
+
+def test_target_that_answers_another_version_than_asked_counts_as_failed() -> None:
+    session = Session(hint=1)
+    session.answer(session.ask_of(0), version=7)
+    for instance in range(3):
+        session.answer(session.ask_of(instance), version=1)
+    assert session.result.snapshot == Snapshot(1, 3)
+
+
+def test_golden_session_of_a_flip_with_a_straggler() -> None:
+    session = Session(hint=1, policy=PATIENT)
+    session.answer(session.ask_of(0), at=0.004)
+    session.fail(session.ask_of(1), Outcome.WRONG_VERSION, holds=(2,), at=0.005)
+    for ask in list(session.open.values()):
+        if ask.instance != 2 and ask.version == 2:
+            session.answer(ask, version=2, at=0.009)
+    session.tick(0.05)
+    hedge = session.ask_of(2)
+    session.answer(hedge, version=2, at=0.052)
+    session.transcript.check("gather_flip_with_straggler")
+
+
+OUTCOMES = st.sampled_from(
+    [
+        Outcome.OK,
+        Outcome.OK,
+        Outcome.OK,
+        Outcome.WRONG_VERSION,
+        Outcome.SHED,
+        Outcome.FAILED,
+        Outcome.LEAVING,
+        Outcome.EJECTED,
+        Outcome.NO_OWNER,
+        Outcome.LATE,
+    ]
+)
+STEP = st.tuples(st.integers(0, 30), OUTCOMES, st.integers(1, 3), st.floats(0.0, 0.01))
+
+
+@settings(max_examples=1500, deadline=None, derandomize=True)
+@given(
+    steps=st.lists(STEP, max_size=60),
+    policy=st.sampled_from([STRICT, PATIENT, QUICK]),
+    hint=st.sampled_from([None, 1, 2]),
+    map_growth=st.integers(0, 2),
+)
+def test_no_order_of_events_bends_the_truth(
+    steps: list[tuple[int, Outcome, int, float]],
+    policy: Policy,
+    hint: int | None,
+    map_growth: int,
+) -> None:
+    """Answer at any version, fail in any way, in any order: never mixed, never hidden."""
+    session = Session(instances=4, policy=policy, hint=hint)
+    for pick, outcome, version, wait in steps:
+        if session.end is not None:
+            break
+        session.now += wait
+        session.tick(session.now)
+        if session.end is not None or not session.open:
+            continue
+        ask = list(session.open.values())[pick % len(session.open)]
+        if outcome is Outcome.OK:
+            answered = version if ask.version is None else ask.version
+            session.answer(ask, version=answered, map_size=4 + map_growth * (answered - 1))
+        else:
+            session.fail(ask, outcome, holds=(version,))
+    while session.end is None:
+        session.tick(max(session.now, session.gather.next_wake()))
+    answer = session.result
+    assert session.now <= policy.wait_s + 0.011, "it ends in time"
+    assert session.open == {}, "nothing is left under way"
+    assert len(versions_in(answer)) <= 1, "one snapshot"
+    covered = set(answer.items_by_shard)
+    lacking = {lack.shard for lack in answer.lacking}
+    total = answer.snapshot.map_size if answer.snapshot else 4
+    assert covered | lacking == set(range(total)), "every shard is accounted for"
+    assert not covered & lacking
+    if isinstance(session.end, Answered):
+        assert answer.coverage >= policy.least_coverage
+    most = 4 * 5
+    assert len(session.all_asks) <= most, "no ask without bound"
--- /dev/null
+++ b/tests/gateway/test_once.py
@@ -0,0 +1,269 @@
+"""At most once: the ledger and the execution, in tables and under any order of events."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.golden import Transcript
+from trackwheel.dispatch.models import ExecuteAnswer, Outcome, PermitRequest, RunOutcome
+from trackwheel.gateway.board import Board
+from trackwheel.gateway.const import ID_LIFETIME_S
+from trackwheel.gateway.execution import (
+    AnswerPermit,
+    AskOnce,
+    Execution,
+    ExecutionCommand,
+    ExecutionPlan,
+    Settled,
+)
+from trackwheel.gateway.ledger import Ledger, Verdict, parse_id
+
+BODY = b"promise pallet 7"
+
+
+def new_ledger() -> Ledger:
+    return Ledger("b007", b"secret")
+
+
+def issued(ledger: Ledger, now: float = 1.0) -> str:
+    return ledger.issue("clerks", 1, now)[0]
+
+
+def test_ids_are_unique_and_say_who_issued_them() -> None:
+    ids = new_ledger().issue("clerks", 100, 1.0)
+    assert len(set(ids)) == 100
+    parsed = parse_id(ids[0])
+    assert parsed is not None
+    assert parsed.boot == "b007"
+
+
+@pytest.mark.parametrize(
+    ("change", "verdict"),
+    [
+        pytest.param(lambda text: text, Verdict.START, id="own"),
+        pytest.param(lambda text: "", Verdict.INVALID, id="empty"),
+        pytest.param(lambda text: "x" * 500, Verdict.INVALID, id="long"),
+        pytest.param(lambda text: text[:-1] + "z", Verdict.INVALID, id="forged"),
+        pytest.param(lambda text: text.replace("-1-", "-2-"), Verdict.INVALID, id="other-number"),
+        pytest.param(lambda text: "f00d" + text[4:], Verdict.ELSEWHERE, id="other-boot"),
+        pytest.param(lambda text: "a-b-c-d", Verdict.INVALID, id="no-numbers"),
+    ],
+)
+def test_begin_checks_the_id(change: object, verdict: Verdict) -> None:
+    ledger = new_ledger()
+    assert callable(change)
+    request_id = change(issued(ledger))
+    assert ledger.begin(request_id, "clerks", BODY, 1.0).verdict is verdict
+
+
+def test_begin_refuses_another_group_another_body_and_an_old_id() -> None:
+    ledger = new_ledger()
+    request_id = issued(ledger)
+    assert ledger.begin(request_id, "drivers", BODY, 1.0).verdict is Verdict.INVALID
+    assert ledger.begin(request_id, "clerks", BODY, 1.0).verdict is Verdict.START
+    assert ledger.begin(request_id, "clerks", b"other", 1.0).verdict is Verdict.REUSED
+    old = issued(ledger)
+    late = 1.0 + ID_LIFETIME_S + 1
+    assert ledger.begin(old, "clerks", BODY, late).verdict is Verdict.EXPIRED
+
+
+def test_permit_is_granted_once() -> None:
+    ledger = new_ledger()
+    request_id = issued(ledger)
+    attempt = ledger.begin(request_id, "clerks", BODY, 1.0).attempt
+    assert ledger.begin(request_id, "clerks", BODY, 1.0).verdict is Verdict.JOIN
+    assert ledger.permit(request_id, attempt)
+    assert not ledger.permit(request_id, attempt)
+    assert ledger.give_up(request_id, attempt) is RunOutcome.UNKNOWN
+    assert ledger.begin(request_id, "clerks", BODY, 1.0).outcome is RunOutcome.UNKNOWN
+    ledger.done(request_id, attempt, b"late")
+    late = ledger.begin(request_id, "clerks", BODY, 1.0)
+    assert (late.verdict, late.outcome, late.body) == (Verdict.FINAL, RunOutcome.DONE, b"late")
+
+
+def test_no_permit_after_giving_up_and_a_repeat_starts_anew() -> None:
+    ledger = new_ledger()
+    request_id = issued(ledger)
+    first = ledger.begin(request_id, "clerks", BODY, 1.0).attempt
+    assert ledger.give_up(request_id, first) is RunOutcome.NOT_RUN
+    assert not ledger.permit(request_id, first)
+    again = ledger.begin(request_id, "clerks", BODY, 1.0)
+    assert again.verdict is Verdict.START
+    assert not ledger.permit(request_id, first), "the old attempt stays without permit"
+    assert ledger.permit(request_id, again.attempt)
+
+
+class OnceSession:
+    """Drive one execution against targets that count what they run."""
+
+    def __init__(self, ledger: Ledger, request_id: str, attempt: int, replicas: int = 2) -> None:
+        targets = tuple(f"t{number}" for number in range(replicas))
+        plan = ExecutionPlan("x1", request_id, attempt, targets, 1.0)
+        self.execution = Execution(plan, ledger, Board(seed=1))
+        self.asks: list[AskOnce] = []
+        self.granted: list[AnswerPermit] = []
+        self.settled: Settled | None = None
+        self.transcript = Transcript()
+        self.take(self.execution.start(0.0))
+
+    def take(self, commands: list[ExecutionCommand]) -> None:
+        self.transcript.commands(commands)
+        for command in commands:
+            if isinstance(command, AskOnce):
+                self.asks.append(command)
+            elif isinstance(command, AnswerPermit) and command.granted:
+                self.granted.append(command)
+            elif isinstance(command, Settled):
+                assert self.settled is None, "told once"
+                self.settled = command
+
+    def permit(self, ask: AskOnce) -> None:
+        request = PermitRequest("x1", ask.nonce, ask.target, self.execution.plan.request_id, "b")
+        self.transcript.event(0.0, request)
+        self.take(self.execution.permit_requested(request))
+
+    def answer(self, ask: AskOnce, outcome: RunOutcome, reason: str = "") -> None:
+        event = ExecuteAnswer("x1", ask.nonce, outcome, reason, b"ok", 50.0)
+        self.transcript.event(0.0, event)
+        self.take(self.execution.answered(event, 0.0))
+
+    def lose_owner(self) -> None:
+        self.transcript.event(0.0, "owner lost")
+        self.take(self.execution.owner_lost(0.0))
+
+    def expire(self) -> None:
+        self.transcript.event(1.0, "deadline")
+        self.take(self.execution.expire())
+
+
+def begun() -> OnceSession:
+    ledger = new_ledger()
+    request_id = issued(ledger)
+    attempt = ledger.begin(request_id, "clerks", BODY, 1.0).attempt
+    return OnceSession(ledger, request_id, attempt)
+
+
+def test_done() -> None:
+    session = begun()
+    session.permit(session.asks[0])
+    session.answer(session.asks[0], RunOutcome.DONE)
+    assert session.settled is not None
+    assert session.settled.outcome is RunOutcome.DONE
+
+
+@pytest.mark.parametrize(
+    ("permitted", "event", "outcome"),
+    [
+        pytest.param(False, "expire", RunOutcome.NOT_RUN, id="deadline-before-permit"),
+        pytest.param(True, "expire", RunOutcome.UNKNOWN, id="deadline-after-permit"),
+        pytest.param(True, "lost", RunOutcome.UNKNOWN, id="owner-killed-after-permit"),
+        pytest.param(True, "unknown", RunOutcome.UNKNOWN, id="reply-lost"),
+        pytest.param(False, "lost", None, id="owner-killed-before-permit-moves-on"),
+        pytest.param(True, "refused", None, id="target-refused-moves-on"),
+    ],
+)
+def test_what_the_caller_is_told(permitted: bool, event: str, outcome: RunOutcome | None) -> None:
+    session = begun()
+    first = session.asks[0]
+    if permitted:
+        session.permit(first)
+    if event == "expire":
+        session.expire()
+    elif event == "lost":
+        session.lose_owner()
+    elif event == "unknown":
+        session.answer(first, RunOutcome.UNKNOWN, "connection_broke")
+    else:
+        session.answer(first, RunOutcome.NOT_RUN, Outcome.SHED)
+    if outcome is None:
+        assert session.settled is None
+        assert [ask.target for ask in session.asks] == ["t0", "t1"] or len(session.asks) == 2
+        session.permit(first)
+        assert len(session.granted) == int(permitted), "the old owner gets no permit any more"
+        session.permit(session.asks[1])
+        assert len(session.granted) == int(permitted) + 1
+        return
+    assert session.settled is not None
+    assert session.settled.outcome is outcome
+    granted = len(session.granted)
+    session.permit(first)
+    assert len(session.granted) == granted, "no permit after the caller was told"
+
+
+def test_frozen_owner_that_wakes_gets_no_permit() -> None:
+    session = begun()
+    session.expire()
+    assert session.settled is not None
+    assert session.settled.outcome is RunOutcome.NOT_RUN
+    session.permit(session.asks[0])
+    assert session.granted == []
+
+
+def test_golden_session_of_a_lost_owner_and_a_late_answer() -> None:
+    session = begun()
+    session.lose_owner()
+    session.permit(session.asks[0])
+    session.permit(session.asks[1])
+    session.expire()
+    session.answer(session.asks[1], RunOutcome.DONE)
+    session.transcript.check("once_lost_owner_and_late_answer")
+
+
+EVENT = st.sampled_from(
+    ["permit", "run", "refuse", "answer_lost", "lost", "expire", "repeat", "old_permit"]
+)
+
+
+@settings(max_examples=3000, deadline=None, derandomize=True)
+@given(events=st.lists(st.tuples(EVENT, st.integers(0, 5)), max_size=50))
+def test_no_order_of_events_runs_twice_or_lies(events: list[tuple[str, int]]) -> None:
+    """Targets run whatever is permitted, whenever they like; the caller is told the truth."""
+    ledger = new_ledger()
+    request_id = issued(ledger)
+    runs = 0
+    told_not_run_while_permitted = False
+    sessions: list[OnceSession] = []
+    open_permits: list[tuple[OnceSession, AskOnce]] = []
+    counted: set[tuple[int, int]] = set()
+
+    def start() -> None:
+        decision = ledger.begin(request_id, "clerks", BODY, 1.0)
+        if decision.verdict is Verdict.START:
+            sessions.append(OnceSession(ledger, request_id, decision.attempt))
+
+    def collect() -> None:
+        for number, session in enumerate(sessions):
+            for permit in session.granted:
+                if (number, permit.nonce) not in counted:
+                    counted.add((number, permit.nonce))
+                    open_permits.append((session, AskOnce(permit.nonce, permit.target)))
+
+    start()
+    for event, pick in events:
+        session = sessions[-1]
+        if event == "permit":
+            session.permit(session.asks[-1])
+        elif event == "old_permit":
+            old = sessions[pick % len(sessions)]
+            old.permit(old.asks[pick % len(old.asks)])
+        elif event in ("run", "refuse", "answer_lost") and open_permits:
+            owner, permitted = open_permits.pop(pick % len(open_permits))
+            if event == "refuse":
+                owner.answer(permitted, RunOutcome.NOT_RUN, Outcome.SHED)
+            else:
+                runs += 1
+                if event == "run":
+                    owner.answer(permitted, RunOutcome.DONE)
+        elif event == "lost":
+            session.lose_owner()
+        elif event == "expire":
+            session.expire()
+        elif event == "repeat":
+            start()
+        collect()
+        assert runs + len(open_permits) <= 1, "never two that ran or may run"
+        settled = session.settled
+        if settled is not None and settled.outcome is RunOutcome.NOT_RUN:
+            told_not_run_while_permitted |= runs > 0 or bool(open_permits)
+    assert runs <= 1
+    assert not told_not_run_while_permitted
--- a/trackwheel/app.py
+++ b/trackwheel/app.py
@@ -179,6 +179,7 @@
             tasks.start_soon(box.fleet.run)
             tasks.start_soon(box.files.run)
             tasks.start_soon(box.dispatch.run)
+            tasks.start_soon(box.queries.watch_owners)
             callers = box.callers_app()
             tasks.start_soon(box.forwarder.run, callers.serve_forward)
             tasks.start_soon(_serve_http, callers.app(), settings.callers, settings, stopped)
--- a/trackwheel/dispatch/const.py
+++ b/trackwheel/dispatch/const.py
@@ -6,6 +6,7 @@
 """Work is shed on arrival when its estimated end uses more than this part of its time."""
 SMOOTHING: Final = 0.1
 DEFAULT_SERVICE_S: Final = 0.005
+LIKELY_DEVIATIONS: Final = 1.5
 GROUP_IDLE_S: Final = 5.0
 
 SLOW_START_SUCCESSES: Final = 2
@@ -33,3 +34,5 @@
 """How long a permitted request may run at its target before its outcome is unknown."""
 LEAST_RETRY_AFTER_S: Final = 0.05
 MAX_QUEUED_PER_TARGET: Final = 2_000
+WAKE_MARGIN_S: Final = 0.0002
+"""Work is dropped this long after its last start, so that a wake always finds it due."""
--- a/trackwheel/dispatch/limiter.py
+++ b/trackwheel/dispatch/limiter.py
@@ -12,6 +12,7 @@
     EXPLORE_FIRST_S,
     EXPLORE_LAST_S,
     GOOD_ENOUGH_RATE,
+    LIKELY_DEVIATIONS,
     SHED_PAUSE_FIRST_S,
     SHED_PAUSE_LAST_S,
     SLOW_START_SUCCESSES,
@@ -37,6 +38,7 @@
         self.paused_until = 0.0
         self.limit = 1
         self.mean_s = DEFAULT_SERVICE_S
+        self._deviation_s = 0.0
         self.measured = False
 
     def restart(self) -> None:
@@ -47,6 +49,11 @@
         self._exploring_left = 0
         self._mean_by_level.clear()
 
+    @property
+    def likely_s(self) -> float:
+        """Return a service time that most requests stay under (seconds)."""
+        return self.mean_s + LIKELY_DEVIATIONS * self._deviation_s
+
     def rate(self) -> float:
         """Return how many requests a second the target is expected to finish."""
         return self.limit / self.mean_s
@@ -79,6 +86,8 @@
         if not self.measured:
             self.measured = True
             self.mean_s = service_s
+        deviation_s = abs(service_s - self.mean_s)
+        self._deviation_s += SMOOTHING * (deviation_s - self._deviation_s)
         self.mean_s += SMOOTHING * (service_s - self.mean_s)
 
     def _slow_start(self) -> None:
--- a/trackwheel/dispatch/line.py
+++ b/trackwheel/dispatch/line.py
@@ -10,6 +10,7 @@
     MAX_QUEUED_PER_TARGET,
     PERMIT_TIMEOUT_S,
     STALL_FACTOR,
+    WAKE_MARGIN_S,
 )
 from trackwheel.dispatch.ejection import Ejection
 from trackwheel.dispatch.fair_queue import FairQueue
@@ -21,6 +22,7 @@
     DispatchCommand,
     Ended,
     Outcome,
+    PermitUnused,
     Refuse,
     SendExecute,
     SendQuery,
@@ -119,7 +121,7 @@
             return [Refuse(work, Outcome.EJECTED, 0.0, retry_s)]
         delay_s = self.delay(work.group, share, work.deadline, now)
         left_s = work.deadline - now
-        needed_s = delay_s + self._limiter.mean_s
+        needed_s = delay_s + self._limiter.likely_s
         full = len(self._queue) >= MAX_QUEUED_PER_TARGET
         if full or needed_s > left_s * ADMIT_MARGIN:
             retry_s = max(LEAST_RETRY_AFTER_S, needed_s - left_s * ADMIT_MARGIN)
@@ -147,7 +149,10 @@
     def permit(self, key: WorkKey, granted: bool, now: float) -> list[DispatchCommand]:
         """Send work whose permit was granted; drop work whose permit was denied."""
         run = self._run_by_key.get(key)
-        if run is None or run.permit_until is None:
+        if run is None:
+            # The slot was given up while the permit was on its way.
+            return [PermitUnused(key)] if granted else []
+        if run.permit_until is None:
             return []
         if not granted:
             del self._run_by_key[key]
@@ -220,7 +225,8 @@
         """Return when `tick` is next needed (seconds)."""
         times = [self._health_at]
         if len(self._queue):
-            times.append(self._queue.earliest_deadline() - self._limiter.mean_s / 2)
+            last_start = self._queue.earliest_deadline() - self._limiter.likely_s
+            times.append(last_start + WAKE_MARGIN_S)
             if self._limiter.paused_until and self.running < self._limiter.limit:
                 times.append(self._limiter.paused_until)
         permits = (run.permit_until for run in self._run_by_key.values())
@@ -230,7 +236,7 @@
     def pump(self, now: float) -> list[DispatchCommand]:
         """Drop what cannot end in time any more and send what there are slots for."""
         commands: list[DispatchCommand] = []
-        for work in self._queue.drop_before(now + self._limiter.mean_s / 2):
+        for work in self._queue.drop_before(now + self._limiter.likely_s):
             retry_s = max(LEAST_RETRY_AFTER_S, self._limiter.mean_s)
             commands.append(Refuse(work, Outcome.LATE, now - work.deadline, retry_s))
         if self._cold or now < self._limiter.paused_until:
--- a/trackwheel/dispatch/models.py
+++ b/trackwheel/dispatch/models.py
@@ -110,6 +110,18 @@
     retry_after_ms: float
 
 
+class Ping(NamedTuple):
+    """Ask an owner for a sign of life."""
+
+    sequence: int
+
+
+class Pong(NamedTuple):
+    """Give a sign of life."""
+
+    sequence: int
+
+
 DISPATCH_MESSAGES = (
     Scatter,
     Withdraw,
@@ -118,6 +130,8 @@
     PermitRequest,
     PermitReply,
     ExecuteAnswer,
+    Ping,
+    Pong,
 )
 
 
@@ -191,6 +205,12 @@
     retry_after_s: float
 
 
+class PermitUnused(NamedTuple):
+    """Command: tell the gateway that a permit came too late and that nothing was sent."""
+
+    key: WorkKey
+
+
 class Warm(NamedTuple):
     """Command: open connections to a target ahead of need."""
 
@@ -212,7 +232,15 @@
 
 
 DispatchCommand = (
-    SendQuery | AskPermit | SendExecute | CancelSend | Refuse | Warm | CheckHealth | TellLeaving
+    SendQuery
+    | AskPermit
+    | SendExecute
+    | CancelSend
+    | Refuse
+    | PermitUnused
+    | Warm
+    | CheckHealth
+    | TellLeaving
 )
 
 
--- a/trackwheel/dispatch/owner.py
+++ b/trackwheel/dispatch/owner.py
@@ -9,6 +9,7 @@
     Ended,
     ExecuteAsk,
     Outcome,
+    PermitUnused,
     Refuse,
     Scatter,
     Withdraw,
@@ -124,7 +125,9 @@
     def permit(self, key: WorkKey, granted: bool, now: float) -> list[DispatchCommand]:
         """Take a gateway's answer to a permit request."""
         line = self._line_by_target.get(key.target)
-        return line.permit(key, granted, now) if line is not None else []
+        if line is None:
+            return [PermitUnused(key)] if granted else []
+        return line.permit(key, granted, now)
 
     def ended(self, event: Ended, now: float) -> list[DispatchCommand]:
         """Take the end of a request at a target."""
--- a/trackwheel/dispatch/service.py
+++ b/trackwheel/dispatch/service.py
@@ -20,6 +20,9 @@
     Outcome,
     PermitReply,
     PermitRequest,
+    PermitUnused,
+    Ping,
+    Pong,
     Refuse,
     RunOutcome,
     Scatter,
@@ -121,6 +124,7 @@
         self.refused_by_outcome: dict[str, int] = {}
         for message_type in (Scatter, ExecuteAsk, Withdraw, PermitReply):
             hub.register(message_type, self._from_gateway)
+        hub.register(Ping, self._answer_ping)
         hub.on_link_lost(lambda address: self._inbox.put(_GatewayLost(address)))
 
     @property
@@ -148,6 +152,9 @@
                 commands = self._decide(events)
                 self._perform(commands, tasks)
 
+    def _answer_ping(self, sender: PeerIdentity, ping: Ping) -> None:
+        self._hub.send(sender.address, Pong(ping.sequence))
+
     def _from_gateway(
         self, sender: PeerIdentity, message: Scatter | ExecuteAsk | Withdraw | PermitReply
     ) -> None:
@@ -213,6 +220,8 @@
                         running.cancel()
                 case Refuse():
                     self._refuse(command)
+                case PermitUnused(key):
+                    self._return_permit(key)
                 case CheckHealth(target):
                     tasks.start_soon(self._check_health, target)
                 case Warm(target, connections):
@@ -229,6 +238,11 @@
         )
         self._hub.send(key.gateway, request)
 
+    def _return_permit(self, key: WorkKey) -> None:
+        reason, retry_ms = "permit_late", LEAST_RETRY_AFTER_S * 1000
+        answer = ExecuteAnswer(key.query_id, key.nonce, RunOutcome.NOT_RUN, reason, b"", retry_ms)
+        self._hub.send(key.gateway, answer)
+
     def _refuse(self, command: Refuse) -> None:
         work = command.work
         outcome = command.outcome
--- a/trackwheel/gateway/budget.py
+++ b/trackwheel/gateway/budget.py
@@ -18,9 +18,12 @@
         self.first_tries += count
         self._tokens = min(BUDGET_CAP, self._tokens + count * self.part)
 
-    def take(self) -> bool:
-        """Pay for one extra sub-request; return False when the budget is used up."""
-        if self._tokens < 1.0:
+    def take(self, owed: bool = False) -> bool:
+        """Pay for one extra sub-request; return False when the budget is used up.
+
+        One that is owed to an answer's truth is allowed all the same and paid for later.
+        """
+        if self._tokens < 1.0 and not owed:
             self.denied += 1
             return False
         self._tokens -= 1.0
--- a/trackwheel/gateway/const.py
+++ b/trackwheel/gateway/const.py
@@ -27,6 +27,10 @@
 BUDGET_START: Final = 10.0
 BUDGET_CAP: Final = 100.0
 
+PING_AFTER_S: Final = 0.015
+SILENT_AFTER_S: Final = 0.055
+"""An owner that does not answer a ping within the difference is passed over."""
+
 VERSION_RETRY_FIRST_S: Final = 0.005
 VERSION_RETRY_LAST_S: Final = 0.05
 
--- a/trackwheel/gateway/gather.py
+++ b/trackwheel/gateway/gather.py
@@ -1,6 +1,6 @@
 """The decisions of one query: whom to ask, when to hedge, what to answer, when to give up."""
 
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from trackwheel.dispatch.models import Outcome
 from trackwheel.gateway.board import Board
@@ -23,6 +23,8 @@
 )
 from trackwheel.gateway.snapshots import Collected, VersionChoice
 
+OTHER_VERSION: Final = "other_version"
+
 _FREE_RETRY = (Outcome.LEAVING, Outcome.UNKNOWN_TARGET, Outcome.NO_OWNER, Outcome.EJECTED)
 """Outcomes that cost no target anything, so that asking another one is no extra load."""
 
@@ -139,7 +141,7 @@
     def _take_wrong_version(self, ask: _Ask, event: ShardAnswer, now: float) -> None:
         self._versions.learn(ask.instance, ask.target, event.holds, exact=True)
         instance = self._instances[ask.instance]
-        instance.reason = "other_version"
+        instance.reason = OTHER_VERSION
         if not self._reconsider(now):
             self._await_version(ask.instance, now)
 
@@ -147,9 +149,11 @@
         """Choose the version anew and ask whoever has not answered at it."""
         changed = self._versions.reconsider(self._collected)
         version = self._versions.version
+        if changed:
+            self._withdraw_except(version)
         answered = self._collected.answered(version)
         for number in range(len(self._instances)):
-            if number in answered:
+            if number in answered or self._failed(number):
                 continue
             nonces = self._instances[number].nonces
             if any(self._ask_by_nonce[nonce].version in (None, version) for nonce in nonces):
@@ -158,6 +162,18 @@
                 self._ask_version(number, now)
         return changed
 
+    def _failed(self, number: int) -> bool:
+        """Return whether an instance is exhausted for another reason than its version."""
+        return number in self._exhausted and self._instances[number].reason != OTHER_VERSION
+
+    def _withdraw_except(self, version: int | None) -> None:
+        """Take back what asks for a version that will not be answered from."""
+        for nonce, ask in list(self._ask_by_nonce.items()):
+            if ask.version not in (None, version):
+                del self._ask_by_nonce[nonce]
+                self._instances[ask.instance].nonces.discard(nonce)
+                self._commands.append(WithdrawAsk(nonce, ask.target))
+
     def _collected_elsewhere(self, number: int) -> bool:
         """Return whether an instance has answered, but at another version, and is not due."""
         instance = self._instances[number]
@@ -173,7 +189,7 @@
         lacks = {target for target in targets if self._versions.holds(target, version) is False}
         instance = self._instances[number]
         instance.tried = lacks if len(lacks) < len(targets) else set()
-        self._retry(number, now)
+        self._retry(number, now, owed=True)
 
     def _await_version(self, number: int, now: float) -> None:
         """Ask again soon: the version is on its way to the instance, or another target has it."""
@@ -200,12 +216,12 @@
         if not self._instances[ask.instance].nonces:
             self._retry(ask.instance, now, free=event.outcome in _FREE_RETRY)
 
-    def _retry(self, number: int, now: float, free: bool = False) -> None:
+    def _retry(self, number: int, now: float, free: bool = False, owed: bool = False) -> None:
         """Ask an instance's next target, if the budget allows."""
         instance = self._instances[number]
         most = MAX_ASK_RATIO * len(self.plan.targets_by_instance[number]) + 1
         possible = instance.asks < most and self._any_target(number, now)
-        if possible and (free or self._budget.take()):
+        if possible and (free or self._budget.take(owed)):
             self._ask_next(number, now, "retry")
             return
         self._exhausted.add(number)
--- a/trackwheel/gateway/queries.py
+++ b/trackwheel/gateway/queries.py
@@ -5,9 +5,10 @@
 from collections import defaultdict
 from typing import NamedTuple, Protocol
 
+import anyio
 import msgspec
 
-from trackwheel.dispatch.models import Ask, Outcome, Scatter, SubAnswer, Withdraw
+from trackwheel.dispatch.models import Ask, Outcome, Ping, Pong, Scatter, SubAnswer, Withdraw
 from trackwheel.files.models import Policy, ServiceSpec
 from trackwheel.fleet.models import Member
 from trackwheel.gateway.admission import Admission, QueryEnd
@@ -26,11 +27,15 @@
     Snapshot,
     WithdrawAsk,
 )
+from trackwheel.gateway.owner_watch import OwnerSilent, OwnerWatch, PingOwner
 from trackwheel.inbox import Inbox
 from trackwheel.peers.hub import Hub
 from trackwheel.peers.models import PeerIdentity
 from trackwheel.targets.models import TargetAnswer
 from trackwheel.telemetry.explain import Trace, Traces
+from trackwheel.telemetry.logs import Log
+
+LOG = Log("gateway")
 
 
 class Owners(Protocol):
@@ -91,10 +96,31 @@
         self._budget_by_service: dict[str, Budget] = {}
         self._running_by_id: dict[str, _Running] = {}
         self._numbers = itertools.count(1)
+        self._watch = OwnerWatch()
+        self._watch_changed = anyio.Event()
         self.foreign_answers = 0
         hub.register(SubAnswer, self._take)
+        hub.register(Pong, lambda sender, pong: self._watch.heard(sender.address))
         hub.on_link_lost(self._link_lost)
 
+    async def watch_owners(self) -> None:
+        """Ping owners that owe answers and pass over silent ones, until cancelled."""
+        while True:
+            wait_s = self._watch.next_wake() - time.monotonic()
+            if wait_s > 0:
+                with anyio.move_on_after(wait_s):
+                    self._watch_changed = anyio.Event()
+                    await self._watch_changed.wait()
+                continue
+            for command in self._watch.tick(time.monotonic()):
+                match command:
+                    case PingOwner(owner):
+                        self._hub.send(owner, Ping(0))
+                    case OwnerSilent(owner):
+                        LOG.warning(f"Owner {owner} is silent. Others take its targets.")
+                        self._owners.pass_over(owner)
+                        self._link_lost(owner)
+
     @property
     def running(self) -> int:
         """Return how many queries are under way."""
@@ -219,12 +245,16 @@
             plan.query_id, plan.service, plan.group, deadline_ms, version, query, asks
         )
         if owner and self._hub.send(owner, message):
+            if owner != self._hub.identity.address:
+                self._watch.asked(owner, time.monotonic())
+                self._watch_changed.set()
             return
         for ask in asks:
             running.inbox.put(_without_owner(ask.nonce))
 
     def _take(self, sender: PeerIdentity, answer: SubAnswer) -> None:
         """Hand an answer to its query; one that fits no query is dropped and counted."""
+        self._watch.heard(sender.address)
         running = self._running_by_id.get(answer.query_id)
         asked = running.asked_by_nonce.get(answer.nonce) if running is not None else None
         if running is None or asked is None or asked.owner != sender.address:
