--- /dev/null
+++ b/tests/dispatch/test_line.py
@@ -0,0 +1,229 @@
+"""One target's line: leaving, ejection, permits, in tables of events."""
+
+from collections.abc import Callable
+
+import pytest
+
+from trackwheel.dispatch.line import TargetLine
+from trackwheel.dispatch.models import (
+    AskPermit,
+    CancelSend,
+    CheckHealth,
+    DispatchCommand,
+    Ended,
+    Outcome,
+    PermitUnused,
+    Refuse,
+    SendExecute,
+    SendQuery,
+    TellLeaving,
+    Work,
+    WorkKey,
+)
+
+Commands = list[DispatchCommand]
+
+
+class LineSession:
+    """Drive one line by hand."""
+
+    def __init__(self, slots: int = 2, warm: bool = True) -> None:
+        self.line = TargetLine("t", slots, 25, 0.0)
+        self.number = 0
+        if warm:
+            self.line.health(True, "boot1", False, 0.0)
+
+    def work(self, deadline: float = 1.0, once: bool = False, last_resort: bool = False) -> Work:
+        self.number += 1
+        key = WorkKey("gateway", "q", self.number, "t")
+        request_id = "id" if once else ""
+        return Work(key, "s", "clerks", deadline, None, "", last_resort, request_id, "boot")
+
+    def offer(self, now: float = 0.0, **options: bool) -> tuple[Work, Commands]:
+        work = self.work(deadline=now + 1.0, **options)
+        return work, self.line.offer(work, 1.0, now)
+
+    def end(
+        self, work: Work, outcome: Outcome, now: float, boot: str = "boot1", leaving: bool = False
+    ) -> Commands:
+        return self.line.ended(Ended(work.key, outcome, 0.005, boot, leaving), now)
+
+
+def outcomes(commands: Commands) -> list[Outcome]:
+    return [command.outcome for command in commands if isinstance(command, Refuse)]
+
+
+def test_cold_line_reads_the_health_page_before_it_sends() -> None:
+    session = LineSession(warm=False)
+    assert any(isinstance(command, CheckHealth) for command in session.line.first_commands)
+    _, commands = session.offer()
+    assert commands == []
+    assert any(isinstance(c, SendQuery) for c in session.line.health(True, "b", False, 0.001))
+
+
+def test_cold_line_does_not_wait_for_a_health_page_for_ever() -> None:
+    session = LineSession(warm=False)
+    session.offer()
+    commands = session.line.tick(session.line.next_wake())
+    commands += session.line.tick(1.0)
+    assert any(isinstance(command, SendQuery | Refuse) for command in commands)
+
+
+SIGNS: list[tuple[str, Callable[[LineSession, Work], Commands]]] = [
+    ("answer", lambda s, w: s.end(w, Outcome.OK, 0.01, leaving=True)),
+    ("refusal", lambda s, w: s.end(w, Outcome.LEAVING, 0.01, leaving=True)),
+    ("health-page", lambda s, w: s.line.health(True, "boot1", True, 0.01)),
+    ("other-box", lambda s, w: s.line.told_leaving("boot1")),
+    ("file", lambda s, w: s.line.set_removed(True)),
+]
+
+
+@pytest.mark.parametrize(("name", "sign"), SIGNS, ids=[name for name, _ in SIGNS])
+def test_leaving_target_gets_no_new_work(
+    name: str, sign: Callable[[LineSession, Work], Commands]
+) -> None:
+    session = LineSession()
+    running, _ = session.offer()
+    waiting, commands = session.offer()
+    assert commands == []
+    assert Outcome.LEAVING in outcomes(sign(session, running)), "what waits is refused at once"
+    for now in (0.02, 0.5, 2.0, 60.0):
+        assert outcomes(session.offer(now)[1]) == [Outcome.LEAVING]
+
+
+def test_running_work_of_a_leaving_target_is_left_to_end() -> None:
+    session = LineSession()
+    work, _ = session.offer()
+    commands = session.line.health(True, "boot1", True, 0.01)
+    assert not any(isinstance(command, CancelSend) for command in commands)
+    assert session.line.running == 1
+    assert session.end(work, Outcome.OK, 0.02) == []
+
+
+@pytest.mark.parametrize(
+    ("boot", "leaving", "returns"),
+    [
+        pytest.param("boot1", False, False, id="health-page-lies"),
+        pytest.param("boot2", True, False, id="new-boot-leaves-too"),
+        pytest.param("boot2", False, True, id="new-boot"),
+    ],
+)
+def test_only_a_new_boot_ends_leaving(boot: str, leaving: bool, returns: bool) -> None:
+    session = LineSession()
+    told = session.line.health(True, "boot1", True, 0.01)
+    assert TellLeaving("t", "boot1") in told
+    session.line.health(True, boot, leaving, 5.0)
+    refused = outcomes(session.offer(5.1)[1]) == [Outcome.LEAVING]
+    assert refused is not returns
+
+
+def test_late_word_of_an_old_boot_changes_nothing() -> None:
+    session = LineSession()
+    session.line.health(True, "boot2", False, 1.0)
+    session.line.told_leaving("boot1")
+    assert outcomes(session.offer(1.1)[1]) == []
+
+
+def eject(session: LineSession) -> float:
+    now = 0.0
+    for _ in range(3):
+        work, _ = session.offer(now)
+        now += 0.01
+        session.end(work, Outcome.FAILED, now)
+    return now
+
+
+def test_failing_target_is_ejected_probed_and_let_back_slowly() -> None:
+    session = LineSession()
+    now = eject(session)
+    assert session.line.ejected(now)
+    _, commands = session.offer(now)
+    assert outcomes(commands) == [Outcome.EJECTED]
+    retry = commands[0]
+    assert isinstance(retry, Refuse)
+    assert retry.retry_after_s > 0.4
+    later = now + 0.6
+    trial, commands = session.offer(later)
+    assert [type(command) for command in commands] == [SendQuery]
+    assert outcomes(session.offer(later)[1]) == [Outcome.EJECTED], "one trial at a time"
+    session.end(trial, Outcome.OK, later + 0.01)
+    assert session.line.limit == 1
+    assert outcomes(session.offer(later + 0.02)[1]) == []
+
+
+def test_failed_trial_ejects_for_longer() -> None:
+    session = LineSession()
+    now = eject(session) + 0.6
+    trial, _ = session.offer(now)
+    session.end(trial, Outcome.FAILED, now + 0.01)
+    assert session.line.ejected(now + 0.9)
+    assert not session.line.ejected(now + 1.1)
+
+
+def test_last_resort_goes_to_an_ejected_target() -> None:
+    session = LineSession()
+    now = eject(session)
+    _, commands = session.offer(now, last_resort=True)
+    assert [type(command) for command in commands] == [SendQuery]
+
+
+def test_stalled_target_is_ejected_by_withdrawals() -> None:
+    session = LineSession()
+    first, _ = session.offer()
+    session.end(first, Outcome.OK, 0.005)
+    now = 0.01
+    for _ in range(8):
+        work, _ = session.offer(now)
+        now += 0.3
+        session.line.withdraw(work.key, now)
+    assert session.line.ejected(now)
+
+
+def test_withdrawal_is_free_in_the_queue_and_closes_a_running_one() -> None:
+    session = LineSession(slots=1)
+    running, _ = session.offer()
+    waiting, _ = session.offer()
+    assert session.line.withdraw(waiting.key, 0.001) == []
+    assert session.line.withdraw(running.key, 0.001) == [CancelSend(running.key)]
+    assert session.line.running == 0
+
+
+def test_permit_is_asked_with_the_slot_in_hand() -> None:
+    session = LineSession(slots=1)
+    work, commands = session.offer(once=True)
+    assert commands == [AskPermit(work)]
+    assert session.line.running == 1
+    assert session.line.permit(work.key, True, 0.01) == [SendExecute(work)]
+    assert session.line.withdraw(work.key, 0.02) == [], "what may run is not taken back"
+    assert session.line.permit(work.key, True, 0.03) == [], "one grant, one send"
+
+
+@pytest.mark.parametrize(
+    ("granted", "expected"),
+    [pytest.param(False, 0, id="denied"), pytest.param(True, 1, id="granted-too-late")],
+)
+def test_permit_that_does_not_come_frees_the_slot(granted: bool, expected: int) -> None:
+    session = LineSession(slots=1)
+    work, _ = session.offer(once=True)
+    other, _ = session.offer()
+    commands = session.line.tick(1.01) if granted else []
+    commands += session.line.permit(work.key, granted, 1.02)
+    assert [type(c) for c in commands].count(SendExecute) == 0
+    assert [type(c) for c in commands].count(PermitUnused) == expected
+    assert session.line.running == 0 or any(isinstance(c, SendQuery) for c in commands)
+
+
+def test_same_work_offered_twice_is_sent_once() -> None:
+    session = LineSession()
+    work, _ = session.offer()
+    assert session.line.offer(work, 1.0, 0.001) == []
+
+
+def test_late_work_is_dropped_when_this_is_known() -> None:
+    session = LineSession(slots=1)
+    running, _ = session.offer()
+    early = session.work(deadline=0.1)
+    session.line.offer(early, 1.0, 0.0)
+    wake = session.line.next_wake()
+    assert wake < 0.1, "before the deadline, not at it"
+    assert outcomes(session.line.tick(wake)) == [Outcome.LATE]
