Ride over version flips, index set-backs and faulty targets

Cause: through real processes, 122 of 150 queries failed while index versions flipped three times, and an index set back to an older version was never answered again: a remembered version that exists nowhere any more counted as one that may still come.

Ruled out: a fault of the owners (their answers were right in `explain`); the retry budget (asks for another version are owed to truth and go on it as a debt).

--- a/trackwheel/app.py
+++ b/trackwheel/app.py
@@ -87,7 +87,7 @@
 
     def ready(self) -> bool:
         """Return whether callers should be sent here."""
-        return self.files.heard_of_files and self.files.in_force.revision > 0 and not self.leaving
+        return self.files.heard.is_set() and self.files.in_force.revision > 0 and not self.leaving
 
     def serving(self) -> bool:
         """Return whether callers who come are served; a leaving box still serves them."""
--- a/trackwheel/files/service.py
+++ b/trackwheel/files/service.py
@@ -116,7 +116,7 @@
         self._store_reachable: bool | None = None
         self.in_force = NOTHING_IN_FORCE
         self.in_force_since = time.time()
-        self.heard_of_files = False
+        self.heard = anyio.Event()
         self.last_store_contact = 0.0
         for message_type in (Push, Pull, FetchContents, Contents):
             hub.register(message_type, self._from_peer)
@@ -150,7 +150,7 @@
 
     def peer_revision(self, address: str, revision: int) -> None:
         """Take which revision a peer has in force."""
-        self.heard_of_files = True
+        self.heard.set()
         if revision != self._keeper.revision:
             self._inbox.put(_PeerRevision(address, revision))
 
@@ -219,7 +219,7 @@
 
     async def _take_stored(self, stored: Stored) -> None:
         self._note_store(True, "")
-        self.heard_of_files = True
+        self.heard.set()
         self._store_revision = stored.revision
         try:
             manifest = decode_manifest(stored.value)
--- a/trackwheel/gateway/const.py
+++ b/trackwheel/gateway/const.py
@@ -14,6 +14,9 @@
 MAX_ASK_RATIO: Final = 2
 """Each instance is asked at most this many times for each of its targets, and once more."""
 
+MAX_VERSION_WAITS: Final = 15
+"""How often more an instance is asked whether a new version has come to it meanwhile."""
+
 HEDGE_PERCENTILE: Final = 95.0
 LEAST_HEDGE_S: Final = 0.002
 DEFAULT_HEDGE_S: Final = 0.03
--- a/trackwheel/gateway/gather.py
+++ b/trackwheel/gateway/gather.py
@@ -8,6 +8,7 @@
 from trackwheel.gateway.const import (
     LEAST_RETRY_AFTER_S,
     MAX_ASK_RATIO,
+    MAX_VERSION_WAITS,
     VERSION_RETRY_FIRST_S,
     VERSION_RETRY_LAST_S,
 )
@@ -64,7 +65,7 @@
         self._deadline = now + plan.policy.deadline_s
         self._limit = now + plan.policy.wait_s
         self._instances = [_Instance() for _ in plan.targets_by_instance]
-        self._versions = VersionChoice(len(self._instances), plan.version_hint)
+        self._versions = VersionChoice(plan.targets_by_instance, plan.version_hint)
         self._collected = Collected()
         self._ask_by_nonce: dict[int, _Ask] = {}
         self._exhausted: set[int] = set()
@@ -132,14 +133,14 @@
             self._instances[ask.instance].reason = "contract_broken"
             self._retry(ask.instance, now)
             return
-        self._versions.learn(ask.instance, ask.target, [event.snapshot.version], exact=False)
+        self._versions.learn(ask.target, [event.snapshot.version], exact=False)
         self._collected.add(ask.instance, event.snapshot, event.items_by_shard)
         self._withdraw_others(ask.instance, event.snapshot.version, now)
         if event.snapshot.version != self._versions.version:
             self._reconsider(now)
 
     def _take_wrong_version(self, ask: _Ask, event: ShardAnswer, now: float) -> None:
-        self._versions.learn(ask.instance, ask.target, event.holds, exact=True)
+        self._versions.learn(ask.target, event.holds, exact=True)
         instance = self._instances[ask.instance]
         instance.reason = OTHER_VERSION
         if not self._reconsider(now):
@@ -220,6 +221,8 @@
         """Ask an instance's next target, if the budget allows."""
         instance = self._instances[number]
         most = MAX_ASK_RATIO * len(self.plan.targets_by_instance[number]) + 1
+        if instance.reason == OTHER_VERSION:
+            most += MAX_VERSION_WAITS
         possible = instance.asks < most and self._any_target(number, now)
         if possible and (free or self._budget.take(owed)):
             self._ask_next(number, now, "retry")
@@ -325,6 +328,12 @@
         lost = self._exhausted - self._collected.answered(self._versions.version)
         return bool(lost) and 1 - len(lost) / len(self._instances) < least
 
+    def _reason(self, instance: _Instance, now: float) -> str:
+        """Return why an instance lacks an answer when the query ends."""
+        if not instance.nonces:
+            return instance.reason
+        return "late" if now >= self._deadline else "not_awaited"
+
     def _coverage(self, snapshot: Snapshot | None) -> float:
         return self._collected.answer(snapshot, {}, len(self._instances)).coverage
 
@@ -334,8 +343,7 @@
             self._board.learn_at_least(ask.target, now - ask.asked_at, now)
             self._commands.append(WithdrawAsk(nonce, ask.target))
         reasons = {
-            number: ("late" if instance.nonces else instance.reason)
-            for number, instance in enumerate(self._instances)
+            number: self._reason(instance, now) for number, instance in enumerate(self._instances)
         }
         self._ask_by_nonce.clear()
         answer = self._collected.answer(snapshot, reasons, len(self._instances))
--- a/trackwheel/gateway/snapshots.py
+++ b/trackwheel/gateway/snapshots.py
@@ -1,11 +1,15 @@
 """Which snapshot a query answers from: answers are kept by snapshot and never mixed."""
 
 from collections.abc import Iterable
+from typing import Final, NamedTuple
 
 import msgspec
 
 from trackwheel.gateway.models import Answer, Lack, Snapshot
 
+CERTAIN_LEAD: Final = 2
+"""One target may lag; two instances more that hold a version say that the others have it too."""
+
 Items = dict[int, list[msgspec.Raw]]
 
 
@@ -65,18 +69,28 @@
         return Answer(snapshot, items, lacking)
 
 
+class _Standing(NamedTuple):
+    """Compare versions: how many instances may answer, and how many certainly can."""
+
+    reach: int
+    certain: int
+
+
 class VersionChoice:
-    """Choose the version to ask for: the one that most instances can answer at."""
+    """Choose the version to ask for: the one that most instances can answer at.
 
-    def __init__(self, instances: int, hint: int | None) -> None:
-        self._instances = instances
+    An instance has left a version behind when all of its targets hold only newer ones; it can
+    never answer at it. An instance that holds only older ones may still be given it, but only
+    when the version is known to be anywhere: one that was remembered may have been taken back.
+    """
+
+    def __init__(self, targets_by_instance: tuple[tuple[str, ...], ...], hint: int | None) -> None:
+        self._targets_by_instance = targets_by_instance
         self._held_by_target: dict[str, frozenset[int]] = {}
-        self._instance_by_target: dict[str, int] = {}
         self.version = hint
 
-    def learn(self, instance: int, target: str, held: Iterable[int], exact: bool) -> None:
+    def learn(self, target: str, held: Iterable[int], exact: bool) -> None:
         """Take which versions a target holds; when exact, it holds no others now."""
-        self._instance_by_target[target] = instance
         known = frozenset(held)
         if not exact:
             known |= self._held_by_target.get(target, frozenset())
@@ -90,40 +104,58 @@
         return version in held
 
     def reconsider(self, collected: Collected) -> bool:
-        """Choose anew; return whether another version was chosen.
-
-        A version that some instance has left behind can never be whole again; one that is
-        newer than what an instance holds may still come to it.
-        """
+        """Choose anew; return whether another version was chosen."""
         candidates = {version for held in self._held_by_target.values() for version in held}
         candidates.update(collected.versions())
+        known = frozenset(candidates)
         if self.version is not None:
             candidates.add(self.version)
         if not candidates:
             return False
-        best = max(
-            candidates,
-            key=lambda version: (
-                self._reach(version, collected),
-                version == self.version,
-                len(collected.answered(version)),
-                version,
-            ),
-        )
-        if best == self.version:
+        standing_by_version = {
+            version: _Standing(
+                self._reach(version, collected, version in known),
+                self._certain(version, collected),
+            )
+            for version in candidates
+        }
+        best = max(candidates, key=lambda version: (*standing_by_version[version], version))
+        if best == self.version or not self._worth_moving(standing_by_version, best):
             return False
         self.version = best
         return True
 
-    def _reach(self, version: int, collected: Collected) -> int:
+    def _worth_moving(self, standing_by_version: dict[int, _Standing], best: int) -> bool:
+        """Return whether a version is so much better that asking anew is worth its load."""
+        if self.version is None:
+            return True
+        current, other = standing_by_version[self.version], standing_by_version[best]
+        if other.reach != current.reach:
+            return True
+        return other.certain >= current.certain + CERTAIN_LEAD
+
+    def _certain(self, version: int, collected: Collected) -> int:
+        """Return how many instances have answered at a version or say that they hold it."""
+        answered = collected.answered(version)
+        return sum(
+            number in answered
+            or any(version in self._held_by_target.get(target, ()) for target in targets)
+            for number, targets in enumerate(self._targets_by_instance)
+        )
+
+    def _reach(self, version: int, collected: Collected, known: bool) -> int:
         """Return how many instances have answered at a version or may still do so."""
-        held_by_instance: dict[int, list[frozenset[int]]] = {}
-        for target, held in self._held_by_target.items():
-            held_by_instance.setdefault(self._instance_by_target[target], []).append(held)
         answered = collected.answered(version)
-        lost = 0
-        for instance, held_sets in held_by_instance.items():
-            gone = all(held and version < min(held) for held in held_sets)
-            if gone and instance not in answered:
-                lost += 1
-        return self._instances - lost
+        return sum(
+            number in answered or self._may_answer(targets, version, known)
+            for number, targets in enumerate(self._targets_by_instance)
+        )
+
+    def _may_answer(self, targets: tuple[str, ...], version: int, known: bool) -> bool:
+        for target in targets:
+            held = self._held_by_target.get(target)
+            if not held or version in held:
+                return True
+            if known and version > max(held):
+                return True
+        return False
--- a/trackwheel/operators.py
+++ b/trackwheel/operators.py
@@ -36,6 +36,9 @@
 HEADER_APPLIED_BY: Final = "Trackwheel-Applied-By"
 HEADER_EXPECTED: Final = "Trackwheel-Expected-Version"
 
+HEAR_WAIT_S: Final = 3.0
+"""How long an apply waits until this box knows what is in force elsewhere."""
+
 STATUS_BY_OUTCOME: Final = {
     ApplyOutcome.ACCEPTED: 200,
     ApplyOutcome.UNCHANGED: 200,
@@ -91,7 +94,9 @@
         applied_by = request.headers.get(HEADER_APPLIED_BY, "unknown")
         expected_text = request.headers.get(HEADER_EXPECTED, "")
         expected = int(expected_text) if expected_text.isdigit() else None
-        if not self._files.heard_of_files:
+        with anyio.move_on_after(HEAR_WAIT_S):
+            await self._files.heard.wait()
+        if not self._files.heard.is_set():
             detail = "this box has not heard yet of any file in force; try again or ask another"
             return _json({"outcome": ApplyOutcome.NOT_APPLIED, "errors": [detail]}, 503)
         try:
