Prove lost boxes, planned stops, files and at-most-once through real processes

Cause: the promises under kills, freezes, outages and races were shown for decision modules only.

Change: rows through three real boxes: reads while a box is killed, frozen, frozen and woken; a planned stop under load with a balancer that learns of it a second late; 600 requests that may run only once, a tenth of them sent twice at once, while one box freezes, one dies and comes back, one target loses its replies and one sheds; files under lost replies, an outage, an older store, ten racing operators, a frozen box, boxes replaced in an outage; a stranger at the links.

Ruled out: ports from the system's range for outgoing connections in tests; one was taken before its listener came.

Before: none of these ran.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -3,6 +3,7 @@
 Demonstrations, measurements and tests use it; a box itself never starts a process.
 """
 
+import itertools
 import os
 import signal
 import socket
@@ -20,6 +21,9 @@
 from standins.certificates import Authority
 
 START_TIMEOUT_S = 20.0
+FIRST_PORT = 10_500
+PORT_COUNT = 10_000
+_PORT_NUMBERS = itertools.count(os.getpid() * 397 % PORT_COUNT)
 
 
 class BoxPlace(NamedTuple):
@@ -34,15 +38,22 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports on loopback that nobody uses now."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for item in sockets:
-            item.bind(("127.0.0.1", 0))
-        return [item.getsockname()[1] for item in sockets]
-    finally:
-        for item in sockets:
-            item.close()
+    """Return ports on loopback that nobody uses now.
+
+    They lie below the range from which the system takes ports for outgoing connections, so
+    that none of those takes one before its listener does.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = FIRST_PORT + next(_PORT_NUMBERS) % PORT_COUNT
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        ports.append(port)
+    return ports
 
 
 def wait_until(condition: Callable[[], bool], timeout_s: float, what: str) -> None:
--- /dev/null
+++ b/tests/whole/test_box_faults.py
@@ -0,0 +1,160 @@
+"""Boxes that are killed, frozen and stopped under load, and requests that run only once."""
+
+import asyncio
+import signal
+import time
+from collections.abc import Awaitable, Callable, Coroutine, Iterator
+from pathlib import Path
+
+import pytest
+
+from bench.load import Callers, Results, run_queries
+from bench.once import OnceReport, run_once_stream
+from standins.file_maker import ServiceShape
+from standins.fleet import BoxPlace, SmallFleet, wait_until
+from tests.conftest import PLACES, write_file
+from tests.whole.test_target_faults import targets_of
+
+SERVICE = "ledger"
+Disturb = Callable[[SmallFleet, BoxPlace], Coroutine[None, None, None]]
+
+
+@pytest.fixture
+def own_fleet(tmp_path: Path) -> Iterator[SmallFleet]:
+    """Run three boxes that a test may destroy."""
+    path = write_file(tmp_path, [ServiceShape(SERVICE, 6, 2, deadline="400ms", wait="400ms")])
+    with SmallFleet(PLACES, [path]) as running:
+        assert running.apply(path)["outcome"] == "accepted"
+        yield running
+
+
+async def kill(fleet: SmallFleet, box: BoxPlace) -> None:
+    fleet.signal_box(box, signal.SIGKILL)
+
+
+async def freeze(fleet: SmallFleet, box: BoxPlace) -> None:
+    fleet.signal_box(box, signal.SIGSTOP)
+
+
+async def freeze_and_wake(fleet: SmallFleet, box: BoxPlace) -> None:
+    fleet.signal_box(box, signal.SIGSTOP)
+    await asyncio.sleep(2.5)
+    fleet.signal_box(box, signal.SIGCONT)
+
+
+def query_others_while(
+    fleet: SmallFleet, disturb: Disturb, rate: float = 60, seconds: float = 5.0
+) -> tuple[Results, float]:
+    """Ask the first two boxes while the third is disturbed after a second."""
+    at: list[float] = []
+
+    async def meanwhile(callers: Callers) -> None:
+        await asyncio.sleep(1.0)
+        at.append(time.monotonic())
+        await disturb(fleet, fleet.boxes[2])
+
+    addresses = [box.callers for box in fleet.boxes[:2]]
+    results = run_queries(addresses, "clerks", SERVICE, rate, seconds, meanwhile)
+    return results, at[0]
+
+
+@pytest.mark.parametrize("disturb", [kill, freeze, freeze_and_wake], ids=lambda d: d.__name__)
+def test_reads_ride_over_a_lost_box(own_fleet: SmallFleet, disturb: Disturb) -> None:
+    results, _ = query_others_while(own_fleet, disturb)
+    assert results.broken == []
+    assert results.cut_off == []
+    assert results.answered >= 0.98 * 300, (results.answered, results.codes)
+    assert min(results.coverage) == 1.0
+
+
+@pytest.mark.parametrize("disturb", [kill, freeze], ids=lambda d: d.__name__)
+def test_lost_box_is_noticed_within_two_seconds(own_fleet: SmallFleet, disturb: Disturb) -> None:
+    asyncio.run(disturb(own_fleet, own_fleet.boxes[2]))
+    started = time.monotonic()
+    wait_until(lambda: own_fleet.members_seen(own_fleet.boxes[0]) == 2, 5.0, "noticing")
+    wait_until(lambda: own_fleet.members_seen(own_fleet.boxes[1]) == 2, 5.0, "noticing")
+    assert time.monotonic() - started < 2.2
+
+
+def test_planned_stop_cuts_off_nothing(own_fleet: SmallFleet) -> None:
+    """The balancer learns of it a second late; nothing is cut off and nothing refused."""
+    leaving = own_fleet.boxes[2]
+
+    async def stop(callers: Callers) -> None:
+        await asyncio.sleep(1.0)
+        own_fleet.signal_box(leaving, signal.SIGTERM)
+        await asyncio.sleep(1.0)
+        callers.set_addresses([box.callers for box in own_fleet.boxes[:2]])
+
+    addresses = [box.callers for box in own_fleet.boxes]
+    results = run_queries(addresses, "clerks", SERVICE, 60, 5.0, stop)
+    assert results.cut_off == []
+    assert results.broken == []
+    assert results.codes == {}
+    assert results.answered == 300
+    process = own_fleet.process_by_name[leaving.box_id]
+    assert process.wait(timeout=10) == 0, own_fleet.log(leaving.box_id)
+    assert "All work is finished" in own_fleet.log(leaving.box_id)
+
+
+def test_long_work_in_flight_outlives_a_planned_stop(own_fleet: SmallFleet) -> None:
+    for replicas in targets_of(own_fleet):
+        for address in replicas:
+            own_fleet.control(address, service_s=0.3)
+    results = Results()
+    leaving = own_fleet.boxes[0]
+
+    async def main() -> None:
+        callers = Callers([leaving.callers])
+        running = asyncio.ensure_future(callers.query("clerks", SERVICE, results))
+        await asyncio.sleep(0.05)
+        own_fleet.signal_box(leaving, signal.SIGTERM)
+        await running
+        await callers.close()
+
+    asyncio.run(main())
+    assert results.cut_off == []
+    assert results.answered == 1, results.codes
+
+
+def run_once(
+    fleet: SmallFleet, count: int, rate: float, disturb: Callable[[Callers], Awaitable[None]]
+) -> OnceReport:
+    report = OnceReport()
+
+    async def main() -> None:
+        callers = Callers([box.callers for box in fleet.boxes])
+        stream = run_once_stream(callers, SERVICE, count, rate, report)
+        await asyncio.gather(stream, disturb(callers))
+        await callers.close()
+
+    asyncio.run(main())
+    for replicas in targets_of(fleet):
+        for address in replicas:
+            report.count_runs(fleet.counts(address))
+    return report
+
+
+def test_once_while_boxes_freeze_die_and_targets_lose_replies(own_fleet: SmallFleet) -> None:
+    targets = targets_of(own_fleet)
+
+    async def disturb(callers: Callers) -> None:
+        first, second, third = own_fleet.boxes
+        await asyncio.sleep(0.5)
+        await asyncio.to_thread(own_fleet.control, targets[0][0], reply_lost=True)
+        await asyncio.to_thread(own_fleet.control, targets[1][1], shed=True)
+        await asyncio.sleep(0.5)
+        own_fleet.signal_box(second, signal.SIGSTOP)
+        await asyncio.sleep(1.5)
+        own_fleet.signal_box(second, signal.SIGCONT)
+        await asyncio.sleep(1.0)
+        own_fleet.signal_box(third, signal.SIGKILL)
+        await asyncio.sleep(0.5)
+        own_fleet.start_box(third)
+
+    report = run_once(own_fleet, 600, 100, disturb)
+    assert len(report.told_by_id) == 600
+    assert report.twice() == []
+    assert report.lies() == []
+    assert report.share_told("done") > 0.6
+    assert any("unknown" in told for told in report.told_by_id.values())
--- /dev/null
+++ b/tests/whole/test_files_faults.py
@@ -0,0 +1,232 @@
+"""Files in force through real boxes: outages, an older store, lost replies, racing operators."""
+
+import signal
+import ssl
+import threading
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from websockets.exceptions import WebSocketException
+from websockets.sync.client import connect
+
+from standins.file_maker import GroupShape, ServiceShape
+from standins.fleet import SmallFleet, wait_until
+from tests.conftest import PLACES, write_file
+
+
+@pytest.fixture
+def store_fleet(tmp_path: Path) -> Iterator[tuple[SmallFleet, Path]]:
+    """Run three boxes with one file in force, and give that file."""
+    path = write_file(tmp_path, [ServiceShape("ledger", 2, 2)])
+    with SmallFleet(PLACES, [path]) as running:
+        assert running.apply(path)["outcome"] == "accepted"
+        yield running, path
+
+
+def group_file(folder: Path, name: str, share: str = "1") -> Path:
+    return write_file(folder, [], [GroupShape(f"g-{name}", share, "ledger")], name)
+
+
+def revisions(fleet: SmallFleet) -> list[int]:
+    return [fleet.show(box)["revision"] for box in fleet.boxes]
+
+
+def counts(fleet: SmallFleet) -> dict[str, Any]:
+    return fleet.counts(fleet.key_value)
+
+
+def test_applied_file_is_in_force_on_every_box_at_once(
+    store_fleet: tuple[SmallFleet, Path], tmp_path: Path
+) -> None:
+    fleet, _ = store_fleet
+    for number in range(5):
+        started = time.monotonic()
+        report = fleet.apply(group_file(tmp_path, "more", str(number + 1)), fleet.boxes[number % 3])
+        assert report["outcome"] == "accepted"
+        assert report["not_confirmed"] == []
+        assert time.monotonic() - started < 1.0
+        assert revisions(fleet) == [number + 2] * 3
+
+
+def test_same_file_again_changes_nothing(store_fleet: tuple[SmallFleet, Path]) -> None:
+    fleet, path = store_fleet
+    assert fleet.apply(path, fleet.boxes[1])["outcome"] == "unchanged"
+    assert revisions(fleet) == [1] * 3
+
+
+def test_bad_file_is_refused_and_nothing_applied(
+    store_fleet: tuple[SmallFleet, Path], tmp_path: Path
+) -> None:
+    fleet, _ = store_fleet
+    bad = tmp_path / "bad.ini"
+    bad.write_text("[file]\nname = bad\n[group x]\nshare = 0\n")
+    report = fleet.apply(bad)
+    assert report["outcome"] == "refused"
+    assert any("share" in error for error in report["errors"])
+    unknown = write_file(tmp_path, [], [GroupShape("y", "1", "nothing")], "unknown")
+    assert "not declared" in str(fleet.apply(unknown)["errors"])
+    assert revisions(fleet) == [1] * 3
+
+
+@pytest.mark.parametrize("lost", [1, 2, 3])
+def test_lost_replies_are_not_called_failed(
+    store_fleet: tuple[SmallFleet, Path], tmp_path: Path, lost: int
+) -> None:
+    fleet, _ = store_fleet
+    fleet.control(fleet.key_value, lose_replies=lost)
+    report = fleet.apply(group_file(tmp_path, "more"))
+    assert report["outcome"] == "accepted", report
+    assert revisions(fleet) == [2] * 3
+
+
+def test_outage_is_told_and_does_not_touch_queries(
+    store_fleet: tuple[SmallFleet, Path], tmp_path: Path
+) -> None:
+    fleet, _ = store_fleet
+    fleet.control(fleet.key_value, down=True)
+    assert fleet.apply(group_file(tmp_path, "more"))["outcome"] == "not_applied"
+    for box in fleet.boxes:
+        assert fleet.query(box, "clerks-key", "ledger").status_code == 200
+    fleet.control(fleet.key_value, down=False)
+    assert fleet.apply(group_file(tmp_path, "more"))["outcome"] == "accepted"
+
+
+def test_box_replaced_in_an_outage_takes_the_files_from_its_peers(
+    store_fleet: tuple[SmallFleet, Path], tmp_path: Path
+) -> None:
+    fleet, _ = store_fleet
+    fleet.apply(group_file(tmp_path, "more"))
+    fleet.control(fleet.key_value, down=True)
+    for box in fleet.boxes[1:]:
+        fleet.signal_box(box, signal.SIGKILL)
+        fleet.process_by_name[box.box_id].wait()
+        fleet.start_box(box)
+        wait_until(lambda box=box: is_ready(fleet, box), 15.0, "readiness")  # type: ignore[misc]
+        assert fleet.query(box, "clerks-key", "ledger").status_code == 200
+    assert revisions(fleet) == [2] * 3
+
+
+def is_ready(fleet: SmallFleet, box: Any) -> bool:
+    try:
+        return fleet.http.get(f"http://{box.operators}/health/ready").status_code == 200
+    except Exception:
+        return False
+
+
+def test_lone_box_in_an_outage_is_not_ready(tmp_path: Path) -> None:
+    path = write_file(tmp_path, [ServiceShape("ledger", 1, 1)])
+    with SmallFleet(PLACES[:1], [path]) as fleet:
+        fleet.control(fleet.key_value, down=True)
+        box = fleet.boxes[0]
+        assert not is_ready(fleet, box)
+        response = fleet.query(box, "clerks-key", "ledger")
+        assert response.status_code == 503
+        assert response.json()["error"]["code"] == "not_ready"
+        assert response.headers["retry-after"]
+
+
+def test_store_that_comes_back_older_is_brought_forward(
+    store_fleet: tuple[SmallFleet, Path], tmp_path: Path
+) -> None:
+    fleet, _ = store_fleet
+    fleet.control(fleet.key_value, save=True)
+    for number in (1, 2):
+        fleet.apply(group_file(tmp_path, "more", str(number)))
+    assert revisions(fleet) == [3] * 3
+    fleet.control(fleet.key_value, restore=True)
+    time.sleep(2.0)
+    assert revisions(fleet) == [3] * 3, "no box goes back"
+    report = fleet.apply(group_file(tmp_path, "third"), fleet.boxes[2])
+    assert report["outcome"] == "accepted"
+    assert report["revision"] == 4
+    files = fleet.show(fleet.boxes[1])["files"]
+    assert set(files) == {"test", "more", "third"}
+
+
+@pytest.mark.parametrize("same", [True, False], ids=["same-file", "different-files"])
+def test_ten_racing_operators(
+    store_fleet: tuple[SmallFleet, Path], tmp_path: Path, same: bool
+) -> None:
+    fleet, _ = store_fleet
+    fleet.control(fleet.key_value, slow_s=0.02, lose_replies=2)
+    reports: dict[int, dict[str, Any]] = {}
+    paths = []
+    for number in range(10):
+        folder = tmp_path / str(number)
+        folder.mkdir()
+        name = "same" if same else f"file{number}"
+        paths.append(group_file(folder, name, str(number + 1)))
+
+    def apply(number: int) -> None:
+        box = fleet.boxes[number % 3]
+        reports[number] = fleet.apply(
+            paths[number], box, **{"Trackwheel-Expected-Version": "0"} if same else {}
+        )
+
+    threads = [threading.Thread(target=apply, args=(number,)) for number in range(10)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    accepted = [number for number, report in reports.items() if report["outcome"] == "accepted"]
+    files = fleet.show(fleet.boxes[0])["files"]
+    if same:
+        assert len(accepted) == 1
+        entry = files["same"]
+        assert entry["apply_id"] == reports[accepted[0]]["apply_id"]
+        for number, report in reports.items():
+            if number not in accepted:
+                assert report["outcome"] == "conflict"
+                assert report["in_force_instead"]["apply_id"] == entry["apply_id"]
+    else:
+        assert len(accepted) == 10
+        assert len(files) == 11
+    assert len(set(revisions(fleet))) == 1
+
+
+def test_frozen_box_that_wakes_with_old_files_moves_forward(
+    store_fleet: tuple[SmallFleet, Path], tmp_path: Path
+) -> None:
+    fleet, _ = store_fleet
+    frozen = fleet.boxes[1]
+    fleet.signal_box(frozen, signal.SIGSTOP)
+    time.sleep(2.5)
+    report = fleet.apply(group_file(tmp_path, "more"))
+    assert report["outcome"] == "accepted"
+    fleet.signal_box(frozen, signal.SIGCONT)
+    wait_until(lambda: fleet.show(frozen)["revision"] == 2, 4.0, "moving forward")
+    assert "was away" in fleet.log(frozen.box_id)
+
+
+def test_box_that_does_not_confirm_is_named(
+    store_fleet: tuple[SmallFleet, Path], tmp_path: Path
+) -> None:
+    fleet, _ = store_fleet
+    frozen = fleet.boxes[2]
+    fleet.signal_box(frozen, signal.SIGSTOP)
+    report = fleet.apply(group_file(tmp_path, "more"))
+    assert report["outcome"] == "accepted"
+    assert report["boxes"] == 2 or report["not_confirmed"] == [frozen.peers]
+    fleet.signal_box(frozen, signal.SIGCONT)
+
+
+def test_stranger_without_a_certificate_learns_nothing(
+    store_fleet: tuple[SmallFleet, Path],
+) -> None:
+    fleet, _ = store_fleet
+    assert fleet.authority is not None
+    context = ssl.create_default_context(cafile=str(fleet.authority.path))
+    context.check_hostname = False
+    refusals = (OSError, EOFError, WebSocketException)
+    for url, tls in (("wss", context), ("ws", None)):
+        with pytest.raises(refusals):
+            hear(f"{url}://{fleet.boxes[0].peers}/", tls)
+
+
+def hear(url: str, context: ssl.SSLContext | None) -> object:
+    """Return the first message of a box, if it says any."""
+    with connect(url, ssl=context, open_timeout=2) as socket:
+        return socket.recv(timeout=2)
