--- a/trackwheel/dispatch/owner.py
+++ b/trackwheel/dispatch/owner.py
@@ -16,6 +16,7 @@
     Work,
     WorkKey,
 )
+from trackwheel.dispatch.wakes import Wakes
 from trackwheel.files.models import NOTHING_IN_FORCE, InForce, ServiceSpec
 from trackwheel.fleet.models import TargetNote
 
@@ -39,6 +40,7 @@
         self._service_by_target: dict[str, ServiceSpec] = {}
         self._line_by_target: dict[str, TargetLine] = {}
         self._note_by_target: dict[str, TargetNote] = {}
+        self._wakes = Wakes()
 
     def states(self, now: float) -> list[LineState]:
         """Return the state of every line."""
@@ -69,7 +71,8 @@
         }
         commands: list[DispatchCommand] = []
         for target, line in self._line_by_target.items():
-            commands += line.set_removed(target not in self._service_by_target)
+            removed = target not in self._service_by_target
+            commands += self._touched(line, line.set_removed(removed))
         return commands
 
     def scatter(self, gateway: str, message: Scatter, now: float) -> list[DispatchCommand]:
@@ -111,7 +114,7 @@
             line = self._line_by_target.get(ask.target)
             if line is not None:
                 key = WorkKey(gateway, message.query_id, ask.nonce, ask.target)
-                commands += line.withdraw(key, now)
+                commands += self._touched(line, line.withdraw(key, now))
         return commands
 
     def gateway_lost(self, gateway: str, now: float) -> list[DispatchCommand]:
@@ -119,7 +122,7 @@
         commands: list[DispatchCommand] = []
         for line in self._line_by_target.values():
             for key in line.keys_of(gateway):
-                commands += line.withdraw(key, now)
+                commands += self._touched(line, line.withdraw(key, now))
         return commands
 
     def permit(self, key: WorkKey, granted: bool, now: float) -> list[DispatchCommand]:
@@ -127,12 +130,12 @@
         line = self._line_by_target.get(key.target)
         if line is None:
             return [PermitUnused(key)] if granted else []
-        return line.permit(key, granted, now)
+        return self._touched(line, line.permit(key, granted, now))
 
     def ended(self, event: Ended, now: float) -> list[DispatchCommand]:
         """Take the end of a request at a target."""
         line = self._line_by_target.get(event.key.target)
-        return line.ended(event, now) if line is not None else []
+        return self._touched(line, line.ended(event, now)) if line is not None else []
 
     def health(
         self, target: str, reachable: bool, boot: str, leaving: bool, now: float
@@ -141,7 +144,7 @@
         line = self._line_by_target.get(target)
         if line is None:
             return []
-        return line.health(reachable, boot, leaving, now)
+        return self._touched(line, line.health(reachable, boot, leaving, now))
 
     def told_leaving(self, notes: tuple[TargetNote, ...]) -> list[DispatchCommand]:
         """Take other boxes' word that targets are leaving."""
@@ -150,23 +153,29 @@
             self._note_by_target[note.address] = note
             line = self._line_by_target.get(note.address)
             if line is not None:
-                commands += line.told_leaving(note.target_boot)
+                commands += self._touched(line, line.told_leaving(note.target_boot))
         return commands
 
     def tick(self, now: float) -> list[DispatchCommand]:
         """Do what is due and forget lines that nobody uses."""
         commands: list[DispatchCommand] = []
-        for target, line in list(self._line_by_target.items()):
+        for target in self._wakes.take_due(now):
+            line = self._line_by_target[target]
             if line.idle(now):
                 del self._line_by_target[target]
-            elif line.next_wake() <= now:
-                commands += line.tick(now)
+                continue
+            commands += line.tick(now)
+            self._wakes.set(target, line.next_wake())
         return commands
 
     def next_wake(self) -> float:
         """Return when `tick` is next needed (seconds)."""
-        lines = self._line_by_target.values()
-        return min((line.next_wake() for line in lines), default=float("inf"))
+        return self._wakes.next()
+
+    def _touched(self, line: TargetLine, commands: list[DispatchCommand]) -> list[DispatchCommand]:
+        """Return the commands of a line that took an event, and note when it is next due."""
+        self._wakes.set(line.target, line.next_wake())
+        return commands
 
     def delay(self, work: Work, now: float) -> float:
         """Return how long more work like this would wait (seconds)."""
@@ -191,5 +200,6 @@
             note = self._note_by_target.get(work.target)
             commands += line.first_commands
             if note is not None:
-                commands += line.told_leaving(note.target_boot)
-        return commands + line.offer(work, self._share(work.group), now)
+                commands += self._touched(line, line.told_leaving(note.target_boot))
+        offered = line.offer(work, self._share(work.group), now)
+        return commands + self._touched(line, offered)
