--- /dev/null
+++ b/tests/fleet/test_ownership.py
@@ -0,0 +1,89 @@
+"""Ownership: the target's region first, replicas apart, few owners, few moves."""
+
+import random
+
+import pytest
+
+from trackwheel.files.models import Policy, ServiceSpec, TargetSpec
+from trackwheel.fleet.models import Member, Status
+from trackwheel.fleet.ownership import OwnerMap, owners_of
+
+REGIONS = ("muc", "nue", "aug")
+
+
+def box(number: int, regions: tuple[str, ...] = REGIONS) -> Member:
+    region = regions[number % len(regions)]
+    domain = f"{region}-{'ab'[number // len(regions) % 2]}"
+    return Member(f"10.0.0.{number}:82", f"b{number}", "x", region, domain, 1, Status.ALIVE)
+
+
+def service(instances: int = 20, name: str = "s") -> ServiceSpec:
+    targets = tuple(
+        tuple(
+            TargetSpec(f"10.9.{n}.{r}:90", REGIONS[n % 3], f"{REGIONS[n % 3]}-{'ab'[r]}")
+            for r in range(2)
+        )
+        for n in range(instances)
+    )
+    return ServiceSpec(name, 2, 25, 0.006, 0.05, 0.99, Policy(1, 1, 1), targets)
+
+
+def test_owners_stand_beside_their_targets_and_replicas_apart() -> None:
+    spec = service()
+    owners = owners_of(spec, [box(number) for number in range(12)]).owner_by_address
+    for instance in spec.targets_by_instance:
+        chosen = [owners[target.address] for target in instance]
+        assert {owner.region for owner in chosen} == {instance[0].region}
+        assert len({owner.failure_domain for owner in chosen}) == 2
+
+
+def test_region_without_boxes_is_owned_from_elsewhere() -> None:
+    spec = service()
+    owners = owners_of(spec, [box(number, ("muc",)) for number in range(4)]).owner_by_address
+    assert len(owners) == 40
+
+
+def test_one_box_owns_all_and_no_box_nothing() -> None:
+    assert len(owners_of(service(), [box(0)]).owner_by_address) == 40
+    assert owners_of(service(), []).owner_by_address == {}
+
+
+@pytest.mark.parametrize("status", [Status.LEAVING, Status.DEAD], ids=lambda s: s.name)
+def test_leaving_box_owns_nothing(status: Status) -> None:
+    members = [box(0)._replace(status=status), *(box(number) for number in range(1, 9))]
+    owners = owners_of(service(), members).owner_by_address
+    assert box(0).address not in {owner.address for owner in owners.values()}
+
+
+def test_lost_box_moves_only_its_own_and_few_other_targets() -> None:
+    members = [box(number) for number in range(30)]
+    before = owners_of(service(60), members).owner_by_address
+    lost = before["10.9.0.0:90"]
+    rest = [member for member in members if member.address != lost.address]
+    after = owners_of(service(60), rest).owner_by_address
+    owned = sum(owner.address == lost.address for owner in before.values())
+    moved = sum(before[address].address != after[address].address for address in before)
+    assert moved <= 4 * owned + 4
+
+
+def test_owner_map_works_out_only_what_changed_and_agrees_with_a_fresh_look() -> None:
+    pick = random.Random(5)
+    fleet = {number: box(number) for number in range(60)}
+    specs = [service(20, f"s{number}") for number in range(30)]
+    owner_map = OwnerMap()
+    steps = 40
+    for _ in range(steps):
+        number = pick.randrange(90)
+        if number in fleet:
+            del fleet[number]
+        else:
+            fleet[number] = box(number)
+        owner_map.set_members(fleet.values())
+        for spec in specs:
+            fresh = owners_of(spec, list(fleet.values())).owner_by_address
+            for instance in spec.targets_by_instance:
+                for target in instance:
+                    owner = owner_map.owner(spec, target.address)
+                    assert owner is not None
+                    assert owner.address == fresh[target.address].address
+    assert owner_map.computed < 0.4 * steps * len(specs)
--- a/trackwheel/app.py
+++ b/trackwheel/app.py
@@ -235,11 +235,18 @@
     await hypercorn.asyncio.serve(app, config, shutdown_trigger=stopped.wait)
 
 
-def run(settings: Settings) -> None:
-    """Run a box in this process."""
-    # What was loaded so far lives as long as the box; looking through it for garbage again
-    # and again would stop the box for tens of milliseconds each time.
+def tune_garbage_collection() -> None:
+    """Leave what was loaded so far out of the search for garbage.
+
+    It lives as long as the box; looking through it again and again would stop the box for
+    tens of milliseconds each time.
+    """
     gc.collect()
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD, *gc.get_threshold()[1:])
+
+
+def run(settings: Settings) -> None:
+    """Run a box in this process."""
+    tune_garbage_collection()
     anyio.run(run_box, settings, backend_options={"use_uvloop": True})
--- a/trackwheel/fleet/members.py
+++ b/trackwheel/fleet/members.py
@@ -1,6 +1,7 @@
 """The table of members with its digests; it only ever moves to newer records."""
 
 from collections.abc import Iterable
+from functools import lru_cache
 from typing import Final
 
 import xxhash
@@ -9,6 +10,7 @@
 from trackwheel.fleet.models import Member, Status
 
 RING_SIZE: Final = 2**64
+POSITIONS_KEPT: Final = 32_768
 
 
 def _hash_member(member: Member) -> int:
@@ -16,6 +18,7 @@
     return int(xxhash.xxh32_intdigest(text.encode()))
 
 
+@lru_cache(maxsize=POSITIONS_KEPT)
 def ring_position(address: str, ring: int = 0) -> int:
     """Return where a box stands on one of the rings that say who probes whom."""
     return int(xxhash.xxh64_intdigest(address.encode(), seed=ring))
@@ -76,9 +79,8 @@
         self._toggle(self.member_by_address.pop(address))
 
     def present(self) -> list[Member]:
-        """Return all members that are not dead, by ring position."""
-        members = [m for m in self.member_by_address.values() if m.status is not Status.DEAD]
-        return sorted(members, key=lambda member: ring_position(member.address))
+        """Return all members that are not dead."""
+        return [m for m in self.member_by_address.values() if m.status is not Status.DEAD]
 
     def in_buckets(self, buckets: set[int]) -> list[Member]:
         """Return the records of some buckets."""
--- a/trackwheel/fleet/membership.py
+++ b/trackwheel/fleet/membership.py
@@ -287,13 +287,14 @@
 
     def _take_sync(self, sender: str, message: SyncReply, now: float) -> None:
         for member in message.members:
-            self._merge(member, now)
+            self._merge(member, now, tell=False)
         self._learn_notes(message.notes, now)
         if message.wanted_buckets:
             wanted = self._table.in_buckets(set(message.wanted_buckets))
             self._send(sender, SyncReply(wanted, [], []))
 
-    def _merge(self, member: Member, now: float) -> None:
+    def _merge(self, member: Member, now: float, tell: bool = True) -> None:
+        """Take a record; what came in an exchange of tables is not told on as news."""
         if member.address == self._own.address:
             self._contradict(member)
             return
@@ -302,7 +303,8 @@
             return
         if not self._table.merge(member):
             return
-        self._rumours.add(member.address, member)
+        if tell:
+            self._rumours.add(member.address, member)
         self._changed = True
         self._monitored_cache = None
         self._suspected_until_by_address.pop(member.address, None)
--- a/trackwheel/fleet/service.py
+++ b/trackwheel/fleet/service.py
@@ -23,7 +23,7 @@
     Status,
     TargetNote,
 )
-from trackwheel.fleet.ownership import may_own, owners_of
+from trackwheel.fleet.ownership import OwnerMap, may_own
 from trackwheel.inbox import Inbox
 from trackwheel.peers.hub import Hub
 from trackwheel.peers.models import PeerIdentity
@@ -50,8 +50,8 @@
         self._box_list = box_list
         self._membership = Membership(own, timing, seed)
         self._inbox: Inbox[Decide] = Inbox()
-        self._owners_by_service: dict[str, tuple[ServiceSpec, dict[str, Member]]] = {}
-        self._owners_valid_until = float("inf")
+        self._owners = OwnerMap()
+        self._reachable_until = 0.0
         self._unreachable_until_by_address: dict[str, float] = {}
         self._on_members: list[Callable[[tuple[Member, ...]], None]] = []
         self._on_revision: list[Callable[[str, int], None]] = []
@@ -83,7 +83,6 @@
     def set_files_revision(self, revision: int) -> None:
         """Take the revision that this box has in force."""
         self._membership.set_files_revision(revision)
-        self._owners_by_service.clear()
 
     def leave(self) -> None:
         """Say to the fleet that this box is leaving."""
@@ -99,20 +98,16 @@
 
     def owner(self, service: ServiceSpec, target: str) -> Member | None:
         """Return the box that owns a target, None when nobody does."""
-        if time.monotonic() >= self._owners_valid_until:
-            self._owners_by_service.clear()
-        held = self._owners_by_service.get(service.name)
-        if held is None or held[0] is not service:
-            held = (service, owners_of(service, self._reachable()))
-            self._owners_by_service[service.name] = held
-        return held[1].get(target)
+        if time.monotonic() >= self._reachable_until:
+            self._owners.set_members(self._reachable())
+        return self._owners.owner(service, target)
 
     def pass_over(self, address: str) -> None:
         """Give an unreachable box's targets to others for a while, as seen from here."""
         if address == self.own.address:
             return
         self._unreachable_until_by_address[address] = time.monotonic() + UNREACHABLE_S
-        self._owners_by_service.clear()
+        self._owners.set_members(self._reachable())
 
     def is_watcher(self) -> bool:
         """Return whether this box is one of the few in its domain that watch the store."""
@@ -150,7 +145,7 @@
         until = self._unreachable_until_by_address
         for address in [address for address, end in until.items() if end <= now]:
             del until[address]
-        self._owners_valid_until = min(until.values(), default=float("inf"))
+        self._reachable_until = min(until.values(), default=float("inf"))
         return tuple(member for member in self.members if member.address not in until)
 
     def _perform(self, commands: list[FleetCommand]) -> None:
@@ -174,7 +169,7 @@
         self._log_changes(members)
         self.members = members
         self.own = self._membership.own
-        self._owners_by_service.clear()
+        self._owners.set_members(self._reachable())
         for on_members in self._on_members:
             on_members(members)
 
--- a/trackwheel/peers/hub.py
+++ b/trackwheel/peers/hub.py
@@ -51,9 +51,16 @@
         self._link_count_by_address: dict[str, int] = {}
         self._on_link_lost: list[Callable[[str], None]] = []
         self._tasks: anyio.abc.TaskGroup | None = None
+        self._bytes_of_closed_links = 0
         self.messages_sent = 0
         self.messages_dropped = 0
 
+    @property
+    def bytes_sent(self) -> int:
+        """Return how many bytes of frames went out."""
+        open_links = self._outbox_by_address.values()
+        return self._bytes_of_closed_links + sum(outbox.bytes_sent for outbox in open_links)
+
     def register(self, message_type: type[Any], handler: Handler) -> None:
         """Hand every arriving message of a type to a handler."""
         self._handler_by_type[message_type] = handler
@@ -170,6 +177,8 @@
         if self._link_count_by_address.get(address):
             return
         self.messages_dropped += outbox.clear()
+        self._bytes_of_closed_links += outbox.bytes_sent
+        outbox.bytes_sent = 0
         if self._outbox_by_address.get(address) is outbox:
             del self._outbox_by_address[address]
         self._closed_until_by_address[address] = time.monotonic() + RECONNECT_DELAY_S
--- a/trackwheel/peers/link.py
+++ b/trackwheel/peers/link.py
@@ -33,6 +33,7 @@
     def __init__(self) -> None:
         self._waiting: deque[Message] = deque()
         self._filled = anyio.Event()
+        self.bytes_sent = 0
 
     def put(self, message: Message) -> bool:
         """Add a message; return False when the peer is so far behind that it is dropped."""
@@ -68,7 +69,9 @@
 
     async def write() -> None:
         while True:
-            await socket.send(codec.encode(await outbox.take()))
+            frame = codec.encode(await outbox.take())
+            outbox.bytes_sent += len(frame)
+            await socket.send(frame)
 
     async def read() -> None:
         while True:
--- a/trackwheel/telemetry/samples.py
+++ b/trackwheel/telemetry/samples.py
@@ -20,6 +20,7 @@
         Sample("trackwheel_boxes", "Boxes that are present.", {}, len(box.fleet.members)),
         Sample("trackwheel_rejoins", "Times this box was away.", {}, box.fleet.rejoins),
         Sample("trackwheel_messages_sent", "Messages to boxes.", {}, hub.messages_sent),
+        Sample("trackwheel_bytes_sent", "Bytes in frames to boxes.", {}, hub.bytes_sent),
         Sample("trackwheel_messages_dropped", "Messages dropped.", {}, hub.messages_dropped),
     ]
 
