--- a/bench/one_target.py
+++ b/bench/one_target.py
@@ -5,6 +5,7 @@
 import random
 from collections import defaultdict
 from collections.abc import Callable
+from functools import partial
 
 from trackwheel.dispatch.line import TargetLine
 from trackwheel.dispatch.models import (
@@ -25,7 +26,13 @@
     """Drive a line's decisions against a model of a target (seconds of virtual time)."""
 
     def __init__(
-        self, slots: int = 2, claimed: int = 2, connections: int = 25, service_s: float = 0.01
+        self,
+        slots: int = 2,
+        claimed: int = 2,
+        connections: int = 25,
+        service_s: float = 0.01,
+        lines: int = 1,
+        most_waiting: int = 1000,
     ) -> None:
         self.now = 0.0
         self.service_s = service_s
@@ -37,41 +44,58 @@
         self.latency_by_group: defaultdict[str, list[float]] = defaultdict(list)
         self.finished = 0
         self.late = 0
+        self.shed_by_target = 0
         self.peak_sent = 0
         self._arrived: dict[WorkKey, float] = {}
         self._sent = 0
         self._free_at = [0.0] * slots
         self._events: list[tuple[float, int, Action]] = []
         self._numbers = itertools.count()
-        self.line = TargetLine("t", claimed, connections, 0.0)
-        self.perform(self.line.first_commands)
+        self._most_waiting = most_waiting
+        self.lines = [TargetLine("t", claimed, connections, 0.0) for _ in range(lines)]
+        for line in self.lines:
+            self.perform(line.first_commands)
+
+    @property
+    def line(self) -> TargetLine:
+        """Return the only line of an owned target, the first one of a shared one."""
+        return self.lines[0]
 
     def at(self, time: float, action: Action) -> None:
         """Do something at a time."""
         heapq.heappush(self._events, (time, next(self._numbers), action))
 
-    def offer(self, group: str, share: float, deadline_s: float) -> None:
-        """Offer one unit of work now."""
-        key = WorkKey("g", "q", next(self._numbers), "t")
+    def offer(self, group: str, share: float, deadline_s: float, line: int = 0) -> None:
+        """Offer one unit of work to a line now."""
+        key = WorkKey(str(line), "q", next(self._numbers), "t")
         work = Work(key, "s", group, self.now + deadline_s, None, "", False)
         self._arrived[key] = self.now
-        self.perform(self.line.offer(work, share, self.now))
+        self.perform(self.lines[line].offer(work, share, self.now))
 
     def arrivals(
-        self, group: str, share: float, rate: float, deadline_s: float, start: float, end: float
+        self,
+        group: str,
+        share: float,
+        rate: float,
+        deadline_s: float,
+        start: float,
+        end: float,
+        lines: tuple[int, ...] = (0,),
     ) -> None:
-        """Offer work at random times between start and end."""
+        """Offer work at random times between start and end, at any of some lines."""
         time = start
         while True:
             time += self.random.expovariate(rate)
             if time >= end:
                 return
-            self.at(time, lambda: self.offer(group, share, deadline_s))
+            line = self.random.choice(lines)
+            self.at(time, partial(self.offer, group, share, deadline_s, line))
 
     def run(self, until: float) -> None:
         """Let time pass."""
         while True:
-            wake = self.line.next_wake()
+            due = min(self.lines, key=lambda line: line.next_wake())
+            wake = due.next_wake()
             event_at = self._events[0][0] if self._events else float("inf")
             if min(wake, event_at) > until:
                 self.now = until
@@ -81,7 +105,7 @@
                 action()
                 continue
             self.now = max(self.now, wake)
-            self.perform(self.line.tick(self.now))
+            self.perform(due.tick(self.now))
 
     def perform(self, commands: list[DispatchCommand]) -> None:
         """Act on the line's commands."""
@@ -96,12 +120,16 @@
                     self.at(self.now + 0.001, self._healthy)
 
     def _healthy(self) -> None:
-        self.perform(self.line.health(True, "boot", False, self.now))
+        for line in self.lines:
+            self.perform(line.health(True, "boot", False, self.now))
 
     def _serve(self, work: Work) -> None:
         self._sent += 1
         self.peak_sent = max(self.peak_sent, self._sent)
-        if self.shedding:
+        waiting = sum(free > self.now for free in self._free_at) >= self.true_slots
+        full = waiting and self._sent > self.true_slots + self._most_waiting
+        if self.shedding or full:
+            self.shed_by_target += 1
             self.at(self.now + 0.001, lambda: self._end(work, Outcome.SHED, 0.001))
             return
         slot = min(range(self.true_slots), key=lambda number: self._free_at[number])
@@ -121,7 +149,7 @@
             self.late += self.now > work.deadline
             self.latency_by_group[work.group].append(self.now - arrived)
         ended = Ended(work.key, outcome, service_s, "boot", False)
-        self.perform(self.line.ended(ended, self.now))
+        self.perform(self.lines[int(work.key.gateway)].ended(ended, self.now))
 
 
 def max_min_shares(
--- a/tests/gateway/test_gather.py
+++ b/tests/gateway/test_gather.py
@@ -149,6 +149,9 @@
     session.answer(first)
     session.answer(first, version=9)
     session.answer(first._replace(nonce=99), version=9)
+    session.answer(first, shards=(0, 1, 2))
+    session.answer(first._replace(nonce=99), shards=(0, 1, 2))
+    assert session.end is None, "nothing of them was taken"
     session.answer(session.ask_of(1))
     session.answer(session.ask_of(2))
     assert session.result.snapshot == Snapshot(1, 3)
@@ -406,15 +409,16 @@
     assert len(session.all_asks) <= most, "no ask without bound"
 
 
-def test_index_that_was_set_back_is_answered_at_its_older_version() -> None:
-    session = Session(hint=4)
+@pytest.mark.parametrize("instances", [1, 3])
+def test_index_that_was_set_back_is_answered_at_its_older_version(instances: int) -> None:
+    session = Session(instances=instances, hint=4)
     while session.end is None and session.open:
         ask = next(iter(session.open.values()))
         if ask.version == 4:
             session.fail(ask, Outcome.WRONG_VERSION, holds=(1,))
         else:
             session.answer(ask, version=1)
-    assert session.result.snapshot == Snapshot(1, 3)
+    assert session.result.snapshot == Snapshot(1, instances)
     assert session.result.whole
     assert session.board.version("ledger") == 1
 
--- a/tests/gateway/test_once.py
+++ b/tests/gateway/test_once.py
@@ -261,6 +261,9 @@
         elif event == "repeat":
             start()
         collect()
+        for each in sessions:
+            nonces = [permit.nonce for permit in each.granted]
+            assert len(nonces) == len(set(nonces)), "one grant for an ask"
         assert runs + len(open_permits) <= 1, "never two that ran or may run"
         settled = session.settled
         if settled is not None and settled.outcome is RunOutcome.NOT_RUN:
--- /dev/null
+++ b/tests/proofs.py
@@ -0,0 +1,458 @@
+"""The table of proofs: each promise by failure, the test that shows it, and how it fails first.
+
+`script/prove [PROMISE]` runs the rows; with `--mutants` it takes each row's mechanism out of a
+copy of the code and expects the row to fail. docs/PROOFS.md is written from this table.
+"""
+
+from typing import NamedTuple
+
+
+class Mutant(NamedTuple):
+    """Take a mechanism out of the code: replace one text in one file."""
+
+    file: str
+    old: str
+    new: str
+
+
+class Row(NamedTuple):
+    """Name one proof."""
+
+    part: str
+    promise: str
+    failure: str
+    test: str
+    mutant: Mutant | None = None
+
+
+TRUTH, LOAD, FILES, FLEET = "truth", "load", "files", "fleet"
+PARTS = (TRUTH, LOAD, FILES, FLEET)
+
+GATHER = "tests/gateway/test_gather.py::"
+ONCE = "tests/gateway/test_once.py::"
+TARGETS = "tests/whole/test_target_faults.py::"
+BOXES = "tests/whole/test_box_faults.py::"
+WHOLE = "tests/whole/test_path.py::"
+STORE = "tests/whole/test_files_faults.py::"
+APPLY = "tests/files/test_apply.py::"
+KEEPER = "tests/files/test_keeper.py::"
+LINE = "tests/dispatch/test_line.py::"
+SHARING = "tests/dispatch/test_sharing.py::"
+MEMBERS = "tests/fleet/test_membership.py::"
+
+SNAPSHOT = "one snapshot"
+COVERAGE = "true coverage"
+OWN = "the whole answer, only to its caller"
+NOT_RUN = "not run means not run"
+AT_MOST_ONCE = "at most once"
+AT_ONCE = "given up on: final answer at once, with when to come back"
+LEAVING = "a leaving target gets no new work"
+STOP = "a planned stop cuts off nothing"
+SHARE = "fair shares"
+IN_FORCE = "an accepted file is in force everywhere and never reverts"
+MEMBERSHIP = "the fleet mends itself"
+
+ROWS = (
+    Row(
+        TRUTH,
+        SNAPSHOT,
+        "any order of answers, versions, failures and ticks (1,500 generated sessions)",
+        GATHER + "test_no_order_of_events_bends_the_truth",
+        Mutant(
+            "trackwheel/gateway/snapshots.py",
+            "items = self._items_by_snapshot.setdefault(snapshot, {})",
+            "items = self._items_by_snapshot.setdefault(Snapshot(0, snapshot.map_size), {})",
+        ),
+    ),
+    Row(
+        TRUTH,
+        SNAPSHOT,
+        "versions flip three times under load",
+        TARGETS + "test_versions_flip_under_load",
+        Mutant(
+            "trackwheel/gateway/gather.py",
+            "        if not self._reconsider(now):\n            self._await_version",
+            "        if False:\n            self._await_version",
+        ),
+    ),
+    Row(
+        TRUTH,
+        SNAPSHOT,
+        "an index is set back to an older version",
+        GATHER + "test_index_that_was_set_back_is_answered_at_its_older_version",
+        Mutant(
+            "trackwheel/gateway/snapshots.py",
+            "known = frozenset(candidates)",
+            "known = frozenset(candidates) | {self.version or 0}",
+        ),
+    ),
+    Row(
+        TRUTH,
+        COVERAGE,
+        "a repartition under load: shards split and move",
+        TARGETS + "test_repartition_under_load",
+    ),
+    Row(
+        TRUTH,
+        COVERAGE,
+        "a shard is moved to two instances, another to none",
+        GATHER + "test_moved_shard_is_counted_once_and_a_lost_one_is_listed",
+        Mutant(
+            "trackwheel/gateway/snapshots.py",
+            "total = snapshot.map_size if snapshot else instances",
+            "total = len(items) if snapshot else instances",
+        ),
+    ),
+    Row(
+        TRUTH,
+        COVERAGE,
+        "a whole instance sheds",
+        TARGETS + "test_dead_instance_is_listed_as_lacking_or_given_up_at_once",
+    ),
+    Row(
+        TRUTH,
+        OWN,
+        "half, foreign, hung, slow, shed and lying targets",
+        TARGETS + "test_replica_covers_for_a_faulty_target",
+        Mutant(
+            "trackwheel/gateway/gather.py",
+            "if possible and (free or self._budget.take(owed)):",
+            "if False:",
+        ),
+    ),
+    Row(
+        TRUTH,
+        OWN,
+        "doubled answers and answers of other asks",
+        GATHER + "test_doubled_and_foreign_answers_are_passed_over",
+        Mutant(
+            "trackwheel/gateway/gather.py",
+            "ask = self._ask_by_nonce.pop(event.nonce, None)",
+            "ask = self._ask_by_nonce.get(event.nonce)",
+        ),
+    ),
+    Row(
+        TRUTH,
+        OWN,
+        "an answer with another nonce, without its end, in half, of a refusal",
+        "tests/dispatch/test_judge.py::test_only_its_own_whole_answer_counts",
+        Mutant(
+            "trackwheel/dispatch/service.py",
+            "own = head.nonce == work.key.wire() and head.end",
+            "own = True",
+        ),
+    ),
+    Row(
+        TRUTH,
+        NOT_RUN,
+        "refusals of a permitted request that prove nothing",
+        "tests/dispatch/test_judge.py::test_only_its_own_refusal_proves_that_it_was_not_run",
+        Mutant(
+            "trackwheel/dispatch/service.py",
+            "            if refusal.nonce == work.key.wire():\n",
+            "            if True:\n",
+        ),
+    ),
+    Row(TRUTH, OWN, "digest, length and end mark", WHOLE + "test_answer_carries_its_own_digest"),
+    Row(
+        TRUTH,
+        OWN,
+        "no key, a wrong key, another group's service",
+        WHOLE + "test_refusals",
+    ),
+    Row(
+        TRUTH,
+        AT_MOST_ONCE,
+        "any order of permits, runs, lost owners, repeats (3,000 generated sessions)",
+        ONCE + "test_no_order_of_events_runs_twice_or_lies",
+        Mutant(
+            "trackwheel/gateway/ledger.py",
+            "        if record.permitted:\n            return False\n",
+            "",
+        ),
+    ),
+    Row(
+        TRUTH,
+        AT_MOST_ONCE,
+        "600 requests while a box freezes, one dies, targets lose replies and shed",
+        BOXES + "test_once_while_boxes_freeze_die_and_targets_lose_replies",
+    ),
+    Row(
+        TRUTH,
+        AT_MOST_ONCE,
+        "a caller repeats at another box",
+        WHOLE + "test_request_runs_once_at_any_box",
+        Mutant(
+            "trackwheel/gateway/ledger.py",
+            "        if record.outcome is not None:\n            return Decision(Verdict.FINAL",
+            "        if False:\n            return Decision(Verdict.FINAL",
+        ),
+    ),
+    Row(
+        TRUTH,
+        NOT_RUN,
+        "deadline, killed owner and refusing target, before and after the permit",
+        ONCE + "test_what_the_caller_is_told",
+        Mutant(
+            "trackwheel/gateway/execution.py",
+            "        if self._permitted:\n            return self._give_up",
+            "        if False:\n            return self._give_up",
+        ),
+    ),
+    Row(
+        TRUTH,
+        NOT_RUN,
+        "an owner frozen past the deadline wakes with the request queued",
+        ONCE + "test_no_permit_after_giving_up_and_a_repeat_starts_anew",
+        Mutant(
+            "trackwheel/gateway/ledger.py",
+            "if record is None or not record.running or record.attempt != attempt:",
+            "if record is None or record.attempt != attempt:",
+        ),
+    ),
+    Row(
+        TRUTH,
+        NOT_RUN,
+        "a permit that comes too late to its owner",
+        LINE + "test_permit_that_does_not_come_frees_the_slot",
+    ),
+    Row(
+        TRUTH,
+        AT_ONCE,
+        "all replicas of a shard shed",
+        GATHER + "test_lost_replicas_are_given_up_at_once_when_all_is_wanted",
+        Mutant(
+            "trackwheel/gateway/gather.py",
+            "if nothing_more or now >= self._limit or self._hopeless(least):",
+            "if nothing_more or now >= self._limit:",
+        ),
+    ),
+    Row(
+        TRUTH,
+        AT_ONCE,
+        "queued work that can no longer end in time",
+        LINE + "test_late_work_is_dropped_when_this_is_known",
+        Mutant(
+            "trackwheel/dispatch/line.py",
+            "drop_before(now + self._limiter.likely_s)",
+            "drop_before(now)",
+        ),
+    ),
+    Row(
+        LOAD,
+        SHARE,
+        "three times the capacity, five mixes of groups, one at 100 times its share",
+        SHARING + "test_slot_time_follows_shares",
+        Mutant(
+            "trackwheel/dispatch/fair_queue.py",
+            "chosen.finish = earliest + cost_s / chosen.share",
+            "chosen.finish = earliest + cost_s",
+        ),
+    ),
+    Row(
+        LOAD,
+        SHARE,
+        "a group that was idle returns",
+        SHARING + "test_idle_share_is_used_and_returned_within_a_second",
+        Mutant(
+            "trackwheel/dispatch/fair_queue.py",
+            "start = max(self._virtual_time, queue.finish)",
+            "start = queue.finish",
+        ),
+    ),
+    Row(
+        LOAD,
+        SHARE,
+        "slots claimed wrongly in either direction",
+        SHARING + "test_limit_finds_the_true_slots",
+        Mutant(
+            "trackwheel/dispatch/limiter.py",
+            "        best = self._best_level()\n        if best != self.limit:",
+            "        best = self.limit\n        if best != self.limit:",
+        ),
+    ),
+    Row(
+        LOAD,
+        SHARE,
+        "the connection cap under any load",
+        SHARING + "test_connection_cap_is_never_passed",
+        Mutant(
+            "trackwheel/dispatch/limiter.py",
+            "self._cap = max(1, connections - SPARE_CONNECTIONS)",
+            "self._cap = 1000",
+        ),
+    ),
+    Row(
+        LOAD,
+        SHARE,
+        "a target sheds for five seconds and recovers",
+        SHARING + "test_shedding_target_is_left_alone_and_recovers_within_two_seconds",
+    ),
+    Row(
+        LOAD,
+        LEAVING,
+        "each of five signs",
+        LINE + "test_leaving_target_gets_no_new_work",
+        Mutant(
+            "trackwheel/dispatch/line.py",
+            "        if self.leaving:\n            return [Refuse(work, Outcome.LEAVING",
+            "        if False:\n            return [Refuse(work, Outcome.LEAVING",
+        ),
+    ),
+    Row(
+        LOAD,
+        LEAVING,
+        "a health page that lies, an old boot's word, a new boot",
+        LINE + "test_only_a_new_boot_ends_leaving",
+        Mutant(
+            "trackwheel/dispatch/line.py",
+            "        if boot != self._boot:\n            self._boot = boot\n",
+            "        if not leaving or boot != self._boot:\n            self._boot = boot\n"
+            "            self._leaving_boots.clear()\n",
+        ),
+    ),
+    Row(
+        LOAD,
+        LEAVING,
+        "through real boxes, the health page truthful or lying",
+        TARGETS + "test_leaving_target_gets_nothing_new",
+    ),
+    Row(
+        LOAD,
+        STOP,
+        "a box stops under load, the balancer learns it a second late",
+        BOXES + "test_planned_stop_cuts_off_nothing",
+        Mutant("trackwheel/app.py", "            await _drain(box)\n", ""),
+    ),
+    Row(
+        LOAD,
+        STOP,
+        "work of 300 ms in flight",
+        BOXES + "test_long_work_in_flight_outlives_a_planned_stop",
+    ),
+    Row(
+        LOAD,
+        MEMBERSHIP,
+        "reads while a box is killed, frozen, frozen and woken",
+        BOXES + "test_reads_ride_over_a_lost_box",
+    ),
+    Row(
+        FILES,
+        IN_FORCE,
+        "any order of news, stale pushes and contents (800 generated sessions)",
+        KEEPER + "test_no_order_of_news_reverts_or_mixes",
+        Mutant(
+            "trackwheel/files/keeper.py",
+            "        if not is_newer(manifest, self.manifest):\n            return []\n",
+            "",
+        ),
+    ),
+    Row(
+        FILES,
+        IN_FORCE,
+        "up to ten operators race, replies lost, writes landing late (600 generated races)",
+        APPLY + "test_racing_operators",
+        Mutant(
+            "trackwheel/files/apply.py",
+            "        if entry is not None and wish.apply_id in entry.recent_apply_ids:\n"
+            "            return ApplyEnded(ApplyOutcome.ACCEPTED, manifest, None)\n",
+            "",
+        ),
+    ),
+    Row(FILES, IN_FORCE, "ten operators race at real boxes", STORE + "test_ten_racing_operators"),
+    Row(
+        FILES,
+        IN_FORCE,
+        "one, two and three lost replies",
+        STORE + "test_lost_replies_are_not_called_failed",
+    ),
+    Row(
+        FILES,
+        IN_FORCE,
+        "an older store is restored",
+        STORE + "test_store_that_comes_back_older_is_brought_forward",
+    ),
+    Row(
+        FILES,
+        IN_FORCE,
+        "the store is down and all boxes but one are replaced",
+        STORE + "test_box_replaced_in_an_outage_takes_the_files_from_its_peers",
+    ),
+    Row(
+        FILES,
+        IN_FORCE,
+        "a box freezes, a file is applied, the box wakes",
+        STORE + "test_frozen_box_that_wakes_with_old_files_moves_forward",
+    ),
+    Row(
+        FILES,
+        IN_FORCE,
+        "two manifests of one revision after a store was set back",
+        KEEPER + "test_two_manifests_of_one_revision_end_as_the_same_everywhere",
+        Mutant(
+            "trackwheel/files/keeper.py",
+            "return manifest_digest(new) > manifest_digest(old)",
+            "return True",
+        ),
+    ),
+    Row(
+        FLEET,
+        MEMBERSHIP,
+        "a killed box, seven boxes",
+        MEMBERS + "test_killed_box_is_gone_everywhere_within_two_seconds",
+        Mutant("trackwheel/fleet/membership.py", "        self._bury(now)\n", ""),
+    ),
+    Row(
+        FLEET,
+        MEMBERSHIP,
+        "one message in ten is lost for five minutes: no false death",
+        MEMBERS + "test_no_false_death_at_ten_per_cent_loss",
+        Mutant("trackwheel/fleet/membership.py", "        self._insist(now)\n", ""),
+    ),
+    Row(
+        FLEET,
+        MEMBERSHIP,
+        "a frozen box returns",
+        MEMBERS + "test_frozen_box_is_gone_then_returns_as_itself",
+        Mutant(
+            "trackwheel/fleet/membership.py",
+            "            self._renew_own(self._own.status, member.incarnation + 1)",
+            "            pass",
+        ),
+    ),
+    Row(
+        FLEET,
+        MEMBERSHIP,
+        "a region is cut off, past all tombstones, and heals",
+        MEMBERS + "test_split_fleet_heals",
+        Mutant(
+            "trackwheel/fleet/membership.py",
+            "            self._greet_seed()\n",
+            "",
+        ),
+    ),
+    Row(
+        FLEET,
+        MEMBERSHIP,
+        "a link is cut one way",
+        MEMBERS + "test_one_way_cut_does_not_kill_by_hearsay",
+        Mutant(
+            "trackwheel/fleet/membership.py",
+            "                self._ask_helpers(sequence, probing.address)\n",
+            "",
+        ),
+    ),
+    Row(
+        FLEET,
+        MEMBERSHIP,
+        "a lost box through real processes, killed and frozen",
+        BOXES + "test_lost_box_is_noticed_within_two_seconds",
+    ),
+    Row(
+        FLEET,
+        MEMBERSHIP,
+        "a stranger without a certificate",
+        STORE + "test_stranger_without_a_certificate_learns_nothing",
+        Mutant("trackwheel/tls.py", "ssl.CERT_REQUIRED", "ssl.CERT_NONE"),
+    ),
+)
--- a/trackwheel/dispatch/service.py
+++ b/trackwheel/dispatch/service.py
@@ -295,7 +295,7 @@
             left_ms = (work.deadline - started) * 1000
             try:
                 reply = await self._client.post(work.target, PATH_QUERY, body, left_ms)
-                outcome, holds = _judge_query(work, reply)
+                outcome, holds = judge_query(work, reply)
             except (TargetUnreachableError, TargetBrokenError):
                 outcome = Outcome.FAILED
         if self._scope_by_key.pop(work.key, None) is None:
@@ -321,7 +321,7 @@
             try:
                 left_ms = EXECUTE_TIMEOUT_S * 1000
                 reply = await self._client.post(work.target, PATH_EXECUTE, body, left_ms)
-                run, reason = _judge_execute(work, reply)
+                run, reason = judge_execute(work, reply)
             except TargetUnreachableError:
                 run, reason = RunOutcome.NOT_RUN, Outcome.FAILED
             except TargetBrokenError:
@@ -366,7 +366,7 @@
     return _Exchanged(ended, work, body, holds, retry_s)
 
 
-def _judge_query(work: Work, reply: TargetReply) -> tuple[Outcome, list[int]]:
+def judge_query(work: Work, reply: TargetReply) -> tuple[Outcome, list[int]]:
     """Return how a sub-request ended; an answer that is not its own counts as failed."""
     try:
         if reply.status == STATUS_OK:
@@ -383,7 +383,7 @@
     return Outcome.FAILED, []
 
 
-def _judge_execute(work: Work, reply: TargetReply) -> tuple[RunOutcome, str]:
+def judge_execute(work: Work, reply: TargetReply) -> tuple[RunOutcome, str]:
     """Return what is known of permitted work; only the work's own nonce proves anything."""
     try:
         if reply.status == STATUS_OK:
--- a/trackwheel/fleet/membership.py
+++ b/trackwheel/fleet/membership.py
@@ -6,8 +6,8 @@
 from trackwheel.fleet.const import (
     AWAY_FACTOR,
     HEARSAY_FACTOR,
-    INSISTENT_PROBES,
     INDIRECT_PROBES,
+    INSISTENT_PROBES,
     NOTE_LIFETIME_S,
     PROBE_RINGS,
     SEED_PERIOD_S,
