--- a/tests/dispatch/test_sharing.py
+++ b/tests/dispatch/test_sharing.py
@@ -54,6 +54,19 @@
     assert guest / (guest + busy) == pytest.approx(0.5, abs=0.03)
 
 
+def test_idle_group_saves_no_claim_for_later() -> None:
+    world = OneTarget()
+    world.arrivals("busy", 1.0, 600.0, 0.2, 0.0, 9.0)
+    world.arrivals("guest", 1.0, 600.0, 0.2, 0.0, 1.0)
+    world.arrivals("guest", 1.0, 600.0, 0.2, 5.0, 9.0)
+    world.run(5.2)
+    before = dict(world.slot_s_by_group)
+    world.run(6.2)
+    guest = world.slot_s_by_group["guest"] - before["guest"]
+    busy = world.slot_s_by_group["busy"] - before["busy"]
+    assert guest / (guest + busy) == pytest.approx(0.5, abs=0.06)
+
+
 def test_urgent_work_goes_first_inside_a_group() -> None:
     world = OneTarget(service_s=0.01)
     world.arrivals("clerks", 1.0, 180.0, 1.0, 0.0, 10.0)
--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -254,6 +254,12 @@
         SHARE,
         "a group that was idle returns",
         SHARING + "test_idle_share_is_used_and_returned_within_a_second",
+    ),
+    Row(
+        LOAD,
+        SHARE,
+        "a group that was idle for a while claims no more than its share",
+        SHARING + "test_idle_group_saves_no_claim_for_later",
         Mutant(
             "trackwheel/dispatch/fair_queue.py",
             "start = max(self._virtual_time, queue.finish)",
