--- a/tests/dispatch/test_judge.py
+++ b/tests/dispatch/test_judge.py
@@ -4,8 +4,8 @@
 
 import pytest
 
+from trackwheel.dispatch.judge import judge_execute, judge_query
 from trackwheel.dispatch.models import Outcome, RunOutcome, Work, WorkKey
-from trackwheel.dispatch.service import judge_execute, judge_query
 from trackwheel.targets.models import TargetReply
 
 WORK = Work(WorkKey("g", "q", 1, "t"), "s", "clerks", 1.0, 1, "", False, "id", "boot")
--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -137,7 +137,7 @@
         "an answer with another nonce, without its end, in half, of a refusal",
         "tests/dispatch/test_judge.py::test_only_its_own_whole_answer_counts",
         Mutant(
-            "trackwheel/dispatch/service.py",
+            "trackwheel/dispatch/judge.py",
             "own = head.nonce == work.key.wire() and head.end",
             "own = True",
         ),
@@ -148,7 +148,7 @@
         "refusals of a permitted request that prove nothing",
         "tests/dispatch/test_judge.py::test_only_its_own_refusal_proves_that_it_was_not_run",
         Mutant(
-            "trackwheel/dispatch/service.py",
+            "trackwheel/dispatch/judge.py",
             "            if refusal.nonce == work.key.wire():\n",
             "            if True:\n",
         ),
@@ -444,8 +444,8 @@
         MEMBERS + "test_one_way_cut_does_not_kill_by_hearsay",
         Mutant(
             "trackwheel/fleet/membership.py",
-            "                self._ask_helpers(sequence, probing.address)\n",
-            "",
+            "            self._ask_helpers(sequence, address)\n",
+            "            pass\n",
         ),
     ),
     Row(
--- /dev/null
+++ b/trackwheel/dispatch/judge.py
@@ -0,0 +1,61 @@
+"""What an owner takes a target's reply for; only an echoed nonce proves anything."""
+
+from typing import Final
+
+import msgspec
+
+from trackwheel.dispatch.models import Outcome, RunOutcome, Work
+from trackwheel.targets.models import (
+    AnswerHead,
+    ExecuteRefusal,
+    ExecuteReply,
+    TargetReply,
+    WrongVersion,
+)
+
+STATUS_OK: Final = 200
+STATUS_CONFLICT: Final = 409
+STATUSES_SHED: Final = (429, 503)
+
+
+def judge_query(work: Work, reply: TargetReply) -> tuple[Outcome, list[int]]:
+    """Return how a sub-request ended; an answer that is not its own counts as failed."""
+    try:
+        if reply.status == STATUS_OK:
+            head = msgspec.json.decode(reply.body, type=AnswerHead)
+            own = head.nonce == work.key.wire() and head.end
+            return (Outcome.OK if own else Outcome.FAILED), []
+        if reply.status == STATUS_CONFLICT:
+            wrong = msgspec.json.decode(reply.body, type=WrongVersion)
+            return Outcome.WRONG_VERSION, wrong.holds
+    except msgspec.DecodeError:
+        return Outcome.FAILED, []
+    if reply.status in STATUSES_SHED:
+        return (Outcome.LEAVING if reply.draining else Outcome.SHED), []
+    return Outcome.FAILED, []
+
+
+def judge_execute(work: Work, reply: TargetReply) -> tuple[RunOutcome, str]:
+    """Return what is known of permitted work; only the work's own nonce proves anything."""
+    try:
+        if reply.status == STATUS_OK:
+            done = msgspec.json.decode(reply.body, type=ExecuteReply)
+            if done.nonce == work.key.wire() and done.end:
+                return RunOutcome.DONE, ""
+            return RunOutcome.UNKNOWN, "foreign_answer"
+        if reply.not_run:
+            refusal = msgspec.json.decode(reply.body, type=ExecuteRefusal)
+            if refusal.nonce == work.key.wire():
+                return RunOutcome.NOT_RUN, refusal.code
+    except msgspec.DecodeError:
+        return RunOutcome.UNKNOWN, "broken_answer"
+    return RunOutcome.UNKNOWN, f"status_{reply.status}"
+
+
+def outcome_of_run(run: RunOutcome, reply: TargetReply | None) -> Outcome:
+    """Return what a run says of its target, for the target's own record."""
+    if run is RunOutcome.DONE:
+        return Outcome.OK
+    if run is RunOutcome.NOT_RUN and reply is not None:
+        return Outcome.LEAVING if reply.draining else Outcome.SHED
+    return Outcome.FAILED
--- a/trackwheel/dispatch/service.py
+++ b/trackwheel/dispatch/service.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from trackwheel.dispatch.const import EXECUTE_TIMEOUT_S, LEAST_RETRY_AFTER_S
+from trackwheel.dispatch.judge import judge_execute, judge_query, outcome_of_run
 from trackwheel.dispatch.models import (
     AskPermit,
     CancelSend,
@@ -44,22 +45,14 @@
 from trackwheel.targets.const import HEALTH_TIMEOUT_S, PATH_EXECUTE, PATH_HEALTH, PATH_QUERY
 from trackwheel.targets.errors import TargetBrokenError, TargetUnreachableError
 from trackwheel.targets.models import (
-    AnswerHead,
-    ExecuteRefusal,
-    ExecuteReply,
     HealthPage,
     TargetClient,
     TargetReply,
-    WrongVersion,
 )
 from trackwheel.telemetry.logs import Log
 
 LOG = Log("dispatch")
 
-STATUS_OK = 200
-STATUS_CONFLICT = 409
-STATUSES_SHED = (429, 503)
-
 
 class _FromGateway(NamedTuple):
     """Event: a gateway's message arrived."""
@@ -326,7 +319,7 @@
                 run, reason = RunOutcome.NOT_RUN, Outcome.FAILED
             except TargetBrokenError:
                 run, reason = RunOutcome.UNKNOWN, "connection_broke"
-        outcome = _outcome_of_run(run, reply)
+        outcome = outcome_of_run(run, reply)
         service_s = time.monotonic() - started
         self._inbox.put(_exchanged(work, outcome, service_s, reply, []))
         retry_ms = 1000 * max(LEAST_RETRY_AFTER_S, reply.retry_after_s if reply else 0.0)
@@ -364,45 +357,3 @@
     body = reply.body if reply is not None and outcome is Outcome.OK else b""
     retry_s = max(LEAST_RETRY_AFTER_S, reply.retry_after_s if reply is not None else 0.0)
     return _Exchanged(ended, work, body, holds, retry_s)
-
-
-def judge_query(work: Work, reply: TargetReply) -> tuple[Outcome, list[int]]:
-    """Return how a sub-request ended; an answer that is not its own counts as failed."""
-    try:
-        if reply.status == STATUS_OK:
-            head = msgspec.json.decode(reply.body, type=AnswerHead)
-            own = head.nonce == work.key.wire() and head.end
-            return (Outcome.OK if own else Outcome.FAILED), []
-        if reply.status == STATUS_CONFLICT:
-            wrong = msgspec.json.decode(reply.body, type=WrongVersion)
-            return Outcome.WRONG_VERSION, wrong.holds
-    except msgspec.DecodeError:
-        return Outcome.FAILED, []
-    if reply.status in STATUSES_SHED:
-        return (Outcome.LEAVING if reply.draining else Outcome.SHED), []
-    return Outcome.FAILED, []
-
-
-def judge_execute(work: Work, reply: TargetReply) -> tuple[RunOutcome, str]:
-    """Return what is known of permitted work; only the work's own nonce proves anything."""
-    try:
-        if reply.status == STATUS_OK:
-            done = msgspec.json.decode(reply.body, type=ExecuteReply)
-            if done.nonce == work.key.wire() and done.end:
-                return RunOutcome.DONE, ""
-            return RunOutcome.UNKNOWN, "foreign_answer"
-        if reply.not_run:
-            refusal = msgspec.json.decode(reply.body, type=ExecuteRefusal)
-            if refusal.nonce == work.key.wire():
-                return RunOutcome.NOT_RUN, refusal.code
-    except msgspec.DecodeError:
-        return RunOutcome.UNKNOWN, "broken_answer"
-    return RunOutcome.UNKNOWN, f"status_{reply.status}"
-
-
-def _outcome_of_run(run: RunOutcome, reply: TargetReply | None) -> Outcome:
-    if run is RunOutcome.DONE:
-        return Outcome.OK
-    if run is RunOutcome.NOT_RUN and reply is not None:
-        return Outcome.LEAVING if reply.draining else Outcome.SHED
-    return Outcome.FAILED
--- /dev/null
+++ b/trackwheel/files/applier.py
@@ -0,0 +1,165 @@
+"""Putting an operator's file in force: the calls on the store that the decisions ask for."""
+
+import os
+from collections.abc import Callable
+from datetime import UTC, datetime
+from typing import Final, NamedTuple
+
+import anyio
+import msgspec
+from returns.result import Success
+
+from trackwheel.errors import Problem
+from trackwheel.files.apply import (
+    Apply,
+    ApplyCommand,
+    ApplyEnded,
+    ApplyOutcome,
+    BringForward,
+    CheckJoined,
+    ReadManifest,
+    Wish,
+    WriteManifest,
+)
+from trackwheel.files.const import KEY_CONTENT_PREFIX, KEY_MANIFEST
+from trackwheel.files.errors import ApplyError
+from trackwheel.files.keeper import Keeper, decode_manifest, digest_of, encode_manifest
+from trackwheel.files.models import Manifest, ManifestEntry, OperatorsFile
+from trackwheel.files.parse import join_files, parse_file
+from trackwheel.platform.models import KeyValueClient, Stored
+
+APPLY_TIME_S: Final = 10.0
+APPLY_PAUSE_S: Final = 0.1
+
+OnAccepted = Callable[[dict[str, bytes], Manifest], None]
+
+
+class ApplyReport(NamedTuple):
+    """Tell an operator how an apply ended."""
+
+    outcome: ApplyOutcome
+    name: str
+    apply_id: str
+    revision: int
+    winner: ManifestEntry | None
+
+
+class Applier:
+    """Write files and manifests to the store; `keeper` is only read."""
+
+    def __init__(self, store: KeyValueClient, keeper: Keeper, on_accepted: OnAccepted) -> None:
+        self._store = store
+        self._keeper = keeper
+        self._on_accepted = on_accepted
+
+    async def write_content(self, content: bytes) -> bool:
+        """Write content under its digest; it is there already when another one wrote it."""
+        key = KEY_CONTENT_PREFIX + digest_of(content)
+        result = await self._store.compare_and_swap(key, content, 0)
+        return isinstance(result, Success)
+
+    async def bring_forward(self, manifest: Manifest, revision: int) -> bool:
+        """Write what is in force over an older state of the store."""
+        for content in self._keeper.contents().values():
+            if not await self.write_content(content):
+                return False
+        value = encode_manifest(manifest)
+        result = await self._store.compare_and_swap(KEY_MANIFEST, value, revision)
+        return isinstance(result, Success)
+
+    async def apply(self, content: bytes, applied_by: str, expected: int | None) -> ApplyReport:
+        """Put a file in force; raise `InvalidIniError` or `ApplyError` before any write."""
+        file = parse_file("file", content)
+        wish = Wish(
+            name=file.name,
+            digest=digest_of(content),
+            apply_id=os.urandom(8).hex(),
+            applied_by=applied_by,
+            applied_at=datetime.now(UTC).isoformat(timespec="milliseconds"),
+            expected=expected,
+        )
+        decisions = Apply(wish, self._keeper.manifest)
+        ended = await self._run_apply(decisions, content, file)
+        if ended.outcome in (ApplyOutcome.ACCEPTED, ApplyOutcome.UNCHANGED):
+            self._on_accepted({wish.digest: content}, ended.manifest)
+        return ApplyReport(
+            ended.outcome, file.name, wish.apply_id, ended.manifest.revision, ended.winner
+        )
+
+    async def _run_apply(self, decisions: Apply, content: bytes, file: OperatorsFile) -> ApplyEnded:
+        command: ApplyCommand = decisions.start()
+        ended: ApplyEnded | None = None
+        content_written = False
+        with anyio.move_on_after(APPLY_TIME_S):
+            while ended is None:
+                match command:
+                    case ApplyEnded():
+                        ended = command
+                    case CheckJoined(manifest):
+                        await self._check_joined(manifest, file)
+                        if not content_written:
+                            content_written = await self.write_content(content)
+                        if content_written:
+                            command = decisions.checked()
+                        else:
+                            await anyio.sleep(APPLY_PAUSE_S)
+                    case _:
+                        command = await self._step(decisions, command)
+        return ended if ended is not None else decisions.out_of_time()
+
+    async def _step(
+        self, decisions: Apply, command: ReadManifest | BringForward | WriteManifest
+    ) -> ApplyCommand:
+        """Perform one call on the store and hand its result to the decisions."""
+        match command:
+            case ReadManifest():
+                read = await self._store.get(KEY_MANIFEST)
+                match read:
+                    case Success(stored):
+                        return decisions.manifest_read(_decoded(stored), stored.revision)
+            case BringForward(manifest, revision):
+                await self.bring_forward(manifest, revision)
+            case WriteManifest(manifest, revision):
+                value = encode_manifest(manifest)
+                write = await self._store.compare_and_swap(KEY_MANIFEST, value, revision)
+                match write:
+                    case Success(written):
+                        return decisions.written(written)
+        await anyio.sleep(APPLY_PAUSE_S)
+        return decisions.uncertain()
+
+    async def _check_joined(self, manifest: Manifest, file: OperatorsFile) -> None:
+        """Raise `InvalidIniError` unless the file fits all others in the manifest."""
+        others = []
+        contents = self._keeper.contents()
+        for name, entry in manifest.entry_by_name.items():
+            if name == file.name or not entry.digest:
+                continue
+            content = contents.get(entry.digest) or await self._read_content(entry.digest)
+            others.append(parse_file(name, content))
+        join_files([*others, file], manifest.revision)
+
+    async def _read_content(self, digest: str) -> bytes:
+        result = await self._store.get(KEY_CONTENT_PREFIX + digest)
+        stored = result.value_or(Stored(b"", 0))
+        if stored.revision:
+            return stored.value
+        problem = Problem(
+            "store_unavailable",
+            "check",
+            "key-value service",
+            "the other files in force could not be read",
+            "Nothing was applied. Try again later",
+        )
+        raise ApplyError(problem)
+
+
+def _decoded(stored: Stored) -> Manifest:
+    """Return the manifest; raise `ApplyError` when something else stands in its place."""
+    try:
+        return decode_manifest(stored.value)
+    except msgspec.DecodeError as error:
+        detail = f"the manifest cannot be read: {error}"
+        remedy = f"Nothing was applied. See who else writes the key {KEY_MANIFEST}"
+        problem = Problem("manifest_unreadable", "read", "key-value service", detail, remedy)
+        raise ApplyError(problem) from error
--- a/trackwheel/files/service.py
+++ b/trackwheel/files/service.py
@@ -1,35 +1,19 @@
 """The task that owns the files in force, the watch on the store, and operators' applies."""
 
-import os
 import time
 from collections.abc import Callable
-from datetime import UTC, datetime
 from typing import NamedTuple
 
 import anyio
 import msgspec
 from returns.result import Failure, Success
 
-from trackwheel.errors import Problem
-from trackwheel.files.apply import (
-    Apply,
-    ApplyCommand,
-    ApplyEnded,
-    ApplyOutcome,
-    BringForward,
-    CheckJoined,
-    ReadManifest,
-    Wish,
-    WriteManifest,
-)
+from trackwheel.files.applier import Applier, ApplyReport
 from trackwheel.files.const import KEY_CONTENT_PREFIX, KEY_MANIFEST
-from trackwheel.files.errors import ApplyError
 from trackwheel.files.keeper import (
     Keeper,
     Source,
     decode_manifest,
-    digest_of,
-    encode_manifest,
 )
 from trackwheel.files.models import (
     NOTHING_IN_FORCE,
@@ -38,15 +22,12 @@
     FilesCommand,
     InForce,
     Manifest,
-    ManifestEntry,
-    OperatorsFile,
     Pull,
     Push,
     PutInForce,
     ReadContents,
     SendTo,
 )
-from trackwheel.files.parse import join_files, parse_file
 from trackwheel.inbox import Inbox
 from trackwheel.peers.hub import Hub
 from trackwheel.peers.models import PeerIdentity
@@ -55,8 +36,6 @@
 
 LOG = Log("files")
 
-APPLY_TIME_S = 10.0
-APPLY_PAUSE_S = 0.1
 WATCH_PAUSE_FIRST_S = 0.2
 WATCH_PAUSE_LAST_S = 5.0
 NOT_WATCHING_PAUSE_S = 0.5
@@ -92,16 +71,6 @@
 _Event = _FromPeer | _Offered | _PeerRevision | _ContentsRead
 
 
-class ApplyReport(NamedTuple):
-    """Tell an operator how an apply ended."""
-
-    outcome: ApplyOutcome
-    name: str
-    apply_id: str
-    revision: int
-    winner: ManifestEntry | None
-
-
 class FilesService:
     """Run the keeper's decisions against the store and the peers."""
 
@@ -109,6 +78,7 @@
         self._hub = hub
         self._store = store
         self._keeper = Keeper()
+        self._applier = Applier(store, self._keeper, self._take_accepted)
         self._inbox: Inbox[_Event] = Inbox()
         self._watching = False
         self._on_in_force: list[Callable[[InForce], None]] = []
@@ -131,6 +101,14 @@
         """Return a revision that this box could not read, 0 when there is none."""
         return self._keeper.refused_revision
 
+    async def apply(self, content: bytes, applied_by: str, expected: int | None) -> ApplyReport:
+        """Put a file in force; raise `InvalidIniError` or `ApplyError` before any write."""
+        return await self._applier.apply(content, applied_by, expected)
+
+    def _take_accepted(self, content_by_digest: dict[str, bytes], manifest: Manifest) -> None:
+        self._inbox.put(_ContentsRead(content_by_digest))
+        self._inbox.put(_Offered(manifest, None))
+
     def content(self, name: str) -> bytes | None:
         """Return the content in force of one named file."""
         entry = self._keeper.manifest.entry_by_name.get(name)
@@ -232,7 +210,7 @@
                 f"The store is back at revision {manifest.revision}. "
                 f"Bringing it forward to {self._keeper.revision}."
             )
-            await self._bring_forward(self._keeper.manifest, stored.revision)
+            await self._applier.bring_forward(self._keeper.manifest, stored.revision)
             return
         self._inbox.put(_Offered(manifest, None))
 
@@ -258,107 +236,3 @@
                     break
                 await anyio.sleep(pause_s)
                 pause_s = min(WATCH_PAUSE_LAST_S, pause_s * 2)
-
-    async def _write_content(self, content: bytes) -> bool:
-        """Write content under its digest; it is there already when another one wrote it."""
-        key = KEY_CONTENT_PREFIX + digest_of(content)
-        result = await self._store.compare_and_swap(key, content, 0)
-        return isinstance(result, Success)
-
-    async def _bring_forward(self, manifest: Manifest, revision: int) -> bool:
-        """Write what is in force over an older state of the store."""
-        for content in self._keeper.contents().values():
-            if not await self._write_content(content):
-                return False
-        value = encode_manifest(manifest)
-        result = await self._store.compare_and_swap(KEY_MANIFEST, value, revision)
-        return isinstance(result, Success)
-
-    async def apply(self, content: bytes, applied_by: str, expected: int | None) -> ApplyReport:
-        """Put a file in force; raise `InvalidIniError` or `ApplyError` before any write."""
-        file = parse_file("file", content)
-        wish = Wish(
-            name=file.name,
-            digest=digest_of(content),
-            apply_id=os.urandom(8).hex(),
-            applied_by=applied_by,
-            applied_at=datetime.now(UTC).isoformat(timespec="milliseconds"),
-            expected=expected,
-        )
-        decisions = Apply(wish, self._keeper.manifest)
-        ended = await self._run_apply(decisions, content, file)
-        if ended.outcome in (ApplyOutcome.ACCEPTED, ApplyOutcome.UNCHANGED):
-            self._inbox.put(_ContentsRead({wish.digest: content}))
-            self._inbox.put(_Offered(ended.manifest, None))
-        return ApplyReport(
-            ended.outcome, file.name, wish.apply_id, ended.manifest.revision, ended.winner
-        )
-
-    async def _run_apply(self, decisions: Apply, content: bytes, file: OperatorsFile) -> ApplyEnded:
-        command: ApplyCommand = decisions.start()
-        ended: ApplyEnded | None = None
-        content_written = False
-        with anyio.move_on_after(APPLY_TIME_S):
-            while ended is None:
-                match command:
-                    case ApplyEnded():
-                        ended = command
-                    case CheckJoined(manifest):
-                        await self._check_joined(manifest, file)
-                        if not content_written:
-                            content_written = await self._write_content(content)
-                        if content_written:
-                            command = decisions.checked()
-                        else:
-                            await anyio.sleep(APPLY_PAUSE_S)
-                    case _:
-                        command = await self._step(decisions, command)
-        return ended if ended is not None else decisions.out_of_time()
-
-    async def _step(
-        self, decisions: Apply, command: ReadManifest | BringForward | WriteManifest
-    ) -> ApplyCommand:
-        """Perform one call on the store and hand its result to the decisions."""
-        match command:
-            case ReadManifest():
-                read = await self._store.get(KEY_MANIFEST)
-                match read:
-                    case Success(stored):
-                        return decisions.manifest_read(
-                            decode_manifest(stored.value), stored.revision
-                        )
-            case BringForward(manifest, revision):
-                await self._bring_forward(manifest, revision)
-            case WriteManifest(manifest, revision):
-                value = encode_manifest(manifest)
-                write = await self._store.compare_and_swap(KEY_MANIFEST, value, revision)
-                match write:
-                    case Success(written):
-                        return decisions.written(written)
-        await anyio.sleep(APPLY_PAUSE_S)
-        return decisions.uncertain()
-
-    async def _check_joined(self, manifest: Manifest, file: OperatorsFile) -> None:
-        """Raise `InvalidIniError` unless the file fits all others in the manifest."""
-        others = []
-        contents = self._keeper.contents()
-        for name, entry in manifest.entry_by_name.items():
-            if name == file.name or not entry.digest:
-                continue
-            content = contents.get(entry.digest) or await self._read_content(entry.digest)
-            others.append(parse_file(name, content))
-        join_files([*others, file], manifest.revision)
-
-    async def _read_content(self, digest: str) -> bytes:
-        result = await self._store.get(KEY_CONTENT_PREFIX + digest)
-        stored = result.value_or(Stored(b"", 0))
-        if stored.revision:
-            return stored.value
-        problem = Problem(
-            "store_unavailable",
-            "check",
-            "key-value service",
-            "the other files in force could not be read",
-            "Nothing was applied. Try again later",
-        )
-        raise ApplyError(problem)
--- a/trackwheel/fleet/membership.py
+++ b/trackwheel/fleet/membership.py
@@ -33,6 +33,7 @@
     SyncRequest,
     TargetNote,
 )
+from trackwheel.fleet.probes import Probes
 from trackwheel.fleet.rumours import Rumours
 
 
@@ -44,17 +45,6 @@
     suspicion_s: float
 
 
-class _Probing:
-    """Follow one probe of one member until it is answered or suspected."""
-
-    __slots__ = ("address", "ask_helpers_at", "suspect_at")
-
-    def __init__(self, address: str, ask_helpers_at: float, suspect_at: float) -> None:
-        self.address = address
-        self.ask_helpers_at: float | None = ask_helpers_at
-        self.suspect_at = suspect_at
-
-
 class Membership:
     """Decide, from messages and the time, what this box believes of the fleet."""
 
@@ -71,8 +61,7 @@
         self._seeds: tuple[str, ...] = ()
         self._files_revision = 0
         self._sequence = 0
-        self._probing_by_sequence: dict[int, _Probing] = {}
-        self._helping_by_sequence: dict[int, tuple[str, int, str, float]] = {}
+        self._probes = Probes(timing.probe_timeout_s)
         self._suspected_until_by_address: dict[str, float] = {}
         self._died_at_by_address: dict[str, float] = {}
         self._mismatches_by_address: dict[str, int] = {}
@@ -135,8 +124,7 @@
     def next_wake(self) -> float:
         """Return when `tick` is next needed (seconds)."""
         times = [self._next_probe_at, self._next_seed_at]
-        for probing in self._probing_by_sequence.values():
-            times.append(probing.ask_helpers_at or probing.suspect_at)
+        times.append(self._probes.next_wake())
         if self._suspected_until_by_address:
             times.extend(self._suspected_until_by_address.values())
             times.append(self._next_insistence_at)
@@ -171,7 +159,7 @@
         elif isinstance(message, ProbeRequest):
             self._help(sender, message, now)
         elif isinstance(message, ProbeReport):
-            self._probing_by_sequence.pop(message.sequence, None)
+            self._probes.answered(message.sequence)
         elif isinstance(message, SyncRequest):
             self._answer_sync(sender, message, now)
         elif isinstance(message, SyncReply):
@@ -186,8 +174,7 @@
         if away_s <= AWAY_FACTOR * self._timing.probe_period_s + self._timing.probe_timeout_s:
             return
         self._last_tick = now
-        self._probing_by_sequence.clear()
-        self._helping_by_sequence.clear()
+        self._probes.clear()
         self._suspected_until_by_address = {
             address: now + self._timing.suspicion_s for address in self._suspected_until_by_address
         }
@@ -208,10 +195,7 @@
         return self._monitored_cache
 
     def _start_probe(self, address: str, now: float) -> None:
-        sequence = self._send_probe(address)
-        timeout_s = self._timing.probe_timeout_s
-        probing = _Probing(address, now + timeout_s, now + 2 * timeout_s)
-        self._probing_by_sequence[sequence] = probing
+        self._probes.begin(self._send_probe(address), address, now)
 
     def _send_probe(self, address: str) -> int:
         self._sequence += 1
@@ -337,32 +321,23 @@
             self._renew_own(self._own.status, member.incarnation + 1)
 
     def _take_ack(self, sender: str, sequence: int, now: float) -> None:
-        self._probing_by_sequence.pop(sequence, None)
+        self._probes.answered(sequence)
         if sender in self._suspected_until_by_address:
             # It lives; its word against the suspicion is still on its way.
             self._suspected_until_by_address[sender] = self._burial_time(sender, now)
-        helping = self._helping_by_sequence.pop(sequence, None)
-        if helping is not None and helping[2] == sender:
-            asker, asked_sequence, subject, _ = helping
-            self._send(asker, ProbeReport(asked_sequence, subject))
+        helping = self._probes.helped(sequence)
+        if helping is not None and helping.subject == sender:
+            self._send(helping.asker, ProbeReport(helping.asked_sequence, sender))
 
     def _help(self, sender: str, message: ProbeRequest, now: float) -> None:
         sequence = self._send_probe(message.subject)
-        expiry = now + self._timing.probe_timeout_s
-        helping = (sender, message.sequence, message.subject, expiry)
-        self._helping_by_sequence[sequence] = helping
+        self._probes.help(sequence, sender, message.sequence, message.subject, now)
 
     def _follow_probes(self, now: float) -> None:
-        for sequence, probing in list(self._probing_by_sequence.items()):
-            if probing.ask_helpers_at is not None and now >= probing.ask_helpers_at:
-                probing.ask_helpers_at = None
-                self._ask_helpers(sequence, probing.address)
-            if now >= probing.suspect_at:
-                del self._probing_by_sequence[sequence]
-                self._suspect(probing.address, now)
-        for sequence, helping in list(self._helping_by_sequence.items()):
-            if now >= helping[3]:
-                del self._helping_by_sequence[sequence]
+        for sequence, address in self._probes.take_late(now):
+            self._ask_helpers(sequence, address)
+        for address in self._probes.take_unanswered(now):
+            self._suspect(address, now)
 
     def _ask_helpers(self, sequence: int, subject: str) -> None:
         excluded = (subject, self._own.address)
--- a/trackwheel/operators.py
+++ b/trackwheel/operators.py
@@ -13,11 +13,12 @@
 from starlette.routing import Route
 
 from trackwheel.dispatch.service import DispatchService
+from trackwheel.files.applier import ApplyReport
 from trackwheel.files.apply import ApplyOutcome
 from trackwheel.files.confirm import Confirmations
 from trackwheel.files.const import MAX_FILE_BYTES
 from trackwheel.files.errors import ApplyError
-from trackwheel.files.service import ApplyReport, FilesService
+from trackwheel.files.service import FilesService
 from trackwheel.fleet.service import FleetService
 from trackwheel.ini import InvalidIniError
 from trackwheel.telemetry.burn import Burn
