Give targets back their work when they have come back

Ruled out: telling all gateways of a return by rumour (a lost one would keep the target out for good); asking again costs one refusal by the owner every three seconds and reaches no target.

Change: what a gateway knows of a leaving target holds for three seconds; owners drop the notes of targets that no file names.

--- a/tests/gateway/test_gather.py
+++ b/tests/gateway/test_gather.py
@@ -305,14 +305,21 @@
 
 def test_leaving_target_is_not_asked() -> None:
     board = Board(seed=1)
-    board.set_leaving("t1a", True)
+    board.learn_leaving("t1a", 0.0)
     session = Session(board=board)
     assert "t1a" not in [ask.target for ask in session.all_asks]
-    board.set_leaving("t1b", True)
+    board.learn_leaving("t1b", 0.0)
     session = Session(board=board, policy=QUICK)
     assert not any(ask.instance == 1 for ask in session.all_asks)
 
 
+def test_owner_of_a_leaving_target_is_asked_again_after_a_while() -> None:
+    board = Board(seed=1)
+    board.learn_leaving("t1a", 0.0)
+    assert board.choose(("t1a",), set(), 2.9) is None
+    assert board.choose(("t1a",), set(), 3.1) == "t1a"
+
+
 def test_last_replicas_are_asked_even_when_ejected() -> None:
     session = Session()
     session.fail(session.ask_of(0), Outcome.EJECTED)
--- a/tests/whole/test_target_faults.py
+++ b/tests/whole/test_target_faults.py
@@ -162,5 +162,8 @@
     started = time.time()
     results = run_queries(callers_addresses(fleet), "clerks", SERVICE, 40, 4.0)
     assert results.answered >= 158, results.codes
-    last_new = fleet.counts(leaving)["last_new_work"] - started
-    assert last_new < 2.0
+    counts = fleet.counts(leaving)
+    assert counts["last_new_work"] - started < 2.0
+    fleet.control(leaving, draining=False, lie_healthy=False, new_boot=True)
+    run_queries(callers_addresses(fleet), "clerks", SERVICE, 40, 6.0)
+    assert fleet.counts(leaving)["queries"] > counts["queries"], "it is back"
--- a/trackwheel/app.py
+++ b/trackwheel/app.py
@@ -162,7 +162,7 @@
     def _take_notes(self, notes: tuple[TargetNote, ...]) -> None:
         self.dispatch.told_leaving(notes)
         for note in notes:
-            self.board.set_leaving(note.address, True)
+            self.board.learn_leaving(note.address, time.monotonic())
 
     def _take_in_force(self, in_force: InForce) -> None:
         self.fleet.set_files_revision(in_force.revision)
--- a/trackwheel/dispatch/owner.py
+++ b/trackwheel/dispatch/owner.py
@@ -69,6 +69,10 @@
             for instance in service.targets_by_instance
             for target in instance
         }
+        notes = self._note_by_target.items()
+        self._note_by_target = {
+            target: note for target, note in notes if target in self._service_by_target
+        }
         commands: list[DispatchCommand] = []
         for target, line in self._line_by_target.items():
             removed = target not in self._service_by_target
--- a/trackwheel/gateway/board.py
+++ b/trackwheel/gateway/board.py
@@ -14,6 +14,7 @@
     LATENCY_SMOOTHING,
     LATENCY_WINDOW_S,
     LEAST_HEDGE_S,
+    LEAVING_VALID_S,
     SCORE_HALF_LIFE_S,
     SCORE_NOISE,
 )
@@ -84,7 +85,7 @@
     def __init__(self, seed: int) -> None:
         self._random = random.Random(seed)
         self._notes_by_target: dict[str, _TargetNotes] = {}
-        self._leaving_targets: set[str] = set()
+        self._leaving_until_by_target: dict[str, float] = {}
         self._window_by_service: dict[str, LatencyWindow] = {}
         self._version_by_service: dict[str, int] = {}
 
@@ -92,18 +93,16 @@
         """Keep notes only of targets that the files in force name."""
         kept = self._notes_by_target.items()
         self._notes_by_target = {name: notes for name, notes in kept if name in targets}
-        self._leaving_targets &= targets
+        left = self._leaving_until_by_target.items()
+        self._leaving_until_by_target = {name: end for name, end in left if name in targets}
 
-    def set_leaving(self, target: str, leaving: bool) -> None:
-        """Take whether a target is leaving."""
-        if leaving:
-            self._leaving_targets.add(target)
-        else:
-            self._leaving_targets.discard(target)
+    def learn_leaving(self, target: str, now: float) -> None:
+        """Take that a target is leaving.
 
-    def is_leaving(self, target: str) -> bool:
-        """Return whether a target is known to leave."""
-        return target in self._leaving_targets
+        After a while its owner is asked again, since only the owner sees it come back; while it
+        is leaving, the owner refuses at once and nothing reaches the target.
+        """
+        self._leaving_until_by_target[target] = now + LEAVING_VALID_S
 
     def learn_latency(self, service: str, target: str, seconds: float, now: float) -> None:
         """Take how long a target's answer took, seen from this gateway."""
@@ -161,14 +160,15 @@
             target
             for target in targets
             if target not in excluded
-            and target not in self._leaving_targets
+            and self._leaving_until_by_target.get(target, 0.0) <= now
             and self._notes(target).ejected_until <= now
         ]
         return min(able, key=lambda target: self._score(target, now), default=None)
 
     def last_resort(self, targets: tuple[str, ...], now: float) -> str | None:
         """Return the target to ask when all others are out; never one that is leaving."""
-        able = [target for target in targets if target not in self._leaving_targets]
+        until = self._leaving_until_by_target
+        able = [target for target in targets if until.get(target, 0.0) <= now]
         return min(able, key=lambda target: self._score(target, now), default=None)
 
     def _score(self, target: str, now: float) -> float:
--- a/trackwheel/gateway/execution.py
+++ b/trackwheel/gateway/execution.py
@@ -101,7 +101,7 @@
         self._reason = answer.reason
         self._retry_after_s = max(self._retry_after_s, answer.retry_after_ms / 1000)
         if answer.reason == Outcome.LEAVING:
-            self._board.set_leaving(self._target, True)
+            self._board.learn_leaving(self._target, now)
         elif answer.reason == Outcome.EJECTED:
             self._board.learn_ejected(self._target, now)
         return self._ask_next(now)
--- a/trackwheel/gateway/gather.py
+++ b/trackwheel/gateway/gather.py
@@ -215,7 +215,7 @@
         if event.outcome is Outcome.EJECTED:
             self._board.learn_ejected(ask.target, now)
         elif event.outcome is Outcome.LEAVING:
-            self._board.set_leaving(ask.target, True)
+            self._board.learn_leaving(ask.target, now)
         elif event.outcome in (Outcome.SHED, Outcome.LATE):
             self._shed = True
         elif event.outcome is Outcome.NO_OWNER:
