Bound the memory of explanations by steps, not by queries

Ruled out: fewer traces alone, which would starve narrow queries. Change: at most 40,000 steps in all; a trace that was forgotten while its query still runs counts no more. Before: bounded by number only.

--- a/trackwheel/telemetry/explain.py
+++ b/trackwheel/telemetry/explain.py
@@ -6,6 +6,8 @@
 
 MAX_TRACES: Final = 2_000
 MAX_STEPS: Final = 400
+MAX_STEPS_OF_ALL: Final = 40_000
+"""Bounds the memory of all traces to some ten megabytes, whatever the fan-out."""
 
 
 class Step(NamedTuple):
@@ -45,24 +47,37 @@
 class Trace:
     """Collect the steps of one query."""
 
-    __slots__ = ("group", "outcome", "query_id", "service", "started", "steps", "took_ms")
-
-    def __init__(self, query_id: str, service: str, group: str) -> None:
+    __slots__ = (
+        "_traces",
+        "group",
+        "kept",
+        "outcome",
+        "query_id",
+        "service",
+        "started",
+        "steps",
+        "took_ms",
+    )
+
+    def __init__(self, traces: "Traces", query_id: str, service: str, group: str) -> None:
+        self._traces = traces
         self.query_id = query_id
         self.service = service
         self.group = group
         self.started = time.monotonic()
         self.steps: list[Step] = []
         self.outcome = "under way"
+        self.kept = True
         self.took_ms = 0.0
 
     def note(
         self, what: str, instance: int = -1, target: str = "", owner: str = "", detail: str = ""
     ) -> None:
         """Note a step."""
-        if len(self.steps) < MAX_STEPS:
+        if self.kept and len(self.steps) < MAX_STEPS:
             at_ms = (time.monotonic() - self.started) * 1000
             self.steps.append(Step(at_ms, what, instance, target, owner, detail))
+            self._traces.steps += 1
 
     def end(self, outcome: str) -> None:
         """Note how the query ended."""
@@ -98,15 +113,22 @@
 
     def __init__(self) -> None:
         self._trace_by_id: OrderedDict[str, Trace] = OrderedDict()
+        self.steps = 0
 
     def open(self, query_id: str, service: str, group: str) -> Trace:
-        """Begin a trace and forget the oldest one when there are too many."""
-        trace = Trace(query_id, service, group)
-        self._trace_by_id[query_id] = trace
-        if len(self._trace_by_id) > MAX_TRACES:
-            self._trace_by_id.popitem(last=False)
+        """Begin a trace and forget the oldest ones when there are too many."""
+        self._forget(query_id)
+        trace = self._trace_by_id[query_id] = Trace(self, query_id, service, group)
+        while len(self._trace_by_id) > MAX_TRACES or self.steps > MAX_STEPS_OF_ALL:
+            self._forget(next(iter(self._trace_by_id)))
         return trace
 
+    def _forget(self, query_id: str) -> None:
+        forgotten = self._trace_by_id.pop(query_id, None)
+        if forgotten is not None:
+            forgotten.kept = False
+            self.steps -= len(forgotten.steps)
+
     def get(self, query_id: str) -> Trace | None:
         """Return a trace, None when it is not known (any more)."""
         return self._trace_by_id.get(query_id)
