Let a change of files cost a box what changed

Ruled out: joining only now and then (a change must be in force within 4 s); trusting the applying box's check (a box of another version must refuse what it cannot read).

Change: files/joined.py replaces single files in the joined view, all or none; a manifest's digest is the exclusive or of its entries' digests, each worked out once; owners look through a service's targets only when they are asked for it; gateways forget targets by age.

--- a/bench/one_target.py
+++ b/bench/one_target.py
@@ -18,6 +18,7 @@
     Work,
     WorkKey,
 )
+from trackwheel.files.models import Policy, ServiceSpec
 
 Action = Callable[[], None]
 
@@ -52,7 +53,9 @@
         self._events: list[tuple[float, int, Action]] = []
         self._numbers = itertools.count()
         self._most_waiting = most_waiting
-        self.lines = [TargetLine("t", claimed, connections, 0.0) for _ in range(lines)]
+        policy = Policy(1.0, 1.0, 1.0)
+        service = ServiceSpec("s", claimed, connections, 0.006, 0.05, 0.99, policy, ())
+        self.lines = [TargetLine("t", service, 0.0) for _ in range(lines)]
         for line in self.lines:
             self.perform(line.first_commands)
 
--- a/tests/dispatch/test_line.py
+++ b/tests/dispatch/test_line.py
@@ -20,6 +20,7 @@
     Work,
     WorkKey,
 )
+from trackwheel.files.models import Policy, ServiceSpec
 
 Commands = list[DispatchCommand]
 
@@ -28,7 +29,8 @@
     """Drive one line by hand."""
 
     def __init__(self, slots: int = 2, warm: bool = True) -> None:
-        self.line = TargetLine("t", slots, 25, 0.0)
+        service = ServiceSpec("s", slots, 25, 0.006, 0.05, 0.99, Policy(1.0, 1.0, 1.0), ())
+        self.line = TargetLine("t", service, 0.0)
         self.number = 0
         if warm:
             self.line.health(True, "boot1", False, 0.0)
--- a/trackwheel/app.py
+++ b/trackwheel/app.py
@@ -167,9 +167,7 @@
     def _take_in_force(self, in_force: InForce) -> None:
         self.fleet.set_files_revision(in_force.revision)
         self.dispatch.set_in_force(in_force)
-        services = in_force.service_by_name.values()
-        instances = (instance for service in services for instance in service.targets_by_instance)
-        self.board.forget_except({target.address for instance in instances for target in instance})
+        self.board.forget_old(time.monotonic())
 
 
 async def run_box(settings: Settings) -> None:
--- a/trackwheel/dispatch/const.py
+++ b/trackwheel/dispatch/const.py
@@ -33,6 +33,8 @@
 EXECUTE_TIMEOUT_S: Final = 20.0
 """How long a permitted request may run at its target before its outcome is unknown."""
 LEAST_RETRY_AFTER_S: Final = 0.05
+MAX_NOTES: Final = 10_000
+"""How many targets' leavings an owner remembers, the latest."""
 MAX_QUEUED_PER_TARGET: Final = 2_000
 WAKE_MARGIN_S: Final = 0.0002
 """Work is dropped this long after its last start, so that a wake always finds it due."""
--- a/trackwheel/dispatch/line.py
+++ b/trackwheel/dispatch/line.py
@@ -31,6 +31,7 @@
     Work,
     WorkKey,
 )
+from trackwheel.files.models import ServiceSpec
 
 
 class _Run(NamedTuple):
@@ -46,10 +47,12 @@
 class TargetLine:
     """Decide, from events and the time, what goes to one target."""
 
-    def __init__(self, target: str, slots: int, connections: int, now: float) -> None:
+    def __init__(self, target: str, service: ServiceSpec, now: float) -> None:
         self.target = target
+        self.service = service.name
         self._queue = FairQueue()
-        self._limiter = Limiter(slots, connections, seed=hash(target) & 0xFFFF)
+        seed = hash(target) & 0xFFFF
+        self._limiter = Limiter(service.slots, service.connections, seed)
         self._ejection = Ejection()
         self._run_by_key: dict[WorkKey, _Run] = {}
         self._cold = True
@@ -61,7 +64,7 @@
         self._used_at = now
         self.first_commands: list[DispatchCommand] = [
             CheckHealth(target),
-            Warm(target, min(slots, connections)),
+            Warm(target, min(service.slots, service.connections)),
         ]
 
     @property
--- a/trackwheel/dispatch/owner.py
+++ b/trackwheel/dispatch/owner.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from trackwheel.dispatch.const import LEAST_RETRY_AFTER_S
+from trackwheel.dispatch.const import LEAST_RETRY_AFTER_S, MAX_NOTES
 from trackwheel.dispatch.line import TargetLine
 from trackwheel.dispatch.models import (
     DispatchCommand,
@@ -37,7 +37,7 @@
 
     def __init__(self) -> None:
         self._in_force = NOTHING_IN_FORCE
-        self._service_by_target: dict[str, ServiceSpec] = {}
+        self._targets_by_service: dict[str, tuple[ServiceSpec, frozenset[str]]] = {}
         self._line_by_target: dict[str, TargetLine] = {}
         self._note_by_target: dict[str, TargetNote] = {}
         self._wakes = Wakes()
@@ -63,22 +63,28 @@
     def set_in_force(self, in_force: InForce) -> list[DispatchCommand]:
         """Take the files in force; a target that they no longer name gets nothing new."""
         self._in_force = in_force
-        self._service_by_target = {
-            target.address: service
-            for service in in_force.service_by_name.values()
-            for instance in service.targets_by_instance
-            for target in instance
-        }
-        notes = self._note_by_target.items()
-        self._note_by_target = {
-            target: note for target, note in notes if target in self._service_by_target
-        }
         commands: list[DispatchCommand] = []
         for target, line in self._line_by_target.items():
-            removed = target not in self._service_by_target
+            removed = self._named(line.service, target) is None
             commands += self._touched(line, line.set_removed(removed))
         return commands
 
+    def _named(self, service_name: str, target: str) -> ServiceSpec | None:
+        """Return the service if the files in force name the target in it.
+
+        Only services that are asked for are looked through, so that a change of files costs
+        a box what it uses and not what the fleet has.
+        """
+        service = self._in_force.service_by_name.get(service_name)
+        if service is None:
+            return None
+        held = self._targets_by_service.get(service_name)
+        if held is None or held[0] is not service:
+            instances = service.targets_by_instance
+            addresses = frozenset(t.address for instance in instances for t in instance)
+            held = self._targets_by_service[service_name] = (service, addresses)
+        return service if target in held[1] else None
+
     def scatter(self, gateway: str, message: Scatter, now: float) -> list[DispatchCommand]:
         """Take a query's sub-requests."""
         commands: list[DispatchCommand] = []
@@ -154,7 +160,10 @@
         """Take other boxes' word that targets are leaving."""
         commands: list[DispatchCommand] = []
         for note in notes:
+            self._note_by_target.pop(note.address, None)
             self._note_by_target[note.address] = note
+            if len(self._note_by_target) > MAX_NOTES:
+                del self._note_by_target[next(iter(self._note_by_target))]
             line = self._line_by_target.get(note.address)
             if line is not None:
                 commands += self._touched(line, line.told_leaving(note.target_boot))
@@ -193,13 +202,13 @@
         return spec.share if spec is not None else 1.0
 
     def _offer(self, work: Work, now: float) -> list[DispatchCommand]:
-        service = self._service_by_target.get(work.target)
-        if service is None or service.name != work.service:
+        service = self._named(work.service, work.target)
+        if service is None:
             return [Refuse(work, Outcome.UNKNOWN_TARGET, 0.0, LEAST_RETRY_AFTER_S)]
         commands: list[DispatchCommand] = []
         line = self._line_by_target.get(work.target)
         if line is None:
-            line = TargetLine(work.target, service.slots, service.connections, now)
+            line = TargetLine(work.target, service, now)
             self._line_by_target[work.target] = line
             note = self._note_by_target.get(work.target)
             commands += line.first_commands
--- /dev/null
+++ b/trackwheel/files/joined.py
@@ -0,0 +1,62 @@
+"""The join of all files in force, kept up to date file by file.
+
+Joining everything anew on each change would cost a box in proportion to all targets.
+"""
+
+from collections.abc import Mapping
+
+from trackwheel.files.models import InForce, OperatorsFile
+from trackwheel.files.parse import Joiner
+from trackwheel.ini import InvalidIniError
+
+
+class Joined:
+    """Hold the joined view and replace single files in it, all or none."""
+
+    def __init__(self) -> None:
+        self._joiner = Joiner()
+        self._file_by_name: dict[str, OperatorsFile] = {}
+
+    def replace(self, file_by_name: Mapping[str, OperatorsFile], revision: int) -> InForce:
+        """Return the view with these files; raise `InvalidIniError` and keep the old one."""
+        before = self._file_by_name
+        gone = [file for name, file in before.items() if file_by_name.get(name) is not file]
+        come = [file for name, file in file_by_name.items() if before.get(name) is not file]
+        for file in gone:
+            self._joiner.remove(file)
+        for file in come:
+            self._joiner.add(file)
+        try:
+            self._check(file_by_name, gone, come)
+        except InvalidIniError:
+            self._join_anew()
+            raise
+        self._file_by_name = dict(file_by_name)
+        return self._joiner.view(revision)
+
+    def _join_anew(self) -> None:
+        """Go back to the files that stood before; a contradiction may have covered some."""
+        self._joiner = Joiner()
+        for file in self._file_by_name.values():
+            self._joiner.add(file)
+
+    def _check(
+        self,
+        file_by_name: Mapping[str, OperatorsFile],
+        gone: list[OperatorsFile],
+        come: list[OperatorsFile],
+    ) -> None:
+        """Check names in the files that came, and in all when a name may be missing now."""
+        names_gone = {name for file in gone for name in _declared(file)}
+        names_come = {name for file in come for name in _declared(file)}
+        everything = not names_gone <= names_come
+        for file in file_by_name.values() if everything else come:
+            self._joiner.check_references(file)
+        if self._joiner.errors:
+            raise InvalidIniError(self._joiner.errors)
+
+
+def _declared(file: OperatorsFile) -> list[tuple[str, str]]:
+    """Return what a file declares that other files may name."""
+    groups = [("group", name) for name in file.group_by_name]
+    return groups + [("service", name) for name in file.service_by_name]
--- a/trackwheel/files/keeper.py
+++ b/trackwheel/files/keeper.py
@@ -2,9 +2,12 @@
 
 import hashlib
 from collections.abc import Iterable
+from functools import lru_cache
+from typing import Final
 
 import msgspec
 
+from trackwheel.files.joined import Joined
 from trackwheel.files.models import (
     EMPTY_MANIFEST,
     Contents,
@@ -19,9 +22,11 @@
     ReadContents,
     SendTo,
 )
-from trackwheel.files.parse import join_files, parse_file
+from trackwheel.files.parse import parse_file
 from trackwheel.ini import InvalidIniError
 
+ENTRY_DIGESTS_KEPT: Final = 20_000
+
 Source = str | None
 """The address of the box from which a manifest came, None for the platform's store."""
 
@@ -32,8 +37,20 @@
 
 
 def manifest_digest(manifest: Manifest) -> str:
-    """Return a digest by which two manifests of one revision are told apart."""
-    return digest_of(encode_manifest(manifest))
+    """Return a digest by which two manifests of one revision are told apart.
+
+    It is the exclusive or of the entries' digests, each of which is worked out once.
+    """
+    digest = manifest.revision
+    for name, entry in manifest.entry_by_name.items():
+        digest ^= _entry_digest(name, entry)
+    return f"{digest:064x}"
+
+
+@lru_cache(maxsize=ENTRY_DIGESTS_KEPT)
+def _entry_digest(name: str, entry: ManifestEntry) -> int:
+    content = msgspec.json.encode([name, entry])
+    return int.from_bytes(hashlib.sha256(content).digest())
 
 
 def encode_manifest(manifest: Manifest) -> bytes:
@@ -65,6 +82,7 @@
         self.refused_revision = 0
         self._content_by_digest: dict[str, bytes] = {}
         self._parsed_by_digest: dict[str, OperatorsFile] = {}
+        self._joined = Joined()
         self._wanted: Manifest | None = None
         self._neighbours: tuple[str, ...] = ()
 
@@ -173,7 +191,7 @@
         self._wanted = None
         before, self.manifest = self.manifest, wanted
         try:
-            in_force = join_files(self.files().values(), wanted.revision)
+            in_force = self._joined.replace(self.files(), wanted.revision)
         except InvalidIniError:
             # Whoever applied it checked it; a box that cannot read it keeps what it has.
             self.manifest = before
--- a/trackwheel/files/parse.py
+++ b/trackwheel/files/parse.py
@@ -202,7 +202,7 @@
 
 def join_files(files: Iterable[OperatorsFile], revision: int) -> InForce:
     """Return the joined view; raise `InvalidIniError` when files contradict each other."""
-    joiner = _Joiner(revision)
+    joiner = Joiner()
     ordered = sorted(files, key=lambda file: file.name)
     for file in ordered:
         joiner.add(file)
@@ -210,14 +210,14 @@
         joiner.check_references(file)
     if joiner.errors:
         raise InvalidIniError(joiner.errors)
-    return joiner.joined
+    return joiner.view(revision)
 
 
-class _Joiner:
+class Joiner:
     """Join files and note where they contradict each other."""
 
-    def __init__(self, revision: int) -> None:
-        self.joined = InForce(revision, {}, {}, {}, {})
+    def __init__(self) -> None:
+        self.joined = InForce(0, {}, {}, {}, {})
         self.errors: list[IniError] = []
         self._place_by_address: dict[str, str] = {}
 
@@ -229,6 +229,34 @@
             self._add_service(file, service)
         self.joined.policy_by_group_and_service.update(file.policy_by_group_and_service)
 
+    def remove(self, file: OperatorsFile) -> None:
+        """Take one file's declarations out; what another file also declares stays its own."""
+        joined = self.joined
+        for name, group in file.group_by_name.items():
+            if joined.group_by_name.get(name) is group:
+                del joined.group_by_name[name]
+            if joined.group_by_key_sha256.get(group.key_sha256) is group:
+                del joined.group_by_key_sha256[group.key_sha256]
+        for name, service in file.service_by_name.items():
+            if joined.service_by_name.get(name) is service:
+                del joined.service_by_name[name]
+            for targets in service.targets_by_instance:
+                for target in targets:
+                    self._place_by_address.pop(target.address, None)
+        for key in file.policy_by_group_and_service:
+            joined.policy_by_group_and_service.pop(key, None)
+
+    def view(self, revision: int) -> InForce:
+        """Return the joined view as it is now; later changes leave it as it is."""
+        joined = self.joined
+        return InForce(
+            revision,
+            dict(joined.group_by_name),
+            dict(joined.group_by_key_sha256),
+            dict(joined.service_by_name),
+            dict(joined.policy_by_group_and_service),
+        )
+
     def check_references(self, file: OperatorsFile) -> None:
         """Note names in a file that no file declares."""
         for group in file.group_by_name.values():
--- a/trackwheel/gateway/board.py
+++ b/trackwheel/gateway/board.py
@@ -15,6 +15,7 @@
     LATENCY_WINDOW_S,
     LEAST_HEDGE_S,
     LEAVING_VALID_S,
+    NOTES_LIFETIME_S,
     SCORE_HALF_LIFE_S,
     SCORE_NOISE,
 )
@@ -89,12 +90,16 @@
         self._window_by_service: dict[str, LatencyWindow] = {}
         self._version_by_service: dict[str, int] = {}
 
-    def forget_except(self, targets: set[str]) -> None:
-        """Keep notes only of targets that the files in force name."""
+    def forget_old(self, now: float) -> None:
+        """Drop what is known of targets that nobody has asked for long."""
         kept = self._notes_by_target.items()
-        self._notes_by_target = {name: notes for name, notes in kept if name in targets}
+        self._notes_by_target = {
+            name: notes
+            for name, notes in kept
+            if notes.under_way or now - notes.learnt_at < NOTES_LIFETIME_S
+        }
         left = self._leaving_until_by_target.items()
-        self._leaving_until_by_target = {name: end for name, end in left if name in targets}
+        self._leaving_until_by_target = {name: end for name, end in left if end > now}
 
     def learn_leaving(self, target: str, now: float) -> None:
         """Take that a target is leaving.
