Bound how long a caller may take to send, and name the events of an attempt

Cause: a caller that stops in the middle of its body held its request for ever (found in reading); an empty owner's name stood for 'settled' in the inbox of an attempt. Ruled out: the server's own time limits, which count idle connections only. Change: three seconds for a body, then 400; two event types. Before: no limit. After: rows for a slow body and for headers of 80 KB, after which the box still answers. Conclusion: bad senders cost a bounded time and memory.

--- a/tests/whole/test_path.py
+++ b/tests/whole/test_path.py
@@ -1,6 +1,7 @@
 """The whole path through separate processes."""
 
 import hashlib
+import socket
 from typing import Any
 
 import pytest
@@ -84,6 +85,26 @@
     assert response.status_code == 400
 
 
+@pytest.mark.parametrize(
+    ("sent", "status"),
+    [
+        pytest.param(b"Content-Length: 50\r\n\r\n{", b"400", id="slow-body"),
+        pytest.param(b"X-Long: " + b"x" * 80_000 + b"\r\n\r\n", b"4", id="long-header"),
+    ],
+)
+def test_sender_that_is_slow_or_too_long(fleet: SmallFleet, sent: bytes, status: bytes) -> None:
+    host, port = fleet.boxes[0].callers.split(":")
+    with socket.create_connection((host, int(port)), timeout=8) as raw:
+        key = f"Authorization: Bearer {KEY}\r\n".encode()
+        raw.sendall(b"POST /v1/query HTTP/1.1\r\nHost: x\r\n" + key + sent)
+        try:
+            answer = raw.recv(200)
+        except ConnectionError:
+            answer = b""
+    assert answer == b"" or answer.split(b" ")[1].startswith(status)
+    assert fleet.query(fleet.boxes[0], KEY, "ledger").status_code == 200
+
+
 def test_request_runs_once_at_any_box(fleet: SmallFleet) -> None:
     ids = fleet.call(fleet.boxes[0], KEY, "/v1/ids", {"count": 3}).json()["ids"]
     for place, request_id in enumerate(ids):
--- a/trackwheel/gateway/const.py
+++ b/trackwheel/gateway/const.py
@@ -11,6 +11,8 @@
 HEADER_RETRY_AFTER_MS: Final = "Trackwheel-Retry-After-Ms"
 
 MAX_REQUEST_BYTES: Final = 256_000
+READ_TIMEOUT_S: Final = 3.0
+"""How long a caller may take to send a request's body."""
 MAX_ASK_RATIO: Final = 2
 """Each instance is asked at most this many times for each of its targets, and once more."""
 
--- a/trackwheel/gateway/http.py
+++ b/trackwheel/gateway/http.py
@@ -7,6 +7,7 @@
 from contextlib import asynccontextmanager
 from typing import Any, Final, TypeVar
 
+import anyio
 import msgspec
 from starlette.applications import Starlette
 from starlette.requests import Request
@@ -26,6 +27,7 @@
     PATH_EXECUTE,
     PATH_IDS,
     PATH_QUERY,
+    READ_TIMEOUT_S,
 )
 from trackwheel.gateway.errors import CallerError, Code, refuse
 from trackwheel.gateway.forwarding import Forwarder, ForwardReply
@@ -241,7 +243,21 @@
 
 
 async def _read(request: Request, body_type: type[T]) -> T:
-    """Return the body of a request, read within the size limit."""
+    """Return the body of a request, read within the limits of size and time."""
+    try:
+        with anyio.fail_after(READ_TIMEOUT_S):
+            content = await _read_bytes(request)
+    except TimeoutError as error:
+        detail = f"the body did not come within {READ_TIMEOUT_S:.0f} s"
+        raise refuse(Code.BAD_REQUEST, "read", detail, "Send the whole body at once") from error
+    try:
+        return msgspec.json.decode(content, type=body_type)
+    except (msgspec.DecodeError, RecursionError) as error:
+        remedy = "Send JSON as docs/CALLERS.md describes it"
+        raise refuse(Code.BAD_REQUEST, "read", str(error), remedy) from error
+
+
+async def _read_bytes(request: Request) -> bytes:
     parts: list[bytes] = []
     size = 0
     async for part in request.stream():
@@ -250,11 +266,7 @@
             detail = f"the body has more than {MAX_REQUEST_BYTES} bytes"
             raise refuse(Code.TOO_LARGE, "read", detail, "Send a smaller request")
         parts.append(part)
-    try:
-        return msgspec.json.decode(b"".join(parts), type=body_type)
-    except (msgspec.DecodeError, RecursionError) as error:
-        remedy = "Send JSON as docs/CALLERS.md describes it"
-        raise refuse(Code.BAD_REQUEST, "read", str(error), remedy) from error
+    return b"".join(parts)
 
 
 def _shortened(policy: Policy, deadline_ms: float | None) -> Policy:
--- a/trackwheel/gateway/once.py
+++ b/trackwheel/gateway/once.py
@@ -64,6 +64,16 @@
     retry_after_s: float
 
 
+class _OwnerLost(NamedTuple):
+    """Event: an owner cannot be reached."""
+
+    owner: str
+
+
+class _WasSettled(NamedTuple):
+    """Event: the attempt has been settled by a message."""
+
+
 class _Attempt:
     """Hold one attempt that is under way or still takes a late answer."""
 
@@ -72,7 +82,7 @@
         self.execution = execution
         self.trace = trace
         self.owner_by_nonce: dict[int, str] = {}
-        self.lost_owners: Inbox[str] = Inbox()
+        self.inbox: Inbox[_OwnerLost | _WasSettled] = Inbox()
         self.settled: OnceResult | None = None
         self.changed = anyio.Event()
 
@@ -142,10 +152,11 @@
         with anyio.CancelScope(shield=True):
             self._perform(attempt, attempt.execution.start(time.monotonic()))
             while attempt.settled is None:
-                lost = await attempt.lost_owners.take(attempt.execution.plan.deadline)
-                for owner in lost:
-                    self._take_lost_owner(attempt, owner)
-                if not lost:
+                events = await attempt.inbox.take(attempt.execution.plan.deadline)
+                for event in events:
+                    if isinstance(event, _OwnerLost):
+                        self._take_lost_owner(attempt, event.owner)
+                if not events:
                     self._perform(attempt, attempt.execution.expire())
         assert attempt.settled is not None, "the loop ends when the attempt is settled"
         return attempt.settled
@@ -196,7 +207,7 @@
             body=request.body,
         )
         if not owner or not self._hub.send(owner, message):
-            attempt.lost_owners.put(owner)
+            attempt.inbox.put(_OwnerLost(owner))
 
     def _settle(self, attempt: _Attempt, settled: Settled) -> None:
         request = attempt.request
@@ -213,7 +224,7 @@
         query_id = attempt.execution.plan.query_id
         self._late_until_by_query_id[query_id] = time.monotonic() + LATE_ANSWERS_S
         attempt.changed.set()
-        attempt.lost_owners.put("")
+        attempt.inbox.put(_WasSettled())
 
     def _forget_late(self, now: float) -> None:
         """Drop attempts whose late answers nobody waits for any more, the oldest first."""
@@ -244,7 +255,7 @@
 
     def _link_lost(self, address: str) -> None:
         for attempt in self._attempt_by_request_id.values():
-            attempt.lost_owners.put(address)
+            attempt.inbox.put(_OwnerLost(address))
 
     def _take_lost_owner(self, attempt: _Attempt, owner: str) -> None:
         execution = attempt.execution
