Give telemetry the same files as the other parts and move constants to their place

Cause: read as a newcomer: constants stood inside shells, and telemetry had neither const nor models. Ruled out: an errors.py without errors. Change: moves only. Before and after: the same tests pass. Conclusion: one place to look for numbers in each part.

--- a/tests/telemetry/test_explain.py
+++ b/tests/telemetry/test_explain.py
@@ -1,6 +1,7 @@
 """Explanations: bounded in number and in all, whatever the fan-out."""
 
-from trackwheel.telemetry.explain import MAX_STEPS_OF_ALL, MAX_TRACES, Traces
+from trackwheel.telemetry.const import MAX_STEPS_OF_ALL, MAX_TRACES
+from trackwheel.telemetry.explain import Traces
 
 
 def test_oldest_traces_are_forgotten() -> None:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -7,8 +7,9 @@
 
 from standins.fleet import SmallFleet
 from trackwheel.cli import main
-from trackwheel.telemetry.burn import BurnRow, merge_rows
+from trackwheel.telemetry.burn import merge_rows
 from trackwheel.telemetry.burn_page import render_page
+from trackwheel.telemetry.models import BurnRow
 
 EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
 
--- a/trackwheel/cli.py
+++ b/trackwheel/cli.py
@@ -43,8 +43,9 @@
 from trackwheel import VERSION
 from trackwheel.files.parse import join_files, parse_file
 from trackwheel.ini import InvalidIniError
-from trackwheel.telemetry.burn import BurnRow, merge_rows
+from trackwheel.telemetry.burn import merge_rows
 from trackwheel.telemetry.burn_page import render_page
+from trackwheel.telemetry.models import BurnRow
 
 EXIT_DONE: Final = 0
 EXIT_FAILED: Final = 1
--- a/trackwheel/files/applier.py
+++ b/trackwheel/files/applier.py
@@ -3,7 +3,7 @@
 import os
 from collections.abc import Callable
 from datetime import UTC, datetime
-from typing import Final, NamedTuple
+from typing import NamedTuple
 
 import anyio
 import msgspec
@@ -21,16 +21,13 @@
     Wish,
     WriteManifest,
 )
-from trackwheel.files.const import KEY_CONTENT_PREFIX, KEY_MANIFEST
+from trackwheel.files.const import APPLY_PAUSE_S, APPLY_TIME_S, KEY_CONTENT_PREFIX, KEY_MANIFEST
 from trackwheel.files.errors import ApplyError
 from trackwheel.files.keeper import Keeper, decode_manifest, digest_of, encode_manifest
 from trackwheel.files.models import Manifest, ManifestEntry, OperatorsFile
 from trackwheel.files.parse import join_files, parse_file
 from trackwheel.platform.models import KeyValueClient, Stored
 
-APPLY_TIME_S: Final = 10.0
-APPLY_PAUSE_S: Final = 0.1
-
 OnAccepted = Callable[[dict[str, bytes], Manifest], None]
 
 
--- a/trackwheel/files/confirm.py
+++ b/trackwheel/files/confirm.py
@@ -6,14 +6,11 @@
 
 import anyio
 
+from trackwheel.files.const import ASK_PERIOD_S, ASK_WAIT_S, CONFIRM_WAIT_S
 from trackwheel.files.models import AskRevision, TellRevision
 from trackwheel.peers.hub import Hub
 from trackwheel.peers.models import PeerIdentity
 
-CONFIRM_WAIT_S = 4.0
-ASK_WAIT_S = 0.5
-ASK_PERIOD_S = 0.05
-
 
 class Confirmations:
     """Collect the boxes' revisions."""
--- a/trackwheel/files/const.py
+++ b/trackwheel/files/const.py
@@ -34,3 +34,12 @@
 
 KEY_MANIFEST: Final = "trackwheel/manifest"
 KEY_CONTENT_PREFIX: Final = "trackwheel/content/"
+
+APPLY_TIME_S: Final = 10.0
+APPLY_PAUSE_S: Final = 0.1
+WATCH_PAUSE_FIRST_S: Final = 0.2
+WATCH_PAUSE_LAST_S: Final = 5.0
+NOT_WATCHING_PAUSE_S: Final = 0.5
+CONFIRM_WAIT_S: Final = 4.0
+ASK_WAIT_S: Final = 0.5
+ASK_PERIOD_S: Final = 0.05
--- a/trackwheel/files/service.py
+++ b/trackwheel/files/service.py
@@ -9,7 +9,13 @@
 from returns.result import Failure, Success
 
 from trackwheel.files.applier import Applier, ApplyReport
-from trackwheel.files.const import KEY_CONTENT_PREFIX, KEY_MANIFEST
+from trackwheel.files.const import (
+    KEY_CONTENT_PREFIX,
+    KEY_MANIFEST,
+    NOT_WATCHING_PAUSE_S,
+    WATCH_PAUSE_FIRST_S,
+    WATCH_PAUSE_LAST_S,
+)
 from trackwheel.files.keeper import (
     Keeper,
     Source,
@@ -36,10 +42,6 @@
 
 LOG = Log("files")
 
-WATCH_PAUSE_FIRST_S = 0.2
-WATCH_PAUSE_LAST_S = 5.0
-NOT_WATCHING_PAUSE_S = 0.5
-
 
 class _FromPeer(NamedTuple):
     """Event: a box sent a message."""
--- a/trackwheel/fleet/const.py
+++ b/trackwheel/fleet/const.py
@@ -23,3 +23,6 @@
 
 TARGETS_PER_OWNER: Final = 8
 LEAST_OWNERS: Final = 2
+WATCHERS_PER_DOMAIN: Final = 2
+UNREACHABLE_S: Final = 2.0
+"""How long a gateway passes over an owner to which its link broke."""
--- a/trackwheel/fleet/service.py
+++ b/trackwheel/fleet/service.py
@@ -9,7 +9,12 @@
 from returns.result import Success
 
 from trackwheel.files.models import ServiceSpec
-from trackwheel.fleet.const import ALONE_PERIOD_S, BOX_LIST_PERIOD_S
+from trackwheel.fleet.const import (
+    ALONE_PERIOD_S,
+    BOX_LIST_PERIOD_S,
+    UNREACHABLE_S,
+    WATCHERS_PER_DOMAIN,
+)
 from trackwheel.fleet.membership import Membership, Timing
 from trackwheel.fleet.models import (
     FLEET_MESSAGES,
@@ -32,10 +37,6 @@
 
 LOG = Log("fleet")
 
-WATCHERS_PER_DOMAIN = 2
-UNREACHABLE_S = 2.0
-"""How long a gateway passes over an owner to which its link broke."""
-
 Decide = Callable[[float], list[FleetCommand]]
 """An event: it takes the time and changes the membership."""
 
--- a/trackwheel/telemetry/burn.py
+++ b/trackwheel/telemetry/burn.py
@@ -3,34 +3,20 @@
 import time
 from collections import deque
 from collections.abc import Iterable
-from typing import Final, NamedTuple
 
 from hdrh.histogram import HdrHistogram
 
 from trackwheel.files.models import Policy, ServiceSpec
-
-BUCKET_S: Final = 10.0
-FAST_WINDOW_S: Final = 300.0
-SLOW_WINDOW_S: Final = 3600.0
-GOOD: Final = "good"
-LATE: Final = "late"
-_LEAST_US: Final = 1
-_MOST_US: Final = 60_000_000
-
-
-class BurnRow(NamedTuple):
-    """Report one group at one service; a rate of 1 uses up the budget just in time."""
-
-    group: str
-    service: str
-    objective: float
-    total: int
-    bad_by_cause: dict[str, int]
-    fast_rate: float
-    slow_rate: float
-    budget_left: float
-    p50_ms: float
-    p99_ms: float
+from trackwheel.telemetry.const import (
+    BUCKET_S,
+    FAST_WINDOW_S,
+    GOOD,
+    LATE,
+    LEAST_US,
+    MOST_US,
+    SLOW_WINDOW_S,
+)
+from trackwheel.telemetry.models import BurnRow
 
 
 class _Bucket:
@@ -50,7 +36,7 @@
     def __init__(self, objective: float) -> None:
         self.objective = objective
         self.buckets: deque[_Bucket] = deque(maxlen=int(SLOW_WINDOW_S / BUCKET_S))
-        self.latencies = HdrHistogram(_LEAST_US, _MOST_US, 2)
+        self.latencies = HdrHistogram(LEAST_US, MOST_US, 2)
 
     def bucket(self, now: float) -> _Bucket:
         start = now - now % BUCKET_S
@@ -89,7 +75,7 @@
         bucket.total += 1
         if cause != GOOD:
             bucket.bad_by_cause[cause] = bucket.bad_by_cause.get(cause, 0) + 1
-        account.latencies.record_value(max(_LEAST_US, min(_MOST_US, int(took_s * 1e6))))
+        account.latencies.record_value(max(LEAST_US, min(MOST_US, int(took_s * 1e6))))
 
     def rows(self) -> list[BurnRow]:
         """Return the report of this box."""
--- a/trackwheel/telemetry/burn_page.py
+++ b/trackwheel/telemetry/burn_page.py
@@ -3,7 +3,7 @@
 from html import escape
 from typing import Final
 
-from trackwheel.telemetry.burn import BurnRow
+from trackwheel.telemetry.models import BurnRow
 
 _BAR_WIDTH: Final = 300
 _FULL_BAR_RATE: Final = 10.0
--- /dev/null
+++ b/trackwheel/telemetry/const.py
@@ -0,0 +1,16 @@
+"""Bounds and windows of what the box tells about itself."""
+
+from typing import Final
+
+MAX_TRACES: Final = 2_000
+MAX_STEPS: Final = 400
+MAX_STEPS_OF_ALL: Final = 40_000
+"""Bounds the memory of all traces to some ten megabytes, whatever the fan-out."""
+
+BUCKET_S: Final = 10.0
+FAST_WINDOW_S: Final = 300.0
+SLOW_WINDOW_S: Final = 3600.0
+GOOD: Final = "good"
+LATE: Final = "late"
+LEAST_US: Final = 1
+MOST_US: Final = 60_000_000
--- a/trackwheel/telemetry/explain.py
+++ b/trackwheel/telemetry/explain.py
@@ -2,46 +2,9 @@
 
 import time
 from collections import OrderedDict
-from typing import Final, NamedTuple, TypedDict
 
-MAX_TRACES: Final = 2_000
-MAX_STEPS: Final = 400
-MAX_STEPS_OF_ALL: Final = 40_000
-"""Bounds the memory of all traces to some ten megabytes, whatever the fan-out."""
-
-
-class Step(NamedTuple):
-    """Note one step of a query; `at_ms` counts from its start."""
-
-    at_ms: float
-    what: str
-    instance: int
-    target: str
-    owner: str
-    detail: str
-
-
-class StepRow(TypedDict):
-    """Show one step to an operator."""
-
-    at_ms: float
-    what: str
-    instance: int
-    target: str
-    owner: str
-    detail: str
-
-
-class TraceReport(TypedDict):
-    """Show one query to an operator; keys and contents are never part of it."""
-
-    id: str
-    service: str
-    group: str
-    box: str
-    outcome: str
-    took_ms: float
-    steps: list[StepRow]
+from trackwheel.telemetry.const import MAX_STEPS, MAX_STEPS_OF_ALL, MAX_TRACES
+from trackwheel.telemetry.models import Step, StepRow, TraceReport
 
 
 class Trace:
--- a/trackwheel/telemetry/metrics.py
+++ b/trackwheel/telemetry/metrics.py
@@ -1,20 +1,11 @@
 """Metrics of one box, collected from its parts when somebody reads them."""
 
 from collections.abc import Callable
-from typing import NamedTuple
 
 from aioprometheus.collectors import Gauge, Registry
 from aioprometheus.renderer import render
 
-
-class Sample(NamedTuple):
-    """Hold one value of one metric."""
-
-    name: str
-    help_text: str
-    labels: dict[str, str]
-    value: float
-
+from trackwheel.telemetry.models import Sample
 
 Source = Callable[[], list[Sample]]
 
--- /dev/null
+++ b/trackwheel/telemetry/models.py
@@ -0,0 +1,61 @@
+"""What the box tells about itself: samples, steps of queries, rows of the burn report."""
+
+from typing import NamedTuple, TypedDict
+
+
+class Sample(NamedTuple):
+    """Hold one value of one metric."""
+
+    name: str
+    help_text: str
+    labels: dict[str, str]
+    value: float
+
+
+class Step(NamedTuple):
+    """Note one step of a query; `at_ms` counts from its start."""
+
+    at_ms: float
+    what: str
+    instance: int
+    target: str
+    owner: str
+    detail: str
+
+
+class StepRow(TypedDict):
+    """Show one step to an operator."""
+
+    at_ms: float
+    what: str
+    instance: int
+    target: str
+    owner: str
+    detail: str
+
+
+class TraceReport(TypedDict):
+    """Show one query to an operator; keys and contents are never part of it."""
+
+    id: str
+    service: str
+    group: str
+    box: str
+    outcome: str
+    took_ms: float
+    steps: list[StepRow]
+
+
+class BurnRow(NamedTuple):
+    """Report one group at one service; a rate of 1 uses up the budget just in time."""
+
+    group: str
+    service: str
+    objective: float
+    total: int
+    bad_by_cause: dict[str, int]
+    fast_rate: float
+    slow_rate: float
+    budget_left: float
+    p50_ms: float
+    p99_ms: float
--- a/trackwheel/telemetry/samples.py
+++ b/trackwheel/telemetry/samples.py
@@ -3,7 +3,7 @@
 import time
 from typing import TYPE_CHECKING
 
-from trackwheel.telemetry.metrics import Sample
+from trackwheel.telemetry.models import Sample
 
 if TYPE_CHECKING:
     from trackwheel.app import Box
