--- a/trackwheel/gateway/board.py
+++ b/trackwheel/gateway/board.py
@@ -19,9 +19,8 @@
     SCORE_HALF_LIFE_S,
     SCORE_NOISE,
 )
+from trackwheel.telemetry.const import LEAST_US, MOST_US
 
-_LEAST_US = 1
-_MOST_US = 60_000_000
 _DIGITS = 2
 _LEAST_SAMPLES = 50
 
@@ -30,8 +29,8 @@
     """Give a high quantile of the latencies of the last few seconds."""
 
     def __init__(self) -> None:
-        self._current: Any = HdrHistogram(_LEAST_US, _MOST_US, _DIGITS)
-        self._last: Any = HdrHistogram(_LEAST_US, _MOST_US, _DIGITS)
+        self._current: Any = HdrHistogram(LEAST_US, MOST_US, _DIGITS)
+        self._last: Any = HdrHistogram(LEAST_US, MOST_US, _DIGITS)
         self._turn_at = 0.0
         self._fresh_until = 0.0
         self._quantile_s = DEFAULT_HEDGE_S
@@ -42,7 +41,7 @@
             self._current, self._last = self._last, self._current
             self._current.reset()
             self._turn_at = now + LATENCY_WINDOW_S
-        self._current.record_value(max(_LEAST_US, min(_MOST_US, int(seconds * 1e6))))
+        self._current.record_value(max(LEAST_US, min(MOST_US, int(seconds * 1e6))))
 
     def quantile(self, now: float) -> float:
         """Return the quantile at which a hedge is worth its load (seconds)."""
