Share what both applications need

Cause: the same empty lifespan stood in the callers' and the operators' application. Ruled out: nothing. Conclusion: one piece of code serves both.

--- a/trackwheel/gateway/http.py
+++ b/trackwheel/gateway/http.py
@@ -3,8 +3,7 @@
 import hashlib
 import math
 import time
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from collections.abc import Awaitable, Callable
 from typing import Any, Final, TypeVar
 
 import anyio
@@ -37,6 +36,7 @@
 from trackwheel.gateway.queries import CoverageTooLowError, QueryResult, QueryRunner
 from trackwheel.telemetry.burn import Burn
 from trackwheel.telemetry.logs import Log
+from trackwheel.web import no_lifespan
 
 LOG = Log("gateway")
 
@@ -111,7 +111,7 @@
             Route(PATH_IDS, self._guarded(self._ids), methods=["POST"]),
             Route(PATH_EXECUTE, self._guarded(self._execute), methods=["POST"]),
         ]
-        return Starlette(routes=routes, lifespan=_no_lifespan)
+        return Starlette(routes=routes, lifespan=no_lifespan)
 
     def _guarded(
         self, handler: Callable[[Request, GroupSpec], Awaitable[Response]]
@@ -237,11 +237,6 @@
         return ForwardReply(response.status_code, bytes(response.body), float(retry_ms) / 1000)
 
 
-@asynccontextmanager
-async def _no_lifespan(app: Starlette) -> AsyncIterator[None]:
-    yield
-
-
 async def _read(request: Request, body_type: type[T]) -> T:
     """Return the body of a request, read within the limits of size and time."""
     try:
--- a/trackwheel/operators.py
+++ b/trackwheel/operators.py
@@ -1,8 +1,7 @@
 """The operators' HTTP interface of one box: apply, show, explain, burn, metrics, health."""
 
 import time
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from collections.abc import Callable
 from typing import Any, Final
 
 import anyio
@@ -24,6 +23,7 @@
 from trackwheel.telemetry.burn import Burn
 from trackwheel.telemetry.explain import Traces
 from trackwheel.telemetry.metrics import Metrics
+from trackwheel.web import no_lifespan
 
 PATH_APPLY: Final = "/v1/apply"
 PATH_SHOW: Final = "/v1/show"
@@ -86,7 +86,7 @@
             Route(PATH_LIVE, self._live),
             Route(PATH_READY, self._read_ready),
         ]
-        return Starlette(routes=routes, lifespan=_no_lifespan)
+        return Starlette(routes=routes, lifespan=no_lifespan)
 
     async def _apply(self, request: Request) -> Response:
         content = await _read_file(request)
@@ -195,11 +195,6 @@
     return content
 
 
-@asynccontextmanager
-async def _no_lifespan(app: Starlette) -> AsyncIterator[None]:
-    yield
-
-
 def _json(body: dict[str, Any], status: int = 200) -> Response:
     content = msgspec.json.encode(body)
     return Response(content, status_code=status, media_type="application/json")
