Tell a fault inside as one

Cause: an unexpected fault gave a caller a plain 500 without code, step or end mark. Ruled out: telling its details. Change: code `internal`, its kind only, and one line in the log. Conclusion: every answer has the form that docs/CALLERS.md states.

--- a/trackwheel/gateway/http.py
+++ b/trackwheel/gateway/http.py
@@ -125,6 +125,11 @@
                 return error_response(error, _shards(error.result))
             except CallerError as error:
                 return error_response(error)
+            except Exception as error:
+                LOG.error(f"A request failed inside. {error!r}")
+                remedy = "Tell your operators"
+                failure = refuse(Code.INTERNAL, "serve", type(error).__name__, remedy)
+                return error_response(failure)
 
         return endpoint
 
