Remove what nothing calls

Cause: a last read of the whole change found a property, a method and two constants that nothing uses: Membership.leaving_targets, Wakes.drop, LOOPBACK and DEADLINE_HEADER. Ruled out: pairs that the search for duplicates lists (imports, tables of tests, constants of like shape): no logic stands twice in them. Change: eleven lines fewer, no behaviour. Before and after: formatter, linter and types clean; the tests of ownership, membership, lines, judging, decoders and the table of proofs pass. The full suite was not run again for it.

--- a/standins/target.py
+++ b/standins/target.py
@@ -19,7 +19,6 @@
 RUN_HEADER = "Trackwheel-Run"
 DRAINING_HEADER = "Trackwheel-Draining"
 BOOT_HEADER = "Trackwheel-Target-Boot"
-DEADLINE_HEADER = "Trackwheel-Deadline-Ms"
 
 
 @dataclass
--- a/trackwheel/dispatch/wakes.py
+++ b/trackwheel/dispatch/wakes.py
@@ -16,10 +16,6 @@
             self._time_by_key[key] = time
             heapq.heappush(self._heap, (time, key))
 
-    def drop(self, key: str) -> None:
-        """Forget a key."""
-        self._time_by_key.pop(key, None)
-
     def next(self) -> float:
         """Return when the first key is due, infinity when none is."""
         self._trim()
--- a/trackwheel/fleet/membership.py
+++ b/trackwheel/fleet/membership.py
@@ -88,11 +88,6 @@
         """Return the addresses of the boxes that this box probes."""
         return tuple(self._monitored())
 
-    @property
-    def leaving_targets(self) -> tuple[TargetNote, ...]:
-        """Return the targets that are known to leave."""
-        return tuple(self._note_expiry_by_note)
-
     def set_seeds(self, addresses: tuple[str, ...]) -> None:
         """Take the addresses of the platform's box list."""
         self._seeds = tuple(address for address in addresses if address != self._own.address)
--- a/trackwheel/settings.py
+++ b/trackwheel/settings.py
@@ -37,7 +37,6 @@
 DEFAULT_DRAIN: Final = 30.0
 LOG_FORMATS: Final = ("text", "json")
 LOG_LEVELS: Final = ("debug", "info", "warning", "error")
-LOOPBACK: Final = ("127.0.0.1", "[::1]", "localhost")
 
 
 class TlsSettings(NamedTuple):
