Await an instance that lags when its other target is out

Change: a target that lags and can be asked is awaited, with the growing pauses that were there, whenever no other one can be asked: it is ejected, leaving, or has just failed. The number of asks stays bounded. Six cases in tables, all seen to fail before the change.

--- a/tests/gateway/test_gather.py
+++ b/tests/gateway/test_gather.py
@@ -437,3 +437,44 @@
     for instance in range(3):
         session.answer(session.ask_of(instance), version=4)
     assert session.result.whole
+
+
+@pytest.mark.parametrize(
+    "lost",
+    [pytest.param("ejected", id="ejected"), pytest.param("leaving", id="leaving")],
+)
+def test_lagging_instance_is_awaited_when_its_other_target_is_out(lost: str) -> None:
+    board = Board(seed=1)
+    learn = board.learn_ejected if lost == "ejected" else board.learn_leaving
+    learn("t2a", 0.0)
+    session = Session(hint=2, board=board, policy=STRICT)
+    session.answer(session.ask_of(0), version=2)
+    session.answer(session.ask_of(1), version=2)
+    assert session.ask_of(2).target == "t2b"
+    session.fail(session.ask_of(2), Outcome.WRONG_VERSION, holds=(1,))
+    assert session.end is None, "t2b gets the version in a moment"
+    session.tick(0.02)
+    session.answer(session.ask_of(2), version=2)
+    assert session.result.whole
+
+
+@pytest.mark.parametrize(
+    "outcomes",
+    [
+        pytest.param([Outcome.FAILED], id="failed"),
+        pytest.param([Outcome.EJECTED, Outcome.FAILED], id="ejected-then-failed-as-last-resort"),
+        pytest.param([Outcome.LEAVING], id="leaving"),
+        pytest.param([Outcome.SHED], id="shed"),
+    ],
+)
+def test_lagging_target_is_awaited_when_the_other_one_fails(outcomes: list[Outcome]) -> None:
+    session = Session(hint=2, policy=STRICT)
+    session.answer(session.ask_of(0), version=2)
+    session.answer(session.ask_of(1), version=2)
+    session.fail(session.ask_of(2), Outcome.WRONG_VERSION, holds=(1,))
+    for outcome in outcomes:
+        session.fail(session.ask_of(2), outcome)
+    assert session.end is None, "the first one gets the version in a moment"
+    session.tick(0.02)
+    session.answer(session.ask_of(2), version=2)
+    assert session.result.whole
--- a/trackwheel/gateway/gather.py
+++ b/trackwheel/gateway/gather.py
@@ -194,23 +194,40 @@
     def _ask_version(self, number: int, now: float) -> None:
         """Ask an instance for the chosen version, at a target that may hold it."""
         targets = self.plan.targets_by_instance[number]
-        version = self._versions.version
-        lacks = {target for target in targets if self._versions.holds(target, version) is False}
-        instance = self._instances[number]
-        instance.tried = lacks if len(lacks) < len(targets) else set()
+        lacks = self._lacking_targets(number)
+        able = self._board.choose(targets, lacks, now) is not None
+        self._instances[number].tried = lacks if able else set()
         self._retry(number, now, owed=True)
 
+    def _lacking_targets(self, number: int) -> set[str]:
+        """Return the targets of an instance that do not hold the chosen version yet."""
+        version = self._versions.version
+        targets = self.plan.targets_by_instance[number]
+        return {target for target in targets if self._versions.holds(target, version) is False}
+
     def _await_version(self, number: int, now: float) -> None:
         """Ask again soon: the version is on its way to the instance, or another target has it."""
         targets = self.plan.targets_by_instance[number]
-        version = self._versions.version
-        if any(self._versions.holds(target, version) is not False for target in targets):
+        if self._board.choose(targets, self._lacking_targets(number), now) is not None:
             self._ask_version(number, now)
             return
+        self._ask_later(number, now)
+
+    def _ask_later(self, number: int, now: float) -> None:
         instance = self._instances[number]
         instance.retry_at = now + instance.retry_wait_s
         instance.retry_wait_s = min(VERSION_RETRY_LAST_S, instance.retry_wait_s * 2)
 
+    def _may_wait(self, number: int, now: float) -> bool:
+        """Return whether a target that lags may get the chosen version soon."""
+        lagging = tuple(sorted(self._lacking_targets(number)))
+        if self._instances[number].asks >= self._most_asks(number) + MAX_VERSION_WAITS:
+            return False
+        return self._board.choose(lagging, set(), now) is not None
+
+    def _most_asks(self, number: int) -> int:
+        return MAX_ASK_RATIO * len(self.plan.targets_by_instance[number]) + 1
+
     def _take_failure(self, ask: _Ask, event: ShardAnswer, now: float) -> None:
         if event.outcome is Outcome.EJECTED:
             self._board.learn_ejected(ask.target, now)
@@ -228,14 +245,16 @@
     def _retry(self, number: int, now: float, free: bool = False, owed: bool = False) -> None:
         """Ask an instance's next target, if the budget allows."""
         instance = self._instances[number]
-        most = MAX_ASK_RATIO * len(self.plan.targets_by_instance[number]) + 1
+        most = self._most_asks(number)
         if instance.reason == OTHER_VERSION:
             most += MAX_VERSION_WAITS
         possible = instance.asks < most and self._any_target(number, now)
         if possible and (free or self._budget.take(owed)):
             self._ask_next(number, now, "retry")
-            return
-        self._exhausted.add(number)
+        elif self._may_wait(number, now):
+            self._ask_later(number, now)
+        else:
+            self._exhausted.add(number)
 
     def _any_target(self, number: int, now: float) -> bool:
         targets = self.plan.targets_by_instance[number]
