Keep frames between boxes within their limit

A link takes up to 256 waiting messages into one frame and refuses frames over 8 MB, while a target's answer may have 4 MB: two or three that wait together broke the link, and with it every ask on it; the hedge then met the same. A newcomer's request for contents was answered in one message: with ten files of nearly a megabyte the link broke each time, so that in an outage of the store a new box would never have got the files in force.

Ruled out: a larger limit (a peer's garbage would cost more memory); fewer messages a frame (costs every small message for the sake of few).

Change: a frame over the limit is split in halves; a message that fits no frame is dropped and logged and the link stays; contents go out in messages of about 2 MB.

--- a/tests/files/test_keeper.py
+++ b/tests/files/test_keeper.py
@@ -191,3 +191,26 @@
             if isinstance(command, ReadContents):
                 keeper.add_contents({digest: contents[digest] for digest in command.digests})
                 highest = keeper.revision
+
+
+def test_contents_go_out_in_messages_that_fit_a_frame() -> None:
+    """A newcomer that lacks twelve files of nearly a megabyte gets them all."""
+    contents = {}
+    entries = {}
+    for number in range(12):
+        data = content(chr(97 + number), number + 1) + b"# " + b"x" * 900_000 + b"\n"
+        contents[digest_of(data)] = data
+        name = chr(97 + number)
+        entries[name] = ManifestEntry(number + 1, digest_of(data), f"id{number}", "op", "now")
+    ahead, newcomer = Keeper(), Keeper()
+    ahead.add_contents(contents)
+    ahead.offer(Manifest(12, entries, ()), None)
+    answers = ahead.take_fetch("newcomer", FetchContents(list(contents)))
+    newcomer.offer(ahead.manifest, "ahead")
+    for command in answers:
+        assert isinstance(command, SendTo)
+        assert isinstance(command.message, Contents)
+        found = command.message.content_by_digest
+        assert sum(map(len, found.values())) < 3_000_000
+        newcomer.add_contents(found)
+    assert newcomer.revision == 12
--- /dev/null
+++ b/tests/peers/test_link.py
@@ -0,0 +1,86 @@
+"""Links: frames stay within their limit, whatever waits to be sent."""
+
+import anyio
+import pytest
+from websockets.asyncio.client import connect
+from websockets.asyncio.server import ServerConnection, serve
+
+from trackwheel.dispatch.models import DISPATCH_MESSAGES, Outcome, SubAnswer
+from trackwheel.peers.codec import Codec, Message
+from trackwheel.peers.const import MAX_FRAME_BYTES
+from trackwheel.peers.errors import FrameError
+from trackwheel.peers.link import Outbox, run_link
+from trackwheel.peers.models import PeerIdentity
+
+CODEC = Codec(DISPATCH_MESSAGES)
+PEER = PeerIdentity("box-1", "boot", "127.0.0.1:1", "here", "here-a")
+
+
+def answer(nonce: int, size: int) -> SubAnswer:
+    return SubAnswer("q", nonce, Outcome.OK, b"x" * size, [], 0.0, 0.0, 0.0)
+
+
+@pytest.mark.parametrize(
+    ("sizes", "frames"),
+    [
+        pytest.param([10, 10, 10], 1, id="small-ones-together"),
+        pytest.param([600, 600], 2, id="two-that-do-not-fit-together"),
+        pytest.param([700, 10, 10, 700], 2, id="halves"),
+        pytest.param([900] * 5, 5, id="each-by-itself"),
+    ],
+)
+def test_messages_are_spread_over_frames(sizes: list[int], frames: int) -> None:
+    messages = [answer(nonce, size) for nonce, size in enumerate(sizes)]
+    encoded = CODEC.encode_frames(messages, 1000)
+    assert len(encoded) == frames
+    assert max(map(len, encoded)) <= 1000
+    assert [message for frame in encoded for message in CODEC.decode(frame, "peer")] == messages
+
+
+def test_message_that_fits_no_frame_is_an_error() -> None:
+    with pytest.raises(FrameError, match="SubAnswer"):
+        CODEC.encode_frames([answer(0, 2000)], 1000)
+
+
+class Taken:
+    """Take messages from a link."""
+
+    def __init__(self) -> None:
+        self.nonces: list[int] = []
+
+    def receive(self, sender: PeerIdentity, message: Message) -> None:
+        assert isinstance(message, SubAnswer)
+        self.nonces.append(message.nonce)
+
+
+async def carry(messages: list[SubAnswer], expected: int) -> list[int]:
+    """Send messages through a real link and return the nonces that arrive."""
+    taken = Taken()
+
+    async def accept(socket: ServerConnection) -> None:
+        await run_link(socket, PEER, Outbox(), CODEC, taken)
+
+    outbox = Outbox()
+    for message in messages:
+        outbox.put(message)
+    async with serve(accept, "127.0.0.1", 0, max_size=MAX_FRAME_BYTES) as server:
+        port = next(iter(server.sockets)).getsockname()[1]
+        url = f"ws://127.0.0.1:{port}/"
+        async with connect(url, proxy=None) as socket, anyio.create_task_group() as tasks:
+            tasks.start_soon(run_link, socket, PEER, outbox, CODEC, Taken())
+            with anyio.move_on_after(20.0):
+                while len(taken.nonces) < expected:
+                    await anyio.sleep(0.01)
+            tasks.cancel_scope.cancel()
+    return taken.nonces
+
+
+def test_link_outlives_large_answers_that_wait_together() -> None:
+    """Six answers of 4 MB, which a target may give, would make one frame of 24 MB."""
+    messages = [answer(nonce, 4_000_000) for nonce in range(6)]
+    assert anyio.run(carry, messages, 6) == [0, 1, 2, 3, 4, 5]
+
+
+def test_link_outlives_a_message_that_fits_no_frame() -> None:
+    messages = [answer(0, 10), answer(1, MAX_FRAME_BYTES), answer(2, 10)]
+    assert anyio.run(carry, messages, 2) == [0, 2]
--- a/trackwheel/files/const.py
+++ b/trackwheel/files/const.py
@@ -29,6 +29,9 @@
 MAX_FILE_BYTES: Final = 1_000_000
 """The platform's service holds values up to a megabyte."""
 
+MAX_BATCH_BYTES: Final = 2_000_000
+"""Contents go from box to box in messages of about this size; a frame holds several times that."""
+
 MAX_RECENT_APPLIES: Final = 128
 """How many apply ids a manifest keeps, so that a lost reply can be read back."""
 
--- a/trackwheel/files/keeper.py
+++ b/trackwheel/files/keeper.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from trackwheel.files.const import MAX_RECENT_APPLIES
+from trackwheel.files.const import MAX_BATCH_BYTES, MAX_RECENT_APPLIES
 from trackwheel.files.joined import Joined
 from trackwheel.files.models import (
     EMPTY_MANIFEST,
@@ -142,8 +142,16 @@
     def take_fetch(self, sender: str, fetch: FetchContents) -> list[FilesCommand]:
         """Give a box the contents that it lacks."""
         held = self._content_by_digest
-        found = {digest: held[digest] for digest in fetch.digests if digest in held}
-        return [SendTo(sender, Contents(found))]
+        commands: list[FilesCommand] = []
+        batch: dict[str, bytes] = {}
+        for digest in fetch.digests:
+            if digest not in held:
+                continue
+            if batch and sum(map(len, batch.values())) + len(held[digest]) > MAX_BATCH_BYTES:
+                commands.append(SendTo(sender, Contents(batch)))
+                batch = {}
+            batch[digest] = held[digest]
+        return [*commands, SendTo(sender, Contents(batch))]
 
     def peer_revision(self, address: str, revision: int) -> list[FilesCommand]:
         """Take which revision a peer has in force: pull from one ahead, push to one behind."""
--- a/trackwheel/peers/codec.py
+++ b/trackwheel/peers/codec.py
@@ -26,6 +26,19 @@
         body = [[self._name_by_type[type(message)], message] for message in messages]
         return cbor2.dumps([PROTOCOL_VERSION, body])
 
+    def encode_frames(self, messages: Sequence[Message], limit: int) -> list[bytes]:
+        """Return frames of at most a number of bytes; raise `FrameError` for a larger message."""
+        frame = self.encode(messages)
+        if len(frame) <= limit:
+            return [frame]
+        if len(messages) == 1:
+            name = self._name_by_type[type(messages[0])]
+            detail = f"a {name} of {len(frame)} bytes does not fit a frame of {limit}"
+            raise FrameError(Problem("too_large", "encode", "", detail))
+        half = len(messages) // 2
+        first, second = messages[:half], messages[half:]
+        return [*self.encode_frames(first, limit), *self.encode_frames(second, limit)]
+
     def decode(self, frame: bytes, peer: str) -> list[Message]:
         """Return the messages of one frame; raise `FrameError` unless every one is sound."""
         try:
--- a/trackwheel/peers/link.py
+++ b/trackwheel/peers/link.py
@@ -10,6 +10,7 @@
 from trackwheel.peers.codec import Codec, Message
 from trackwheel.peers.const import (
     CLOSE_CODE_GARBAGE,
+    MAX_FRAME_BYTES,
     MAX_FRAME_MESSAGES,
     MAX_WAITING_MESSAGES,
 )
@@ -58,6 +59,17 @@
         return [self._waiting.popleft() for _ in range(count)]
 
 
+def _frames(codec: Codec, messages: list[Message]) -> list[bytes]:
+    """Return the frames for some messages; one that fits no frame is dropped and logged."""
+    try:
+        return codec.encode_frames(messages, MAX_FRAME_BYTES)
+    except FrameError as error:
+        if len(messages) == 1:
+            LOG.error(f"Dropping a message. {error}")
+            return []
+    return [frame for message in messages for frame in _frames(codec, [message])]
+
+
 async def run_link(
     socket: Connection,
     peer: PeerIdentity,
@@ -69,9 +81,9 @@
 
     async def write() -> None:
         while True:
-            frame = codec.encode(await outbox.take())
-            outbox.bytes_sent += len(frame)
-            await socket.send(frame)
+            for frame in _frames(codec, await outbox.take()):
+                outbox.bytes_sent += len(frame)
+                await socket.send(frame)
 
     async def read() -> None:
         while True:
