Bind certificates to boxes, replace them as wholes, and serve HTTPS

The tests then found three faults. A hang-up with a broken file ended the box (an exception in the task that waits for signals). An authority that was taken out of the file stayed trusted, since a context only ever adds. A planned stop with an idle HTTPS connection ended with exit code 1: hypercorn, cancelled while it waits for such connections, raises.

Ruled out: new listening sockets for new certificates (cuts off); hypercorn's own graceful timeout (it hung for 10 s under uvloop in `wait_closed`); checking host names between boxes (they go by IP).

Change: a server's context hands each handshake to the latest one, built whole from the files, without session tickets; what cannot be read is logged and the old one stays. At the end idle connections get 0.2 s, then hypercorn is cancelled and its way of ending is no failure.

--- a/standins/certificates.py
+++ b/standins/certificates.py
@@ -1,6 +1,7 @@
 """Certificates for demonstrations and tests: one fleet authority and one for each box."""
 
 import datetime
+import ipaddress
 from pathlib import Path
 
 from cryptography import x509
@@ -9,6 +10,7 @@
 from cryptography.x509.oid import NameOID
 
 _LIFETIME = datetime.timedelta(days=2)
+_LOOPBACK = x509.SubjectAlternativeName([x509.IPAddress(ipaddress.IPv4Address("127.0.0.1"))])
 
 
 def _name(text: str) -> x509.Name:
@@ -42,6 +44,7 @@
         .not_valid_before(now - datetime.timedelta(minutes=5))
         .not_valid_after(now + _LIFETIME)
         .add_extension(x509.BasicConstraints(ca=is_authority, path_length=None), critical=True)
+        .add_extension(_LOOPBACK, critical=False)
         .sign(issuer_key, hashes.SHA256())
     )
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import socket
+import ssl
 import subprocess
 import sys
 import tempfile
@@ -77,6 +78,7 @@
         target_processes: int = 1,
         tls: bool = True,
         fleet_settings: str = "",
+        https: bool = False,
     ) -> None:
         self._folder = tempfile.TemporaryDirectory(prefix="trackwheel-")
         self.folder = Path(self._folder.name)
@@ -98,7 +100,23 @@
         self._fleet_settings = fleet_settings
         self.authority = Authority(self.folder) if tls else None
         self.process_by_name: dict[str, subprocess.Popen[bytes]] = {}
-        self.http = httpx.Client(timeout=10.0, trust_env=False)
+        self._https = https
+        self._scheme = "https" if https else "http"
+        self.http = self._client()
+
+    def _client(self) -> httpx.Client:
+        if not self._https:
+            return httpx.Client(timeout=10.0, trust_env=False)
+        assert self.authority is not None, "certificates need an authority"
+        context = ssl.create_default_context(cafile=str(self.authority.path))
+        context.load_cert_chain(*map(str, self.authority.issue("operator")))
+        return httpx.Client(timeout=10.0, trust_env=False, verify=context)
+
+    def take_authority(self, authority: Authority) -> None:
+        """Trust another authority from now on, as the boxes do."""
+        self.authority = authority
+        self.http.close()
+        self.http = self._client()
 
     def __enter__(self) -> Self:
         try:
@@ -144,9 +162,11 @@
         self.http.close()
         self._folder.cleanup()
 
-    def start_box(self, box: BoxPlace) -> None:
-        """Start one box, or start it anew at its place."""
+    def start_box(self, box: BoxPlace, issue: bool = True) -> None:
+        """Start one box, or start it anew at its place, with the certificate that it has or not."""
         path = self.folder / f"{box.box_id}.ini"
+        if issue and self.authority is not None:
+            self.authority.issue(box.box_id)
         path.write_text(self._settings(box))
         self._spawn(box.box_id, ["-m", "trackwheel", "serve", str(path)])
 
@@ -161,13 +181,13 @@
     def apply(self, path: Path, box: BoxPlace | None = None, **headers: str) -> dict[str, Any]:
         """Put a file in force through a box and return its report."""
         box = box or self.boxes[0]
-        url = f"http://{box.operators}/v1/apply"
+        url = f"{self._scheme}://{box.operators}/v1/apply"
         response = self.http.post(url, content=path.read_bytes(), headers=headers, timeout=30.0)
         return dict(response.json())
 
     def show(self, box: BoxPlace) -> dict[str, Any]:
         """Return what a box shows to operators."""
-        return dict(self.http.get(f"http://{box.operators}/v1/show").json())
+        return dict(self.http.get(f"{self._scheme}://{box.operators}/v1/show").json())
 
     def query(
         self, box: BoxPlace, key: str, service: str, text: str = "", **extra: Any
@@ -179,7 +199,7 @@
     def call(self, box: BoxPlace, key: str, path: str, body: dict[str, Any]) -> httpx.Response:
         """Call a box's callers' interface."""
         headers = {"Authorization": f"Bearer {key}"} if key else {}
-        return self.http.post(f"http://{box.callers}{path}", json=body, headers=headers)
+        return self.http.post(f"{self._scheme}://{box.callers}{path}", json=body, headers=headers)
 
     def control(self, address: str, **faults: Any) -> None:
         """Switch a stand-in's faults."""
@@ -192,7 +212,7 @@
     def members_seen(self, box: BoxPlace) -> int:
         """Return how many boxes a box sees, 0 when it does not answer."""
         try:
-            text = self.http.get(f"http://{box.operators}/metrics").text
+            text = self.http.get(f"{self._scheme}://{box.operators}/metrics").text
         except httpx.HTTPError:
             return 0
         lines = (line for line in text.splitlines() if line.startswith("trackwheel_boxes"))
@@ -215,11 +235,14 @@
     def _settings(self, box: BoxPlace) -> str:
         tls = ""
         if self.authority is not None:
-            certificate, key = self.authority.issue(box.box_id)
-            tls = (
-                f"[tls]\nauthority = {self.authority.path}\n"
-                f"certificate = {certificate}\nprivate_key = {key}\n"
+            shown = (
+                f"certificate = {self.folder / box.box_id}.pem\n"
+                f"private_key = {self.folder / box.box_id}.key\n"
             )
+            trusted = f"authority = {self.authority.path}\n"
+            tls = f"[tls]\n{trusted}{shown}"
+            if self._https:
+                tls += f"[callers_tls]\n{shown}[operators_tls]\n{trusted}{shown}"
         return (
             f"[box]\nid = {box.box_id}\nregion = {box.region}\n"
             f"failure_domain = {box.failure_domain}\n"
--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -32,6 +32,7 @@
 ONCE = "tests/gateway/test_once.py::"
 TARGETS = "tests/whole/test_target_faults.py::"
 BOXES = "tests/whole/test_box_faults.py::"
+TLS = "tests/whole/test_tls.py::"
 WHOLE = "tests/whole/test_path.py::"
 STORE = "tests/whole/test_files_faults.py::"
 APPLY = "tests/files/test_apply.py::"
@@ -517,4 +518,36 @@
         STORE + "test_stranger_without_a_certificate_learns_nothing",
         Mutant("trackwheel/tls.py", "ssl.CERT_REQUIRED", "ssl.CERT_NONE"),
     ),
+    Row(
+        FLEET,
+        MEMBERSHIP,
+        "a box with a sound certificate calls itself another one",
+        TLS + "test_box_may_not_call_itself_another",
+        Mutant("trackwheel/peers/certified.py", "identity.box_id not in names", "False"),
+    ),
+    Row(
+        FLEET,
+        MEMBERSHIP,
+        "the authority is replaced while the fleet runs, an old certificate is shown",
+        TLS + "test_authority_is_replaced_without_a_restart",
+        Mutant("trackwheel/tls.py", "connection.context = self._latest", "pass"),
+    ),
+    Row(
+        FLEET,
+        MEMBERSHIP,
+        "a certificate cannot be read at a hang-up",
+        TLS + "test_broken_certificate_leaves_the_old_one",
+        Mutant(
+            "trackwheel/tls.py",
+            "            except ERRORS as error:",
+            "            except KeyError as error:",
+        ),
+    ),
+    Row(
+        FLEET,
+        MEMBERSHIP,
+        "an operator without a certificate, or without TLS",
+        TLS + "test_operators_show_a_certificate",
+        Mutant("trackwheel/tls.py", "            self.verify_mode = ssl.CERT_REQUIRED\n", ""),
+    ),
 )
--- a/trackwheel/app.py
+++ b/trackwheel/app.py
@@ -1,5 +1,6 @@
 """The one composition root: it wires the parts of a box, runs them and stops them."""
 
+import asyncio
 import gc
 import os
 import signal
@@ -8,7 +9,6 @@
 
 import anyio
 import hypercorn.asyncio
-from hypercorn.config import Config
 
 from trackwheel.dispatch.models import DISPATCH_MESSAGES
 from trackwheel.dispatch.service import DispatchService
@@ -36,7 +36,7 @@
 from trackwheel.telemetry.logs import Log
 from trackwheel.telemetry.metrics import Metrics
 from trackwheel.telemetry.samples import box_samples
-from trackwheel.tls import load_contexts, reload_contexts
+from trackwheel.tls import Certificates, HttpsConfig
 
 LOG = Log("box")
 
@@ -49,6 +49,8 @@
 LEAVE_GRACE_S: Final = 2.0
 """How long a leaving box still serves callers whom the balancer sends to it."""
 IDLE_CHECK_S: Final = 0.05
+IDLE_CLOSE_S: Final = 0.2
+"""How long connections on which nothing is under way may take to close at the end."""
 GC_THRESHOLD: Final = 20_000
 """Objects made before garbage is looked for; the default of 700 is meant for small programs."""
 
@@ -62,8 +64,8 @@
         self.identity = PeerIdentity(
             settings.box_id, boot, settings.peers, settings.region, settings.failure_domain
         )
-        self.tls = load_contexts(settings.tls)
-        self.hub = Hub(self.identity, Codec(ALL_MESSAGES), self.tls)
+        self.certificates = Certificates(settings)
+        self.hub = Hub(self.identity, Codec(ALL_MESSAGES), self.certificates.peers)
         self.client = AiohttpTargetClient()
         self.store = HttpKeyValue(settings.key_value)
         self.box_list = HttpBoxList(settings.box_list)
@@ -173,7 +175,6 @@
 async def run_box(settings: Settings) -> None:
     """Run a box until it is told to stop and has finished what it began."""
     box = Box(settings)
-    stopped = anyio.Event()
     try:
         async with anyio.create_task_group() as tasks:
             await tasks.start(box.hub.run)
@@ -183,14 +184,7 @@
             tasks.start_soon(box.queries.watch_owners)
             callers = box.callers_app()
             tasks.start_soon(box.forwarder.run, callers.serve_forward)
-            tasks.start_soon(_serve_http, callers.app(), settings.callers, settings, stopped)
-            operators = box.operators_app().app()
-            tasks.start_soon(_serve_http, operators, settings.operators, settings, stopped)
-            LOG.info(f"Box {settings.box_id} runs as boot {box.identity.boot}.")
-            await _until_stopped(box)
-            await _drain(box)
-            stopped.set()
-            await anyio.sleep(IDLE_CHECK_S)
+            await _serve_until_stopped(box, callers)
             tasks.cancel_scope.cancel()
     finally:
         with anyio.CancelScope(shield=True):
@@ -198,15 +192,34 @@
     LOG.info("All work is finished. The box stops.")
 
 
+async def _serve_until_stopped(box: Box, callers: CallersApp) -> None:
+    """Serve callers and operators until the box has finished what it began."""
+    settings, certificates = box.settings, box.certificates
+    operators = box.operators_app()
+    stopped = anyio.Event()
+    configs = (
+        _configure(certificates.callers, settings.callers, settings),
+        _configure(certificates.operators, settings.operators, settings),
+    )
+    async with anyio.create_task_group() as servers:
+        for app, config in zip((callers.app(), operators.app()), configs, strict=True):
+            servers.start_soon(_serve_http, app, config, stopped)
+        LOG.info(f"Box {settings.box_id} runs as boot {box.identity.boot}.")
+        await _until_stopped(box)
+        await _drain(box)
+        stopped.set()
+        # All that is left are connections on which nothing is under way.
+        await anyio.sleep(IDLE_CLOSE_S)
+        servers.cancel_scope.cancel()
+
+
 async def _until_stopped(box: Box) -> None:
     """Return at the first signal to stop; at a hang-up, read the certificates anew."""
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
         async for received in signals:
             if received != signal.SIGHUP:
                 return
-            if box.settings.tls is not None:
-                reload_contexts(box.tls, box.settings.tls)
-                LOG.info("The certificates were read anew.")
+            box.certificates.reload()
 
 
 async def _drain(box: Box) -> None:
@@ -220,9 +233,8 @@
         await anyio.sleep(IDLE_CHECK_S)
 
 
-async def _serve_http(app: Any, address: str, settings: Settings, stopped: anyio.Event) -> None:
-    """Serve one ASGI application with hypercorn until the box stops."""
-    config = Config()
+def _configure(config: HttpsConfig, address: str, settings: Settings) -> HttpsConfig:
+    """Return how hypercorn serves one address."""
     config.bind = [address]
     config.graceful_timeout = settings.drain_s
     config.accesslog = None
@@ -230,7 +242,17 @@
     config.h11_max_incomplete_size = 32 * 1024
     config.include_server_header = False
     config.use_reloader = False
-    await hypercorn.asyncio.serve(app, config, shutdown_trigger=stopped.wait)
+    return config
+
+
+async def _serve_http(app: Any, config: HttpsConfig, stopped: anyio.Event) -> None:
+    """Serve one ASGI application with hypercorn until the box stops."""
+    try:
+        await hypercorn.asyncio.serve(app, config, shutdown_trigger=stopped.wait)
+    except (asyncio.CancelledError, asyncio.InvalidStateError):
+        # So hypercorn ends when it is cancelled while idle connections have not closed.
+        if not stopped.is_set():
+            raise
 
 
 def tune_garbage_collection() -> None:
--- a/trackwheel/cli.py
+++ b/trackwheel/cli.py
@@ -3,11 +3,11 @@
 Usage:
   trackwheel serve SETTINGS
   trackwheel check FILE... [--json]
-  trackwheel apply FILE [--box=ADDRESS] [--by=NAME] [--expect=VERSION] [--json]
-  trackwheel show [NAME] [--box=ADDRESS] [--json]
-  trackwheel query SERVICE [TEXT] --key-file=PATH [--callers=ADDRESS] [--json]
-  trackwheel explain ID [--box=ADDRESS] [--json]
-  trackwheel burn [--box=ADDRESS]... [--html=PATH] [--json]
+  trackwheel apply FILE [--box=ADDRESS] [--by=NAME] [--expect=VERSION] [--json] [options]
+  trackwheel show [NAME] [--box=ADDRESS] [--json] [options]
+  trackwheel query SERVICE [TEXT] --key-file=PATH [--callers=ADDRESS] [--json] [options]
+  trackwheel explain ID [--box=ADDRESS] [--json] [options]
+  trackwheel burn [--box=ADDRESS]... [--html=PATH] [--json] [options]
   trackwheel (-h | --help)
   trackwheel --version
 
@@ -28,10 +28,14 @@
   --expect=VERSION   Refuse unless the file in force has this version.
   --html=PATH        Write the report as a page as well.
   --json             Print JSON.
+  --authority=PATH   Speak TLS and trust this authority.
+  --certificate=PATH  Show this certificate to the box, with its key.
+  --private-key=PATH  The key of --certificate.
 
 Exit codes: 0 done, 1 refused or failed, 2 wrong usage.
 """
 
+import ssl
 import sys
 from pathlib import Path
 from typing import Any, Final
@@ -121,7 +125,9 @@
     headers = {"Trackwheel-Applied-By": arguments["--by"]}
     if arguments["--expect"] is not None:
         headers["Trackwheel-Expected-Version"] = arguments["--expect"]
-    report = _call("POST", _box(arguments), "/v1/apply", content=content, headers=headers)
+    report = _call(
+        arguments, "POST", _box(arguments), "/v1/apply", content=content, headers=headers
+    )
     accepted = report.get("outcome") in ("accepted", "unchanged")
     if arguments["--json"]:
         _print_json(report)
@@ -158,12 +164,12 @@
 
 def _show(arguments: Arguments) -> int:
     if arguments["NAME"]:
-        response = _request("GET", _box(arguments), f"/v1/files/{arguments['NAME']}")
+        response = _request(arguments, "GET", _box(arguments), f"/v1/files/{arguments['NAME']}")
         if response.status_code != httpx.codes.OK:
             raise CommandError("no file of this name is in force")
         print(response.text, end="")
         return EXIT_DONE
-    state = _call("GET", _box(arguments), "/v1/show")
+    state = _call(arguments, "GET", _box(arguments), "/v1/show")
     if arguments["--json"]:
         _print_json(state)
         return EXIT_DONE
@@ -184,7 +190,9 @@
     key = (sys.stdin.read() if key_file == "-" else Path(key_file).read_text()).strip()
     body = {"service": arguments["SERVICE"], "query": arguments["TEXT"] or ""}
     headers = {"Authorization": f"Bearer {key}"}
-    answer = _call("POST", arguments["--callers"], "/v1/query", json=body, headers=headers)
+    answer = _call(
+        arguments, "POST", arguments["--callers"], "/v1/query", json=body, headers=headers
+    )
     if arguments["--json"]:
         _print_json(answer)
     else:
@@ -210,7 +218,7 @@
 
 
 def _explain(arguments: Arguments) -> int:
-    report = _call("GET", _box(arguments), f"/v1/explain/{arguments['ID']}")
+    report = _call(arguments, "GET", _box(arguments), f"/v1/explain/{arguments['ID']}")
     if arguments["--json"]:
         _print_json(report)
     elif "steps" in report:
@@ -231,7 +239,7 @@
 def _burn(arguments: Arguments) -> int:
     rows: list[BurnRow] = []
     for box in arguments["--box"]:
-        report = _call("GET", box, "/v1/burn")
+        report = _call(arguments, "GET", box, "/v1/burn")
         rows += msgspec.convert([list(row.values()) for row in report["rows"]], list[BurnRow])
     merged = merge_rows(rows)
     if arguments["--html"]:
@@ -254,16 +262,32 @@
     return str(arguments["--box"][0])
 
 
-def _request(method: str, address: str, path: str, **options: Any) -> httpx.Response:
+def _verify(arguments: Arguments) -> ssl.SSLContext | None:
+    """Return how to check a box and show oneself, None where TLS was not asked for."""
+    if arguments["--authority"] is None:
+        return None
+    context = ssl.create_default_context(cafile=arguments["--authority"])
+    if arguments["--certificate"] is not None:
+        context.load_cert_chain(arguments["--certificate"], arguments["--private-key"])
+    return context
+
+
+def _request(
+    arguments: Arguments, method: str, address: str, path: str, **options: Any
+) -> httpx.Response:
+    verify = _verify(arguments)
+    scheme = "http" if verify is None else "https"
     try:
-        with httpx.Client(timeout=CALL_TIMEOUT_S, trust_env=False) as client:
-            return client.request(method, f"http://{address}{path}", **options)
+        with httpx.Client(timeout=CALL_TIMEOUT_S, trust_env=False, verify=verify or True) as client:
+            return client.request(method, f"{scheme}://{address}{path}", **options)
     except httpx.HTTPError as error:
         raise CommandError(f"{address} does not answer: {error!r}") from error
 
 
-def _call(method: str, address: str, path: str, **options: Any) -> dict[str, Any]:
-    response = _request(method, address, path, **options)
+def _call(
+    arguments: Arguments, method: str, address: str, path: str, **options: Any
+) -> dict[str, Any]:
+    response = _request(arguments, method, address, path, **options)
     try:
         return msgspec.json.decode(response.content, type=dict[str, Any])
     except msgspec.DecodeError as error:
--- a/trackwheel/peers/hub.py
+++ b/trackwheel/peers/hub.py
@@ -3,7 +3,7 @@
 import ssl
 import time
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 import anyio
 import anyio.abc
@@ -14,6 +14,7 @@
 from websockets.asyncio.server import ServerConnection, serve
 from websockets.exceptions import ConnectionClosed, InvalidHandshake
 
+from trackwheel.peers.certified import is_certified
 from trackwheel.peers.codec import Codec, Message
 from trackwheel.peers.const import (
     CLOSE_CODE_REFUSED,
@@ -30,18 +31,22 @@
 Handler = Callable[[PeerIdentity, Any], None]
 
 
-class TlsContexts:
-    """Hold the two sides' TLS contexts, which can be loaded anew without a restart."""
+class Tls(Protocol):
+    """Give the contexts for links; they may be other ones from one link to the next."""
 
-    def __init__(self, server: ssl.SSLContext | None, client: ssl.SSLContext | None) -> None:
-        self.server = server
-        self.client = client
+    @property
+    def server(self) -> ssl.SSLContext | None:
+        """Return the context for links that are taken, None without TLS."""
+
+    @property
+    def client(self) -> ssl.SSLContext | None:
+        """Return the context for links that are opened, None without TLS."""
 
 
 class Hub:
     """Send messages to boxes by address and hand arriving ones to the duties."""
 
-    def __init__(self, identity: PeerIdentity, codec: Codec, tls: TlsContexts) -> None:
+    def __init__(self, identity: PeerIdentity, codec: Codec, tls: Tls) -> None:
         self.identity = identity
         self._codec = codec
         self._tls = tls
@@ -157,9 +162,17 @@
             if loaded[0] != PROTOCOL_VERSION:
                 LOG.warning(f"Refused a peer that speaks protocol {loaded[0]!r}.")
                 return None
-            return msgspec.convert(loaded, Hello).identity
+            identity = msgspec.convert(loaded, Hello).identity
         except (ValueError, TypeError, LookupError, cbor2.CBORDecodeError, RecursionError):
             return None
+        if self._tls.client is None:
+            return identity
+        if is_certified(identity, socket.transport.get_extra_info("peercert")):
+            return identity
+        LOG.warning(
+            f"Refused a peer that calls itself {identity.box_id!r}: its certificate differs."
+        )
+        return None
 
     async def _carry(self, socket: Connection, peer: PeerIdentity, outbox: Outbox) -> None:
         address = peer.address
--- a/trackwheel/settings.py
+++ b/trackwheel/settings.py
@@ -10,6 +10,8 @@
 SECTION_LISTEN: Final = "listen"
 SECTION_PLATFORM: Final = "platform"
 SECTION_TLS: Final = "tls"
+SECTION_CALLERS_TLS: Final = "callers_tls"
+SECTION_OPERATORS_TLS: Final = "operators_tls"
 SECTION_LOG: Final = "log"
 SECTION_FLEET: Final = "fleet"
 
@@ -47,6 +49,14 @@
     private_key: Path
 
 
+class HttpTlsSettings(NamedTuple):
+    """Name the files for HTTPS on one address; whoever calls must show the authority's word."""
+
+    certificate: Path
+    private_key: Path
+    authority: Path | None
+
+
 class Settings(NamedTuple):
     """Hold everything that one box must know before it starts."""
 
@@ -59,6 +69,8 @@
     key_value: str
     box_list: str
     tls: TlsSettings | None
+    callers_tls: HttpTlsSettings | None
+    operators_tls: HttpTlsSettings | None
     log_format: str
     log_level: str
     probe_period_s: float
@@ -110,6 +122,8 @@
         SECTION_LISTEN,
         SECTION_PLATFORM,
         SECTION_TLS,
+        SECTION_CALLERS_TLS,
+        SECTION_OPERATORS_TLS,
         SECTION_LOG,
         SECTION_FLEET,
     )
@@ -129,6 +143,8 @@
         key_value=reader.get(platform, CONF_KEY_VALUE, _parse_url),
         box_list=reader.get(platform, CONF_BOX_LIST, _parse_url),
         tls=_read_tls(reader),
+        callers_tls=_read_http_tls(reader, SECTION_CALLERS_TLS),
+        operators_tls=_read_http_tls(reader, SECTION_OPERATORS_TLS),
         log_format=reader.get(SECTION_LOG, CONF_FORMAT, _one_of(LOG_FORMATS), "text"),
         log_level=reader.get(SECTION_LOG, CONF_LEVEL, _one_of(LOG_LEVELS), "info"),
         probe_period_s=_duration(reader, CONF_PROBE_PERIOD, DEFAULT_PROBE_PERIOD),
@@ -154,6 +170,17 @@
     return TlsSettings(authority, certificate, private_key)
 
 
+def _read_http_tls(reader: IniReader, section: str) -> HttpTlsSettings | None:
+    if section not in reader.sections():
+        return None
+    authority = reader.get(section, CONF_AUTHORITY, str, "")
+    return HttpTlsSettings(
+        certificate=reader.get(section, CONF_CERTIFICATE, Path),
+        private_key=reader.get(section, CONF_PRIVATE_KEY, Path),
+        authority=Path(authority) if authority else None,
+    )
+
+
 def load_settings(path: Path) -> Settings:
     """Return the checked settings in a file; raise `InvalidIniError`."""
     try:
