Let the mutant of the planned stop find its line again

Ruled out: a lost mechanism (the call is there, the row passes). Change: the indentation in the row.

--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -341,7 +341,7 @@
         STOP,
         "a box stops under load, the balancer learns it a second late",
         BOXES + "test_planned_stop_cuts_off_nothing",
-        Mutant("trackwheel/app.py", "            await _drain(box)\n", ""),
+        Mutant("trackwheel/app.py", "        await _drain(box)\n", ""),
     ),
     Row(
         LOAD,
