Try a target that is thought too slow, since refused work teaches nothing

An owner refuses work when service time and its scatter say that it cannot end in time; the estimate is learnt only from work that ends. A target that was slow for one second, or a box that was frozen with work in flight and took its own absence for service time, lifted the estimate over the deadline; from then on everything was refused and nothing was learnt.

Shown in virtual time (one target, 60 a second, deadline 0.4 s, service time 0.2, 0.3 or 0.39 s for one second, else 10 ms): before, 0 to 2 of some 840 were answered in the 14 s after it, and none would have been later; a line is only forgotten when nobody asks for a minute.

Ruled out: letting estimates fade with time (refuses for as long as it takes to fade, and forgets what is true while idle); the least of recent times (blind to a target that has become slower).

Change: when nothing runs or waits and only the estimate stands in the way, one work goes out as a trial. A good end replaces what was learnt; any other end is followed by a pause of 0.1 s that doubles up to 1 s. Nine cases in tables failed before; both rows fail without their mechanism.

--- a/tests/dispatch/test_line.py
+++ b/tests/dispatch/test_line.py
@@ -229,3 +229,42 @@
     wake = session.line.next_wake()
     assert wake < 0.1, "before the deadline, not at it"
     assert outcomes(session.line.tick(wake)) == [Outcome.LATE]
+
+
+def slow_line() -> LineSession:
+    """Return a line that believes its target to be too slow for any work of a second."""
+    session = LineSession()
+    for number in range(20):
+        work, _ = session.offer(float(number))
+        session.line.ended(Ended(work.key, Outcome.OK, 0.9, "boot1", False), number + 0.9)
+    return session
+
+
+def test_one_trial_at_a_time_goes_to_a_target_thought_too_slow() -> None:
+    session = slow_line()
+    trial, commands = session.offer(30.0)
+    assert commands == [SendQuery(trial)]
+    assert outcomes(session.offer(30.0)[1]) == [Outcome.SHED]
+    session.line.ended(Ended(trial.key, Outcome.OK, 0.005, "boot1", False), 30.005)
+    again, commands = session.offer(30.01)
+    assert commands == [SendQuery(again)], "what the trial showed counts at once"
+
+
+@pytest.mark.parametrize(
+    "failure", [Outcome.SHED, Outcome.LATE, Outcome.FAILED, Outcome.WRONG_VERSION], ids=str
+)
+def test_failed_trial_is_followed_by_a_pause(failure: Outcome) -> None:
+    session = slow_line()
+    trial, _ = session.offer(30.0)
+    session.line.ended(Ended(trial.key, failure, 0.005, "boot1", False), 30.005)
+    assert outcomes(session.offer(30.05)[1]) == [Outcome.SHED]
+    later, commands = session.offer(31.2)
+    assert commands == [SendQuery(later)]
+
+
+def test_withdrawn_trial_leaves_room_for_the_next() -> None:
+    session = slow_line()
+    trial, _ = session.offer(30.0)
+    session.line.withdraw(trial.key, 30.2)
+    later, commands = session.offer(31.5)
+    assert commands == [SendQuery(later)]
--- a/tests/dispatch/test_sharing.py
+++ b/tests/dispatch/test_sharing.py
@@ -135,3 +135,18 @@
     before = world.finished
     world.run(20.0)
     assert (world.finished - before) / 8.0 > 0.9 * 200
+
+
+@pytest.mark.parametrize("slow_s", [0.2, 0.3, 0.39], ids=lambda slow_s: f"{slow_s:.2f}s")
+def test_target_that_was_slow_for_a_second_is_used_again(slow_s: float) -> None:
+    """Its estimate then says that nothing can end in time, and refused work teaches nothing."""
+    target = OneTarget(service_s=0.01)
+    target.arrivals("g", 1.0, 60, 0.4, 0.0, 20.0)
+    target.run(5.0)
+    target.service_s = slow_s
+    target.run(6.0)
+    target.service_s = 0.01
+    target.run(8.0)
+    before = target.finished
+    target.run(18.0)
+    assert target.finished - before >= 0.97 * 600
--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -301,6 +301,22 @@
             "self._cap = 1000",
         ),
     ),
+    Row(
+        LOAD,
+        SHARE,
+        "a target is slow for a second, so that nothing seems to end in time",
+        SHARING + "test_target_that_was_slow_for_a_second_is_used_again",
+        Mutant("trackwheel/dispatch/line.py", "self._trial.allows(now)", "False"),
+    ),
+    Row(
+        LOAD,
+        SHARE,
+        "a target stays too slow for its work",
+        LINE + "test_failed_trial_is_followed_by_a_pause",
+        Mutant(
+            "trackwheel/dispatch/trial.py", "self._key is None and now >= self._next_at", "True"
+        ),
+    ),
     Row(
         LOAD,
         SHARE,
--- a/trackwheel/dispatch/const.py
+++ b/trackwheel/dispatch/const.py
@@ -20,6 +20,10 @@
 SHED_PAUSE_FIRST_S: Final = 0.01
 SHED_PAUSE_LAST_S: Final = 0.5
 
+TRIAL_PAUSE_FIRST_S: Final = 0.1
+TRIAL_PAUSE_LAST_S: Final = 1.0
+"""How long after a failed trial the next one waits, at first and at most."""
+
 EJECT_AFTER_FAILURES: Final = 3
 EJECT_AFTER_STALLS: Final = 5
 EJECT_FIRST_S: Final = 0.5
--- a/trackwheel/dispatch/limiter.py
+++ b/trackwheel/dispatch/limiter.py
@@ -69,6 +69,12 @@
         elif waiting and level >= self.limit:
             self._adapt(now)
 
+    def relearn(self, service_s: float) -> None:
+        """Take the service time of a trial in place of what was learnt before it."""
+        self._mean_by_level.clear()
+        self.mean_s = service_s
+        self._deviation_s = 0.0
+
     def shed(self, now: float) -> None:
         """Take a target's refusal: halve the limit and leave the target alone for a while."""
         if now < self.paused_until:
--- a/trackwheel/dispatch/line.py
+++ b/trackwheel/dispatch/line.py
@@ -31,6 +31,7 @@
     Work,
     WorkKey,
 )
+from trackwheel.dispatch.trial import Trial
 from trackwheel.files.models import ServiceSpec
 
 
@@ -54,6 +55,7 @@
         seed = hash(target) & 0xFFFF
         self._limiter = Limiter(service.slots, service.connections, seed)
         self._ejection = Ejection()
+        self._trial = Trial()
         self._run_by_key: dict[WorkKey, _Run] = {}
         self._cold = True
         self._boot = ""
@@ -127,11 +129,24 @@
         needed_s = delay_s + self._limiter.likely_s
         full = len(self._queue) >= MAX_QUEUED_PER_TARGET
         if full or needed_s > left_s * ADMIT_MARGIN:
+            if not full and left_s > 0 and self._may_try(now):
+                return self._try(work, share, now)
             retry_s = max(LEAST_RETRY_AFTER_S, needed_s - left_s * ADMIT_MARGIN)
             return [Refuse(work, Outcome.SHED, delay_s, retry_s)]
         self._queue.push(work, share)
         return self.pump(now)
 
+    def _may_try(self, now: float) -> bool:
+        """Return whether only the estimate stands in the way, and may be put to the test."""
+        busy = self._run_by_key or len(self._queue)
+        held_back = self._cold or now < self._limiter.paused_until
+        return not busy and not held_back and self._trial.allows(now)
+
+    def _try(self, work: Work, share: float, now: float) -> list[DispatchCommand]:
+        self._trial.begin(work.key)
+        self._queue.push(work, share)
+        return [self._start(now)]
+
     def withdraw(self, key: WorkKey, now: float) -> list[DispatchCommand]:
         """Take work back: for free while it waits, by closing its connection when it runs."""
         if self._queue.remove(key) is not None:
@@ -140,6 +155,7 @@
         if run is None or (run.work.once and run.permit_until is None):
             return []
         del self._run_by_key[key]
+        self._trial.ended(key, now)
         held_s = now - run.started
         self._queue.charge(run.work.group, held_s - run.charged_s)
         if run.permit_until is not None:
@@ -159,6 +175,7 @@
             return []
         if not granted:
             del self._run_by_key[key]
+            self._trial.ended(key, now)
             self._queue.charge(run.work.group, -run.charged_s)
             return self.pump(now)
         self._run_by_key[key] = run._replace(started=now, permit_until=None)
@@ -263,11 +280,14 @@
     def _judge(self, run: _Run, event: Ended, now: float) -> list[DispatchCommand]:
         """Learn from how a request ended."""
         if event.outcome is Outcome.OK:
+            if self._trial.succeeded(event.key):
+                self._limiter.relearn(event.service_s)
             if self._ejection.succeeded():
                 self._limiter.restart()
             waiting = len(self._queue) > 0
             self._limiter.succeeded(run.level, event.service_s, waiting, now)
             return []
+        self._trial.ended(event.key, now)
         if event.outcome is Outcome.WRONG_VERSION:
             self._ejection.succeeded()
             return []
