Let the mutant of a lying health page find its place again

Cause: the line after the one that it names moved when a new boot began to end an ejection; tests/test_proofs.py said so. Ruled out: a lost mechanism (the row passes). Change: the mutant's text. After it the row fails without its mechanism (run_mutant: True) and the table's own tests pass.

--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -359,9 +359,9 @@
         LINE + "test_only_a_new_boot_ends_leaving",
         Mutant(
             "trackwheel/dispatch/line.py",
-            "        if boot != self._boot:\n            self._boot = boot\n",
-            "        if not leaving or boot != self._boot:\n            self._boot = boot\n"
-            "            self._leaving_boots.clear()\n",
+            "        if boot != self._boot:\n            if self._boot:\n",
+            "        if not leaving or boot != self._boot:\n"
+            "            self._leaving_boots.clear()\n            if self._boot:\n",
         ),
     ),
     Row(
