--- /dev/null
+++ b/tests/platform/test_clients.py
@@ -0,0 +1,163 @@
+"""The contract of the platform's services, client against stand-in, with what fails in a table."""
+
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
+import anyio
+import pytest
+from aiohttp import web
+from returns.result import Failure, Result, Success
+
+from standins.box_list import StandinBoxList
+from standins.fleet import free_ports
+from standins.http import listen
+from standins.key_value import StandinKeyValue
+from trackwheel.platform.clients import HttpBoxList, HttpKeyValue
+from trackwheel.platform.models import BoxList, Stored, Written
+
+Test = Callable[[HttpKeyValue, StandinKeyValue], Coroutine[Any, Any, None]]
+
+
+def with_store(test: Test, timeout_s: float = 2.0) -> None:
+    """Run a test against a key-value service of its own."""
+
+    async def main() -> None:
+        address = f"127.0.0.1:{free_ports(1)[0]}"
+        store = StandinKeyValue()
+        running = await store.start(address)
+        client = HttpKeyValue(f"http://{address}", timeout_s)
+        try:
+            await test(client, store)
+        finally:
+            await client.close()
+            await running.stop()
+
+    anyio.run(main)
+
+
+def test_key_without_a_value_has_revision_zero() -> None:
+    async def test(client: HttpKeyValue, store: StandinKeyValue) -> None:
+        assert await client.get("a/b") == Success(Stored(b"", 0))
+
+    with_store(test)
+
+
+def test_only_the_writer_who_knows_the_revision_wins() -> None:
+    async def test(client: HttpKeyValue, store: StandinKeyValue) -> None:
+        first = (await client.compare_and_swap("k", b"\x00one", 0)).unwrap()
+        assert first.written
+        assert await client.compare_and_swap("k", b"two", 0) == Success(
+            Written(False, first.revision)
+        )
+        assert await client.get("k") == Success(Stored(b"\x00one", first.revision))
+        second = (await client.compare_and_swap("k", b"two", first.revision)).unwrap()
+        assert second.written
+        assert second.revision > first.revision
+
+    with_store(test)
+
+
+def test_lost_reply_is_a_failure_that_took_effect() -> None:
+    async def test(client: HttpKeyValue, store: StandinKeyValue) -> None:
+        store.faults.lose_replies = 1
+        result = await client.compare_and_swap("k", b"one", 0)
+        assert isinstance(result, Failure)
+        assert result.failure().problem.step == "compare_and_swap"
+        assert (await client.get("k")).unwrap().value == b"one"
+
+    with_store(test)
+
+
+def test_watch_ends_with_the_next_write() -> None:
+    async def test(client: HttpKeyValue, store: StandinKeyValue) -> None:
+        written = (await client.compare_and_swap("k", b"one", 0)).unwrap()
+        seen: list[Stored] = []
+
+        async def watch() -> None:
+            seen.append((await client.watch("k", written.revision)).unwrap())
+
+        with anyio.fail_after(5.0):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(watch)
+                await anyio.sleep(0.1)
+                assert seen == [], "nothing has changed yet"
+                await client.compare_and_swap("k", b"two", written.revision)
+        assert seen[0].value == b"two"
+
+    with_store(test)
+
+
+def test_watch_ends_at_once_when_the_store_was_set_back() -> None:
+    async def test(client: HttpKeyValue, store: StandinKeyValue) -> None:
+        written = (await client.compare_and_swap("k", b"one", 0)).unwrap()
+        with anyio.fail_after(2.0):
+            stored = (await client.watch("k", written.revision + 7)).unwrap()
+        assert stored == Stored(b"one", written.revision)
+
+    with_store(test)
+
+
+CALLS = [
+    pytest.param(lambda client: client.get("k"), id="get"),
+    pytest.param(lambda client: client.watch("k", 0), id="watch"),
+    pytest.param(lambda client: client.compare_and_swap("k", b"v", 0), id="compare-and-swap"),
+]
+Call = Callable[[HttpKeyValue], Awaitable[Result[Any, Any]]]
+
+
+@pytest.mark.parametrize("call", CALLS)
+def test_outage_is_a_failure_that_names_the_step(call: Call) -> None:
+    async def test(client: HttpKeyValue, store: StandinKeyValue) -> None:
+        store.faults.down = True
+        result = await call(client)
+        assert isinstance(result, Failure)
+        assert result.failure().problem.code == "platform_unavailable"
+        assert result.failure().problem.peer.startswith("http://127.0.0.1:")
+
+    with_store(test)
+
+
+def test_slow_write_is_a_failure_in_time() -> None:
+    async def test(client: HttpKeyValue, store: StandinKeyValue) -> None:
+        store.faults.slow_s = 5.0
+        with anyio.fail_after(2.0):
+            assert isinstance(await client.compare_and_swap("k", b"v", 0), Failure)
+
+    with_store(test, timeout_s=0.2)
+
+
+@pytest.mark.parametrize("call", CALLS)
+@pytest.mark.parametrize(
+    "body", [b"", b"{", b"[]", b'{"value": "?", "revision": 1}', b'{"value": 3}'], ids=repr
+)
+def test_garbage_is_a_failure(call: Call, body: bytes) -> None:
+    async def main() -> None:
+        address = f"127.0.0.1:{free_ports(1)[0]}"
+
+        async def answer(request: web.Request) -> web.Response:
+            return web.Response(body=body)
+
+        running = await listen([web.route("*", "/{any:.*}", answer)], address)
+        client = HttpKeyValue(f"http://{address}")
+        try:
+            assert isinstance(await call(client), Failure)
+        finally:
+            await client.close()
+            await running.stop()
+
+    anyio.run(main)
+
+
+def test_box_list_is_read_as_it_stands() -> None:
+    async def main() -> None:
+        address = f"127.0.0.1:{free_ports(1)[0]}"
+        running = await StandinBoxList(["127.0.0.1:1"]).start(address)
+        client = HttpBoxList(f"http://{address}")
+        try:
+            assert await client.read() == Success(BoxList(["127.0.0.1:1"], []))
+            await running.stop()
+            assert isinstance(await client.read(), Failure)
+        finally:
+            await client.close()
+
+    anyio.run(main)
