--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -445,6 +445,12 @@
             "trackwheel/files/const.py", "MANIFEST_PAGES: Final = 128", "MANIFEST_PAGES: Final = 1"
         ),
     ),
+    Row(
+        FILES,
+        IN_FORCE,
+        "the box that applies is killed at each step of a slow store",
+        STORE + "test_apply_killed_at_any_step_is_whole_or_nothing",
+    ),
     Row(FILES, IN_FORCE, "ten operators race at real boxes", STORE + "test_ten_racing_operators"),
     Row(
         FILES,
--- a/tests/whole/test_files_faults.py
+++ b/tests/whole/test_files_faults.py
@@ -1,5 +1,6 @@
 """Files in force through real boxes: outages, an older store, lost replies, racing operators."""
 
+import contextlib
 import signal
 import ssl
 import threading
@@ -8,12 +9,13 @@
 from pathlib import Path
 from typing import Any
 
+import httpx
 import pytest
 from websockets.exceptions import WebSocketException
 from websockets.sync.client import connect
 
 from standins.file_maker import GroupShape, ServiceShape
-from standins.fleet import SmallFleet, wait_until
+from standins.fleet import BoxPlace, SmallFleet, wait_until
 from tests.conftest import PLACES, write_file
 
 
@@ -230,3 +232,54 @@
     """Return the first message of a box, if it says any."""
     with connect(url, ssl=context, open_timeout=2) as socket:
         return socket.recv(timeout=2)
+
+
+def test_apply_killed_at_any_step_is_whole_or_nothing(
+    store_fleet: tuple[SmallFleet, Path], tmp_path: Path
+) -> None:
+    """Each call on the store takes 0.1 s, so that the box dies between or within its steps."""
+    fleet, _ = store_fleet
+    applying = fleet.boxes[2]
+    revision = 1
+    outcomes: set[bool] = set()
+    for number, delay_s in enumerate((0.05, 0.15, 0.25, 0.35, 0.45, 0.7)):
+        path = group_file(tmp_path, "more", str(number + 1))
+        fleet.control(fleet.key_value, slow_s=0.1)
+        told = apply_in_background(applying.operators, path)
+        time.sleep(delay_s)
+        fleet.signal_box(applying, signal.SIGKILL)
+        told.join(timeout=5)
+        fleet.process_by_name[applying.box_id].wait(timeout=5)
+        fleet.control(fleet.key_value, slow_s=0.0)
+        fleet.start_box(applying)
+        wait_until(lambda: is_ready(fleet, applying), 10.0, "the box's return")
+        wait_until(lambda: len(set(revisions(fleet))) == 1, 5.0, "agreement")
+        now = revisions(fleet)[0]
+        assert now in (revision, revision + 1)
+        in_force = [share_in_force(fleet, box) for box in fleet.boxes]
+        assert len(set(in_force)) == 1, "the same file everywhere"
+        assert now == revision or in_force[0] == str(number + 1), "whole, or not at all"
+        outcomes.add(now > revision)
+        revision = now
+    assert outcomes == {False, True}, "both were met"
+    assert fleet.apply(group_file(tmp_path, "more", "99"))["outcome"] == "accepted"
+    assert revisions(fleet) == [revision + 1] * 3
+
+
+def apply_in_background(operators: str, path: Path) -> threading.Thread:
+    """Apply a file at a box that may die over it."""
+
+    def apply() -> None:
+        with contextlib.suppress(httpx.HTTPError):
+            httpx.post(f"http://{operators}/v1/apply", content=path.read_bytes(), trust_env=False)
+
+    thread = threading.Thread(target=apply)
+    thread.start()
+    return thread
+
+
+def share_in_force(fleet: SmallFleet, box: BoxPlace) -> str:
+    """Return the share that the file `more` gives its group at a box, empty without the file."""
+    text = fleet.http.get(f"http://{box.operators}/v1/files/more").text
+    lines = [line for line in text.splitlines() if line.startswith("share = ")]
+    return lines[0].removeprefix("share = ") if lines else ""
