Join a change on trial in one place, and look up pages by set

Joined.update and Joined.check each worked out what goes and comes, swapped, checked and went back; the check keyed its files by their own names and the update by the manifest's. Reading a head compared each known page with a list of all pages, 128 times 128 at each read of a watcher. manifest_digest had been split for a caller that no longer is.

Ruled out: one method with a flag (two results, two promises).

Change: one `_try` joins and undoes; update keeps its result, check swaps it back. A set of the named pages. One function for the digest, and a private name for what only the keeper calls.

--- a/trackwheel/files/joined.py
+++ b/trackwheel/files/joined.py
@@ -4,12 +4,21 @@
 """
 
 from collections.abc import Mapping
+from typing import NamedTuple
 
 from trackwheel.files.models import InForce, OperatorsFile
 from trackwheel.files.parse import Joiner
 from trackwheel.ini import InvalidIniError
 
 
+class _Trial(NamedTuple):
+    """Hold the files after a change that fits, and which ones went and came."""
+
+    file_by_name: dict[str, OperatorsFile]
+    gone: list[OperatorsFile]
+    come: list[OperatorsFile]
+
+
 class Joined:
     """Hold the joined view and replace single files in it, all or none."""
 
@@ -22,20 +31,8 @@
 
         Raise `InvalidIniError` and keep the old view when files contradict each other.
         """
-        held = self._file_by_name
-        gone = [held[name] for name in changed_by_name if name in held]
-        come_by_name = {name: file for name, file in changed_by_name.items() if file is not None}
-        come = list(come_by_name.values())
-        self._swap(gone, come)
-        file_by_name = {**held, **come_by_name}
-        for name in changed_by_name.keys() - come_by_name.keys():
-            file_by_name.pop(name, None)
-        try:
-            self._check(file_by_name, gone, come)
-        except InvalidIniError:
-            self._join_anew()
-            raise
-        self._file_by_name = file_by_name
+        trial = self._try(changed_by_name)
+        self._file_by_name = trial.file_by_name
         return self._joiner.view(revision)
 
     def check(self, changed_by_name: Mapping[str, OperatorsFile | None]) -> None:
@@ -43,17 +40,25 @@
 
         The view stays as it is. It costs what changed, not all files.
         """
+        trial = self._try(changed_by_name)
+        self._swap(trial.come, trial.gone)
+
+    def _try(self, changed_by_name: Mapping[str, OperatorsFile | None]) -> _Trial:
+        """Join changed files in place of those of their names; when they do not fit, undo it."""
         held = self._file_by_name
         gone = [held[name] for name in changed_by_name if name in held]
-        come = [file for file in changed_by_name.values() if file is not None]
+        come_by_name = {name: file for name, file in changed_by_name.items() if file is not None}
+        come = list(come_by_name.values())
+        file_by_name = {**held, **come_by_name}
+        for name in changed_by_name.keys() - come_by_name.keys():
+            file_by_name.pop(name, None)
         self._swap(gone, come)
-        rest = {name: file for name, file in held.items() if name not in changed_by_name}
         try:
-            self._check({**rest, **{file.name: file for file in come}}, gone, come)
+            self._check(file_by_name, gone, come)
         except InvalidIniError:
             self._join_anew()
             raise
-        self._swap(come, gone)
+        return _Trial(file_by_name, gone, come)
 
     def _swap(self, gone: list[OperatorsFile], come: list[OperatorsFile]) -> None:
         for file in gone:
--- a/trackwheel/files/keeper.py
+++ b/trackwheel/files/keeper.py
@@ -36,17 +36,15 @@
     return hashlib.sha256(content).hexdigest()
 
 
-def entries_digest(entry_by_name: Mapping[str, ManifestEntry]) -> int:
-    """Return the exclusive or of the entries' digests."""
+def manifest_digest(manifest: Manifest) -> str:
+    """Return a digest by which two manifests of one revision are told apart.
+
+    It is the exclusive or of the entries' digests, so that a change of entries changes it alone.
+    """
     digest = 0
-    for name, entry in entry_by_name.items():
+    for name, entry in manifest.entry_by_name.items():
         digest ^= _entry_digest(name, entry)
-    return digest
-
-
-def manifest_digest(manifest: Manifest) -> str:
-    """Return a digest by which two manifests of one revision are told apart."""
-    return _digest_text(entries_digest(manifest.entry_by_name), manifest.revision)
+    return _digest_text(digest, manifest.revision)
 
 
 def _digest_text(digest: int, revision: int) -> str:
@@ -146,7 +144,7 @@
             return [SendTo(sender, Pull(self.revision))]
         if self._digest_after(push) == push.digest:
             entries = {**self.manifest.entry_by_name, **push.entry_by_name}
-            recent = joined_ids(self.manifest, push)
+            recent = _ids_after(self.manifest, push)
             return self.offer(Manifest(push.revision, entries, recent), sender)
         if push.base_revision == 0:
             # The sender's whole manifest does not have the digest that it states.
@@ -277,7 +275,7 @@
         self._packed_by_digest.update(packed)
 
 
-def joined_ids(manifest: Manifest, push: Push) -> tuple[str, ...]:
+def _ids_after(manifest: Manifest, push: Push) -> tuple[str, ...]:
     """Return the latest apply ids of a manifest after a push."""
     missed = push.revision - manifest.revision
     fresh = push.apply_ids[-missed:] if missed > 0 else push.apply_ids
--- a/trackwheel/files/stored.py
+++ b/trackwheel/files/stored.py
@@ -160,9 +160,8 @@
             return Failure(result.failure())
         stored = result.unwrap()
         head = decode_head(stored.value)
-        found = {
-            d: e for d, e in self._entries_by_digest.items() if d in head.digest_by_page.values()
-        }
+        named = set(head.digest_by_page.values())
+        found = {d: entries for d, entries in self._entries_by_digest.items() if d in named}
         for number, digest in head.digest_by_page.items():
             if digest in found:
                 continue
@@ -171,7 +170,7 @@
                 return Failure(page.failure())
             for generation in page.unwrap().generations:
                 found[generation.digest] = generation.entry_by_name
-        if any(digest not in found for digest in head.digest_by_page.values()):
+        if not named <= found.keys():
             return await self._without_page(head, stored.revision)
         return Success(self._take(head, stored.revision, found))
 
