--- a/trackwheel/app.py
+++ b/trackwheel/app.py
@@ -1,7 +1,6 @@
 """The one composition root: it wires the parts of a box, runs them and stops them."""
 
 import asyncio
-import gc
 import os
 import signal
 import time
@@ -18,6 +17,7 @@
 from trackwheel.fleet.membership import Timing
 from trackwheel.fleet.models import FLEET_MESSAGES, Member, Status, TargetNote
 from trackwheel.fleet.service import FleetService
+from trackwheel.garbage import tune_garbage_collection
 from trackwheel.gateway.board import Board
 from trackwheel.gateway.forwarding import Forwarder
 from trackwheel.gateway.http import CallersApp
@@ -51,8 +51,6 @@
 IDLE_CHECK_S: Final = 0.05
 IDLE_CLOSE_S: Final = 0.2
 """How long connections on which nothing is under way may take to close at the end."""
-GC_THRESHOLD: Final = 20_000
-"""Objects made before garbage is looked for; the default of 700 is meant for small programs."""
 
 
 class Box:
@@ -255,17 +253,6 @@
             raise
 
 
-def tune_garbage_collection() -> None:
-    """Leave what was loaded so far out of the search for garbage.
-
-    It lives as long as the box; looking through it again and again would stop the box for
-    tens of milliseconds each time.
-    """
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(GC_THRESHOLD, *gc.get_threshold()[1:])
-
-
 def run(settings: Settings) -> None:
     """Run a box in this process."""
     tune_garbage_collection()
--- a/trackwheel/cli.py
+++ b/trackwheel/cli.py
@@ -2,6 +2,7 @@
 
 Usage:
   trackwheel serve SETTINGS
+  trackwheel entry [SETTINGS]
   trackwheel check FILE... [--json]
   trackwheel apply FILE [--box=ADDRESS] [--by=NAME] [--expect=VERSION] [--json] [options]
   trackwheel show [NAME] [--box=ADDRESS] [--json] [options]
@@ -13,6 +14,8 @@
 
 Commands:
   serve    Run one box with its settings, until it is told to stop (SIGTERM).
+  entry    Run one box on the platform; without SETTINGS, its file is the one that the
+           environment variable TRACKWHEEL_CONFIG names.
   check    Read operators' files and list every mistake; puts nothing in force.
   apply    Put one operators' file in force, as a whole, and wait for the boxes.
   show     Show what is in force, where and since when; with NAME, that file's text.
@@ -35,6 +38,7 @@
 Exit codes: 0 done, 1 refused or failed, 2 wrong usage.
 """
 
+import os
 import ssl
 import sys
 from pathlib import Path
@@ -95,6 +99,17 @@
     return EXIT_DONE
 
 
+def _entry(arguments: Arguments) -> int:
+    from trackwheel.entry import run_entry  # noqa: PLC0415
+    from trackwheel.platform.settings import SETTINGS_VARIABLE  # noqa: PLC0415
+
+    path = arguments["SETTINGS"] or os.environ.get(SETTINGS_VARIABLE)
+    if path is None:
+        raise CommandError(f"no settings; name a file or set {SETTINGS_VARIABLE}")
+    run_entry(Path(path))
+    return EXIT_DONE
+
+
 def _check(arguments: Arguments) -> int:
     files = []
     sentences: list[str] = []
@@ -300,6 +315,7 @@
 
 COMMANDS: Final = {
     "serve": _serve,
+    "entry": _entry,
     "check": _check,
     "apply": _apply,
     "show": _show,
--- /dev/null
+++ b/trackwheel/directory/const.py
@@ -0,0 +1,28 @@
+"""Numbers of the directory."""
+
+from typing import Final
+
+WATCH_WAIT_S: Final = 5.0
+"""How long a watch waits for a change; longer means fewer calls, shorter an earlier doubt."""
+SYNCED_S: Final = WATCH_WAIT_S + 1.5
+"""A watcher whose last good answer of the store is older no longer counts as in step."""
+BEACON_PERIOD_S: Final = 0.5
+"""How often watchers say how far they are; a push that was lost heals within one period."""
+UNHEARD_S: Final = 2.0
+"""After so long without word from a watcher in step, a box reads the store itself."""
+START_WAIT_S: Final = 0.7
+"""How long a box that starts waits for its peers before it reads the store itself."""
+GONE_HOLD_S: Final = 1.5
+"""How long a target whose entry went without notice is still used as a last resort."""
+LAPSE_HOLD_S: Final = 2.2
+"""How long after a return of the store missing entries may still come back."""
+RETRY_FIRST_S: Final = 0.1
+"""First pause after a failed call on the store."""
+RETRY_LONGEST_S: Final = 0.8
+"""Longest pause after failed calls: the store's return is noticed within it."""
+LOOK_PERIOD_S: Final = 0.1
+"""How often a box that does not watch looks whether it should."""
+ROUTES_REST_S: Final = 0.05
+"""Pause between two watches of the routes, so that a storm of versions costs fewer calls."""
+TARGETS_REST_S: Final = 0.25
+"""The same for targets; a tenth of the time in which a leaving target must be left alone."""
--- /dev/null
+++ b/trackwheel/directory/models.py
@@ -0,0 +1,104 @@
+"""Entries of the directory, its source and the messages between boxes."""
+
+from typing import NamedTuple, Protocol
+
+from returns.result import Result
+
+from trackwheel.errors import TrackwheelError
+from trackwheel.routing.models import RouteTable
+
+
+class TargetEntry(NamedTuple):
+    """One target as it describes itself; `cold_s` is how long it is still slow (seconds)."""
+
+    instance: str
+    service: str
+    address: str
+    failure_domain: str
+    slots: int
+    leaving: bool
+    cold_s: float
+    revision: int
+
+
+class EntryGone(NamedTuple):
+    """Say that the entry of a target is gone since a revision."""
+
+    instance: str
+    revision: int
+
+
+class RoutesRead(NamedTuple):
+    """Bring a configuration as the source holds it; None when there is none yet."""
+
+    table: RouteTable | None
+    content: bytes
+    as_of: int
+
+
+class TargetsRead(NamedTuple):
+    """Bring all entries (`since` is None) or the changes after a revision."""
+
+    since: int | None
+    entries: list[TargetEntry]
+    gone: list[EntryGone]
+    as_of: int
+
+
+class HistoryGoneError(TrackwheelError):
+    """Say that the source no longer has the changes after a revision."""
+
+
+class DirectorySource(Protocol):
+    """Read the platform's store; a failure says nothing about what is in force."""
+
+    async def read_routes(self) -> Result[RoutesRead, TrackwheelError]:
+        """Return the configuration as it stands."""
+
+    async def watch_routes(self, after: int, wait_s: float) -> Result[RoutesRead, TrackwheelError]:
+        """Return the configuration when it changes after a revision, or nothing after a while."""
+
+    async def read_targets(self) -> Result[TargetsRead, TrackwheelError]:
+        """Return all entries of targets."""
+
+    async def watch_targets(
+        self, after: int, wait_s: float
+    ) -> Result[TargetsRead, TrackwheelError]:
+        """Return the changes of targets after a revision, or none after a while."""
+
+    def decode_routes(self, content: bytes) -> Result[RouteTable, TrackwheelError]:
+        """Return the configuration that some bytes hold."""
+
+
+class DirectoryBeacon(NamedTuple):
+    """Say how far a watcher is, and whether the store has answered it lately."""
+
+    routes_version: int
+    targets_revision: int
+    synced: bool
+
+
+class DirectoryAsk(NamedTuple):
+    """Ask a peer for what one lacks."""
+
+    routes_version: int
+    targets_revision: int
+
+
+class RoutesPush(NamedTuple):
+    """Pass a configuration on, whole."""
+
+    version: int
+    content: bytes
+
+
+class TargetsPush(NamedTuple):
+    """Pass entries on: all of them (`since` below 0) or the changes after a revision."""
+
+    since: int
+    as_of: int
+    entries: list[TargetEntry]
+    gone: list[EntryGone]
+
+
+DIRECTORY_MESSAGES = (DirectoryBeacon, DirectoryAsk, RoutesPush, TargetsPush)
--- /dev/null
+++ b/trackwheel/directory/service.py
@@ -0,0 +1,265 @@
+"""The tasks that keep the directory: readers of the store, news to and from peers."""
+
+import time
+from collections.abc import Awaitable, Callable, Iterable
+from typing import TypeVar
+
+import anyio
+from returns.result import Failure, Result, Success
+
+from trackwheel.directory.const import (
+    BEACON_PERIOD_S,
+    LOOK_PERIOD_S,
+    RETRY_FIRST_S,
+    RETRY_LONGEST_S,
+    ROUTES_REST_S,
+    SYNCED_S,
+    TARGETS_REST_S,
+    WATCH_WAIT_S,
+)
+from trackwheel.directory.models import (
+    DirectoryAsk,
+    DirectoryBeacon,
+    DirectorySource,
+    HistoryGoneError,
+    RoutesPush,
+    RoutesRead,
+    TargetsPush,
+    TargetsRead,
+)
+from trackwheel.directory.targets import TargetDirectory
+from trackwheel.directory.watching import Watching
+from trackwheel.errors import TrackwheelError
+from trackwheel.peers.hub import Hub
+from trackwheel.peers.models import PeerIdentity
+from trackwheel.relay.models import Target
+from trackwheel.routing.models import RouteTable
+from trackwheel.telemetry.events import EventLog
+
+T = TypeVar("T")
+
+
+class DirectoryService:
+    """Keep routes and targets in step with the store, directly or through peers."""
+
+    def __init__(
+        self,
+        hub: Hub,
+        source: DirectorySource,
+        targets: TargetDirectory,
+        watching: Watching,
+        log: EventLog,
+    ) -> None:
+        self._hub = hub
+        self._source = source
+        self._targets = targets
+        self._watching = watching
+        self._log = log
+        self._content = b""
+        self._store_answered_at = float("-inf")
+        self._store_lost = False
+        self._near_peers: tuple[str, ...] = ()
+        self._far_watchers: tuple[str, ...] = ()
+        self._on_routes: list[Callable[[RouteTable], None]] = []
+        self._on_targets: list[Callable[[dict[str, tuple[Target, ...]]], None]] = []
+        self.table: RouteTable | None = None
+        self.store_calls = 0
+        hub.register(DirectoryBeacon, self._take_beacon)
+        hub.register(DirectoryAsk, self._take_ask)
+        hub.register(RoutesPush, self._take_routes_push)
+        hub.register(TargetsPush, self._take_targets_push)
+
+    @property
+    def version(self) -> int:
+        """Return the version in force here, 0 when none is."""
+        return self.table.version if self.table is not None else 0
+
+    @property
+    def ready(self) -> bool:
+        """Return whether routes and targets are known."""
+        return self.table is not None and self._targets.as_of > 0
+
+    @property
+    def synced(self) -> bool:
+        """Return whether the store has answered this box lately."""
+        return time.monotonic() - self._store_answered_at < SYNCED_S and not self._store_lost
+
+    def on_routes(self, handler: Callable[[RouteTable], None]) -> None:
+        """Call a handler with each new configuration."""
+        self._on_routes.append(handler)
+
+    def on_targets(self, handler: Callable[[dict[str, tuple[Target, ...]]], None]) -> None:
+        """Call a handler with the targets whenever they are others."""
+        self._on_targets.append(handler)
+
+    def set_peers(self, chosen: bool, near: Iterable[str], far_watchers: Iterable[str]) -> None:
+        """Take whether this box is a watcher, and to whom it passes news on."""
+        self._watching.set_chosen(chosen)
+        self._near_peers = tuple(near)
+        self._far_watchers = tuple(far_watchers)
+
+    def peer_version(self, address: str, version: int) -> None:
+        """Take the version that a peer says it has in force."""
+        if version > self.version:
+            self._ask(address)
+
+    async def run(self) -> None:
+        """Keep in step until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._follow_routes)
+            tasks.start_soon(self._follow_targets)
+            tasks.start_soon(self._send_beacons)
+            tasks.start_soon(self._expire)
+
+    async def _follow_routes(self) -> None:
+        await self._follow(
+            self._source.read_routes,
+            self._source.watch_routes,
+            self._take_routes_read,
+            ROUTES_REST_S,
+        )
+
+    async def _follow_targets(self) -> None:
+        await self._follow(
+            self._source.read_targets,
+            self._source.watch_targets,
+            self._take_targets_read,
+            TARGETS_REST_S,
+        )
+
+    async def _follow(
+        self,
+        read: Callable[[], Awaitable[Result[T, TrackwheelError]]],
+        watch: Callable[[int, float], Awaitable[Result[T, TrackwheelError]]],
+        take: Callable[[T], int],
+        rest_s: float,
+    ) -> None:
+        """Read once, then follow the changes, as long as this box is to watch."""
+        after: int | None = None
+        pause_s = RETRY_FIRST_S
+        while True:
+            if not self._watching.watches(time.monotonic()):
+                after = None
+                await anyio.sleep(LOOK_PERIOD_S)
+                continue
+            self.store_calls += 1
+            result = await (read() if after is None else watch(after, WATCH_WAIT_S))
+            match result:
+                case Success(found):
+                    self._store_answered()
+                    after = take(found)
+                    pause_s = RETRY_FIRST_S
+                    await anyio.sleep(rest_s)
+                case Failure(HistoryGoneError()):
+                    after = None
+                case Failure(error):
+                    self._store_failed(error)
+                    await anyio.sleep(pause_s)
+                    pause_s = min(RETRY_LONGEST_S, pause_s * 2)
+
+    def _take_routes_read(self, read: RoutesRead) -> int:
+        if read.table is not None:
+            self._adopt(read.table, read.content, "store")
+        return read.as_of
+
+    def _take_targets_read(self, read: TargetsRead) -> int:
+        since = self._targets.as_of if read.since is None else read.since
+        changed = self._targets.take(read, time.monotonic())
+        if changed:
+            self._targets_changed("store")
+            entries, gone = read.entries, read.gone
+            push = TargetsPush(since, read.as_of, entries, gone)
+            if read.since is None:
+                push = self._targets.snapshot()
+            self._pass_on(push, self._near_peers + self._far_watchers)
+        return read.as_of
+
+    def _take_routes_push(self, sender: PeerIdentity, push: RoutesPush) -> None:
+        if push.version <= self.version:
+            return
+        match self._source.decode_routes(push.content):
+            case Success(table):
+                self._adopt(table, push.content, sender.box_id)
+            case Failure(error):
+                self._log.write("routes_rejected", source=sender.box_id, reason=str(error))
+
+    def _take_targets_push(self, sender: PeerIdentity, push: TargetsPush) -> None:
+        since = None if push.since < 0 else push.since
+        # A peer's whole view says nothing of what is newer here.
+        read = TargetsRead(since, push.entries, push.gone, push.as_of)
+        if not self._targets.take(read, time.monotonic()):
+            return
+        self._targets_changed(sender.box_id)
+        if self._watching.watches(time.monotonic()):
+            self._pass_on(push, self._near_peers)
+
+    def _take_beacon(self, sender: PeerIdentity, beacon: DirectoryBeacon) -> None:
+        self._watching.heard(beacon.synced, time.monotonic())
+        behind = beacon.targets_revision > self._targets.as_of and not self.synced
+        if beacon.routes_version > self.version or behind:
+            self._ask(sender.address)
+
+    def _take_ask(self, sender: PeerIdentity, ask: DirectoryAsk) -> None:
+        if self.table is not None and ask.routes_version < self.version:
+            self._hub.send(sender.address, RoutesPush(self.version, self._content))
+        if ask.targets_revision < self._targets.as_of:
+            self._hub.send(sender.address, self._targets.snapshot())
+
+    def _ask(self, address: str) -> None:
+        self._hub.send(address, DirectoryAsk(self.version, self._targets.as_of))
+
+    def _adopt(self, table: RouteTable, content: bytes, source: str) -> None:
+        """Put a newer configuration in force; an older one never is."""
+        if table.version <= self.version:
+            return
+        before = self.version
+        self.table, self._content = table, content
+        self._log.write("routes_in_force", version=table.version, before=before, source=source)
+        for handler in self._on_routes:
+            handler(table)
+        if self._watching.watches(time.monotonic()):
+            receivers = self._near_peers
+            if source == "store":
+                receivers += self._far_watchers
+            self._pass_on(RoutesPush(table.version, content), receivers)
+
+    def _targets_changed(self, source: str) -> None:
+        targets_by_service = self._targets.targets_by_service()
+        count = sum(len(targets) for targets in targets_by_service.values())
+        self._log.write("targets", source=source, as_of=self._targets.as_of, count=count)
+        for handler in self._on_targets:
+            handler(targets_by_service)
+
+    def _pass_on(self, message: RoutesPush | TargetsPush, addresses: Iterable[str]) -> None:
+        for address in addresses:
+            self._hub.send(address, message)
+
+    async def _send_beacons(self) -> None:
+        while True:
+            await anyio.sleep(BEACON_PERIOD_S)
+            if not self._watching.watches(time.monotonic()):
+                continue
+            beacon = DirectoryBeacon(self.version, self._targets.as_of, self.synced)
+            for address in self._near_peers + self._far_watchers:
+                self._hub.send(address, beacon)
+
+    async def _expire(self) -> None:
+        while True:
+            await anyio.sleep(LOOK_PERIOD_S)
+            now = time.monotonic()
+            if self._targets.next_expiry() <= now and self._targets.expire(now):
+                self._targets_changed("expiry")
+
+    def _store_answered(self) -> None:
+        now = time.monotonic()
+        self._store_answered_at = now
+        self._targets.store_back(now)
+        if self._store_lost:
+            self._store_lost = False
+            self._log.write("store_regained")
+
+    def _store_failed(self, error: TrackwheelError) -> None:
+        self._targets.store_lost()
+        if not self._store_lost:
+            self._store_lost = True
+            self._log.write("store_lost", reason=str(error))
--- /dev/null
+++ b/trackwheel/directory/targets.py
@@ -0,0 +1,133 @@
+"""The directory of targets: merges news from any source in any order, without I/O."""
+
+from typing import NamedTuple
+
+from trackwheel.directory.const import GONE_HOLD_S, LAPSE_HOLD_S
+from trackwheel.directory.models import EntryGone, TargetEntry, TargetsPush, TargetsRead
+from trackwheel.relay.models import Place, Target
+
+
+class _Held(NamedTuple):
+    entry: TargetEntry
+    cold_until: float
+    gone_revision: int | None
+    drop_at: float
+
+
+class TargetDirectory:
+    """Hold the newest news of each target; an entry's revision decides which is newer."""
+
+    def __init__(self, region_by_failure_domain: dict[str, str]) -> None:
+        self._region_by_failure_domain = region_by_failure_domain
+        self._held_by_instance: dict[str, _Held] = {}
+        self._gone_revision_by_instance: dict[str, int] = {}
+        self._store_away = False
+        self._store_back_at = float("-inf")
+        self.as_of = 0
+
+    def store_lost(self) -> None:
+        """Take that the store does not answer: entries may lapse without cause."""
+        self._store_away = True
+
+    def store_back(self, now: float) -> None:
+        """Take that the store answers again."""
+        if self._store_away:
+            self._store_away = False
+            self._store_back_at = now
+
+    def take(self, read: TargetsRead, now: float) -> bool:
+        """Take news; return whether anything is another now."""
+        changed = [self._merge(entry, now) for entry in read.entries]
+        changed += [self._remove(gone.instance, gone.revision, now) for gone in read.gone]
+        if read.since is None:
+            changed += self._remove_missing(read, now)
+        if read.since is None or read.since <= self.as_of:
+            self.as_of = max(self.as_of, read.as_of)
+        return any(changed)
+
+    def snapshot(self) -> TargetsPush:
+        """Return all that is known, for a peer that lacks some of it."""
+        entries = [
+            held.entry for held in self._held_by_instance.values() if held.gone_revision is None
+        ]
+        gone = [EntryGone(*pair) for pair in self._gone_revision_by_instance.items()]
+        return TargetsPush(-1, self.as_of, entries, gone)
+
+    def expire(self, now: float) -> bool:
+        """Drop targets whose time as a last resort is over; return whether there were any."""
+        over = [
+            instance
+            for instance, held in self._held_by_instance.items()
+            if held.gone_revision is not None and held.drop_at <= now
+        ]
+        for instance in over:
+            del self._held_by_instance[instance]
+        return bool(over)
+
+    def next_expiry(self) -> float:
+        """Return when `expire` is next needed (monotonic seconds)."""
+        times = (
+            held.drop_at
+            for held in self._held_by_instance.values()
+            if held.gone_revision is not None
+        )
+        return min(times, default=float("inf"))
+
+    def targets_by_service(self) -> dict[str, tuple[Target, ...]]:
+        """Return the targets of each service as the choice takes them."""
+        found: dict[str, list[Target]] = {}
+        for held in self._held_by_instance.values():
+            entry = held.entry
+            region = self._region_by_failure_domain.get(entry.failure_domain, "")
+            target = Target(
+                entry.instance,
+                entry.service,
+                entry.address,
+                Place(region, entry.failure_domain),
+                entry.slots,
+                entry.leaving,
+                held.gone_revision is not None,
+                held.cold_until,
+            )
+            found.setdefault(entry.service, []).append(target)
+        return {service: tuple(targets) for service, targets in found.items()}
+
+    def _merge(self, entry: TargetEntry, now: float) -> bool:
+        if self._gone_revision_by_instance.get(entry.instance, -1) >= entry.revision:
+            return False
+        held = self._held_by_instance.get(entry.instance)
+        if held is not None and held.gone_revision is None:
+            if held.entry.revision >= entry.revision:
+                return False
+            if held.entry._replace(revision=0, cold_s=0) == entry._replace(revision=0, cold_s=0):
+                self._held_by_instance[entry.instance] = held._replace(entry=entry)
+                return False
+        self._gone_revision_by_instance.pop(entry.instance, None)
+        cold_until = now + entry.cold_s
+        self._held_by_instance[entry.instance] = _Held(entry, cold_until, None, 0.0)
+        return True
+
+    def _remove(self, instance: str, revision: int, now: float) -> bool:
+        held = self._held_by_instance.get(instance)
+        if held is not None and held.entry.revision > revision:
+            return False
+        known = self._gone_revision_by_instance.get(instance, -1)
+        self._gone_revision_by_instance[instance] = max(known, revision)
+        if held is None or held.gone_revision is not None:
+            return False
+        if held.entry.leaving:
+            del self._held_by_instance[instance]
+            return True
+        drop_at = max(now + GONE_HOLD_S, self._store_back_at + LAPSE_HOLD_S)
+        self._held_by_instance[instance] = held._replace(gone_revision=revision, drop_at=drop_at)
+        return True
+
+    def _remove_missing(self, read: TargetsRead, now: float) -> list[bool]:
+        """Remove what a full reading does not list although it is as new."""
+        listed = {entry.instance for entry in read.entries}
+        missing = [
+            held.entry.instance
+            for held in self._held_by_instance.values()
+            if held.entry.instance not in listed and held.gone_revision is None
+        ]
+        return [self._remove(instance, read.as_of, now) for instance in missing]
--- a/trackwheel/fleet/service.py
+++ b/trackwheel/fleet/service.py
@@ -46,10 +46,17 @@
     """Run the membership's decisions and answer who owns what."""
 
     def __init__(
-        self, hub: Hub, own: Member, timing: Timing, box_list: BoxListClient, seed: int
+        self,
+        hub: Hub,
+        own: Member,
+        timing: Timing,
+        box_list: BoxListClient,
+        seed: int,
+        watchers_per_domain: int = WATCHERS_PER_DOMAIN,
     ) -> None:
         self._hub = hub
         self._box_list = box_list
+        self._watchers_per_domain = watchers_per_domain
         self._membership = Membership(own, timing, seed)
         self._inbox: Inbox[Decide] = Inbox()
         self._owners = OwnerMap()
@@ -114,9 +121,14 @@
 
     def is_watcher(self) -> bool:
         """Return whether this box is one of the few in its domain that watch the store."""
-        if self.own.status is Status.LEAVING:
-            return True
-        domain, place = self.own.failure_domain, ring_position(self.own.address)
+        return self.own.status is Status.LEAVING or self._watches(self.own)
+
+    def watchers(self) -> tuple[Member, ...]:
+        """Return the boxes that watch the store, as seen from here."""
+        return tuple(member for member in self.members if self._watches(member))
+
+    def _watches(self, subject: Member) -> bool:
+        domain, place = subject.failure_domain, ring_position(subject.address)
         before = (
             member
             for member in self.members
@@ -124,7 +136,7 @@
             and may_own(member)
             and ring_position(member.address) < place
         )
-        return len(tuple(islice(before, WATCHERS_PER_DOMAIN))) < WATCHERS_PER_DOMAIN
+        return len(tuple(islice(before, self._watchers_per_domain))) < self._watchers_per_domain
 
     async def run(self) -> None:
         """Decide and act until cancelled."""
--- /dev/null
+++ b/trackwheel/http1/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 over asyncio transports, parsed by httptools: a server and connections to targets."""
--- /dev/null
+++ b/trackwheel/http1/const.py
@@ -0,0 +1,22 @@
+"""Numbers of the HTTP edge."""
+
+from typing import Final
+
+MAX_WAITING_REQUESTS: Final = 16
+"""Pipelined requests that one connection may have waiting before it is read no further."""
+CLOSE_DELIMITED_STATUSES: Final = frozenset({204, 304})
+"""Statuses whose answers never have a body."""
+TCP_USER_TIMEOUT_MS: Final = 4_000
+"""How long sent bytes may stay unacknowledged; a silent link is then an error, not a wait."""
+KEEPALIVE_IDLE_S: Final = 2
+KEEPALIVE_PERIOD_S: Final = 1
+KEEPALIVE_PROBES: Final = 3
+"""TCP keep-alive finds a peer that lost power on a connection on which nothing is sent."""
+CONNECT_TIMEOUT_S: Final = 1.0
+"""Longest wait for a new connection; the slowest path today takes some 30 ms."""
+DEFAULT_REUSE_S: Final = 4.0
+"""How long an idle connection is reused when its target tells no time."""
+REUSE_MARGIN_S: Final = 0.6
+"""Taken off the idle time that a target tells, so as not to meet its close."""
+ONCE_REUSE_S: Final = 0.8
+"""How long idle a connection may have been for a request that must not run twice."""
--- /dev/null
+++ b/trackwheel/http1/models.py
@@ -0,0 +1,48 @@
+"""Requests, answers and the ends of exchanges with targets."""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+def header(headers: Headers, name: bytes) -> bytes | None:
+    """Return the first value of a header by its lower-case name, None when it is not there."""
+    for key, value in headers:
+        if key == name:
+            return value
+    return None
+
+
+class Request(NamedTuple):
+    """Hold one whole request; header names are lower case; `arrived` is monotonic seconds."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    arrived: float
+
+
+class Response(NamedTuple):
+    """Hold one whole answer."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class EndKind(StrEnum):
+    """Say how an exchange with a target ended."""
+
+    ANSWERED = "answered"
+    NOT_SENT = "not_sent"
+    BROKEN = "broken"
+
+
+class ExchangeEnd(NamedTuple):
+    """Tell the end of one exchange; `answer` is there when a whole one came."""
+
+    kind: EndKind
+    answer: Response | None
+    detail: str
--- /dev/null
+++ b/trackwheel/http1/server.py
@@ -0,0 +1,269 @@
+"""The server side: connections from clients, one request at a time on each."""
+
+import asyncio
+import time
+from collections import deque
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Final, Protocol, cast
+
+import httptools
+
+from trackwheel.http1.const import MAX_WAITING_REQUESTS
+from trackwheel.http1.models import Headers, Request, Response
+from trackwheel.http1.sockets import watch_for_silence
+from trackwheel.routing.models import Limits
+
+_REASON_BY_STATUS: Final = {status.value: status.phrase.encode() for status in HTTPStatus}
+
+
+class Exchange(Protocol):
+    """Let the handler of a request answer it."""
+
+    @property
+    def on_gone(self) -> Callable[[], None] | None:
+        """Return what is called when the client leaves before its answer."""
+
+    @on_gone.setter
+    def on_gone(self, handler: Callable[[], None]) -> None: ...
+
+    def respond(self, response: Response) -> None:
+        """Give the one answer; a second one, or one to a client who left, is dropped."""
+
+
+Handler = Callable[[Request, Exchange], None]
+
+
+class ServerState:
+    """Hold what all connections of one server share."""
+
+    def __init__(self, handler: Handler, limits: Callable[[], Limits]) -> None:
+        self.handler = handler
+        self.limits = limits
+        self.stopping = False
+        self.connections: set[ServerConnection] = set()
+
+    @property
+    def busy(self) -> int:
+        """Return how many connections have a request under way."""
+        return sum(connection.busy for connection in self.connections)
+
+    def close_idle(self) -> None:
+        """Close the connections on which nothing is under way."""
+        for connection in tuple(self.connections):
+            if not connection.busy:
+                connection.close()
+
+
+class _ServerExchange:
+    """One request and its answer."""
+
+    def __init__(self, connection: "ServerConnection", head_only: bool, keep: bool) -> None:
+        self._connection = connection
+        self._head_only = head_only
+        self._keep = keep
+        self._done = False
+        self.on_gone: Callable[[], None] | None = None
+
+    def respond(self, response: Response) -> None:
+        """Write the answer."""
+        if self._done:
+            return
+        self._done = True
+        self._connection.write_answer(response, self._head_only, self._keep)
+
+    def gone(self) -> None:
+        """Tell the handler that the client left."""
+        if self._done:
+            return
+        self._done = True
+        if self.on_gone is not None:
+            self.on_gone()
+
+
+class ServerConnection(asyncio.Protocol):
+    """Read requests from one client and write their answers in order."""
+
+    def __init__(self, state: ServerState) -> None:
+        self._state = state
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._timer: asyncio.TimerHandle | None = None
+        self._waiting: deque[tuple[Request, bool]] = deque()
+        self._current: _ServerExchange | None = None
+        self._refusing = False
+        self._in_message = False
+        self._headers_done = False
+        self._header_bytes = 0
+        self._body_bytes = 0
+        self._url = b""
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._body: list[bytes] = []
+
+    @property
+    def busy(self) -> bool:
+        """Return whether a request is being read, waits or is under way."""
+        return self._current is not None or self._in_message or bool(self._waiting)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take a new connection."""
+        # uvloop's transports are no subclasses of the one in asyncio.
+        self._transport = cast(asyncio.Transport, transport)
+        watch_for_silence(transport)
+        self._state.connections.add(self)
+        self._set_timer(self._state.limits().idle_s, self.close)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tell the handlers of unanswered requests that the client left."""
+        self._state.connections.discard(self)
+        self._stop_timer()
+        self._waiting.clear()
+        current, self._current = self._current, None
+        if current is not None:
+            current.gone()
+
+    def data_received(self, data: bytes) -> None:
+        """Feed the parser; answer 400 to what is not HTTP."""
+        if self._refusing:
+            return
+        if not self._headers_done:
+            self._header_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._refuse(HTTPStatus.BAD_REQUEST)
+            return
+        limits = self._state.limits()
+        if not self._headers_done and self._header_bytes > limits.header_bytes:
+            self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+
+    def on_message_begin(self) -> None:
+        """Begin a request; its headers must be in within the limit."""
+        self._in_message = True
+        self._headers_done = False
+        self._url = b""
+        self._headers = []
+        self._body = []
+        self._body_bytes = 0
+        if self._current is None:
+            self._set_timer(self._state.limits().header_s, self._header_timeout)
+
+    def on_url(self, url: bytes) -> None:
+        """Take a part of the request target."""
+        self._url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take one header."""
+        self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Check the announced size and go on to the body."""
+        self._headers_done = True
+        self._header_bytes = 0
+        if self._current is None:
+            self._set_timer(self._state.limits().idle_s, self._header_timeout)
+        for name, value in self._headers:
+            if name == b"content-length" and int(value) > self._state.limits().body_bytes:
+                self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+            if name == b"expect" and self._transport is not None and not self._refusing:
+                self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of the body."""
+        self._body_bytes += len(body)
+        if self._body_bytes > self._state.limits().body_bytes:
+            self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+            return
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Queue the whole request."""
+        self._in_message = False
+        self._headers_done = False
+        if self._refusing:
+            return
+        method = self._parser.get_method()
+        request = Request(
+            method, self._url, tuple(self._headers), b"".join(self._body), time.monotonic()
+        )
+        self._waiting.append((request, self._parser.should_keep_alive()))
+        if len(self._waiting) >= MAX_WAITING_REQUESTS and self._transport is not None:
+            self._transport.pause_reading()
+        self._next()
+
+    def write_answer(self, response: Response, head_only: bool, keep: bool) -> None:
+        """Write the answer to the current request and go on to the next one."""
+        self._current = None
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        keep = keep and not self._state.stopping
+        transport.write(encode_response(response, head_only, keep))
+        if not keep:
+            self._stop_timer()
+            transport.close()
+            return
+        if len(self._waiting) < MAX_WAITING_REQUESTS:
+            transport.resume_reading()
+        self._next()
+
+    def close(self) -> None:
+        """Close the connection once what was written has gone out."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def _next(self) -> None:
+        """Hand the next request to the handler unless one is under way."""
+        if self._current is not None:
+            return
+        if not self._waiting:
+            if not self._in_message:
+                self._set_timer(self._state.limits().idle_s, self.close)
+            return
+        self._stop_timer()
+        request, keep = self._waiting.popleft()
+        exchange = _ServerExchange(self, request.method == b"HEAD", keep)
+        self._current = exchange
+        self._state.handler(request, exchange)
+
+    def _header_timeout(self) -> None:
+        self._refuse(HTTPStatus.REQUEST_TIMEOUT)
+
+    def _refuse(self, status: HTTPStatus) -> None:
+        """Answer a request that was not read to its end, and close."""
+        if self._refusing or self._transport is None or self._transport.is_closing():
+            return
+        self._refusing = True
+        self._stop_timer()
+        if self._current is None:
+            self._transport.write(encode_response(Response(status, (), b""), False, False))
+        self._transport.close()
+
+    def _set_timer(self, delay_s: float, action: Callable[[], None]) -> None:
+        self._stop_timer()
+        self._timer = asyncio.get_running_loop().call_later(delay_s, action)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+
+def encode_response(response: Response, head_only: bool, keep: bool) -> bytes:
+    """Return an answer's bytes, with its length and whether the connection stays."""
+    reason = _REASON_BY_STATUS.get(response.status, b"Status")
+    lines = [b"HTTP/1.1 %d %s\r\n" % (response.status, reason)]
+    lines += [b"%s: %s\r\n" % pair for pair in response.headers]
+    length = _announced_length(response.headers)
+    if length is None:
+        lines.append(b"content-length: %d\r\n" % len(response.body))
+    if not keep:
+        lines.append(b"connection: close\r\n")
+    lines.append(b"\r\n")
+    if not head_only:
+        lines.append(response.body)
+    return b"".join(lines)
+
+
+def _announced_length(headers: Headers) -> bytes | None:
+    return next((value for name, value in headers if name == b"content-length"), None)
--- /dev/null
+++ b/trackwheel/http1/sockets.py
@@ -0,0 +1,24 @@
+"""Socket options by which silent peers are noticed."""
+
+import asyncio
+import socket
+
+from trackwheel.http1.const import (
+    KEEPALIVE_IDLE_S,
+    KEEPALIVE_PERIOD_S,
+    KEEPALIVE_PROBES,
+    TCP_USER_TIMEOUT_MS,
+)
+
+
+def watch_for_silence(transport: asyncio.BaseTransport) -> None:
+    """Let the kernel report a peer that acknowledges nothing, and send without delay."""
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_PERIOD_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
--- /dev/null
+++ b/trackwheel/platform/names.py
@@ -0,0 +1,55 @@
+"""The platform's names: headers, fields, keys and paths, each decoded in this folder only."""
+
+from typing import Final
+
+HEADER_ATTEMPT: Final = b"x-attempt-id"
+"""Names one attempt of a client; targets bring it back."""
+HEADER_DEADLINE: Final = b"x-deadline-ms"
+"""Milliseconds that the sender still waits, not a point in time."""
+HEADER_SIGNATURE: Final = b"x-response-stamp"
+"""A target's signature of its answer; not a time stamp."""
+HEADER_EXPECTED: Final = b"x-expect-instance"
+HEADER_LOAD: Final = b"x-server-load"
+HEADER_NOT_RUN: Final = b"x-not-executed"
+HEADER_RETRY_AFTER: Final = b"retry-after"
+HEADER_PARTS: Final = b"x-part-stamps"
+HEADER_MISSING: Final = b"x-missing-parts"
+HEADER_ENCODING: Final = b"content-encoding"
+
+CONNECTION_HEADERS: Final = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+"""Headers that concern one connection only; lengths are written anew."""
+
+SET_HEADERS: Final = frozenset({HEADER_ATTEMPT, HEADER_DEADLINE, HEADER_EXPECTED})
+"""Headers that are written anew towards targets."""
+
+TARGET_HEADERS: Final = frozenset({HEADER_LOAD, HEADER_NOT_RUN})
+"""Headers of targets that clients do not get."""
+
+STATUS_ELSEWHERE: Final = 421
+"""Another target has the address; the request was not run."""
+PROMISES: Final = frozenset({408, 421, 429, 503})
+"""Statuses that promise a client that its request has not run and never will."""
+
+KEY_CONFIG: Final = "op/config"
+PREFIX_TARGETS: Final = "servers/"
+
+STATE_DRAINING: Final = "draining"
+KIND_SAFE: Final = "safe"
+
+PATH_READY: Final = "/ready"
+PATH_RANGE: Final = "/kv-range"
+PATH_WATCH: Final = "/kv-watch"
--- /dev/null
+++ b/trackwheel/platform/wire.py
@@ -0,0 +1,131 @@
+"""The headers that clients and targets speak, translated into the product's terms."""
+
+from trackwheel.http1.models import Headers, Request, Response, header
+from trackwheel.platform.names import (
+    CONNECTION_HEADERS,
+    HEADER_ATTEMPT,
+    HEADER_DEADLINE,
+    HEADER_ENCODING,
+    HEADER_EXPECTED,
+    HEADER_LOAD,
+    HEADER_MISSING,
+    HEADER_NOT_RUN,
+    HEADER_PARTS,
+    HEADER_RETRY_AFTER,
+    HEADER_SIGNATURE,
+    PROMISES,
+    SET_HEADERS,
+    STATUS_ELSEWHERE,
+    TARGET_HEADERS,
+)
+from trackwheel.relay.models import CallerRequest, Load, Outcome, TargetEnd
+
+MILLISECONDS = 1000.0
+DEFAULT_DEADLINE_S = 30.0
+"""Time of a request whose client tells none; the route's own time bounds it further."""
+STATUS_FAILED = 502
+NAMES_PER_HEADER = 40
+"""Signatures in one header line, to keep lines far below usual limits."""
+
+
+class PlatformWire:
+    """Speak the platform's headers."""
+
+    def read_request(self, request: Request) -> CallerRequest:
+        """Return a client's request in the product's terms."""
+        told_ms = header(request.headers, HEADER_DEADLINE) or b""
+        left_s = DEFAULT_DEADLINE_S
+        if told_ms.isdigit():
+            left_s = int(told_ms) / MILLISECONDS
+        host = (header(request.headers, b"host") or b"").decode("latin-1").lower()
+        path = request.target.partition(b"?")[0].decode("latin-1")
+        request_id = (header(request.headers, HEADER_ATTEMPT) or b"").decode("latin-1")
+        name = host.rpartition(":")[0] if ":" in host else host
+        return CallerRequest(request_id, name, path, request.arrived + left_s, request)
+
+    def forwarded_headers(self, request: Request) -> Headers:
+        """Return the headers of a client's request that targets get."""
+        return tuple(
+            (name, value)
+            for name, value in request.headers
+            if name not in CONNECTION_HEADERS and name not in SET_HEADERS
+        )
+
+    def target_request(self, request: CallerRequest, instance: str, now: float) -> Request:
+        """Return what is sent to a target, with the time that is left."""
+        left_ms = max(1, int((request.deadline - now) * MILLISECONDS))
+        headers = (
+            *self.forwarded_headers(request.http),
+            (HEADER_ATTEMPT, request.request_id.encode("latin-1")),
+            (HEADER_DEADLINE, b"%d" % left_ms),
+            (HEADER_EXPECTED, instance.encode("latin-1")),
+        )
+        return request.http._replace(headers=headers)
+
+    def check_answer(self, request_id: str, answer: Response) -> str:
+        """Return why an answer does not belong to a request; an empty text when it does."""
+        told = header(answer.headers, HEADER_ATTEMPT)
+        if told is not None and told.decode("latin-1") != request_id:
+            return "the answer belongs to another request"
+        return ""
+
+    def read_end(self, answer: Response, single: bool) -> TargetEnd:
+        """Return how a target answered."""
+        load = _read_load(header(answer.headers, HEADER_LOAD))
+        signature = header(answer.headers, HEADER_SIGNATURE) or b""
+        if answer.status == STATUS_ELSEWHERE:
+            return TargetEnd(Outcome.ELSEWHERE, None, b"", load, "another target is there")
+        if header(answer.headers, HEADER_NOT_RUN) is not None:
+            detail = f"not run, status {answer.status}"
+            return TargetEnd(Outcome.NOT_RUN, None, b"", load, detail)
+        if not 200 <= answer.status < 300:
+            detail = f"status {answer.status}"
+            return TargetEnd(Outcome.FAILED, answer, signature, load, detail)
+        if not signature:
+            return TargetEnd(Outcome.BROKEN, None, b"", load, "no signature")
+        if not single and header(answer.headers, HEADER_ENCODING) is not None:
+            return TargetEnd(Outcome.BROKEN, None, b"", load, "encoded body")
+        return TargetEnd(Outcome.OK, answer, signature, load, "")
+
+    def single_answer(self, answer: Response) -> Response:
+        """Return what the client gets of a target's answer."""
+        headers = tuple(
+            (name, value)
+            for name, value in answer.headers
+            if name not in CONNECTION_HEADERS and name not in TARGET_HEADERS
+        )
+        if answer.status in PROMISES:
+            # The target ran the request; the status would tell the client that nobody did.
+            headers = tuple(pair for pair in headers if pair[0] != HEADER_SIGNATURE)
+            return Response(STATUS_FAILED, headers, answer.body)
+        return Response(answer.status, headers, answer.body)
+
+    def gathered_answer(
+        self, request_id: str, signatures: list[bytes], missing: int, body: bytes
+    ) -> Response:
+        """Return the answer that is made of several parts."""
+        lines = [
+            (HEADER_PARTS, b", ".join(signatures[start : start + NAMES_PER_HEADER]))
+            for start in range(0, len(signatures), NAMES_PER_HEADER)
+        ]
+        headers = (
+            (HEADER_ATTEMPT, request_id.encode("latin-1")),
+            *lines,
+            (HEADER_MISSING, b"%d" % missing),
+        )
+        return Response(200, headers, body)
+
+    def refusal(self, status: int, retry_after_s: float | None, reason: str) -> Response:
+        """Return an answer of this box's own."""
+        headers: Headers = ((b"content-type", b"text/plain"),)
+        if retry_after_s is not None:
+            headers += ((HEADER_RETRY_AFTER, b"%.2f" % retry_after_s),)
+        return Response(status, headers, reason.encode())
+
+
+def _read_load(value: bytes | None) -> Load | None:
+    numbers = (value or b"").split(b",")
+    if len(numbers) != 3 or not all(number.strip().isdigit() for number in numbers):
+        return None
+    running, waiting, slots = (int(number) for number in numbers)
+    return Load(running, waiting, slots)
--- /dev/null
+++ b/trackwheel/relay/board.py
@@ -0,0 +1,230 @@
+"""What this box knows of each target, judged by its answers, and the choice among them."""
+
+from math import exp2
+from random import Random
+from typing import NamedTuple
+
+from trackwheel.relay.const import (
+    DISCONNECT_EJECT_S,
+    EJECT_AFTER,
+    EJECT_S,
+    FAILURE_COST_AIMS,
+    FAILURE_HALF_LIFE_S,
+    FAILURE_WEIGHT,
+    FAR_COST_AIMS,
+    FASTER_WEIGHT,
+    JITTER,
+    LONGEST_EJECT_S,
+    MOST_SLOWNESS,
+    OTHER_DOMAIN_COST_AIMS,
+    REPORT_LIFETIME_S,
+    SLOWER_WEIGHT,
+    SLOWNESS_HALF_LIFE_S,
+    STALL_FACTOR,
+)
+from trackwheel.relay.models import Load, Outcome, Place, Target
+from trackwheel.relay.pace import Paces
+
+
+class RouteKey(NamedTuple):
+    """Name a route and its aim (seconds), for the pace of its answers."""
+
+    name: str
+    aim_s: float
+
+
+class Choice(NamedTuple):
+    """One target with what it is expected to take (seconds) and whether it is a last resort."""
+
+    target: Target
+    expected_s: float
+    cost_s: float
+    last_resort: bool
+
+
+class _Flight(NamedTuple):
+    started: float
+    expected_s: float
+    route: RouteKey
+
+
+class _Record:
+    """What is known of one target."""
+
+    def __init__(self) -> None:
+        self.flight_by_token: dict[object, _Flight] = {}
+        self.slowness = 1.0
+        self.slowness_at = 0.0
+        self.failure_rate = 0.0
+        self.failure_at = 0.0
+        self.failures_in_a_row = 0
+        self.ejected_until = 0.0
+        self.load: Load | None = None
+        self.load_at = 0.0
+
+
+class Board:
+    """Keep a record for each target and rank the targets of a service."""
+
+    def __init__(self, place: Place, seed: int) -> None:
+        self._place = place
+        self._random = Random(seed)
+        self._record_by_instance: dict[str, _Record] = {}
+        self._paces = Paces()
+        self._targets_by_service: dict[str, tuple[Target, ...]] = {}
+
+    def set_targets(self, targets_by_service: dict[str, tuple[Target, ...]]) -> None:
+        """Take the directory of targets; records of targets that are gone are dropped."""
+        self._targets_by_service = targets_by_service
+        known = {target.instance for found in targets_by_service.values() for target in found}
+        self._record_by_instance = {
+            instance: record
+            for instance, record in self._record_by_instance.items()
+            if instance in known or record.flight_by_token
+        }
+
+    def targets(self, service: str) -> tuple[Target, ...]:
+        """Return the known targets of a service."""
+        return self._targets_by_service.get(service, ())
+
+    def is_far(self, target: Target) -> bool:
+        """Return whether a target stands in another region."""
+        return target.place.region != self._place.region
+
+    def usual_s(self, route: RouteKey, far: bool) -> float:
+        """Return the usual time of a route's answers (seconds)."""
+        return self._paces.get(route.name, far, route.aim_s).usual_s
+
+    def sent(self, target: Target, token: object, route: RouteKey, now: float) -> None:
+        """Take that a request went to a target."""
+        record = self._record(target.instance)
+        expected_s = self._expected(target, record, route, now)
+        record.flight_by_token[token] = _Flight(now, expected_s, route)
+
+    def withdrawn(self, target: Target, token: object, now: float) -> None:
+        """Take that an unanswered request was taken back: it took at least so long."""
+        record = self._record(target.instance)
+        flight = record.flight_by_token.pop(token, None)
+        if flight is None:
+            return
+        ratio = (now - flight.started) / max(1e-4, self._usual(target, flight.route))
+        if ratio > self._slowness(record, now):
+            self._learn_slowness(record, ratio, now)
+
+    def ended(
+        self, target: Target, token: object, outcome: Outcome, load: Load | None, now: float
+    ) -> None:
+        """Take how a request to a target ended."""
+        record = self._record(target.instance)
+        flight = record.flight_by_token.pop(token, None)
+        if load is not None:
+            record.load, record.load_at = load, now
+        self._learn_failure(record, outcome, now)
+        if outcome is not Outcome.OK or flight is None:
+            return
+        duration_s = now - flight.started
+        usual_s = self._usual(target, flight.route)
+        self._paces.get(flight.route.name, self.is_far(target), flight.route.aim_s).add(duration_s)
+        self._learn_slowness(record, duration_s / max(1e-4, usual_s), now)
+
+    def rank(
+        self, service: str, route: RouteKey, now: float, tried: frozenset[str] = frozenset()
+    ) -> list[Choice]:
+        """Return the targets that may get a request, the best one first."""
+        choices = [
+            self._choice(target, route, now)
+            for target in self.targets(service)
+            if not target.leaving and target.instance not in tried
+        ]
+        return sorted(choices, key=lambda choice: (choice.last_resort, choice.cost_s))
+
+    def near_share(self, services: tuple[str, ...], region: str, now: float) -> float:
+        """Return the share of services with a target in a region that is in use."""
+        if not services:
+            return 0.0
+        near = sum(self._has_target_in(service, region, now) for service in services)
+        return near / len(services)
+
+    def _has_target_in(self, service: str, region: str, now: float) -> bool:
+        return any(
+            target.place.region == region
+            and not target.leaving
+            and self._record(target.instance).ejected_until <= now
+            for target in self.targets(service)
+        )
+
+    def _choice(self, target: Target, route: RouteKey, now: float) -> Choice:
+        record = self._record(target.instance)
+        expected_s = self._expected(target, record, route, now)
+        failure_cost = self._failure_rate(record, now) * FAILURE_COST_AIMS
+        place_cost = 0.0
+        if self.is_far(target):
+            place_cost = FAR_COST_AIMS
+        elif target.place != self._place:
+            place_cost = OTHER_DOMAIN_COST_AIMS
+        cost_s = expected_s + (failure_cost + place_cost) * route.aim_s
+        cost_s *= 1.0 + self._random.random() * JITTER
+        last_resort = target.doubtful or record.ejected_until > now
+        return Choice(target, expected_s, cost_s, last_resort)
+
+    def _expected(self, target: Target, record: _Record, route: RouteKey, now: float) -> float:
+        """Return how long a request sent now is expected to take (seconds)."""
+        slots = max(1, target.slots)
+        busy = len(record.flight_by_token)
+        if record.load is not None and now - record.load_at < REPORT_LIFETIME_S:
+            busy = max(busy, record.load.running + record.load.waiting)
+            slots = max(1, record.load.slots)
+        rounds = max(1.0, (busy + 1) / slots)
+        usual_s = self._usual(target, route)
+        slowness = max(1.0, self._slowness(record, now))
+        return max(usual_s * rounds * slowness, self._stalled_s(record, now))
+
+    def _stalled_s(self, record: _Record, now: float) -> float:
+        """Return the age of the oldest answer that is awaited, if that is overdue."""
+        oldest = 0.0
+        for flight in record.flight_by_token.values():
+            age = now - flight.started
+            if age > STALL_FACTOR * flight.expected_s:
+                oldest = max(oldest, age)
+        return oldest
+
+    def _usual(self, target: Target, route: RouteKey) -> float:
+        return self.usual_s(route, self.is_far(target))
+
+    def _slowness(self, record: _Record, now: float) -> float:
+        fade = exp2((record.slowness_at - now) / SLOWNESS_HALF_LIFE_S)
+        return 1.0 + (record.slowness - 1.0) * fade
+
+    def _learn_slowness(self, record: _Record, ratio: float, now: float) -> None:
+        before = self._slowness(record, now)
+        ratio = min(MOST_SLOWNESS, ratio)
+        weight = SLOWER_WEIGHT if ratio > before else FASTER_WEIGHT
+        record.slowness = before + (ratio - before) * weight
+        record.slowness_at = now
+
+    def _failure_rate(self, record: _Record, now: float) -> float:
+        return record.failure_rate * exp2((record.failure_at - now) / FAILURE_HALF_LIFE_S)
+
+    def _learn_failure(self, record: _Record, outcome: Outcome, now: float) -> None:
+        failed = 0.0 if outcome is Outcome.OK else 1.0
+        before = self._failure_rate(record, now)
+        record.failure_rate = before + (failed - before) * FAILURE_WEIGHT
+        record.failure_at = now
+        if outcome is Outcome.OK:
+            record.failures_in_a_row = 0
+            record.ejected_until = 0.0
+            return
+        if outcome is Outcome.NOT_RUN:
+            return
+        record.failures_in_a_row += 1
+        if outcome in (Outcome.NOT_SENT, Outcome.ELSEWHERE):
+            record.ejected_until = now + DISCONNECT_EJECT_S
+        elif record.failures_in_a_row >= EJECT_AFTER:
+            doublings = record.failures_in_a_row - EJECT_AFTER
+            record.ejected_until = now + min(LONGEST_EJECT_S, EJECT_S * 2**doublings)
+
+    def _record(self, instance: str) -> _Record:
+        record = self._record_by_instance.get(instance)
+        if record is None:
+            record = self._record_by_instance[instance] = _Record()
+        return record
--- /dev/null
+++ b/trackwheel/relay/budget.py
@@ -0,0 +1,81 @@
+"""The budget of repeats: a sliding window for each service, safe for all boxes together.
+
+Each box allows itself a part of the requests that it sent itself, plus its share of the fixed
+allowance. Sums of such parts keep the fleet's bound, whoever comes or goes.
+"""
+
+from collections import deque
+from typing import NamedTuple
+
+from trackwheel.relay.const import BUDGET_BUCKETS, BUDGET_SAFETY, BUDGET_SHARE_OF_EXTRA
+
+
+class BudgetRule(NamedTuple):
+    """The bound for the whole fleet: repeats within a window (seconds)."""
+
+    ratio: float
+    window_s: float
+    extra: float
+
+
+class SlidingCount:
+    """Count events of the last window, in buckets."""
+
+    def __init__(self, window_s: float) -> None:
+        self._bucket_s = window_s / BUDGET_BUCKETS
+        self._count_by_bucket: deque[tuple[int, int]] = deque()
+        self._total = 0
+
+    def add(self, now: float) -> None:
+        """Count one event."""
+        bucket = int(now / self._bucket_s)
+        self._total += 1
+        if self._count_by_bucket and self._count_by_bucket[-1][0] == bucket:
+            self._count_by_bucket[-1] = (bucket, self._count_by_bucket[-1][1] + 1)
+            return
+        self._count_by_bucket.append((bucket, 1))
+
+    def total(self, now: float, buckets: int) -> int:
+        """Return how many events the newest buckets hold; older ones are forgotten."""
+        oldest = int(now / self._bucket_s) - buckets
+        while self._count_by_bucket and self._count_by_bucket[0][0] < oldest:
+            self._total -= self._count_by_bucket.popleft()[1]
+        return self._total
+
+
+class RepeatBudget:
+    """Decide whether one more request for a service may be sent than clients asked for."""
+
+    def __init__(self, rule: BudgetRule) -> None:
+        self._rule = rule
+        self._members = 1
+        self._firsts_by_service: dict[str, SlidingCount] = {}
+        self._repeats_by_service: dict[str, SlidingCount] = {}
+        self.denied = 0
+
+    def set_members(self, members: int) -> None:
+        """Take how many boxes share the fixed allowance."""
+        self._members = max(1, members)
+
+    def first(self, service: str, now: float) -> None:
+        """Count a first request for a service."""
+        self._count(self._firsts_by_service, service).add(now)
+
+    def take(self, service: str, now: float) -> bool:
+        """Pay for one repeat; return False when the budget does not allow it."""
+        # One bucket less on the side of requests and one more on that of repeats: no window,
+        # wherever it begins, then holds more than the rule says.
+        firsts = self._count(self._firsts_by_service, service).total(now, BUDGET_BUCKETS - 1)
+        repeats = self._count(self._repeats_by_service, service).total(now, BUDGET_BUCKETS + 1)
+        extra = self._rule.extra * BUDGET_SHARE_OF_EXTRA / self._members
+        if repeats + 1 > firsts * self._rule.ratio * BUDGET_SAFETY + extra:
+            self.denied += 1
+            return False
+        self._count(self._repeats_by_service, service).add(now)
+        return True
+
+    def _count(self, count_by_service: dict[str, SlidingCount], service: str) -> SlidingCount:
+        count = count_by_service.get(service)
+        if count is None:
+            count = count_by_service[service] = SlidingCount(self._rule.window_s)
+        return count
--- /dev/null
+++ b/trackwheel/relay/const.py
@@ -0,0 +1,76 @@
+"""Numbers of the decisions about one request."""
+
+from typing import Final
+
+RECORD_BYTES: Final = 16
+"""Size of one record in the answer of a shard, as the targets' interface has it."""
+
+PACE_SAMPLES: Final = 128
+"""Answers of one route from which its usual time is worked out."""
+PACE_REFRESH: Final = 8
+"""After so many new answers the usual time is worked out anew."""
+FIRST_PACE_SHARE: Final = 0.2
+"""Share of the aim that an answer is thought to take before any was seen."""
+
+SLOWER_WEIGHT: Final = 0.3
+"""Weight of an answer that was slower than its target is thought to be: one may be a pause."""
+FASTER_WEIGHT: Final = 0.7
+"""Weight of an answer that was faster: a pause is over with the first quick answer."""
+MOST_SLOWNESS: Final = 10.0
+"""More than this an answer's slowness does not count."""
+SLOWNESS_HALF_LIFE_S: Final = 1.5
+"""How fast old knowledge of a slow target fades, so that it is tried again."""
+FAILURE_WEIGHT: Final = 0.25
+"""Weight of the newest end in a target's failure rate."""
+FAILURE_HALF_LIFE_S: Final = 2.0
+"""How fast an old failure rate fades."""
+FAILURE_COST_AIMS: Final = 0.5
+"""What a certain failure costs in the choice of a target, in aims of the route."""
+REPORT_LIFETIME_S: Final = 0.3
+"""How long the load that a target told counts; ten times the usual work."""
+STALL_FACTOR: Final = 3.0
+"""An answer later than this many usual times makes its target look stalled."""
+FAR_COST_AIMS: Final = 0.25
+"""What the bytes of an answer from another region cost in the choice, in aims of the route."""
+OTHER_DOMAIN_COST_AIMS: Final = 0.03
+"""The same for another failure domain of the own region."""
+JITTER: Final = 0.1
+"""Relative spread that keeps boxes from choosing the same target at once."""
+EJECT_AFTER: Final = 2
+"""Failures in a row after which a target is used only when no other is left."""
+EJECT_S: Final = 0.5
+"""First time out of use; doubles with each further failure."""
+LONGEST_EJECT_S: Final = 4.0
+"""Longest time out of use: a restarted target must get work again within seconds."""
+DISCONNECT_EJECT_S: Final = 1.0
+"""Time out of use after a connection could not be opened."""
+
+HEDGE_EARLIEST_PACES: Final = 2.0
+"""A second target is asked no sooner than after this many usual times."""
+HEDGE_RESERVE_PACES: Final = 3.0
+"""So many usual times of the second target are left before the aim when it is asked."""
+RETURN_MARGIN_S: Final = 0.008
+"""Time kept between the last moment to answer and the aim, for the way back and timers."""
+FINAL_MARGIN_S: Final = 0.02
+"""Time kept between the last answer and the client's deadline."""
+
+BUDGET_SAFETY: Final = 0.8
+"""Part of the allowed ratio of repeats that is used; the rest covers counts that differ."""
+BUDGET_SHARE_OF_EXTRA: Final = 0.5
+"""Part of the fixed allowance that members divide; the rest is for members that come anew."""
+BUDGET_BUCKETS: Final = 20
+"""Buckets of a sliding window."""
+
+RETRY_AFTER_S: Final = 0.2
+"""When to come back after a refusal, where nothing better is known."""
+NO_ROUTES_RETRY_AFTER_S: Final = 0.5
+"""When to come back to a box that knows no configuration yet."""
+
+ACCEPT_SLACK_S: Final = 0.04
+"""How much longer than the usual round trip a peer may take to accept a query."""
+FIRST_ROUND_TRIP_S: Final = 0.03
+"""Round trip to a peer before one was measured."""
+PEER_AVOID_S: Final = 1.5
+"""How long a peer that did not accept a query is passed over."""
+HAND_OVER_BELOW: Final = 0.5
+"""A query is handed to another region when less than this share of its shards is near."""
--- /dev/null
+++ b/trackwheel/relay/models.py
@@ -0,0 +1,106 @@
+"""What the decisions about one request take and give."""
+
+from enum import StrEnum
+from typing import NamedTuple, Protocol
+
+from trackwheel.http1.models import Headers, Request, Response
+
+
+class Place(NamedTuple):
+    """Say where a box or a target stands."""
+
+    region: str
+    failure_domain: str
+
+
+class Target(NamedTuple):
+    """One target as the directory knows it; `cold_until` is monotonic seconds."""
+
+    instance: str
+    service: str
+    address: str
+    place: Place
+    slots: int
+    leaving: bool
+    doubtful: bool
+    cold_until: float
+
+
+class Load(NamedTuple):
+    """What a target says of its load."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+class Outcome(StrEnum):
+    """Say how one request to one target ended."""
+
+    OK = "ok"
+    FAILED = "failed"
+    NOT_RUN = "not_run"
+    ELSEWHERE = "elsewhere"
+    NOT_SENT = "not_sent"
+    BROKEN = "broken"
+
+
+NOTHING_RAN = frozenset({Outcome.NOT_RUN, Outcome.ELSEWHERE, Outcome.NOT_SENT})
+"""Outcomes after which the target certainly has not run the request and never will."""
+
+
+class TargetEnd(NamedTuple):
+    """Tell how one request to one target ended."""
+
+    outcome: Outcome
+    answer: Response | None
+    signature: bytes
+    load: Load | None
+    detail: str
+
+
+class CallerRequest(NamedTuple):
+    """One request of a client in the product's terms (monotonic seconds)."""
+
+    request_id: str
+    host: str
+    path: str
+    deadline: float
+    http: Request
+
+
+class Part(NamedTuple):
+    """The answer of one shard: its signature and its greatest records."""
+
+    signature: bytes
+    records: list[bytes]
+
+
+class Wire(Protocol):
+    """Translate between the product's terms and the headers that clients and targets speak."""
+
+    def read_request(self, request: Request) -> CallerRequest:
+        """Return a client's request in the product's terms."""
+
+    def target_request(self, request: CallerRequest, instance: str, now: float) -> Request:
+        """Return what is sent to a target, with the time that is left."""
+
+    def forwarded_headers(self, request: Request) -> Headers:
+        """Return the headers of a client's request that targets get."""
+
+    def check_answer(self, request_id: str, answer: Response) -> str:
+        """Return why an answer does not belong to a request; an empty text when it does."""
+
+    def read_end(self, answer: Response, single: bool) -> TargetEnd:
+        """Return how a target answered; `single` asks for the answer of a whole request."""
+
+    def single_answer(self, answer: Response) -> Response:
+        """Return what the client gets of a target's answer."""
+
+    def gathered_answer(
+        self, request_id: str, signatures: list[bytes], missing: int, body: bytes
+    ) -> Response:
+        """Return the answer that is made of several parts."""
+
+    def refusal(self, status: int, retry_after_s: float | None, reason: str) -> Response:
+        """Return an answer of this box's own; `retry_after_s` says when to come back."""
--- /dev/null
+++ b/trackwheel/relay/transport.py
@@ -0,0 +1,113 @@
+"""The shell between decisions and targets: pools of connections by target."""
+
+from collections.abc import Callable
+from typing import NamedTuple, Protocol
+
+from trackwheel.http1.models import EndKind, ExchangeEnd, Request, Response
+from trackwheel.http1.pool import Job, TargetPool
+from trackwheel.relay.board import Board, RouteKey
+from trackwheel.relay.models import CallerRequest, Outcome, Target, TargetEnd, Wire
+from trackwheel.settings import split_address
+
+DEFAULT_CONNECTIONS = 8
+"""Connections to a target of a service that the configuration does not name."""
+CONNECTION_SHARE = 0.9
+"""Part of a target's connections that the boxes use together; the rest is for health checks."""
+LEAST_CONNECTIONS = 2
+"""Connections that a box may have to a target in any case."""
+
+OnTargetEnd = Callable[[TargetEnd], None]
+
+
+class Clock(Protocol):
+    """Give the steady time."""
+
+    def __call__(self) -> float:
+        """Return monotonic seconds."""
+
+
+class Sending(NamedTuple):
+    """One request for one target."""
+
+    token: object
+    request: CallerRequest
+    target: Target
+    route: RouteKey
+    single: bool
+    once: bool
+
+
+class TargetTransport:
+    """Send requests to targets and keep the board informed."""
+
+    def __init__(self, wire: Wire, board: Board, clock: Clock) -> None:
+        self._wire = wire
+        self._board = board
+        self._clock = clock
+        self._pool_by_instance: dict[str, TargetPool] = {}
+        self._limit_by_service: dict[str, int] = {}
+        self._members = 1
+        self.sent_near = 0
+        self.sent_far = 0
+
+    @property
+    def connections_opened(self) -> int:
+        """Return how many connections the present pools have opened."""
+        return sum(pool.opened for pool in self._pool_by_instance.values())
+
+    def set_limits(self, connections_by_service: dict[str, int], members: int) -> None:
+        """Take how many connections the targets of each service take from all boxes."""
+        self._limit_by_service = connections_by_service
+        self._members = max(1, members)
+
+    def keep_only(self, instances: set[str]) -> None:
+        """Close the idle connections of targets that are gone."""
+        for instance in [known for known in self._pool_by_instance if known not in instances]:
+            pool = self._pool_by_instance[instance]
+            pool.close()
+            if pool.unused:
+                del self._pool_by_instance[instance]
+
+    def send(self, sending: Sending, on_end: OnTargetEnd) -> None:
+        """Send a request; `on_end` is called once unless it is withdrawn."""
+        target, request = sending.target, sending.request
+        self._board.sent(target, sending.token, sending.route, self._clock())
+        if self._board.is_far(target):
+            self.sent_far += 1
+        else:
+            self.sent_near += 1
+
+        def build() -> Request:
+            return self._wire.target_request(request, target.instance, self._clock())
+
+        def check(answer: Response) -> str:
+            return self._wire.check_answer(request.request_id, answer)
+
+        def ended(end: ExchangeEnd) -> None:
+            result = self._read(end, sending.single)
+            self._board.ended(target, sending.token, result.outcome, result.load, self._clock())
+            on_end(result)
+
+        self._pool(target).submit(Job(sending.token, build, check, sending.once, ended))
+
+    def withdraw(self, token: object, target: Target) -> None:
+        """Take a request back."""
+        self._board.withdrawn(target, token, self._clock())
+        pool = self._pool_by_instance.get(target.instance)
+        if pool is not None:
+            pool.cancel(token)
+
+    def _read(self, end: ExchangeEnd, single: bool) -> TargetEnd:
+        if end.answer is not None:
+            return self._wire.read_end(end.answer, single)
+        outcome = Outcome.NOT_SENT if end.kind is EndKind.NOT_SENT else Outcome.BROKEN
+        return TargetEnd(outcome, None, b"", None, end.detail)
+
+    def _pool(self, target: Target) -> TargetPool:
+        pool = self._pool_by_instance.get(target.instance)
+        if pool is None:
+            host, port = split_address(target.address)
+            pool = self._pool_by_instance[target.instance] = TargetPool(host, port, 0)
+        allowed = self._limit_by_service.get(target.service, DEFAULT_CONNECTIONS * self._members)
+        pool.limit = max(LEAST_CONNECTIONS, int(allowed * CONNECTION_SHARE / self._members))
+        return pool
