Hand far shards to a box beside their targets and take merged records back

Change: gather.py asks near shards directly and hands the others in one message to a peer; the peer reports what is in early enough for other targets to be asked, and the rest at the aim.

--- a/trackwheel/entry.py
+++ b/trackwheel/entry.py
@@ -29,9 +29,10 @@
 from trackwheel.platform.wire import PlatformWire
 from trackwheel.relay.board import Board
 from trackwheel.relay.budget import RepeatBudget
+from trackwheel.relay.groups import PeerGroups
 from trackwheel.relay.models import Place, Target
-from trackwheel.relay.peers import RELAY_MESSAGES
-from trackwheel.relay.service import PeerBox, RelayService
+from trackwheel.relay.peers import RELAY_MESSAGES, PeerBox
+from trackwheel.relay.service import RelayService
 from trackwheel.relay.transport import TargetTransport
 from trackwheel.routing.models import Limits, RouteTable
 from trackwheel.settings import split_address
@@ -100,8 +101,9 @@
         self.board = Board(place, seed=os.getpid())
         self.budget = RepeatBudget(settings.budget)
         self.transport = TargetTransport(wire, self.board, time.monotonic)
+        self.groups = PeerGroups(self.hub, wire, self.board, self.budget, self.transport, self.log)
         self.relay = RelayService(
-            self.hub, wire, self.board, self.budget, self.transport, self.log, place
+            wire, self.board, self.budget, self.transport, self.groups, self.log, place
         )
         self.clients = ServerState(self.relay.handle, self._limits)
         self.readiness = ServerState(self._answer_readiness, self._limits)
@@ -116,7 +118,7 @@
     @property
     def busy(self) -> bool:
         """Return whether anything is under way here."""
-        return bool(self.clients.busy or self.relay.gathering_for_peers)
+        return bool(self.clients.busy or self.groups.taken)
 
     def stop(self) -> None:
         """Begin to stop: take no new clients, go on with those who are here."""
@@ -222,11 +224,13 @@
             synced=box.directory.synced,
             members=len(box.fleet.members),
             store_calls=box.directory.store_calls,
-            sent_near=box.transport.sent_near,
-            sent_far=box.transport.sent_far,
             repeats_denied=box.budget.denied,
             peer_bytes=box.hub.bytes_sent,
             peer_messages=box.hub.messages_sent,
+            **{
+                f"sent_{reason}_{'far' if far else 'near'}".replace(" ", "_"): number
+                for (reason, far), number in box.transport.sent_by_reason.items()
+            },
         )
 
 
--- a/trackwheel/relay/board.py
+++ b/trackwheel/relay/board.py
@@ -138,17 +138,12 @@
         ]
         return sorted(choices, key=lambda choice: (choice.last_resort, choice.cost_s))
 
-    def near_share(self, services: tuple[str, ...], region: str, now: float) -> float:
-        """Return the share of services with a target in a region that is in use."""
-        if not services:
-            return 0.0
-        near = sum(self._has_target_in(service, region, now) for service in services)
-        return near / len(services)
-
-    def _has_target_in(self, service: str, region: str, now: float) -> bool:
+    def has_target_in(self, service: str, region: str, now: float) -> bool:
+        """Return whether a service has a target in a region that is in use."""
         return any(
             target.place.region == region
             and not target.leaving
+            and not target.doubtful
             and self._record(target.instance).ejected_until <= now
             for target in self.targets(service)
         )
--- a/trackwheel/relay/const.py
+++ b/trackwheel/relay/const.py
@@ -68,9 +68,11 @@
 
 ACCEPT_SLACK_S: Final = 0.04
 """How much longer than the usual round trip a peer may take to accept a query."""
+REPORT_SLACK_S: Final = 0.012
+"""How much later than due a peer's report may come, for timers and the way."""
 FIRST_ROUND_TRIP_S: Final = 0.03
 """Round trip to a peer before one was measured."""
 PEER_AVOID_S: Final = 1.5
 """How long a peer that did not accept a query is passed over."""
-HAND_OVER_BELOW: Final = 0.5
-"""A query is handed to another region when less than this share of its shards is near."""
+LEAST_GROUP: Final = 2
+"""Fewer far shards than this are asked directly: a message to a peer would not be smaller."""
--- a/trackwheel/relay/peers.py
+++ b/trackwheel/relay/peers.py
@@ -1,21 +1,22 @@
-"""Handing a query to a box beside the targets, decided without I/O, and its messages."""
+"""What is known of the peers that gather shards for this box, and the messages to them."""
 
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
-from trackwheel.relay.const import (
-    ACCEPT_SLACK_S,
-    FIRST_ROUND_TRIP_S,
-    PEER_AVOID_S,
-)
+from trackwheel.relay.board import Board
+from trackwheel.relay.const import FIRST_ROUND_TRIP_S, LEAST_GROUP, PEER_AVOID_S
+from trackwheel.relay.models import Place
 
-ROUND_TRIP_WEIGHT = 0.2
+ROUND_TRIP_WEIGHT: Final = 0.2
 """Weight of the newest round trip in a peer's usual one."""
 
 
-class QueryForward(NamedTuple):
-    """Ask a peer to gather a query; times are what is left when it is sent (milliseconds)."""
+class GroupForward(NamedTuple):
+    """Ask a peer for some shards of a query; times are what is left when it is sent (ms).
 
-    query_id: str
+    The peer reports what is in at `report_in_ms` and sends the rest at `answer_in_ms` at last.
+    """
+
+    group_id: str
     request_id: str
     host: str
     path: str
@@ -26,172 +27,119 @@
     route: str
     shards: list[str]
     top_k: int
-    least_coverage: float
     max_attempts: int
     aim_ms: float
+    report_in_ms: float
     answer_in_ms: float
     end_in_ms: float
-    repeat: bool
 
 
-class QueryAccepted(NamedTuple):
-    """Say that the peer works on the query."""
+class GroupAccepted(NamedTuple):
+    """Say that the peer works on the shards."""
 
-    query_id: str
+    group_id: str
 
 
-class QueryDone(NamedTuple):
-    """Bring the answer: signatures of the parts, or none where the peer gave up."""
+class GroupParts(NamedTuple):
+    """Bring parts: shards by place in the request, their signatures, their greatest records."""
 
-    query_id: str
+    group_id: str
+    shards: list[int]
     signatures: list[bytes]
-    missing: int
-    body: bytes
-    ran: bool
-    late: bool
-    reason: str
+    records: bytes
+    final: bool
+
 
+class GroupCancel(NamedTuple):
+    """Say that nobody waits for the shards any more."""
 
-class QueryCancel(NamedTuple):
-    """Say that nobody waits for the answer any more."""
+    group_id: str
 
-    query_id: str
 
+RELAY_MESSAGES: Final = (GroupForward, GroupAccepted, GroupParts, GroupCancel)
 
-RELAY_MESSAGES = (QueryForward, QueryAccepted, QueryDone, QueryCancel)
+
+class PeerBox(NamedTuple):
+    """A box to which shards may be handed."""
+
+    address: str
+    place: Place
 
 
 class PeerBoard:
-    """Know the round trip to each peer and which ones did not accept a query lately."""
+    """Know the round trip to each peer and which ones showed no life lately."""
 
     def __init__(self) -> None:
         self._round_trip_by_address: dict[str, float] = {}
         self._avoid_until_by_address: dict[str, float] = {}
-        self._under_way_by_address: dict[str, int] = {}
+        self._turn = 0
 
     def round_trip_s(self, address: str) -> float:
         """Return the usual time to a peer and back (seconds)."""
         return self._round_trip_by_address.get(address, FIRST_ROUND_TRIP_S)
 
     def accepted(self, address: str, after_s: float) -> None:
-        """Take how long a peer took to accept a query."""
+        """Take how long a peer took to accept."""
         before = self._round_trip_by_address.get(address, after_s)
         self._round_trip_by_address[address] = before + (after_s - before) * ROUND_TRIP_WEIGHT
         self._avoid_until_by_address.pop(address, None)
 
     def failed(self, address: str, now: float) -> None:
-        """Take that a peer did not accept, or was lost."""
+        """Take that a peer showed no life, or was lost."""
         self._avoid_until_by_address[address] = now + PEER_AVOID_S
 
-    def began(self, address: str) -> None:
-        """Count a query at a peer."""
-        self._under_way_by_address[address] = self._under_way_by_address.get(address, 0) + 1
-
-    def ended(self, address: str) -> None:
-        """Count a query at a peer no more."""
-        self._under_way_by_address[address] = self._under_way_by_address.get(address, 1) - 1
-
-    def order(self, addresses: tuple[str, ...], turn: int, now: float) -> list[str]:
-        """Return the peers that may be asked, the least busy first, taking turns among equals."""
+    def pick(self, peers: list[PeerBox], now: float) -> PeerBox | None:
+        """Return the next usable peer in turn, None when there is none."""
         usable = [
-            address
-            for address in addresses
-            if self._avoid_until_by_address.get(address, 0.0) <= now
+            peer for peer in peers if self._avoid_until_by_address.get(peer.address, 0.0) <= now
         ]
-        count = max(1, len(usable))
-        indexed = list(enumerate(usable))
-        indexed.sort(
-            key=lambda pair: (self._under_way_by_address.get(pair[1], 0), (pair[0] + turn) % count)
-        )
-        return [address for _, address in indexed]
-
-
-class AskPeer(NamedTuple):
-    """Command: hand the query to a peer."""
-
-    address: str
-    repeat: bool
-
-
-class CancelPeer(NamedTuple):
-    """Command: tell a peer that its answer is not awaited any more."""
-
-    address: str
-
-
-class RunHere(NamedTuple):
-    """Command: gather the query at this box."""
-
-    repeat: bool
-
-
-HandOverCommand = AskPeer | CancelPeer | RunHere
-
-
-class HandOver:
-    """Decide which peer gathers a query, and what happens when it does not."""
-
-    def __init__(self, peers: list[str], board: PeerBoard, answer_at: float, end_at: float) -> None:
-        self._peers = peers
-        self._board = board
-        self._answer_at = answer_at
-        self._end_at = end_at
-        self._asked_at = 0.0
-        self._repeat = False
-        self._accepted = False
-        self.current: str | None = None
-        self.here = False
-
-    def start(self, now: float) -> list[HandOverCommand]:
-        """Ask the first peer."""
-        return self._next(now)
-
-    def accepted(self, address: str, now: float) -> None:
-        """Take that a peer works on the query."""
-        if address == self.current and not self._accepted:
-            self._accepted = True
-            self._board.accepted(address, now - self._asked_at)
-
-    def lost(self, address: str, now: float) -> list[HandOverCommand]:
-        """Take that the link to a peer broke."""
-        if address != self.current:
-            return []
-        return self._pass_over(now)
-
-    def tick(self, now: float) -> list[HandOverCommand]:
-        """Go on without a peer that showed no life in time."""
-        if self.current is None or now < self.next_wake():
-            return []
-        return [CancelPeer(self.current), *self._pass_over(now)]
-
-    def next_wake(self) -> float:
-        """Return when `tick` is next needed (monotonic seconds)."""
-        if self.current is None:
-            return self._end_at
-        if not self._accepted:
-            return self._asked_at + self._board.round_trip_s(self.current) + ACCEPT_SLACK_S
-        return self._answer_at if self._asked_at < self._answer_at else self._end_at
-
-    def finish(self) -> None:
-        """End: the answer is there, or nobody waits for it."""
-        if self.current is not None:
-            self._board.ended(self.current)
-            self.current = None
-
-    def _pass_over(self, now: float) -> list[HandOverCommand]:
-        assert self.current is not None
-        self._board.failed(self.current, now)
-        self._board.ended(self.current)
-        self.current = None
-        self._repeat = True
-        return self._next(now)
-
-    def _next(self, now: float) -> list[HandOverCommand]:
-        self._accepted = False
-        self._asked_at = now
-        if not self._peers:
-            self.here = True
-            return [RunHere(self._repeat)]
-        self.current = self._peers.pop(0)
-        self._board.began(self.current)
-        return [AskPeer(self.current, self._repeat)]
+        if not usable:
+            return None
+        self._turn += 1
+        return usable[self._turn % len(usable)]
+
+
+class ShardGroup(NamedTuple):
+    """Some shards and the peer beside their targets."""
+
+    peer: PeerBox
+    shards: tuple[str, ...]
+
+
+def group_far_shards(
+    shards: tuple[str, ...],
+    own_region: str,
+    peers: tuple[PeerBox, ...],
+    board: Board,
+    peer_board: PeerBoard,
+    now: float,
+) -> list[ShardGroup]:
+    """Return the shards without a near target in as few groups as will do.
+
+    What is left out is asked directly: shards with a near target, and single far ones.
+    """
+    left = {shard for shard in shards if not board.has_target_in(shard, own_region, now)}
+    peers_by_region: dict[str, list[PeerBox]] = {}
+    for peer in peers:
+        if peer.place.region != own_region:
+            peers_by_region.setdefault(peer.place.region, []).append(peer)
+    held_by_region = {
+        region: {shard for shard in left if board.has_target_in(shard, region, now)}
+        for region in peers_by_region
+    }
+    groups: list[ShardGroup] = []
+    while left and held_by_region:
+        most = max(len(held & left) for held in held_by_region.values())
+        if most < LEAST_GROUP:
+            break
+        best = [region for region, held in held_by_region.items() if len(held & left) == most]
+        candidates = [peer for region in best for peer in peers_by_region[region]]
+        chosen = peer_board.pick(candidates, now)
+        if chosen is None:
+            for region in best:
+                del held_by_region[region]
+            continue
+        held = held_by_region.pop(chosen.place.region) & left
+        groups.append(ShardGroup(chosen, tuple(shard for shard in shards if shard in held)))
+        left -= held
+    return groups
--- /dev/null
+++ b/trackwheel/relay/runs.py
@@ -0,0 +1,188 @@
+"""Shells that carry out the decisions about one request."""
+
+import time
+from collections.abc import Callable
+from typing import NamedTuple, Protocol
+
+from trackwheel.relay.gather import (
+    CancelGroup,
+    CancelPart,
+    Gather,
+    GatherCommand,
+    Gathered,
+    GatherFailed,
+    PeerSilent,
+    SendGroup,
+    SendPart,
+)
+from trackwheel.relay.merge import greatest_records
+from trackwheel.relay.models import CallerRequest, Outcome, Part, TargetEnd
+from trackwheel.relay.single import (
+    CancelSingle,
+    SendSingle,
+    Single,
+    SingleAnswered,
+    SingleCommand,
+    SingleFailed,
+)
+from trackwheel.relay.timer import Timer
+from trackwheel.relay.transport import Sending, TargetTransport
+
+
+class GatherTask(NamedTuple):
+    """A query to gather at this box."""
+
+    request: CallerRequest
+    gather: Gather
+    top_k: int
+
+
+class GroupSender(Protocol):
+    """Carry groups of shards to peers."""
+
+    def send_group(self, run: "GatherRun", command: SendGroup) -> None:
+        """Hand a group to its peer."""
+
+    def cancel_group(self, run: "GatherRun", command: CancelGroup) -> None:
+        """Take a group back."""
+
+    def peer_silent(self, command: PeerSilent) -> None:
+        """Note a peer that showed no life."""
+
+    def forget(self, run: "GatherRun") -> None:
+        """Drop the groups of a query that ended."""
+
+
+class GatherRun:
+    """Carry out the decisions of one gather."""
+
+    def __init__(
+        self,
+        task: GatherTask,
+        transport: TargetTransport,
+        groups: GroupSender,
+        on_done: Callable[[Gathered | GatherFailed], None],
+    ) -> None:
+        self.task = task
+        self._gather = task.gather
+        self._transport = transport
+        self._groups = groups
+        self._on_done = on_done
+        self._timer = Timer(self._tick)
+        self._token_by_number: dict[int, object] = {}
+
+    def start(self) -> None:
+        """Begin."""
+        self.perform(self._gather.start(time.monotonic()))
+
+    def cancel(self) -> None:
+        """Stop since nobody waits any more."""
+        self.perform(self._gather.cancel(time.monotonic()))
+        self._timer.stop()
+        self._groups.forget(self)
+
+    def perform(self, commands: list[GatherCommand]) -> None:
+        """Carry out some commands and wait for what comes next."""
+        done: Gathered | GatherFailed | None = None
+        for command in commands:
+            match command:
+                case SendPart():
+                    self._send(command)
+                case CancelPart(number, target):
+                    self._transport.withdraw(self._token_by_number.pop(number), target)
+                case SendGroup():
+                    self._groups.send_group(self, command)
+                case CancelGroup():
+                    self._groups.cancel_group(self, command)
+                case PeerSilent():
+                    self._groups.peer_silent(command)
+                case Gathered() | GatherFailed():
+                    done = command
+        if done is not None:
+            self._timer.stop()
+            self._groups.forget(self)
+            self._on_done(done)
+        elif not self._gather.ended:
+            self._timer.set(self._gather.next_wake())
+
+    def _tick(self) -> None:
+        self.perform(self._gather.tick(time.monotonic()))
+
+    def _ended(self, number: int, end: TargetEnd) -> None:
+        self._token_by_number.pop(number, None)
+        part = None
+        if end.outcome is Outcome.OK and end.answer is not None:
+            part = Part(end.signature, greatest_records(end.answer.body, self.task.top_k))
+        self.perform(self._gather.part_ended(number, end, part, time.monotonic()))
+
+    def _send(self, command: SendPart) -> None:
+        token = self._token_by_number[command.token] = object()
+        route = self._gather.plan.route
+        sending = Sending(
+            token, self.task.request, command.target, route, command.reason, False, False
+        )
+        self._transport.send(sending, lambda end: self._ended(command.token, end))
+
+
+class SingleRun:
+    """Carry out the decisions of one request to one target."""
+
+    def __init__(
+        self,
+        request: CallerRequest,
+        single: Single,
+        transport: TargetTransport,
+        on_done: Callable[[SingleAnswered | SingleFailed], None],
+    ) -> None:
+        self._request = request
+        self._single = single
+        self._transport = transport
+        self._on_done = on_done
+        self._timer = Timer(self._tick)
+        self._token_by_number: dict[int, object] = {}
+
+    def start(self) -> None:
+        """Begin."""
+        self._perform(self._single.start(time.monotonic()))
+
+    def cancel(self) -> None:
+        """Stop since nobody waits any more."""
+        self._perform(self._single.cancel(time.monotonic()))
+        self._timer.stop()
+
+    def _tick(self) -> None:
+        self._perform(self._single.tick(time.monotonic()))
+
+    def _ended(self, number: int, end: TargetEnd) -> None:
+        self._token_by_number.pop(number, None)
+        self._perform(self._single.target_ended(number, end, time.monotonic()))
+
+    def _perform(self, commands: list[SingleCommand]) -> None:
+        done: SingleAnswered | SingleFailed | None = None
+        for command in commands:
+            match command:
+                case SendSingle():
+                    self._send(command)
+                case CancelSingle(number, target):
+                    self._transport.withdraw(self._token_by_number.pop(number), target)
+                case SingleAnswered() | SingleFailed():
+                    done = command
+        if done is not None:
+            self._timer.stop()
+            self._on_done(done)
+        elif not self._single.ended:
+            self._timer.set(self._single.next_wake())
+
+    def _send(self, command: SendSingle) -> None:
+        token = self._token_by_number[command.token] = object()
+        plan = self._single.plan
+        sending = Sending(
+            token,
+            self._request,
+            command.target,
+            plan.route,
+            command.reason,
+            True,
+            not plan.repeatable,
+        )
+        self._transport.send(sending, lambda end: self._ended(command.token, end))
--- a/trackwheel/relay/transport.py
+++ b/trackwheel/relay/transport.py
@@ -1,5 +1,6 @@
 """The shell between decisions and targets: pools of connections by target."""
 
+from collections import Counter
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
@@ -33,6 +34,7 @@
     request: CallerRequest
     target: Target
     route: RouteKey
+    reason: str
     single: bool
     once: bool
 
@@ -47,8 +49,7 @@
         self._pool_by_instance: dict[str, TargetPool] = {}
         self._limit_by_service: dict[str, int] = {}
         self._members = 1
-        self.sent_near = 0
-        self.sent_far = 0
+        self.sent_by_reason: Counter[tuple[str, bool]] = Counter()
 
     @property
     def connections_opened(self) -> int:
@@ -72,10 +73,7 @@
         """Send a request; `on_end` is called once unless it is withdrawn."""
         target, request = sending.target, sending.request
         self._board.sent(target, sending.token, sending.route, self._clock())
-        if self._board.is_far(target):
-            self.sent_far += 1
-        else:
-            self.sent_near += 1
+        self.sent_by_reason[sending.reason, self._board.is_far(target)] += 1
 
         def build() -> Request:
             return self._wire.target_request(request, target.instance, self._clock())
