Count a request once however often it could not be sent, and bound its sends

A target that refused a connection made the next send count as a new first request, which raised the allowance; together with a target whose address another one had taken (421) one shard was sent in a circle until its time was up. The new table of the gather found the same: it did not end. Change: a shard is counted as a first request once; what did not arrive costs no repeat; an address that another target has is not asked again under the old name; at most four sends a shard. Parts of shards that a peer was not asked for are dropped (found by a test that failed first).

--- /dev/null
+++ b/tests/relay/conftest.py
@@ -0,0 +1,58 @@
+"""Targets, boards and ends that the tests of the relay share."""
+
+from collections.abc import Callable
+
+import pytest
+
+from trackwheel.http1.models import Response
+from trackwheel.relay.board import Board, RouteKey
+from trackwheel.relay.budget import BudgetRule, RepeatBudget
+from trackwheel.relay.models import Load, Outcome, Place, Target, TargetEnd
+
+HERE = Place("here", "here-a")
+THERE = Place("there", "there-a")
+ROUTE = RouteKey("r", 0.2)
+BoardMaker = Callable[..., Board]
+
+
+def target(
+    name: str,
+    service: str,
+    place: Place = HERE,
+    leaving: bool = False,
+    doubtful: bool = False,
+) -> Target:
+    return Target(name, service, "127.0.0.1:1", place, 2, leaving, doubtful, 0.0)
+
+
+def end(outcome: Outcome, load: Load | None = None) -> TargetEnd:
+    answer = Response(500, (), b"") if outcome is Outcome.FAILED else None
+    if outcome is Outcome.OK:
+        answer = Response(200, (), b"body")
+    return TargetEnd(outcome, answer, b"sig", load, outcome.value)
+
+
+@pytest.fixture
+def board() -> Board:
+    """Return a board with shards s0 to s9, each with a target here and one there."""
+    board = Board(HERE, seed=1)
+    board.set_targets(
+        {
+            f"s{number}": (target(f"s{number}-near", f"s{number}"),)
+            + (target(f"s{number}-far", f"s{number}", THERE),)
+            for number in range(10)
+        }
+    )
+    return board
+
+
+@pytest.fixture
+def budget() -> RepeatBudget:
+    """Return a budget that is large enough not to matter."""
+    return RepeatBudget(BudgetRule(10.0, 10.0, 1000.0))
+
+
+@pytest.fixture
+def no_budget() -> RepeatBudget:
+    """Return a budget that allows no repeat."""
+    return RepeatBudget(BudgetRule(0.0, 10.0, 0.0))
--- /dev/null
+++ b/tests/relay/test_budget.py
@@ -0,0 +1,69 @@
+"""The budget of repeats holds for all boxes together in every window."""
+
+from random import Random
+
+import pytest
+
+from trackwheel.relay.budget import BudgetRule, RepeatBudget
+
+RULE = BudgetRule(0.2, 10.0, 54.0)
+
+
+def worst_excess(firsts: list[float], repeats: list[float]) -> float:
+    """Return the largest excess of repeats over the rule in windows that begin at a repeat."""
+    worst = float("-inf")
+    for start in repeats:
+        end = start + RULE.window_s
+        asked = sum(start <= at < end for at in firsts)
+        extra = sum(start <= at < end for at in repeats)
+        worst = max(worst, extra - RULE.ratio * asked - RULE.extra)
+    return worst
+
+
+@pytest.mark.parametrize("boxes", [1, 3, 7, 10], ids=lambda boxes: f"{boxes}-boxes")
+@pytest.mark.parametrize("rate", [0.0, 2.0, 20.0], ids=lambda rate: f"{rate:.0f}-a-second")
+def test_all_boxes_together_stay_within_the_rule(boxes: int, rate: float) -> None:
+    random = Random(boxes)
+    budgets = [RepeatBudget(RULE) for _ in range(boxes)]
+    for budget in budgets:
+        budget.set_members(boxes)
+    firsts: list[float] = []
+    repeats: list[float] = []
+    for step in range(800):
+        now = step * 0.05
+        for budget in budgets:
+            if random.random() < rate * 0.05:
+                budget.first("s", now)
+                firsts.append(now)
+            if budget.take("s", now):
+                repeats.append(now)
+    assert repeats
+    assert worst_excess(firsts, repeats) <= 0
+
+
+def test_members_that_come_anew_fit_under_the_rule() -> None:
+    """Half of the boxes are killed and come back with empty books, inside one window."""
+    rule_repeats = 0
+    for life in range(2):
+        boxes = 7 if life == 0 else 4
+        for _ in range(boxes):
+            budget = RepeatBudget(RULE)
+            budget.set_members(7)
+            rule_repeats += sum(budget.take("s", 1.0 + life) for _ in range(100))
+    assert rule_repeats <= RULE.extra
+
+
+def test_services_have_books_of_their_own() -> None:
+    budget = RepeatBudget(RULE)
+    budget.set_members(1)
+    while budget.take("a", 0.0):
+        pass
+    assert budget.take("b", 0.0)
+
+
+def test_window_slides() -> None:
+    budget = RepeatBudget(RULE)
+    while budget.take("a", 0.0):
+        pass
+    assert not budget.take("a", RULE.window_s - 0.1)
+    assert budget.take("a", RULE.window_s + 1.1)
--- /dev/null
+++ b/tests/relay/test_gather.py
@@ -0,0 +1,336 @@
+"""The gather: groups, hedges, retries, the aim and giving up, in tables of events."""
+
+import pytest
+
+from tests.relay.conftest import HERE, ROUTE, end
+from trackwheel.relay.board import Board
+from trackwheel.relay.budget import BudgetRule, RepeatBudget
+from trackwheel.relay.const import MAX_SENDS
+from trackwheel.relay.gather import (
+    CancelGroup,
+    CancelPart,
+    Gather,
+    GatherCommand,
+    Gathered,
+    GatherFailed,
+    GatherPlan,
+    GroupPlan,
+    PeerSilent,
+    SendGroup,
+    SendPart,
+)
+from trackwheel.relay.models import Outcome, Part
+
+SHARDS = tuple(f"s{number}" for number in range(10))
+ANSWER_AT = 0.18
+END_AT = 1.0
+GROUP = GroupPlan("peer:1", ("s0", "s1", "s2"), 0.06, 0.08)
+
+
+class Session:
+    """Drive one gather and remember what it asked for."""
+
+    def __init__(
+        self,
+        board: Board,
+        budget: RepeatBudget,
+        least: float = 0.8,
+        groups: tuple[GroupPlan, ...] = (),
+        max_attempts: int = 2,
+        partial: bool = False,
+    ) -> None:
+        plan = GatherPlan(
+            ROUTE, SHARDS, groups, least, max_attempts, ANSWER_AT, END_AT, partial, False
+        )
+        self.gather = Gather(plan, board, budget)
+        self.open: dict[int, SendPart] = {}
+        self.sent: list[SendPart] = []
+        self.groups: list[SendGroup] = []
+        self.other: list[CancelGroup | PeerSilent] = []
+        self.end: Gathered | GatherFailed | None = None
+        self.take(self.gather.start(0.0))
+
+    def take(self, commands: list[GatherCommand]) -> None:
+        for command in commands:
+            match command:
+                case SendPart():
+                    self.open[command.token] = command
+                    self.sent.append(command)
+                case CancelPart(token):
+                    del self.open[token]
+                case SendGroup():
+                    self.groups.append(command)
+                case CancelGroup() | PeerSilent():
+                    self.other.append(command)
+                case Gathered() | GatherFailed():
+                    assert self.end is None
+                    self.end = command
+
+    def answer(self, shard: str, now: float = 0.02, where: str = "") -> None:
+        token = self.token(shard, where)
+        del self.open[token]
+        part = Part(f"sig-{shard}".encode(), [shard.encode().ljust(16)])
+        self.take(self.gather.part_ended(token, end(Outcome.OK), part, now))
+
+    def fail(self, shard: str, outcome: Outcome, now: float = 0.02) -> None:
+        token = self.token(shard, "")
+        del self.open[token]
+        self.take(self.gather.part_ended(token, end(outcome), None, now))
+
+    def token(self, shard: str, where: str) -> int:
+        return next(
+            token
+            for token, sent in self.open.items()
+            if sent.shard == shard and where in sent.target.instance
+        )
+
+    def parts(self, shards: list[str], final: bool, now: float = 0.05) -> None:
+        signatures = {shard: f"peer-{shard}".encode() for shard in shards}
+        records = [b"peer".ljust(16)]
+        self.take(self.gather.group_parts(0, signatures, records, final, now))
+
+    def tick(self, now: float) -> None:
+        self.take(self.gather.tick(now))
+
+
+def test_whole_answer_comes_with_the_last_shard(board: Board, budget: RepeatBudget) -> None:
+    session = Session(board, budget)
+    assert [sent.target.instance for sent in session.sent] == [f"{s}-near" for s in SHARDS]
+    for shard in SHARDS[:-1]:
+        session.answer(shard)
+    assert session.end is None
+    session.answer(SHARDS[-1])
+    assert isinstance(session.end, Gathered)
+    assert session.end.missing == 0
+    assert set(session.end.signature_by_shard) == set(SHARDS)
+    assert len(session.end.record_lists) == len(SHARDS)
+
+
+def test_late_shard_is_asked_of_a_second_target(board: Board, budget: RepeatBudget) -> None:
+    session = Session(board, budget)
+    for shard in SHARDS[1:]:
+        session.answer(shard)
+    session.tick(session.gather.next_wake())
+    hedge = session.sent[-1]
+    assert (hedge.shard, hedge.target.instance, hedge.reason) == ("s0", "s0-far", "hedge")
+    session.answer("s0", 0.15, "far")
+    assert isinstance(session.end, Gathered)
+    assert not session.open
+
+
+def test_answer_at_the_aim_names_what_it_lacks(board: Board, budget: RepeatBudget) -> None:
+    session = Session(board, budget, max_attempts=1)
+    for shard in SHARDS[2:]:
+        session.answer(shard)
+    session.tick(ANSWER_AT)
+    assert isinstance(session.end, Gathered)
+    assert (session.end.missing, session.end.reason) == (2, "aim")
+    assert not session.open
+
+
+def test_after_the_aim_the_least_coverage_is_enough(board: Board, budget: RepeatBudget) -> None:
+    session = Session(board, budget, max_attempts=1)
+    for shard in SHARDS[3:]:
+        session.answer(shard)
+    session.tick(ANSWER_AT)
+    assert session.end is None
+    session.answer("s0", 0.3)
+    assert isinstance(session.end, Gathered)
+    assert session.end.missing == 2
+
+
+def test_time_is_up(board: Board, budget: RepeatBudget) -> None:
+    session = Session(board, budget, max_attempts=1)
+    session.answer("s0")
+    session.tick(END_AT)
+    assert session.end == GatherFailed(True, True, "time is up")
+    assert not session.open
+
+
+@pytest.mark.parametrize(
+    ("outcome", "ran"),
+    [
+        pytest.param(Outcome.NOT_RUN, False, id="shed"),
+        pytest.param(Outcome.ELSEWHERE, False, id="elsewhere"),
+        pytest.param(Outcome.NOT_SENT, False, id="no-connection"),
+        pytest.param(Outcome.FAILED, True, id="failed"),
+        pytest.param(Outcome.BROKEN, True, id="broken"),
+    ],
+)
+def test_hopeless_query_is_given_up_at_once(
+    board: Board, no_budget: RepeatBudget, outcome: Outcome, ran: bool
+) -> None:
+    """A refusal may say that nothing ran only when no target may have run a shard."""
+    session = Session(board, no_budget, least=0.1)
+    while session.end is None:
+        session.fail(next(iter(session.open.values())).shard, outcome)
+    assert isinstance(session.end, GatherFailed)
+    assert session.end.ran is ran
+    assert not session.open
+    assert len(session.sent) <= MAX_SENDS * len(SHARDS)
+
+
+def test_shards_that_are_out_may_have_run(board: Board, no_budget: RepeatBudget) -> None:
+    session = Session(board, no_budget, least=1.0)
+    session.fail("s0", Outcome.NOT_RUN)
+    assert session.end == GatherFailed(True, False, "too few shards can answer")
+
+
+def test_failed_connections_do_not_enlarge_the_budget(board: Board) -> None:
+    """A request that could not be sent is asked for once, however often it is tried."""
+    budget = RepeatBudget(BudgetRule(0.2, 10.0, 0.0))
+    for _ in range(10):
+        session = Session(board, budget)
+        while session.end is None:
+            session.fail(next(iter(session.open.values())).shard, Outcome.NOT_SENT)
+    repeats = 0
+    while budget.take("s0", 0.5):
+        repeats += 1
+    assert repeats <= 2
+
+
+def test_address_of_another_target_is_not_asked_again(board: Board, budget: RepeatBudget) -> None:
+    session = Session(board, budget)
+    session.fail("s0", Outcome.ELSEWHERE)
+    session.fail("s0", Outcome.ELSEWHERE)
+    assert [sent.target.instance for sent in session.sent if sent.shard == "s0"] == [
+        "s0-near",
+        "s0-far",
+    ]
+
+
+def test_nothing_is_known(budget: RepeatBudget) -> None:
+    session = Session(Board(HERE, 1), budget)
+    assert session.end == GatherFailed(False, False, "too few shards can answer")
+
+
+@pytest.mark.parametrize(
+    "outcome", [Outcome.NOT_RUN, Outcome.FAILED, Outcome.BROKEN, Outcome.ELSEWHERE]
+)
+def test_failed_shard_is_asked_again_at_once(
+    board: Board, budget: RepeatBudget, outcome: Outcome
+) -> None:
+    session = Session(board, budget)
+    session.fail("s0", outcome)
+    assert session.sent[-1].target.instance == "s0-far"
+    assert session.sent[-1].reason == outcome.value
+
+
+def test_no_more_targets_run_a_shard_than_allowed(board: Board, budget: RepeatBudget) -> None:
+    session = Session(board, budget, max_attempts=1)
+    session.fail("s0", Outcome.FAILED)
+    assert len(session.sent) == len(SHARDS)
+    session.fail("s1", Outcome.NOT_RUN)
+    assert session.sent[-1].target.instance == "s1-far"
+
+
+def test_empty_budget_allows_no_repeat(board: Board, no_budget: RepeatBudget) -> None:
+    session = Session(board, no_budget)
+    session.fail("s0", Outcome.FAILED)
+    session.tick(session.gather.next_wake())
+    assert len(session.sent) == len(SHARDS)
+
+
+class TestGroups:
+    """Shards that a peer gathers."""
+
+    def test_merged_parts_count(self, board: Board, budget: RepeatBudget) -> None:
+        session = Session(board, budget, groups=(GROUP,))
+        assert {sent.shard for sent in session.sent} == set(SHARDS[3:])
+        for shard in SHARDS[3:]:
+            session.answer(shard)
+        session.parts(["s0", "s1"], final=False)
+        session.parts(["s2"], final=True)
+        assert isinstance(session.end, Gathered)
+        assert session.end.missing == 0
+        assert session.end.signature_by_shard["s0"] == b"peer-s0"
+
+    def test_what_the_peer_lacks_is_asked_directly(
+        self, board: Board, budget: RepeatBudget
+    ) -> None:
+        session = Session(board, budget, groups=(GROUP,))
+        session.parts(["s0", "s1"], final=True)
+        assert (session.sent[-1].shard, session.sent[-1].reason) == ("s2", "lacking")
+
+    @pytest.mark.parametrize("accepted", [False, True], ids=["not-accepted", "accepted-then-mute"])
+    def test_silent_peer_is_gone_around(
+        self, board: Board, budget: RepeatBudget, accepted: bool
+    ) -> None:
+        session = Session(board, budget, groups=(GROUP,))
+        if accepted:
+            session.gather.group_accepted(0)
+        session.tick(0.07)
+        if accepted:
+            session.tick(0.1)
+        assert session.other[0] == PeerSilent("peer:1", accepted)
+        asked = [sent.shard for sent in session.sent if sent.shard in GROUP.shards]
+        assert asked == ["s0", "s1", "s2"]
+
+    def test_lost_peer_is_gone_around(self, board: Board, budget: RepeatBudget) -> None:
+        session = Session(board, budget, groups=(GROUP,))
+        session.take(session.gather.group_lost(0, 0.01))
+        assert [sent.shard for sent in session.sent[-3:]] == ["s0", "s1", "s2"]
+
+    def test_requests_around_a_peer_are_repeats(
+        self, board: Board, no_budget: RepeatBudget
+    ) -> None:
+        """The peer may have asked the targets, so the budget has to allow it."""
+        session = Session(board, no_budget, groups=(GROUP,))
+        session.take(session.gather.group_lost(0, 0.01))
+        assert isinstance(session.end, GatherFailed)
+
+    def test_no_shard_counts_twice(self, board: Board, budget: RepeatBudget) -> None:
+        """A part that came directly gives way to the peer's merged ones, which hold it too."""
+        session = Session(board, budget, groups=(GROUP,))
+        session.gather.group_accepted(0)
+        session.tick(0.1)
+        session.answer("s0", 0.12)
+        session.parts(["s0", "s1"], final=False, now=0.13)
+        session.answer("s2", 0.14)
+        for shard in SHARDS[3:]:
+            session.answer(shard, 0.15)
+        assert isinstance(session.end, Gathered)
+        assert session.end.signature_by_shard["s0"] == b"peer-s0"
+        assert len(session.end.signature_by_shard) == len(SHARDS)
+        # One list of the peer for two shards, and one for each of the other eight.
+        assert len(session.end.record_lists) == 9
+
+    @pytest.mark.parametrize(
+        "shards", [["s0", "s9"], ["s0", "unknown"]], ids=["not-its-shard", "unknown-shard"]
+    )
+    def test_parts_of_shards_that_were_not_asked_are_dropped(
+        self, board: Board, budget: RepeatBudget, shards: list[str]
+    ) -> None:
+        session = Session(board, budget, groups=(GROUP,))
+        session.parts(shards, final=False)
+        assert not session.gather.parts().signature_by_shard
+
+    def test_peer_is_told_when_the_query_ends_without_it(
+        self, board: Board, budget: RepeatBudget
+    ) -> None:
+        session = Session(board, budget, least=0.5, groups=(GROUP,))
+        for shard in SHARDS[3:]:
+            session.answer(shard)
+        session.gather.group_accepted(0)
+        session.tick(ANSWER_AT)
+        assert isinstance(session.end, Gathered)
+        assert CancelGroup(0, "peer:1") in session.other
+
+
+def test_partial_gather_gives_what_is_in(board: Board, budget: RepeatBudget) -> None:
+    session = Session(board, budget, least=0.0, partial=True)
+    session.answer("s0")
+    first, _ = session.gather.take_new_parts()
+    session.answer("s1")
+    second, _ = session.gather.take_new_parts()
+    assert (list(first), list(second)) == (["s0"], ["s1"])
+    session.tick(ANSWER_AT)
+    assert isinstance(session.end, Gathered)
+    assert session.end.missing == 8
+
+
+def test_client_that_left_takes_everything_back(board: Board, budget: RepeatBudget) -> None:
+    session = Session(board, budget, groups=(GROUP,))
+    session.take(session.gather.cancel(0.05))
+    assert not session.open
+    assert session.other == [CancelGroup(0, "peer:1")]
--- /dev/null
+++ b/tests/relay/test_single.py
@@ -0,0 +1,128 @@
+"""One request to one target: repeats, hedges, at most once, true refusals."""
+
+import pytest
+
+from tests.relay.conftest import ROUTE, end
+from trackwheel.relay.board import Board
+from trackwheel.relay.budget import RepeatBudget
+from trackwheel.relay.models import Outcome
+from trackwheel.relay.single import (
+    CancelSingle,
+    SendSingle,
+    Single,
+    SingleAnswered,
+    SingleCommand,
+    SingleFailed,
+    SinglePlan,
+)
+
+NOT_RUN = [Outcome.NOT_RUN, Outcome.ELSEWHERE, Outcome.NOT_SENT]
+MAY_HAVE_RUN = [Outcome.FAILED, Outcome.BROKEN]
+
+
+class Session:
+    """Drive one request and remember what it asked for."""
+
+    def __init__(
+        self, board: Board, budget: RepeatBudget, repeatable: bool, max_attempts: int = 2
+    ) -> None:
+        plan = SinglePlan(ROUTE, "s0", repeatable, max_attempts, 0.18, 1.0)
+        self.single = Single(plan, board, budget)
+        self.sent: list[SendSingle] = []
+        self.cancelled: list[int] = []
+        self.end: SingleAnswered | SingleFailed | None = None
+        self.take(self.single.start(0.0))
+
+    def take(self, commands: list[SingleCommand]) -> None:
+        for command in commands:
+            match command:
+                case SendSingle():
+                    self.sent.append(command)
+                case CancelSingle(token):
+                    self.cancelled.append(token)
+                case SingleAnswered() | SingleFailed():
+                    assert self.end is None
+                    self.end = command
+
+    def ended(self, token: int, outcome: Outcome, now: float = 0.02) -> None:
+        self.take(self.single.target_ended(token, end(outcome), now))
+
+
+@pytest.mark.parametrize("repeatable", [True, False], ids=["repeatable", "once"])
+@pytest.mark.parametrize("outcome", NOT_RUN)
+def test_request_that_did_not_run_goes_elsewhere(
+    board: Board, budget: RepeatBudget, repeatable: bool, outcome: Outcome
+) -> None:
+    session = Session(board, budget, repeatable)
+    session.ended(0, outcome)
+    assert [sent.target.instance for sent in session.sent] == ["s0-near", "s0-far"]
+    session.ended(1, Outcome.OK)
+    assert isinstance(session.end, SingleAnswered)
+
+
+@pytest.mark.parametrize("outcome", MAY_HAVE_RUN)
+def test_request_that_may_have_run_is_not_sent_again(
+    board: Board, budget: RepeatBudget, outcome: Outcome
+) -> None:
+    session = Session(board, budget, False)
+    session.ended(0, outcome)
+    assert len(session.sent) == 1
+    if outcome is Outcome.FAILED:
+        assert isinstance(session.end, SingleAnswered)
+        assert session.end.answer.status == 500
+    else:
+        assert isinstance(session.end, SingleFailed)
+        assert session.end.ran
+
+
+@pytest.mark.parametrize("outcome", MAY_HAVE_RUN)
+def test_repeatable_request_is_sent_again(
+    board: Board, budget: RepeatBudget, outcome: Outcome
+) -> None:
+    session = Session(board, budget, True)
+    session.ended(0, outcome)
+    assert len(session.sent) == 2
+
+
+@pytest.mark.parametrize("outcome", NOT_RUN)
+def test_refusal_says_truly_that_nothing_ran(
+    board: Board, no_budget: RepeatBudget, outcome: Outcome
+) -> None:
+    session = Session(board, no_budget, False)
+    while session.end is None:
+        session.ended(len(session.sent) - 1, outcome)
+    assert isinstance(session.end, SingleFailed)
+    assert not session.end.ran
+
+
+def test_request_that_ran_once_is_never_called_not_run(board: Board, budget: RepeatBudget) -> None:
+    session = Session(board, budget, True)
+    session.ended(0, Outcome.BROKEN)
+    session.ended(1, Outcome.NOT_RUN)
+    while session.end is None:
+        session.ended(len(session.sent) - 1, Outcome.NOT_RUN)
+    assert isinstance(session.end, SingleFailed)
+    assert session.end.ran
+
+
+@pytest.mark.parametrize(("repeatable", "sends"), [(True, 2), (False, 1)], ids=["safe", "once"])
+def test_only_repeatable_requests_are_hedged(
+    board: Board, budget: RepeatBudget, repeatable: bool, sends: int
+) -> None:
+    session = Session(board, budget, repeatable)
+    session.take(session.single.tick(min(0.5, session.single.next_wake())))
+    assert len(session.sent) == sends
+
+
+def test_time_is_up(board: Board, budget: RepeatBudget) -> None:
+    session = Session(board, budget, False)
+    session.take(session.single.tick(1.0))
+    assert session.end == SingleFailed(True, True, "time is up")
+    assert session.cancelled == [0]
+
+
+def test_client_that_left_takes_everything_back(board: Board, budget: RepeatBudget) -> None:
+    session = Session(board, budget, True)
+    session.take(session.single.cancel(0.1))
+    assert session.cancelled == [0]
+    assert session.single.target_ended(0, end(Outcome.OK), 0.2) == []
--- a/trackwheel/relay/const.py
+++ b/trackwheel/relay/const.py
@@ -49,6 +49,8 @@
 """A second target is asked no sooner than after this many usual times."""
 HEDGE_RESERVE_PACES: Final = 3.0
 """So many usual times of the second target are left before the aim when it is asked."""
+MAX_SENDS: Final = 4
+"""Sends of one request, or of one shard of a query, whatever became of the earlier ones."""
 RETURN_MARGIN_S: Final = 0.008
 """Time kept between the last moment to answer and the aim, for the way back and timers."""
 FINAL_MARGIN_S: Final = 0.02
--- a/trackwheel/relay/gather.py
+++ b/trackwheel/relay/gather.py
@@ -13,7 +13,12 @@
 
 from trackwheel.relay.board import Board, Choice, RouteKey
 from trackwheel.relay.budget import RepeatBudget
-from trackwheel.relay.const import HEDGE_EARLIEST_PACES, HEDGE_RESERVE_PACES, REPORT_SLACK_S
+from trackwheel.relay.const import (
+    HEDGE_EARLIEST_PACES,
+    HEDGE_RESERVE_PACES,
+    MAX_SENDS,
+    REPORT_SLACK_S,
+)
 from trackwheel.relay.models import NOTHING_RAN, Outcome, Part, Target, TargetEnd
 
 NEVER = float("inf")
@@ -117,6 +122,8 @@
         self.group: int | None = None
         self.tried: set[str] = set()
         self.not_run_at: set[str] = set()
+        self.counted = False
+        self.sends = 0
         self.runs = 0
         self.arrivals = 0
         self.hedge_at = NEVER
@@ -207,7 +214,7 @@
             return []
         group.accepted = True
         group.check_at = NEVER
-        self._take_merged(signature_by_shard, records)
+        self._take_merged(group.plan.shards, signature_by_shard, records)
         if final:
             self._release(number, "lacking", now)
         return self._finish_or_go_on(now)
@@ -269,9 +276,11 @@
     def _has(self, name: str) -> bool:
         return name in self._part_by_shard or name in self._merged_signature_by_shard
 
-    def _take_merged(self, signature_by_shard: dict[str, bytes], records: list[bytes]) -> None:
+    def _take_merged(
+        self, asked: tuple[str, ...], signature_by_shard: dict[str, bytes], records: list[bytes]
+    ) -> None:
         """Take merged parts instead of those of the same shards that came directly."""
-        known = signature_by_shard.keys() & self._shard_by_name.keys()
+        known = signature_by_shard.keys() & set(asked)
         if known != signature_by_shard.keys() or known & self._merged_signature_by_shard.keys():
             # Merged records cannot be taken apart; with a foreign shard among them none count.
             return
@@ -302,14 +311,16 @@
             shard = self._shard_by_name[name]
             shard.group = None
             # The peer may have asked a target, so that any request from here is a repeat.
+            shard.counted = True
             shard.arrivals = max(1, shard.arrivals)
             if not self._has(name):
                 self._ask_or_exhaust(name, reason, now)
 
     def _note_failure(self, shard: _Shard, target: Target, outcome: Outcome) -> None:
         if outcome in NOTHING_RAN:
-            shard.not_run_at.add(target.instance)
             shard.runs -= 1
+            if outcome is not Outcome.ELSEWHERE:
+                shard.not_run_at.add(target.instance)
             if outcome is Outcome.NOT_SENT:
                 shard.arrivals -= 1
             return
@@ -323,7 +334,9 @@
     def _ask(self, name: str, reason: str, now: float) -> bool:
         """Send a shard to one more target; return False when there is none or it may not."""
         shard = self._shard_by_name[name]
-        if shard.runs >= self.plan.max_attempts or now >= self.plan.end_at:
+        if shard.runs >= self.plan.max_attempts or shard.sends >= MAX_SENDS:
+            return False
+        if now >= self.plan.end_at:
             return False
         choices = self._choices(name, shard, now)
         if not choices or not self._pay(name, shard, now):
@@ -333,6 +346,7 @@
         self._next_token += 1
         shard.target_by_token[token] = best.target
         shard.tried.add(best.target.instance)
+        shard.sends += 1
         shard.runs += 1
         shard.arrivals += 1
         self._shard_name_by_token[token] = name
@@ -350,10 +364,12 @@
         return self._board.rank(name, self.plan.route, now, ran)
 
     def _pay(self, name: str, shard: _Shard, now: float) -> bool:
-        if shard.arrivals == 0 and not self.plan.repeat:
+        if not shard.counted and not self.plan.repeat:
+            shard.counted = True
             self._budget.first(name, now)
             return True
-        return self._budget.take(name, now)
+        # What could not be sent did not arrive, so that another target is not a repeat yet.
+        return shard.arrivals == 0 or self._budget.take(name, now)
 
     def _hedge_time(self, first: Choice, others: list[Choice], now: float) -> float:
         """Return when a second target is asked: late enough to be rare, early enough to help."""
--- a/trackwheel/relay/single.py
+++ b/trackwheel/relay/single.py
@@ -9,7 +9,7 @@
 from trackwheel.http1.models import Response
 from trackwheel.relay.board import Board, RouteKey
 from trackwheel.relay.budget import RepeatBudget
-from trackwheel.relay.const import HEDGE_EARLIEST_PACES, HEDGE_RESERVE_PACES
+from trackwheel.relay.const import HEDGE_EARLIEST_PACES, HEDGE_RESERVE_PACES, MAX_SENDS
 from trackwheel.relay.models import NOTHING_RAN, Outcome, Target, TargetEnd
 
 
@@ -120,8 +120,9 @@
 
     def _note_failure(self, target: Target, end: TargetEnd) -> None:
         if end.outcome in NOTHING_RAN:
-            self._not_run_at.add(target.instance)
             self._runs -= 1
+            if end.outcome is not Outcome.ELSEWHERE:
+                self._not_run_at.add(target.instance)
             if end.outcome is Outcome.NOT_SENT:
                 self._arrivals -= 1
             return
@@ -131,7 +132,9 @@
 
     def _ask(self, reason: str, now: float) -> bool:
         """Send the request to one more target; return False when it may not or there is none."""
-        if self._runs >= self.plan.max_attempts or now >= self.plan.end_at:
+        if self._runs >= self.plan.max_attempts or self._next_token >= MAX_SENDS:
+            return False
+        if now >= self.plan.end_at:
             return False
         choices = self._board.rank(self.plan.service, self.plan.route, now, frozenset(self._tried))
         if not choices and not self._target_by_token:
@@ -154,10 +157,11 @@
         return True
 
     def _pay(self, now: float) -> bool:
-        if self._arrivals == 0:
+        if self._next_token == 0:
             self._budget.first(self.plan.service, now)
             return True
-        return self._budget.take(self.plan.service, now)
+        # What could not be sent did not arrive, so that another target is not a repeat yet.
+        return self._arrivals == 0 or self._budget.take(self.plan.service, now)
 
     def _give_up(self, end: TargetEnd, now: float) -> None:
         """End with a target's own failure where there is one."""
