Import the garbage tuning from its own module

Cause: the composition root of the platform must not load the product's servers, so the tuning moved to trackwheel/garbage.py; two measurements still named the old place (mypy). No behaviour changed.

--- a/bench/batch.py
+++ b/bench/batch.py
@@ -3,7 +3,7 @@
 from bench.fit import cpu_of, fit
 from bench.report import Report, Series
 from bench.slopes import link_batch
-from trackwheel.app import tune_garbage_collection
+from trackwheel.garbage import tune_garbage_collection
 
 SIZES = (1, 2, 4, 8, 16, 32, 64, 128)
 
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -10,7 +10,6 @@
 from bench.fit import Fit, cpu_of, fit
 from bench.report import Report, Series
 from bench.virtual_fleet import VirtualFleet
-from trackwheel.app import tune_garbage_collection
 from trackwheel.dispatch.models import (
     DISPATCH_MESSAGES,
     Ask,
@@ -36,6 +35,7 @@
 from trackwheel.fleet.models import Member, Status
 from trackwheel.fleet.ownership import OwnerMap
 from trackwheel.fleet.service import FleetService
+from trackwheel.garbage import tune_garbage_collection
 from trackwheel.gateway.board import Board
 from trackwheel.gateway.budget import Budget
 from trackwheel.gateway.gather import Gather
