--- /dev/null
+++ b/tests/directory/test_targets.py
@@ -0,0 +1,131 @@
+"""The directory of targets: news in any order, lapses, forgotten history."""
+
+import itertools
+
+import pytest
+
+from trackwheel.directory.const import GONE_HOLD_S, LAPSE_HOLD_S
+from trackwheel.directory.models import EntryGone, TargetEntry, TargetsRead
+from trackwheel.directory.targets import TargetDirectory
+
+
+def entry(name: str, revision: int, leaving: bool = False, service: str = "s") -> TargetEntry:
+    return TargetEntry(name, service, "127.0.0.1:1", "a", 2, leaving, 0.0, revision)
+
+
+def make_directory() -> TargetDirectory:
+    return TargetDirectory({"a": "region"})
+
+
+def states(directory: TargetDirectory) -> dict[str, str]:
+    return {
+        target.instance: "leaving" if target.leaving else "doubtful" if target.doubtful else "ready"
+        for found in directory.targets_by_service().values()
+        for target in found
+    }
+
+
+NEWS = [
+    TargetsRead(0, [entry("a", 1), entry("b", 2)], [], 2),
+    TargetsRead(2, [entry("a", 3, leaving=True)], [], 3),
+    TargetsRead(3, [], [EntryGone("a", 4)], 4),
+    TargetsRead(4, [entry("c", 5)], [EntryGone("b", 5)], 5),
+]
+
+
+@pytest.mark.parametrize("order", list(itertools.permutations(range(4))), ids=str)
+def test_news_end_the_same_in_any_order(order: tuple[int, ...]) -> None:
+    directory = make_directory()
+    for place in order:
+        directory.take(NEWS[place], 0.0)
+    directory.expire(100.0)
+    assert states(directory) == {"c": "ready"}
+
+
+@pytest.mark.parametrize("twice", range(4))
+def test_news_that_come_twice_change_nothing(twice: int) -> None:
+    directory = make_directory()
+    for news in NEWS:
+        directory.take(news, 0.0)
+    assert not directory.take(NEWS[twice], 0.0)
+
+
+def test_region_comes_from_the_failure_domain() -> None:
+    directory = make_directory()
+    directory.take(NEWS[0], 0.0)
+    target, _ = directory.targets_by_service()["s"]
+    assert target.place == ("region", "a")
+
+
+def test_leaving_target_that_went_is_dropped_at_once() -> None:
+    directory = make_directory()
+    directory.take(NEWS[0], 0.0)
+    directory.take(NEWS[1], 0.0)
+    directory.take(NEWS[2], 0.0)
+    assert states(directory) == {"b": "ready"}
+
+
+def test_entry_that_went_without_notice_is_a_last_resort_for_a_while() -> None:
+    directory = make_directory()
+    directory.take(NEWS[0], 0.0)
+    directory.take(TargetsRead(2, [], [EntryGone("a", 3)], 3), 1.0)
+    assert states(directory) == {"a": "doubtful", "b": "ready"}
+    assert directory.next_expiry() == 1.0 + GONE_HOLD_S
+    assert not directory.expire(1.0)
+    assert directory.expire(1.0 + GONE_HOLD_S)
+    assert states(directory) == {"b": "ready"}
+
+
+def test_entry_that_lapsed_with_the_store_may_come_back() -> None:
+    directory = make_directory()
+    directory.take(NEWS[0], 0.0)
+    directory.store_lost()
+    directory.store_back(5.0)
+    directory.take(TargetsRead(None, [], [], 9), 5.1)
+    assert set(states(directory).values()) == {"doubtful"}
+    assert directory.next_expiry() == 5.0 + LAPSE_HOLD_S
+    directory.take(TargetsRead(9, [entry("a", 10)], [], 10), 6.0)
+    directory.expire(5.0 + LAPSE_HOLD_S)
+    assert states(directory) == {"a": "ready"}
+
+
+def test_full_reading_replaces_a_lost_history() -> None:
+    directory = make_directory()
+    directory.take(NEWS[0], 0.0)
+    directory.take(TargetsRead(None, [entry("b", 2), entry("d", 7)], [], 8), 1.0)
+    assert states(directory) == {"a": "doubtful", "b": "ready", "d": "ready"}
+    assert directory.as_of == 8
+
+
+def test_old_full_reading_takes_nothing_newer_away() -> None:
+    directory = make_directory()
+    directory.take(TargetsRead(4, [entry("n", 9)], [], 9), 0.0)
+    directory.take(TargetsRead(None, [entry("a", 1)], [], 5), 0.0)
+    assert states(directory) == {"n": "ready", "a": "ready"}
+
+
+def test_snapshot_brings_a_newcomer_in_step() -> None:
+    old = make_directory()
+    for news in NEWS:
+        old.take(news, 0.0)
+    push = old.snapshot()
+    new = make_directory()
+    new.take(TargetsRead(None, push.entries, push.gone, push.as_of), 0.0)
+    new.expire(100.0)
+    assert states(new) == {"c": "ready"}
+    assert new.as_of == old.as_of
+
+
+def test_gap_in_the_news_is_not_taken_for_being_in_step() -> None:
+    directory = make_directory()
+    directory.take(NEWS[0], 0.0)
+    directory.take(NEWS[3], 0.0)
+    assert directory.as_of == 2
+
+
+def test_repeated_entry_without_change_is_no_news() -> None:
+    directory = make_directory()
+    directory.take(NEWS[0], 0.0)
+    assert not directory.take(TargetsRead(2, [entry("a", 6)], [], 6), 0.0)
+    assert not directory.take(TargetsRead(6, [], [EntryGone("a", 5)], 6), 0.0)
+    assert states(directory)["a"] == "ready"
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,60 @@
+"""The platform's settings file, read and checked."""
+
+import pytest
+
+from trackwheel.platform.settings import SettingsError, parse_settings
+
+GOOD = """\
+node_name=front-1
+ip=10.1.0.9
+zone=a
+region=east
+zones.a=east
+zones.b=west
+listen.front=10.1.0.9:8104
+listen.readiness=10.1.0.9:8108
+listen.control=10.1.0.9:8106
+internal_port_range=7380,7395
+seeds=10.1.0.9:8106,10.2.0.21:8106
+bounds.drain_ms=3000
+bounds.grace_s=6
+bounds.retry_budget_ratio=0.2
+bounds.retry_window_s=10
+bounds.retry_extra=54
+platform.address=10.200.1.7:8102
+something.new=1
+"""
+
+
+def test_settings_are_read() -> None:
+    settings = parse_settings("s.conf", GOOD)
+    assert settings.box_id == "front-1"
+    assert settings.place == ("east", "a")
+    assert settings.region_by_failure_domain == {"a": "east", "b": "west"}
+    assert settings.seeds == ("10.1.0.9:8106", "10.2.0.21:8106")
+    assert settings.budget == (0.2, 10.0, 54.0)
+    assert (settings.grace_s, settings.drain_s) == (6.0, 3.0)
+    assert (settings.first_port, settings.last_port) == (7380, 7395)
+
+
+@pytest.mark.parametrize(
+    ("before", "after", "named"),
+    [
+        pytest.param("node_name=front-1", "", "node_name: the key is missing", id="missing"),
+        pytest.param(":8104", "", "listen.front: `10.1.0.9`", id="no-port"),
+        pytest.param(
+            "grace_s=6", "grace_s=six", "bounds.grace_s: `six` is not a number", id="word"
+        ),
+        pytest.param("7380,7395", "7380", "internal_port_range", id="range"),
+    ],
+)
+def test_mistakes_are_named_with_file_and_key(before: str, after: str, named: str) -> None:
+    with pytest.raises(SettingsError) as caught:
+        parse_settings("s.conf", GOOD.replace(before, after))
+    assert f"s.conf: {named}" in str(caught.value)
+
+
+def test_all_mistakes_are_named_at_once() -> None:
+    with pytest.raises(SettingsError) as caught:
+        parse_settings("s.conf", "")
+    assert str(caught.value).count("remedy") >= 10
--- /dev/null
+++ b/tests/platform/test_wire.py
@@ -0,0 +1,188 @@
+"""Headers and bodies of the platform, translated."""
+
+import msgspec
+import pytest
+from returns.result import Failure, Success
+
+from trackwheel.http1.models import Headers, Request, Response, header
+from trackwheel.platform.decode import decode_routes, decode_target
+from trackwheel.platform.wire import PlatformWire
+from trackwheel.relay.models import Load, Outcome
+
+WIRE = PlatformWire()
+ID = (b"x-attempt-id", b"9c41")
+STAMP = (b"x-response-stamp", b"3e1b.07")
+
+
+def request(*headers: tuple[bytes, bytes], target: bytes = b"/a/b?c=/d") -> Request:
+    return Request(b"POST", target, ((b"host", b"H.example:80"), ID, *headers), b"body", 100.0)
+
+
+def test_request_is_read() -> None:
+    caller = WIRE.read_request(request((b"x-deadline-ms", b"500")))
+    assert (caller.request_id, caller.host, caller.path) == ("9c41", "h.example", "/a/b")
+    assert caller.deadline == 100.5
+
+
+@pytest.mark.parametrize("told", [b"", b"soon", b"-5"])
+def test_unreadable_deadline_leaves_the_routes_own(told: bytes) -> None:
+    assert WIRE.read_request(request((b"x-deadline-ms", told))).deadline > 110.0
+
+
+def test_target_gets_the_request_with_what_is_left() -> None:
+    incoming = request(
+        (b"x-deadline-ms", b"500"),
+        (b"connection", b"keep-alive"),
+        (b"transfer-encoding", b"chunked"),
+        (b"x-expect-instance", b"forged"),
+        (b"x-other", b"1"),
+    )
+    sent = WIRE.target_request(WIRE.read_request(incoming), "i-7", 100.2)
+    names = [name for name, _ in sent.headers]
+    assert header(sent.headers, b"x-deadline-ms") == b"299"
+    assert header(sent.headers, b"x-expect-instance") == b"i-7"
+    assert header(sent.headers, b"x-other") == b"1"
+    assert names.count(b"x-attempt-id") == names.count(b"x-expect-instance") == 1
+    assert b"connection" not in names
+    assert b"transfer-encoding" not in names
+    assert (sent.method, sent.target, sent.body) == (b"POST", b"/a/b?c=/d", b"body")
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "outcome"),
+    [
+        pytest.param(200, (ID, STAMP), Outcome.OK, id="signed"),
+        pytest.param(200, (ID,), Outcome.BROKEN, id="unsigned"),
+        pytest.param(
+            200, (ID, STAMP, (b"content-encoding", b"gzip")), Outcome.BROKEN, id="encoded"
+        ),
+        pytest.param(503, ((b"x-not-executed", b"1"),), Outcome.NOT_RUN, id="shed"),
+        pytest.param(503, (ID, STAMP), Outcome.FAILED, id="failed-after-running"),
+        pytest.param(500, (ID, STAMP), Outcome.FAILED, id="failed"),
+        pytest.param(504, (ID, STAMP), Outcome.FAILED, id="late"),
+        pytest.param(421, (), Outcome.ELSEWHERE, id="other-target"),
+        pytest.param(421, ((b"x-not-executed", b"1"),), Outcome.ELSEWHERE, id="other-target-says"),
+    ],
+)
+def test_ends_at_targets(status: int, headers: Headers, outcome: Outcome) -> None:
+    assert WIRE.read_end(Response(status, headers, b""), False).outcome is outcome
+
+
+@pytest.mark.parametrize(
+    ("value", "load"),
+    [
+        (b"3,0,8", Load(3, 0, 8)),
+        (b"3, 0, 8", Load(3, 0, 8)),
+        (b"3,0", None),
+        (b"a,b,c", None),
+        (b"-1,0,8", None),
+    ],
+)
+def test_told_load(value: bytes, load: Load | None) -> None:
+    answer = Response(200, (ID, STAMP, (b"x-server-load", value)), b"")
+    assert WIRE.read_end(answer, False).load == load
+
+
+@pytest.mark.parametrize(
+    ("told", "belongs"), [(b"9c41", True), (b"9c42", False), (None, True)], ids=str
+)
+def test_answer_must_name_its_request(told: bytes | None, belongs: bool) -> None:
+    headers = ((b"x-attempt-id", told),) if told else ()
+    assert (WIRE.check_answer("9c41", Response(200, headers, b"")) == "") is belongs
+
+
+@pytest.mark.parametrize(
+    ("status", "given", "signed"),
+    [
+        pytest.param(200, 200, True, id="success"),
+        pytest.param(500, 500, True, id="failure-unchanged"),
+        pytest.param(504, 504, True, id="late-unchanged"),
+        pytest.param(503, 502, False, id="ran-so-no-promise"),
+        pytest.param(429, 502, False, id="ran-so-no-promise-either"),
+    ],
+)
+def test_answers_to_clients(status: int, given: int, signed: bool) -> None:
+    headers = (ID, STAMP, (b"connection", b"close"), (b"x-server-load", b"1,0,2"))
+    answer = WIRE.single_answer(Response(status, headers, b"body"))
+    assert (answer.status, answer.body) == (given, b"body")
+    assert (header(answer.headers, b"x-response-stamp") is not None) is signed
+    assert header(answer.headers, b"connection") is None
+
+
+def test_gathered_answer_names_parts_and_lacks() -> None:
+    signatures = [b"s%d" % number for number in range(100)]
+    answer = WIRE.gathered_answer("9c41", signatures, 3, b"records")
+    named = b", ".join(value for name, value in answer.headers if name == b"x-part-stamps")
+    assert named.split(b", ") == signatures
+    assert header(answer.headers, b"x-missing-parts") == b"3"
+
+
+@pytest.mark.parametrize("retry_after", [None, 0.25], ids=["ran", "not-run"])
+def test_refusal_says_when_to_come_back(retry_after: float | None) -> None:
+    answer = WIRE.refusal(503, retry_after, "reason")
+    assert (header(answer.headers, b"retry-after") is not None) is (retry_after is not None)
+
+
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r",
+            "host": "h.example",
+            "path_prefix": "/a/",
+            "kind": "safe",
+            "timeout_ms": 1000,
+            "target_latency_ms": 111,
+            "priority": 2,
+            "fanout_services": ["s1", "s2"],
+            "max_attempts": 2,
+            "top_k": 5,
+            "min_coverage": 0.75,
+        },
+        {
+            "name": "w",
+            "host": "h.example",
+            "path_prefix": "/b/",
+            "kind": "unsafe",
+            "timeout_ms": 6000,
+            "target_latency_ms": 673,
+            "split": [{"service": "s1", "weight": 3}, {"service": "s2", "weight": 1}],
+        },
+    ],
+    "services": [{"name": "s1", "max_connections": 26, "tls": False}],
+    "limits": {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 262144,
+        "header_timeout_ms": 3000,
+        "idle_timeout_ms": 15000,
+    },
+}
+
+
+def test_configuration_is_decoded() -> None:
+    table = decode_routes(msgspec.json.encode(CONFIG)).unwrap()
+    shards, divided = table.routes_by_host["h.example"]
+    assert (table.version, table.limits.idle_s) == (7, 15.0)
+    assert (shards.shards, shards.top_k, shards.least_coverage) == (("s1", "s2"), 5, 0.75)
+    assert (shards.repeatable, shards.aim_s) == (True, 0.111)
+    assert not divided.repeatable
+    assert [tuple(part) for part in divided.services] == [("s1", 3.0), ("s2", 1.0)]
+    assert table.service_by_name["s1"].max_connections == 26
+
+
+@pytest.mark.parametrize("content", [b"", b"{}", b'{"version": "x"}', b"[1"], ids=str)
+def test_broken_configuration_is_refused(content: bytes) -> None:
+    assert isinstance(decode_routes(content), Failure)
+
+
+def test_target_is_decoded() -> None:
+    value = (
+        b'{"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1","slots":2,'
+        b'"state":"draining","warmup_left_ms":1500,"sequence":4}'
+    )
+    match decode_target("servers/i-7", value, 12):
+        case Success(entry):
+            assert entry == ("i-7", "s", "10.0.0.1:80", "a", 2, True, 1.5, 12)
+        case _:
+            pytest.fail("not decoded")
+    assert isinstance(decode_target("servers/i-7", b"{}", 12), Failure)
