Keep time for the client's way by connection, and hedge by what a route usually takes

While 7 targets were slow, a slow near target was chosen again every second (its slowness faded by half in 1.5 s), and its hedge waited for twice its own slow time, past the aim. Ruled out: the budget (39 denials of 19,000 sends); the peers (no one silent).

--- a/trackwheel/http1/models.py
+++ b/trackwheel/http1/models.py
@@ -15,13 +15,17 @@
 
 
 class Request(NamedTuple):
-    """Hold one whole request; header names are lower case; `arrived` is monotonic seconds."""
+    """Hold one whole request; header names are lower case; `arrived` is monotonic seconds.
+
+    `opening` says that it is the first one on its connection.
+    """
 
     method: bytes
     target: bytes
     headers: Headers
     body: bytes
     arrived: float
+    opening: bool = False
 
 
 class Response(NamedTuple):
--- a/trackwheel/http1/server.py
+++ b/trackwheel/http1/server.py
@@ -92,6 +92,7 @@
         self._waiting: deque[tuple[Request, bool]] = deque()
         self._current: _ServerExchange | None = None
         self._refusing = False
+        self._opening = True
         self._in_message = False
         self._headers_done = False
         self._header_bytes = 0
@@ -184,8 +185,14 @@
             return
         method = self._parser.get_method()
         request = Request(
-            method, self._url, tuple(self._headers), b"".join(self._body), time.monotonic()
+            method,
+            self._url,
+            tuple(self._headers),
+            b"".join(self._body),
+            time.monotonic(),
+            self._opening,
         )
+        self._opening = False
         self._waiting.append((request, self._parser.should_keep_alive()))
         if len(self._waiting) >= MAX_WAITING_REQUESTS and self._transport is not None:
             self._transport.pause_reading()
--- a/trackwheel/relay/board.py
+++ b/trackwheel/relay/board.py
@@ -34,9 +34,13 @@
 
 
 class Choice(NamedTuple):
-    """One target with what it is expected to take (seconds) and whether it is a last resort."""
+    """One target with what it is expected to take (seconds) and whether it is a last resort.
+
+    `usual_s` is what targets at such a distance take as a rule.
+    """
 
     target: Target
+    usual_s: float
     expected_s: float
     cost_s: float
     last_resort: bool
@@ -160,7 +164,7 @@
         cost_s = expected_s + (failure_cost + place_cost) * route.aim_s
         cost_s *= 1.0 + self._random.random() * JITTER
         last_resort = target.doubtful or record.ejected_until > now
-        return Choice(target, expected_s, cost_s, last_resort)
+        return Choice(target, self._usual(target, route), expected_s, cost_s, last_resort)
 
     def _expected(self, target: Target, record: _Record, route: RouteKey, now: float) -> float:
         """Return how long a request sent now is expected to take (seconds)."""
--- a/trackwheel/relay/const.py
+++ b/trackwheel/relay/const.py
@@ -18,7 +18,7 @@
 """Weight of an answer that was faster: a pause is over with the first quick answer."""
 MOST_SLOWNESS: Final = 10.0
 """More than this an answer's slowness does not count."""
-SLOWNESS_HALF_LIFE_S: Final = 1.5
+SLOWNESS_HALF_LIFE_S: Final = 3.0
 """How fast old knowledge of a slow target fades, so that it is tried again."""
 FAILURE_WEIGHT: Final = 0.25
 """Weight of the newest end in a target's failure rate."""
@@ -51,8 +51,11 @@
 """So many usual times of the second target are left before the aim when it is asked."""
 MAX_SENDS: Final = 4
 """Sends of one request, or of one shard of a query, whatever became of the earlier ones."""
-RETURN_MARGIN_S: Final = 0.008
-"""Time kept between the last moment to answer and the aim, for the way back and timers."""
+RETURN_MARGIN_S: Final = 0.009
+"""Time kept between the last moment to answer and the aim: both ways to a client (3 ms each
+at the farther site) and timers."""
+NEW_CONNECTION_MARGIN_S: Final = 0.006
+"""The same on top for the first request of a connection, which the client opened before."""
 FINAL_MARGIN_S: Final = 0.02
 """Time kept between the last answer and the client's deadline."""
 
--- a/trackwheel/relay/gather.py
+++ b/trackwheel/relay/gather.py
@@ -375,7 +375,7 @@
         """Return when a second target is asked: late enough to be rare, early enough to help."""
         if not others or self.plan.max_attempts < 2:
             return NEVER
-        earliest = now + HEDGE_EARLIEST_PACES * first.expected_s
+        earliest = now + HEDGE_EARLIEST_PACES * first.usual_s
         latest = self.plan.answer_at - HEDGE_RESERVE_PACES * others[0].expected_s
         return max(earliest, latest)
 
--- a/trackwheel/relay/service.py
+++ b/trackwheel/relay/service.py
@@ -11,6 +11,7 @@
     FINAL_MARGIN_S,
     HEDGE_EARLIEST_PACES,
     HEDGE_RESERVE_PACES,
+    NEW_CONNECTION_MARGIN_S,
     NO_ROUTES_RETRY_AFTER_S,
     RETRY_AFTER_S,
     RETURN_MARGIN_S,
@@ -90,13 +91,12 @@
             self._serve_single(caller, route, exchange)
 
     def _serve_single(self, caller: CallerRequest, route: Route, exchange: Exchange) -> None:
-        arrived = caller.http.arrived
         plan = SinglePlan(
             RouteKey(route.name, route.aim_s),
             self._divider.pick(route),
             route.repeatable,
             route.max_attempts,
-            arrived + route.aim_s - RETURN_MARGIN_S,
+            _answer_at(caller, route),
             _end_at(caller, route),
         )
 
@@ -137,7 +137,7 @@
     def _plan_query(self, caller: CallerRequest, route: Route) -> GatherPlan:
         now = time.monotonic()
         end_at = _end_at(caller, route)
-        answer_at = min(end_at, caller.http.arrived + route.aim_s - RETURN_MARGIN_S)
+        answer_at = min(end_at, _answer_at(caller, route))
         key = RouteKey(route.name, route.aim_s)
         peer_board = self._groups.peer_board
         groups = tuple(
@@ -201,6 +201,14 @@
                 self._log.write("given_up", ran=ran, late=late, reason=reason, **common)
 
 
+def _answer_at(caller: CallerRequest, route: Route) -> float:
+    """Return the last moment to answer within the aim (monotonic seconds)."""
+    margin_s = RETURN_MARGIN_S
+    if caller.http.opening:
+        margin_s += NEW_CONNECTION_MARGIN_S
+    return caller.http.arrived + route.aim_s - margin_s
+
+
 def _end_at(caller: CallerRequest, route: Route) -> float:
     """Return the last moment to answer at all (monotonic seconds)."""
     return min(caller.deadline, caller.http.arrived + route.timeout_s) - FINAL_MARGIN_S
--- a/trackwheel/relay/single.py
+++ b/trackwheel/relay/single.py
@@ -150,7 +150,7 @@
         self._runs += 1
         self._arrivals += 1
         if self.plan.repeatable and len(choices) > 1 and token == 0:
-            earliest = now + HEDGE_EARLIEST_PACES * best.expected_s
+            earliest = now + HEDGE_EARLIEST_PACES * best.usual_s
             reserve_s = HEDGE_RESERVE_PACES * choices[1].expected_s
             self._hedge_at = max(earliest, self.plan.answer_at - reserve_s)
         self._commands.append(SendSingle(token, best.target, reason))
