--- /dev/null
+++ b/standins/metadata_store.py
@@ -0,0 +1,97 @@
+"""A stand-in for the users' metadata store: items, ranges in pages, watches, forgotten history."""
+
+import asyncio
+import base64
+from typing import Any
+
+from aiohttp import web
+
+from standins.http import Running, listen
+
+PAGE_ITEMS = 50
+
+
+class MetadataStore:
+    """Serve ranges and watches; faults are attributes that a test sets."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.calls = 0
+        self.down = False
+        self.mute = False
+        self.refused_hosts: set[str] = set()
+        self._item_by_key: dict[str, dict[str, Any]] = {}
+        self._history: list[dict[str, Any]] = []
+        self._oldest = 0
+        self._changed = asyncio.Event()
+
+    async def start(self, address: str) -> Running:
+        """Listen on `IP:PORT`."""
+        return await listen(
+            [web.get("/kv-range", self._range), web.get("/kv-watch", self._watch)], address
+        )
+
+    def put(self, key: str, value: bytes) -> int:
+        """Write an item as the operator or a target would; return its revision."""
+        self.revision += 1
+        item = {
+            "tls_key": key,
+            "value": base64.b64encode(value).decode(),
+            "revision": self.revision,
+            "created": self.revision,
+            "lease": 0,
+        }
+        self._item_by_key[key] = item
+        self._note(item)
+        return self.revision
+
+    def remove(self, key: str) -> None:
+        """Remove an item."""
+        self.revision += 1
+        self._item_by_key.pop(key, None)
+        self._note({"tls_key": key, "revision": self.revision, "deleted": True})
+
+    def forget_history(self) -> None:
+        """Drop what watches would be told of the past."""
+        self._history.clear()
+        self._oldest = self.revision
+
+    def _note(self, event: dict[str, Any]) -> None:
+        self._history.append(event)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _enter(self, request: web.Request) -> None:
+        self.calls += 1
+        if self.mute:
+            await asyncio.sleep(60.0)
+        if self.down or request.remote in self.refused_hosts:
+            raise web.HTTPServiceUnavailable
+
+    async def _range(self, request: web.Request) -> web.StreamResponse:
+        await self._enter(request)
+        prefix, after = request.query["path_prefix"], request.query.get("after", "")
+        keys = sorted(key for key in self._item_by_key if key.startswith(prefix) and key > after)
+        items = [self._item_by_key[key] for key in keys[:PAGE_ITEMS]]
+        more = len(keys) > PAGE_ITEMS
+        return web.json_response({"items": items, "has_more": more, "as_of": self.revision})
+
+    async def _watch(self, request: web.Request) -> web.StreamResponse:
+        await self._enter(request)
+        prefix, after = request.query["path_prefix"], int(request.query["after"])
+        end = asyncio.get_running_loop().time() + int(request.query["wait_ms"]) / 1000
+        while True:
+            if after < self._oldest:
+                raise web.HTTPGone
+            found = [
+                event
+                for event in self._history
+                if event["revision"] > after and event["tls_key"].startswith(prefix)
+            ]
+            left = end - asyncio.get_running_loop().time()
+            if found or left <= 0:
+                return web.json_response({"events": found, "as_of": self.revision})
+            try:
+                await asyncio.wait_for(self._changed.wait(), left)
+            except TimeoutError:
+                continue
--- /dev/null
+++ b/standins/shard_target.py
@@ -0,0 +1,74 @@
+"""A stand-in for a target of the users' platform, scriptable with faults."""
+
+import asyncio
+import json
+
+from aiohttp import web
+
+from standins.http import Running, listen
+
+RECORDS = 3
+
+
+class ShardTarget:
+    """Serve one service; `runs` notes the id of each request that ran."""
+
+    def __init__(self, instance: str, service: str) -> None:
+        self.instance = instance
+        self.service = service
+        self.address = ""
+        self.delay_s = 0.0
+        self.fault = ""
+        self.runs: list[str] = []
+        self.left = 0
+        self._running: Running | None = None
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        routes = [web.route("*", "/{path:.*}", self._serve)]
+        self._running = await listen(routes, "127.0.0.1:0")
+        self.address = self._running.address
+
+    async def stop(self) -> None:
+        """End as a crash would."""
+        assert self._running is not None
+        await self._running.stop()
+
+    def entry(self, state: str = "ready", zone: str = "a") -> bytes:
+        """Return the entry that the target writes of itself."""
+        fields = {
+            "service": self.service,
+            "address": self.address,
+            "zone": zone,
+            "version": "v1",
+            "slots": 2,
+            "state": state,
+            "warmup_left_ms": 0,
+            "sequence": 1,
+        }
+        return json.dumps(fields).encode()
+
+    def records(self) -> list[bytes]:
+        """Return the records that an answer holds."""
+        return [f"{self.service}-{number}".encode().ljust(16) for number in range(RECORDS)]
+
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
+        attempt = request.headers.get("X-Attempt-Id", "")
+        if request.headers.get("X-Expect-Instance", self.instance) != self.instance:
+            return web.Response(status=421)
+        if self.fault == "shed":
+            return web.Response(status=503, headers={"X-Not-Executed": "1"})
+        self.runs.append(attempt)
+        body = await request.read()
+        try:
+            await asyncio.sleep(self.delay_s)
+        except asyncio.CancelledError:
+            self.left += 1
+            raise
+        headers = {"X-Attempt-Id": attempt, "X-Response-Stamp": f"{self.instance}.{attempt}"}
+        if self.fault == "error":
+            return web.Response(status=500, headers=headers, body=b"failed")
+        if self.fault == "reset":
+            assert request.transport is not None
+            request.transport.abort()
+        return web.Response(headers=headers, body=b"".join(self.records()) + body)
--- a/tests/relay/test_peers.py
+++ b/tests/relay/test_peers.py
@@ -8,8 +8,14 @@
 from trackwheel.relay.models import Place, Target
 from trackwheel.relay.peers import PeerBoard, PeerBox, group_far_shards
 
+BESIDE = Place("here", "here-b")
 YONDER = Place("yonder", "yonder-a")
-PEERS = (PeerBox("there:1", THERE), PeerBox("yonder:1", YONDER), PeerBox("near:1", HERE))
+PEERS = (
+    PeerBox("there:1", THERE),
+    PeerBox("yonder:1", YONDER),
+    PeerBox("near:1", HERE),
+    PeerBox("beside:1", BESIDE),
+)
 
 
 def grouped(
@@ -24,7 +30,7 @@
     }
     board.set_targets(targets)
     groups = group_far_shards(
-        tuple(places_by_shard), HERE.region, peers, board, peer_board or PeerBoard(), 0.0
+        tuple(places_by_shard), HERE, peers, board, peer_board or PeerBoard(), 0.0
     )
     return [(group.peer.address, group.shards) for group in groups]
 
@@ -48,6 +54,11 @@
             id="fewest-groups",
         ),
         pytest.param({"a": [], "b": []}, [], id="no-targets"),
+        pytest.param(
+            {"a": [BESIDE, THERE], "b": [BESIDE, THERE], "c": [THERE], "d": [THERE]},
+            [("beside:1", ("a", "b")), ("there:1", ("c", "d"))],
+            id="own-region-first",
+        ),
     ],
 )
 def test_far_shards_go_in_few_groups(
--- a/trackwheel/directory/const.py
+++ b/trackwheel/directory/const.py
@@ -10,7 +10,7 @@
 """How often watchers say how far they are; a push that was lost heals within one period."""
 UNHEARD_S: Final = 2.0
 """After so long without word from a watcher in step, a box reads the store itself."""
-START_WAIT_S: Final = 0.7
+START_WAIT_S: Final = 1.5
 """How long a box that starts waits for its peers before it reads the store itself."""
 GONE_HOLD_S: Final = 1.5
 """How long a target whose entry went without notice is still used as a last resort."""
--- a/trackwheel/entry.py
+++ b/trackwheel/entry.py
@@ -39,8 +39,11 @@
 from trackwheel.telemetry.events import EventLog
 
 ALL_MESSAGES: Final = (*FLEET_MESSAGES, *DIRECTORY_MESSAGES, *RELAY_MESSAGES)
-TIMING: Final = Timing(0.5, 0.25, 0.6)
-"""Probe period, wait for its answer and suspicion of the membership (seconds)."""
+TIMING: Final = Timing(2.0, 0.5, 1.5)
+"""Probe period, wait for its answer and suspicion of the membership (seconds).
+
+Requests go around a peer that shows no life after 40 ms, whatever the membership says, so that
+probes may be rare: at 0.5 s they were more than half of the bytes between 60 boxes."""
 WATCHERS_PER_DOMAIN: Final = 1
 """Boxes of one failure domain that read the store while all is well."""
 STORE_TIMEOUT_S: Final = 1.5
--- a/trackwheel/relay/board.py
+++ b/trackwheel/relay/board.py
@@ -142,10 +142,10 @@
         ]
         return sorted(choices, key=lambda choice: (choice.last_resort, choice.cost_s))
 
-    def has_target_in(self, service: str, region: str, now: float) -> bool:
-        """Return whether a service has a target in a region that is in use."""
+    def has_target_at(self, service: str, place: Place, now: float) -> bool:
+        """Return whether a service has a target in a failure domain that is in use."""
         return any(
-            target.place.region == region
+            target.place == place
             and not target.leaving
             and not target.doubtful
             and self._record(target.instance).ejected_until <= now
--- a/trackwheel/relay/peers.py
+++ b/trackwheel/relay/peers.py
@@ -108,38 +108,56 @@
 
 def group_far_shards(
     shards: tuple[str, ...],
-    own_region: str,
+    own: Place,
     peers: tuple[PeerBox, ...],
     board: Board,
     peer_board: PeerBoard,
     now: float,
 ) -> list[ShardGroup]:
-    """Return the shards without a near target in as few groups as will do.
+    """Return the shards without a target in the own failure domain, in as few groups as will do.
 
-    What is left out is asked directly: shards with a near target, and single far ones.
+    Domains of the own region come before others. What is left out is asked directly: shards with
+    a target in the own domain, and single ones elsewhere.
     """
-    left = {shard for shard in shards if not board.has_target_in(shard, own_region, now)}
-    peers_by_region: dict[str, list[PeerBox]] = {}
+    left = {shard for shard in shards if not board.has_target_at(shard, own, now)}
+    peers_by_place: dict[Place, list[PeerBox]] = {}
     for peer in peers:
-        if peer.place.region != own_region:
-            peers_by_region.setdefault(peer.place.region, []).append(peer)
-    held_by_region = {
-        region: {shard for shard in left if board.has_target_in(shard, region, now)}
-        for region in peers_by_region
-    }
+        if peer.place != own:
+            peers_by_place.setdefault(peer.place, []).append(peer)
     groups: list[ShardGroup] = []
-    while left and held_by_region:
-        most = max(len(held & left) for held in held_by_region.values())
+    for same_region in (True, False):
+        held_by_place = {
+            place: {shard for shard in left if board.has_target_at(shard, place, now)}
+            for place in peers_by_place
+            if (place.region == own.region) is same_region
+        }
+        for chosen, held in _fewest(held_by_place, left, peers_by_place, peer_board, now):
+            groups.append(ShardGroup(chosen, tuple(shard for shard in shards if shard in held)))
+            left -= held
+    return groups
+
+
+def _fewest(
+    held_by_place: dict[Place, set[str]],
+    wanted: set[str],
+    peers_by_place: dict[Place, list[PeerBox]],
+    peer_board: PeerBoard,
+    now: float,
+) -> list[tuple[PeerBox, set[str]]]:
+    """Return peers and what each is to gather, the place that holds most of the rest first."""
+    left = set(wanted)
+    found: list[tuple[PeerBox, set[str]]] = []
+    while left and held_by_place:
+        most = max(len(held & left) for held in held_by_place.values())
         if most < LEAST_GROUP:
             break
-        best = [region for region, held in held_by_region.items() if len(held & left) == most]
-        candidates = [peer for region in best for peer in peers_by_region[region]]
-        chosen = peer_board.pick(candidates, now)
+        best = [place for place, held in held_by_place.items() if len(held & left) == most]
+        chosen = peer_board.pick([peer for place in best for peer in peers_by_place[place]], now)
         if chosen is None:
-            for region in best:
-                del held_by_region[region]
+            for place in best:
+                del held_by_place[place]
             continue
-        held = held_by_region.pop(chosen.place.region) & left
-        groups.append(ShardGroup(chosen, tuple(shard for shard in shards if shard in held)))
+        held = held_by_place.pop(chosen.place) & left
+        found.append((chosen, held))
         left -= held
-    return groups
+    return found
--- a/trackwheel/relay/service.py
+++ b/trackwheel/relay/service.py
@@ -148,7 +148,7 @@
                 self._report_by(key, group.peer.address, answer_at, now),
             )
             for group in group_far_shards(
-                route.shards, self._place.region, self._peers, self._board, peer_board, now
+                route.shards, self._place, self._peers, self._board, peer_board, now
             )
         )
         return GatherPlan(
