--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -26,7 +26,8 @@
 
 
 TRUTH, LOAD, FILES, FLEET = "truth", "load", "files", "fleet"
-PARTS = (TRUTH, LOAD, FILES, FLEET)
+PLATFORM = "platform"
+PARTS = (TRUTH, LOAD, FILES, FLEET, PLATFORM)
 
 GATHER = "tests/gateway/test_gather.py::"
 ONCE = "tests/gateway/test_once.py::"
@@ -41,6 +42,16 @@
 LINE = "tests/dispatch/test_line.py::"
 SHARING = "tests/dispatch/test_sharing.py::"
 MEMBERS = "tests/fleet/test_membership.py::"
+SHARDS = "tests/relay/test_gather.py::"
+SINGLE = "tests/relay/test_single.py::"
+REPEATS = "tests/relay/test_budget.py::"
+CHOICE = "tests/relay/test_board.py::"
+HTTP_TARGET = "tests/http1/test_client.py::"
+HTTP_CLIENT = "tests/http1/test_server.py::"
+DIRECTORY = "tests/directory/test_targets.py::"
+WATCHING = "tests/directory/test_watching.py::"
+WIRE = "tests/platform/test_wire.py::"
+ENTRY = "tests/whole/test_entry.py::"
 
 SNAPSHOT = "one snapshot"
 COVERAGE = "true coverage"
@@ -53,6 +64,8 @@
 SHARE = "fair shares"
 IN_FORCE = "an accepted file is in force everywhere and never reverts"
 MEMBERSHIP = "the fleet mends itself"
+BUDGET = "repeats stay within the budget of all boxes together"
+GONE = "work of a client that left is cancelled"
 
 ROWS = (
     Row(
@@ -590,4 +603,236 @@
         TLS + "test_operators_show_a_certificate",
         Mutant("trackwheel/tls.py", "            self.verify_mode = ssl.CERT_REQUIRED\n", ""),
     ),
+    Row(
+        PLATFORM,
+        OWN,
+        "a part comes directly and again among a peer's merged ones",
+        SHARDS + "test_no_shard_counts_twice",
+        Mutant("trackwheel/relay/gather.py", "self._part_by_shard.pop(name, None)", "pass"),
+    ),
+    Row(
+        PLATFORM,
+        OWN,
+        "a peer brings parts of shards that it was not asked for",
+        SHARDS + "test_parts_of_shards_that_were_not_asked_are_dropped",
+        Mutant("trackwheel/relay/gather.py", "known != signature_by_shard.keys() or ", ""),
+    ),
+    Row(
+        PLATFORM,
+        OWN,
+        "surplus answers, foreign answers, answers cut short, a reset instead of an end",
+        HTTP_TARGET + "test_answers",
+        Mutant(
+            "trackwheel/http1/client.py",
+            "foreign = self._check(answer)",
+            'foreign = ""',
+        ),
+    ),
+    Row(
+        PLATFORM,
+        OWN,
+        "a late surplus answer stands where the next one is due",
+        HTTP_TARGET + "test_late_surplus_answer_is_not_taken_for_the_next_one",
+        Mutant(
+            "trackwheel/http1/client.py",
+            "foreign = self._check(answer)",
+            'foreign = ""',
+        ),
+    ),
+    Row(
+        PLATFORM,
+        COVERAGE,
+        "shards that stay silent, at the aim and after it",
+        SHARDS + "test_answer_at_the_aim_names_what_it_lacks",
+    ),
+    Row(
+        PLATFORM,
+        COVERAGE,
+        "a shard without an answer, through real processes",
+        ENTRY + "test_silent_shard_is_named_as_missing_at_the_aim",
+    ),
+    Row(
+        PLATFORM,
+        COVERAGE,
+        "a peer that does not accept, or accepts and falls silent",
+        SHARDS + "test_silent_peer_is_gone_around",
+        Mutant(
+            "trackwheel/relay/gather.py",
+            "            if group.check_at <= now:",
+            "            if group.check_at < 0:",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        COVERAGE,
+        "a peer is frozen, through real processes",
+        ENTRY + "test_frozen_peer_is_gone_around",
+    ),
+    Row(
+        PLATFORM,
+        AT_MOST_ONCE,
+        "a target that failed or broke off may have run the request",
+        SINGLE + "test_request_that_may_have_run_is_not_sent_again",
+        Mutant(
+            "trackwheel/relay/single.py",
+            "may_repeat = self.plan.repeatable or not self._ran",
+            "may_repeat = True",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        AT_MOST_ONCE,
+        "a target resets the connection, through real processes",
+        ENTRY + "test_request_that_may_run_once_runs_once",
+    ),
+    Row(
+        PLATFORM,
+        NOT_RUN,
+        "every target sheds, is elsewhere or cannot be reached",
+        SINGLE + "test_refusal_says_truly_that_nothing_ran",
+        Mutant(
+            "trackwheel/relay/single.py",
+            "ran = self._ran or bool(self._target_by_token)",
+            "ran = True",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        NOT_RUN,
+        "a target broke off, another one sheds",
+        SINGLE + "test_request_that_ran_once_is_never_called_not_run",
+        Mutant(
+            "trackwheel/relay/single.py",
+            "ran = self._ran or bool(self._target_by_token)",
+            "ran = False",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        NOT_RUN,
+        "a target's own refusal after it ran",
+        WIRE + "test_answers_to_clients",
+        Mutant(
+            "trackwheel/platform/wire.py", "if answer.status in PROMISES:", "if answer.status < 0:"
+        ),
+    ),
+    Row(
+        PLATFORM,
+        AT_ONCE,
+        "so many shards failed that the least coverage cannot be reached",
+        SHARDS + "test_hopeless_query_is_given_up_at_once",
+        Mutant("trackwheel/relay/gather.py", "elif self._hopeless():", "elif False:"),
+    ),
+    Row(
+        PLATFORM,
+        BUDGET,
+        "1 to 10 boxes at three rates, every window",
+        REPEATS + "test_all_boxes_together_stay_within_the_rule",
+        Mutant("trackwheel/relay/budget.py", " / self._members", ""),
+    ),
+    Row(
+        PLATFORM,
+        BUDGET,
+        "half of the boxes are killed and come back",
+        REPEATS + "test_members_that_come_anew_fit_under_the_rule",
+        Mutant(
+            "trackwheel/relay/budget.py",
+            "self._rule.extra * BUDGET_SHARE_OF_EXTRA",
+            "self._rule.extra",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        BUDGET,
+        "targets refuse connections",
+        SHARDS + "test_failed_connections_do_not_enlarge_the_budget",
+        Mutant(
+            "trackwheel/relay/gather.py",
+            "if not shard.counted and not self.plan.repeat:",
+            "if shard.arrivals == 0 and not self.plan.repeat:",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        BUDGET,
+        "a peer and this box ask for the same shard",
+        SHARDS + "test_peer_and_this_box_keep_to_the_attempts_together",
+        Mutant(
+            "trackwheel/relay/gather.py",
+            "return max(1, self.plan.max_attempts - 1)",
+            "return self.plan.max_attempts",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        LEAVING,
+        "news of targets in every order, and twice",
+        DIRECTORY + "test_news_end_the_same_in_any_order",
+        Mutant(
+            "trackwheel/directory/targets.py",
+            "if held is not None and held.entry.revision > revision:",
+            "if False:",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        LEAVING,
+        "entries lapse while the store is away",
+        DIRECTORY + "test_entry_that_lapsed_with_the_store_may_come_back",
+        Mutant(
+            "trackwheel/directory/targets.py",
+            "max(now + GONE_HOLD_S, self._store_back_at + LAPSE_HOLD_S)",
+            "now",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        LEAVING,
+        "a leaving target, through real processes",
+        ENTRY + "test_leaving_target_gets_nothing_new",
+    ),
+    Row(
+        PLATFORM,
+        IN_FORCE,
+        "a new configuration at real boxes",
+        ENTRY + "test_new_configuration_is_in_force_at_every_box",
+    ),
+    Row(
+        PLATFORM,
+        IN_FORCE,
+        "a box restarts while the store is down",
+        ENTRY + "test_box_that_the_store_refuses_learns_from_peers",
+        Mutant(
+            "trackwheel/directory/service.py",
+            "if self.table is not None and ask.routes_version < self.version:",
+            "if False:",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        IN_FORCE,
+        "the store forgets its history between two changes",
+        ENTRY + "test_forgotten_history_loses_no_change",
+    ),
+    Row(
+        PLATFORM,
+        IN_FORCE,
+        "watchers fall silent, or the store turns them away",
+        WATCHING + "test_few_boxes_read_the_store",
+        Mutant("trackwheel/directory/watching.py", "if synced:", "if True:"),
+    ),
+    Row(
+        PLATFORM,
+        STOP,
+        "requests under way and on a kept connection at a planned stop",
+        ENTRY + "test_planned_stop_finishes_what_is_under_way",
+        Mutant("trackwheel/entry.py", "while time.monotonic() < end:", "while False:"),
+    ),
+    Row(
+        PLATFORM,
+        GONE,
+        "a client leaves, through real processes",
+        ENTRY + "test_client_that_leaves_cancels_the_work",
+        Mutant("trackwheel/http1/server.py", "            current.gone()", "            pass"),
+    ),
 )
