Serve counters and latency histograms, and send less between watchers and members

Cause: on-call engineers have logs and metrics, and the box on the platform served no metrics. On 60 machines a box without work still sent 166 KB in 28 s: each of 60 members was told 18 times by each box at the start, and each watcher pushed every entry to five others that read it themselves. Ruled out: probes alone (each 2 s already).

--- a/trackwheel/directory/service.py
+++ b/trackwheel/directory/service.py
@@ -93,7 +93,10 @@
         self._on_targets.append(handler)
 
     def set_peers(self, chosen: bool, near: Iterable[str], far_watchers: Iterable[str]) -> None:
-        """Take whether this box is a watcher, and to whom it passes news on."""
+        """Take whether this box is a watcher, to whom it passes news on, and whom it tells of them.
+
+        Watchers of other domains read the store too; one that cannot asks for what it lacks.
+        """
         self._watching.set_chosen(chosen)
         self._near_peers = tuple(near)
         self._far_watchers = tuple(far_watchers)
@@ -171,7 +174,7 @@
             push = TargetsPush(since, read.as_of, entries, gone)
             if read.since is None:
                 push = self._targets.snapshot()
-            self._pass_on(push, self._near_peers + self._far_watchers)
+            self._pass_on(push, self._near_peers)
         return read.as_of
 
     def _take_routes_push(self, sender: PeerIdentity, push: RoutesPush) -> None:
@@ -218,10 +221,7 @@
         for handler in self._on_routes:
             handler(table)
         if self._watching.watches(time.monotonic()):
-            receivers = self._near_peers
-            if source == "store":
-                receivers += self._far_watchers
-            self._pass_on(RoutesPush(table.version, content), receivers)
+            self._pass_on(RoutesPush(table.version, content), self._near_peers)
 
     def _targets_changed(self, source: str) -> None:
         targets_by_service = self._targets.targets_by_service()
--- a/trackwheel/entry.py
+++ b/trackwheel/entry.py
@@ -37,19 +37,24 @@
 from trackwheel.routing.models import Limits, RouteTable
 from trackwheel.settings import split_address
 from trackwheel.telemetry.events import EventLog
+from trackwheel.telemetry.figures import Figures
 
 ALL_MESSAGES: Final = (*FLEET_MESSAGES, *DIRECTORY_MESSAGES, *RELAY_MESSAGES)
-TIMING: Final = Timing(2.0, 0.5, 1.5)
-"""Probe period, wait for its answer and suspicion of the membership (seconds).
+TIMING: Final = Timing(2.0, 0.5, 1.5, rumour_sends=1)
+"""Probe period, wait for its answer, suspicion (seconds) and tellings of rumours of the membership.
 
 Requests go around a peer that shows no life after 40 ms, whatever the membership says, so that
-probes may be rare: at 0.5 s they were more than half of the bytes between 60 boxes."""
+probes may be rare: at 0.5 s they were more than half of the bytes between 60 boxes. Links lose
+nothing, and digests find what a rumour missed, so that each is told once for a doubling."""
 WATCHERS_PER_DOMAIN: Final = 1
 """Boxes of one failure domain that read the store while all is well."""
 STORE_TIMEOUT_S: Final = 1.5
 """Longest wait for an answer of the store beyond the time that a watch may rest."""
 FIRST_LIMITS: Final = Limits(16_384, 262_144, 3.0, 15.0)
 """What clients may send before a configuration is known."""
+METRICS_VARIABLE: Final = "TRACKWHEEL_METRICS_PORT"
+"""Environment variable with the port of the figures; without it none are served."""
+PATH_METRICS: Final = b"/metrics"
 BACKLOG: Final = 1024
 LEAST_LINGER_S: Final = 3.2
 """A stopping box serves on at least so long: clients are sent to it until two checks missed."""
@@ -83,6 +88,7 @@
             place.failure_domain,
         )
         self.log = EventLog(settings.box_id)
+        self.figures = Figures()
         self.hub = Hub(identity, Codec(ALL_MESSAGES), _NoTls())
         self.fleet = FleetService(
             self.hub,
@@ -106,12 +112,21 @@
         self.transport = TargetTransport(wire, self.board, time.monotonic)
         self.groups = PeerGroups(self.hub, wire, self.board, self.budget, self.transport, self.log)
         self.relay = RelayService(
-            wire, self.board, self.budget, self.transport, self.groups, self.log, place
+            wire,
+            self.board,
+            self.budget,
+            self.transport,
+            self.groups,
+            self.log,
+            self.figures,
+            place,
         )
         self.clients = ServerState(self.relay.handle, self._limits)
         self.readiness = ServerState(self._answer_readiness, self._limits)
+        self.metrics = ServerState(self._answer_metrics, self._limits)
         self.stopping = False
         self._wire_parts()
+        self._add_figures()
 
     @property
     def ready(self) -> bool:
@@ -176,6 +191,46 @@
         table = self.directory.table
         return FIRST_LIMITS if table is None else table.limits
 
+    def _add_figures(self) -> None:
+        figures, directory = self.figures, self.directory
+        figures.add_counts(
+            "requests_total",
+            "Requests by how they ended",
+            ("kind",),
+            lambda: self.relay.ended_by_kind,
+        )
+        figures.add_counts(
+            "target_sends_total",
+            "Requests sent to targets, by why and how far",
+            ("reason", "distance"),
+            lambda: self.transport.sent_by_reason,
+        )
+        figures.add_counts(
+            "target_ends_total",
+            "Requests at targets by how they ended",
+            ("outcome",),
+            lambda: self.transport.ended_by_outcome,
+        )
+        for name, text, reading in (
+            ("routes_version", "Version in force", lambda: float(directory.version)),
+            ("store_in_step", "1 if the store answered lately", lambda: float(directory.synced)),
+            ("store_calls", "Calls on the store", lambda: float(directory.store_calls)),
+            ("members", "Boxes that are known", lambda: float(len(self.fleet.members))),
+            ("repeats_denied", "Repeats without budget", lambda: float(self.budget.denied)),
+            ("peer_bytes", "Bytes sent to boxes", lambda: float(self.hub.bytes_sent)),
+            ("under_way", "Requests under way", lambda: float(self.clients.busy)),
+            ("lines_dropped", "Log lines dropped", lambda: float(self.log.dropped)),
+        ):
+            figures.add_reading(name, text, reading)
+
+    def _answer_metrics(self, request: Request, exchange: Exchange) -> None:
+        if request.target != PATH_METRICS:
+            exchange.respond(Response(404, (), b""))
+            return
+        body, headers = self.figures.render()
+        encoded = tuple((name.lower().encode(), value.encode()) for name, value in headers.items())
+        exchange.respond(Response(200, encoded, body))
+
     def _answer_readiness(self, request: Request, exchange: Exchange) -> None:
         if request.target != PATH_READY.encode():
             exchange.respond(Response(404, (), b""))
@@ -207,6 +262,7 @@
             tasks.start_soon(_write_summaries, box)
             await _listen(box.clients, box.settings.clients)
             await _listen(box.readiness, box.settings.readiness)
+            await _listen_for_metrics(box)
             box.log.write("started", boot=box.hub.identity.boot, domain=box.settings.place[1])
             await _until_stopped(box, path)
             await _finish(box)
@@ -231,8 +287,8 @@
             peer_bytes=box.hub.bytes_sent,
             peer_messages=box.hub.messages_sent,
             **{
-                f"sent_{reason}_{'far' if far else 'near'}".replace(" ", "_"): number
-                for (reason, far), number in box.transport.sent_by_reason.items()
+                f"sent_{reason}_{distance}".replace(" ", "_"): number
+                for (reason, distance), number in box.transport.sent_by_reason.items()
             },
         )
 
@@ -243,6 +299,17 @@
     await loop.create_server(lambda: ServerConnection(state), host, port, backlog=BACKLOG)
 
 
+async def _listen_for_metrics(box: EntryBox) -> None:
+    """Serve figures; a port that is taken costs the figures, not the box."""
+    port = os.environ.get(METRICS_VARIABLE)
+    if port is None:
+        return
+    try:
+        await _listen(box.metrics, f"{box.settings.ip}:{port}")
+    except (OSError, ValueError) as error:
+        box.log.write("no_metrics", port=port, reason=str(error))
+
+
 async def _until_stopped(box: EntryBox, path: Path) -> None:
     """Return at the first signal to stop; a hang-up reads the settings anew."""
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
--- a/trackwheel/fleet/membership.py
+++ b/trackwheel/fleet/membership.py
@@ -9,6 +9,7 @@
     INDIRECT_PROBES,
     INSISTENT_PROBES,
     NOTE_LIFETIME_S,
+    RUMOUR_SENDS_PER_DOUBLING,
     SEED_PERIOD_S,
     SYNC_AFTER_MISMATCHES,
     SYNC_BUCKETS,
@@ -37,11 +38,15 @@
 
 
 class Timing(NamedTuple):
-    """Hold the periods of the protocol (seconds)."""
+    """Hold the periods of the protocol (seconds), and how often each rumour is told.
+
+    `rumour_sends` counts the sends of one rumour for each doubling of the fleet.
+    """
 
     probe_period_s: float
     probe_timeout_s: float
     suspicion_s: float
+    rumour_sends: int = RUMOUR_SENDS_PER_DOUBLING
 
 
 class Membership:
@@ -53,9 +58,9 @@
         self._random = random.Random(seed)
         self._table = MemberTable()
         self._table.merge(own)
-        self._rumours: Rumours[str, Member] = Rumours()
+        self._rumours: Rumours[str, Member] = Rumours(timing.rumour_sends)
         self._rumours.add(own.address, own)
-        self._note_rumours: Rumours[str, TargetNote] = Rumours()
+        self._note_rumours: Rumours[str, TargetNote] = Rumours(timing.rumour_sends)
         self._note_expiry_by_note: dict[TargetNote, float] = {}
         self._seeds: tuple[str, ...] = ()
         self._files_revision = 0
--- a/trackwheel/fleet/rumours.py
+++ b/trackwheel/fleet/rumours.py
@@ -4,7 +4,7 @@
 from collections.abc import Hashable
 from typing import Generic, TypeVar
 
-from trackwheel.fleet.const import MAX_RUMOURS_PER_MESSAGE, RUMOUR_SENDS_PER_DOUBLING
+from trackwheel.fleet.const import MAX_RUMOURS_PER_MESSAGE
 
 K = TypeVar("K", bound=Hashable)
 V = TypeVar("V")
@@ -13,7 +13,8 @@
 class Rumours(Generic[K, V]):
     """Keep what is still to be told, the least told first."""
 
-    def __init__(self) -> None:
+    def __init__(self, sends_per_doubling: int) -> None:
+        self._sends_per_doubling = sends_per_doubling
         self._value_and_sends_by_key: dict[K, tuple[V, int]] = {}
 
     def __len__(self) -> int:
@@ -27,7 +28,7 @@
         """Return what the next message should carry."""
         if not self._value_and_sends_by_key:
             return []
-        limit = RUMOUR_SENDS_PER_DOUBLING * max(1, math.ceil(math.log2(fleet_size + 1)))
+        limit = self._sends_per_doubling * max(1, math.ceil(math.log2(fleet_size + 1)))
         waiting = sorted(self._value_and_sends_by_key.items(), key=lambda item: item[1][1])
         chosen = waiting[:MAX_RUMOURS_PER_MESSAGE]
         for key, (value, sends) in chosen:
--- a/trackwheel/relay/service.py
+++ b/trackwheel/relay/service.py
@@ -1,6 +1,7 @@
 """The shell of the relay: takes clients' requests and answers them."""
 
 import time
+from collections import Counter
 
 from trackwheel.http1.models import Request
 from trackwheel.http1.server import Exchange
@@ -27,6 +28,7 @@
 from trackwheel.routing.models import Route, RouteTable
 from trackwheel.routing.table import WeightedDivider, find_route
 from trackwheel.telemetry.events import EventLog
+from trackwheel.telemetry.figures import Figures
 
 STATUS_NOT_FOUND = 404
 STATUS_FAILED = 502
@@ -47,6 +49,7 @@
         transport: TargetTransport,
         groups: PeerGroups,
         log: EventLog,
+        figures: Figures,
         place: Place,
     ) -> None:
         self._wire = wire
@@ -55,7 +58,9 @@
         self._transport = transport
         self._groups = groups
         self._log = log
+        self._figures = figures
         self._place = place
+        self.ended_by_kind: Counter[tuple[str]] = Counter()
         self._divider = WeightedDivider()
         self._table: RouteTable | None = None
         self._peers: tuple[PeerBox, ...] = ()
@@ -80,6 +85,7 @@
         caller = self._wire.read_request(request)
         route = find_route(table, caller.host, caller.path)
         if route is None:
+            self.ended_by_kind[("no_route",)] += 1
             self._log.write(
                 "no_route", id=caller.request_id, path=caller.path, version=table.version
             )
@@ -187,6 +193,7 @@
         result: Gathered | GatherFailed | SingleAnswered | SingleFailed,
     ) -> None:
         age_s = time.monotonic() - request.http.arrived
+        self._figures.request_ended(route, age_s)
         took_ms = round(age_s * MILLISECONDS, 1)
         common: dict[str, str | float] = {
             "id": request.request_id,
@@ -195,11 +202,15 @@
         }
         match result:
             case Gathered(_, _, missing, reason):
+                kind = "partial" if missing else "whole"
                 self._log.write("query_end", missing=missing, reason=reason, **common)
             case SingleAnswered(answer):
+                kind = "answered"
                 self._log.write("request_end", status=answer.status, **common)
             case GatherFailed(ran, late, reason) | SingleFailed(ran, late, reason):
+                kind = "given_up_ran" if ran else "given_up_not_run"
                 self._log.write("given_up", ran=ran, late=late, reason=reason, **common)
+        self.ended_by_kind[(kind,)] += 1
 
 
 def _answer_at(caller: CallerRequest, route: Route) -> float:
--- a/trackwheel/relay/transport.py
+++ b/trackwheel/relay/transport.py
@@ -49,7 +49,8 @@
         self._pool_by_instance: dict[str, TargetPool] = {}
         self._limit_by_service: dict[str, int] = {}
         self._members = 1
-        self.sent_by_reason: Counter[tuple[str, bool]] = Counter()
+        self.sent_by_reason: Counter[tuple[str, str]] = Counter()
+        self.ended_by_outcome: Counter[tuple[str]] = Counter()
 
     @property
     def connections_opened(self) -> int:
@@ -73,7 +74,8 @@
         """Send a request; `on_end` is called once unless it is withdrawn."""
         target, request = sending.target, sending.request
         self._board.sent(target, sending.token, sending.route, self._clock())
-        self.sent_by_reason[sending.reason, self._board.is_far(target)] += 1
+        distance = "far" if self._board.is_far(target) else "near"
+        self.sent_by_reason[sending.reason, distance] += 1
 
         def build() -> Request:
             return self._wire.target_request(request, target.instance, self._clock())
@@ -83,6 +85,7 @@
 
         def ended(end: ExchangeEnd) -> None:
             result = self._read(end, sending.single)
+            self.ended_by_outcome[(result.outcome.value,)] += 1
             self._board.ended(target, sending.token, result.outcome, result.load, self._clock())
             on_end(result)
 
