Let few boxes of a large failure domain ask its targets

Change: in domains of more than four boxes one box in five, two at least, asks the targets; the others hand all shards over, also those of their own domain. Small sites keep every box asking. Tests: who gathers, in every order and after a loss; a box that does not gather.

--- a/tests/relay/test_peers.py
+++ b/tests/relay/test_peers.py
@@ -5,6 +5,7 @@
 from tests.relay.conftest import HERE, THERE, target
 from trackwheel.relay.board import Board
 from trackwheel.relay.const import PEER_AVOID_S
+from trackwheel.relay.gatherers import choose_gatherers
 from trackwheel.relay.models import Place, Target
 from trackwheel.relay.peers import PeerBoard, PeerBox, group_far_shards
 
@@ -22,6 +23,7 @@
     places_by_shard: dict[str, list[Place]],
     peers: tuple[PeerBox, ...] = PEERS,
     peer_board: PeerBoard | None = None,
+    gathers: bool = True,
 ) -> list[tuple[str, tuple[str, ...]]]:
     board = Board(HERE, 1)
     targets: dict[str, tuple[Target, ...]] = {
@@ -30,7 +32,7 @@
     }
     board.set_targets(targets)
     groups = group_far_shards(
-        tuple(places_by_shard), HERE, peers, board, peer_board or PeerBoard(), 0.0
+        tuple(places_by_shard), HERE, gathers, peers, board, peer_board or PeerBoard(), 0.0
     )
     return [(group.peer.address, group.shards) for group in groups]
 
@@ -80,3 +82,27 @@
     peer_board.failed("there:1", -PEER_AVOID_S)
     chosen = {grouped(places, peer_board=peer_board)[0][0] for _ in range(4)}
     assert chosen == {"there:1", "yonder:1"}
+
+
+def test_box_that_does_not_gather_leaves_its_own_domain_to_a_peer() -> None:
+    places = {"a": [HERE, THERE], "b": [HERE], "c": [BESIDE]}
+    assert grouped(places, gathers=False) == [("near:1", ("a", "b"))]
+
+
+@pytest.mark.parametrize(
+    ("boxes", "gatherers"), [(1, 1), (3, 3), (4, 4), (5, 2), (10, 2), (14, 3), (50, 10)], ids=str
+)
+def test_large_domains_have_few_gatherers(boxes: int, gatherers: int) -> None:
+    domain = [PeerBox(f"10.0.0.{number}:1", HERE) for number in range(boxes)]
+    other = PeerBox("10.1.0.1:1", THERE)
+    chosen = choose_gatherers([*domain, other])
+    assert len(chosen) == gatherers + 1
+    assert chosen == choose_gatherers([other, *reversed(domain)])
+
+
+def test_lost_gatherer_moves_only_its_own_part() -> None:
+    domain = [PeerBox(f"10.0.0.{number}:1", HERE) for number in range(10)]
+    chosen = choose_gatherers(domain)
+    lost = next(iter(chosen))
+    after = choose_gatherers([box for box in domain if box.address != lost])
+    assert chosen - {lost} <= after
--- a/trackwheel/entry.py
+++ b/trackwheel/entry.py
@@ -29,6 +29,7 @@
 from trackwheel.platform.wire import PlatformWire
 from trackwheel.relay.board import Board
 from trackwheel.relay.budget import RepeatBudget
+from trackwheel.relay.gatherers import choose_gatherers
 from trackwheel.relay.groups import PeerGroups
 from trackwheel.relay.models import Place, Target
 from trackwheel.relay.peers import RELAY_MESSAGES, PeerBox
@@ -160,12 +161,15 @@
             if m.failure_domain != own.failure_domain and m.address != own.address
         ]
         self.directory.set_peers(self.fleet.is_watcher(), near, far_watchers)
+        boxes = [
+            PeerBox(m.address, Place(m.region, m.failure_domain))
+            for m in members
+            if m.status is Status.ALIVE
+        ]
+        gatherers = choose_gatherers(boxes)
+        others = [box for box in boxes if box.address != own.address]
         self.relay.set_peers(
-            tuple(
-                PeerBox(m.address, Place(m.region, m.failure_domain))
-                for m in peers
-                if m.status is Status.ALIVE
-            )
+            tuple(box for box in others if box.address in gatherers), own.address in gatherers
         )
         self.budget.set_members(len(members))
         self._set_connection_limits()
--- a/trackwheel/relay/const.py
+++ b/trackwheel/relay/const.py
@@ -81,3 +81,9 @@
 """How long a peer that did not accept a query is passed over."""
 LEAST_GROUP: Final = 2
 """Fewer far shards than this are asked directly: a message to a peer would not be smaller."""
+SMALL_DOMAIN: Final = 4
+"""Up to so many boxes of a failure domain each ask targets themselves."""
+BOXES_PER_GATHERER: Final = 5
+"""Boxes for each one that asks targets, in larger failure domains."""
+LEAST_GATHERERS: Final = 2
+"""Boxes that ask targets in a larger failure domain at least: one may fail."""
--- a/trackwheel/relay/peers.py
+++ b/trackwheel/relay/peers.py
@@ -9,6 +9,9 @@
 ROUND_TRIP_WEIGHT: Final = 0.2
 """Weight of the newest round trip in a peer's usual one."""
 
+FARTHEST: Final = 2
+"""Distance of a place in another region."""
+
 
 class GroupForward(NamedTuple):
     """Ask a peer for some shards of a query; times are what is left when it is sent (ms).
@@ -109,27 +112,29 @@
 def group_far_shards(
     shards: tuple[str, ...],
     own: Place,
+    gathers: bool,
     peers: tuple[PeerBox, ...],
     board: Board,
     peer_board: PeerBoard,
     now: float,
 ) -> list[ShardGroup]:
-    """Return the shards without a target in the own failure domain, in as few groups as will do.
+    """Return the shards that peers ask for this box, in as few groups as will do.
 
-    Domains of the own region come before others. What is left out is asked directly: shards with
-    a target in the own domain, and single ones elsewhere.
+    A box that gathers asks the targets of its own failure domain itself; another one leaves them
+    to a peer there. Domains of the own region come before others. What is left out is asked
+    directly: shards with a target in the own domain, and single ones elsewhere.
     """
-    left = {shard for shard in shards if not board.has_target_at(shard, own, now)}
+    left = {shard for shard in shards if not (gathers and board.has_target_at(shard, own, now))}
     peers_by_place: dict[Place, list[PeerBox]] = {}
     for peer in peers:
-        if peer.place != own:
+        if peer.place != own or not gathers:
             peers_by_place.setdefault(peer.place, []).append(peer)
     groups: list[ShardGroup] = []
-    for same_region in (True, False):
+    for distance in range(FARTHEST + 1):
         held_by_place = {
             place: {shard for shard in left if board.has_target_at(shard, place, now)}
             for place in peers_by_place
-            if (place.region == own.region) is same_region
+            if _distance(place, own) == distance
         }
         for chosen, held in _fewest(held_by_place, left, peers_by_place, peer_board, now):
             groups.append(ShardGroup(chosen, tuple(shard for shard in shards if shard in held)))
@@ -137,6 +142,13 @@
     return groups
 
 
+def _distance(place: Place, own: Place) -> int:
+    """Return 0 for the own failure domain, 1 for the own region, 2 for others."""
+    if place == own:
+        return 0
+    return 1 if place.region == own.region else FARTHEST
+
+
 def _fewest(
     held_by_place: dict[Place, set[str]],
     wanted: set[str],
--- a/trackwheel/relay/service.py
+++ b/trackwheel/relay/service.py
@@ -64,14 +64,16 @@
         self._divider = WeightedDivider()
         self._table: RouteTable | None = None
         self._peers: tuple[PeerBox, ...] = ()
+        self._gathers = True
 
     def set_table(self, table: RouteTable) -> None:
         """Take a configuration; requests under way keep the one they began with."""
         self._table = table
 
-    def set_peers(self, peers: tuple[PeerBox, ...]) -> None:
-        """Take the boxes to which shards may be handed."""
+    def set_peers(self, peers: tuple[PeerBox, ...], gathers: bool) -> None:
+        """Take the boxes to which shards may be handed, and whether this box asks targets."""
         self._peers = peers
+        self._gathers = gathers
 
     def handle(self, request: Request, exchange: Exchange) -> None:
         """Serve one request of a client."""
@@ -155,7 +157,7 @@
                 self._report_by(key, group.peer.address, answer_at, now),
             )
             for group in group_far_shards(
-                route.shards, self._place, self._peers, self._board, peer_board, now
+                route.shards, self._place, self._gathers, self._peers, self._board, peer_board, now
             )
         )
         return GatherPlan(
