Log why shards lack, what failed at targets and what is believed of them

Cause: a line of a query told how many shards were missing, not which and why; a target that went out of use left no line, nor did a client that left or a request refused unread. Change: query_partial and given_up name up to four shards with the last outcome and who is awaited; target_failed with the reason it was sent, target_belief once when a target goes out of use and once when it is back, client_left, refused_unread; version and deadline on each end. No decision changed.

--- a/tests/relay/test_gather.py
+++ b/tests/relay/test_gather.py
@@ -143,7 +143,9 @@
     session = Session(board, budget, max_attempts=1)
     session.answer("s0")
     session.tick(END_AT)
-    assert session.end == GatherFailed(True, True, "time is up")
+    assert isinstance(session.end, GatherFailed)
+    assert session.end[:3] == (True, True, "time is up")
+    assert session.end.lacking.startswith("s1: awaited of s1-near; s2: awaited")
     assert not session.open
 
 
@@ -173,7 +175,9 @@
 def test_shards_that_are_out_may_have_run(board: Board, no_budget: RepeatBudget) -> None:
     session = Session(board, no_budget, least=1.0)
     session.fail("s0", Outcome.NOT_RUN)
-    assert session.end == GatherFailed(True, False, "too few shards can answer")
+    assert isinstance(session.end, GatherFailed)
+    assert session.end[:3] == (True, False, "too few shards can answer")
+    assert session.end.lacking.startswith("s0: not_run at s0-near")
 
 
 def test_failed_connections_do_not_enlarge_the_budget(board: Board) -> None:
@@ -201,7 +205,9 @@
 
 def test_nothing_is_known(budget: RepeatBudget) -> None:
     session = Session(Board(HERE, 1), budget)
-    assert session.end == GatherFailed(False, False, "too few shards can answer")
+    assert isinstance(session.end, GatherFailed)
+    assert session.end[:3] == (False, False, "too few shards can answer")
+    assert session.end.lacking.startswith("s0: no target")
 
 
 @pytest.mark.parametrize(
--- a/trackwheel/entry.py
+++ b/trackwheel/entry.py
@@ -110,7 +110,7 @@
         wire = PlatformWire()
         self.board = Board(place, seed=os.getpid())
         self.budget = RepeatBudget(settings.budget)
-        self.transport = TargetTransport(wire, self.board, time.monotonic)
+        self.transport = TargetTransport(wire, self.board, time.monotonic, self.log)
         self.groups = PeerGroups(self.hub, wire, self.board, self.budget, self.transport, self.log)
         self.relay = RelayService(
             wire,
@@ -122,7 +122,11 @@
             self.figures,
             place,
         )
-        self.clients = ServerState(self.relay.handle, self._limits)
+        self.clients = ServerState(
+            self.relay.handle,
+            self._limits,
+            lambda status: self.log.write("refused_unread", status=status),
+        )
         self.readiness = ServerState(self._answer_readiness, self._limits)
         self.metrics = ServerState(self._answer_metrics, self._limits)
         self.stopping = False
--- a/trackwheel/http1/server.py
+++ b/trackwheel/http1/server.py
@@ -37,9 +37,15 @@
 class ServerState:
     """Hold what all connections of one server share."""
 
-    def __init__(self, handler: Handler, limits: Callable[[], Limits]) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        limits: Callable[[], Limits],
+        on_refused: Callable[[int], None] = lambda status: None,
+    ) -> None:
         self.handler = handler
         self.limits = limits
+        self.on_refused = on_refused
         self.stopping = False
         self.connections: set[ServerConnection] = set()
 
@@ -244,6 +250,7 @@
             return
         self._refusing = True
         self._stop_timer()
+        self._state.on_refused(status.value)
         if self._current is None:
             self._transport.write(encode_response(Response(status, (), b""), False, False))
         self._transport.close()
--- a/trackwheel/relay/board.py
+++ b/trackwheel/relay/board.py
@@ -1,5 +1,6 @@
 """What this box knows of each target, judged by its answers, and the choice among them."""
 
+from enum import StrEnum
 from math import exp2
 from random import Random
 from typing import NamedTuple
@@ -46,6 +47,13 @@
     last_resort: bool
 
 
+class TargetBelief(StrEnum):
+    """Say what this box begins to believe of a target."""
+
+    OUT_OF_USE = "out_of_use"
+    IN_USE = "in_use"
+
+
 class _Flight(NamedTuple):
     started: float
     expected_s: float
@@ -117,15 +125,22 @@
 
     def ended(
         self, target: Target, token: object, outcome: Outcome, load: Load | None, now: float
-    ) -> None:
-        """Take how a request to a target ended."""
+    ) -> TargetBelief | None:
+        """Take how a request to a target ended; return what is believed of it from now on."""
         record = self._record(target.instance)
+        was_out = record.ejected_until > 0.0
         flight = record.flight_by_token.pop(token, None)
         if load is not None:
             record.load, record.load_at = load, now
         self._learn_failure(record, outcome, now)
-        if outcome is not Outcome.OK or flight is None:
-            return
+        if outcome is Outcome.OK and flight is not None:
+            self._learn_pace(target, record, flight, now)
+        is_out = record.ejected_until > 0.0
+        if is_out is was_out:
+            return None
+        return TargetBelief.OUT_OF_USE if is_out else TargetBelief.IN_USE
+
+    def _learn_pace(self, target: Target, record: _Record, flight: _Flight, now: float) -> None:
         duration_s = now - flight.started
         usual_s = self._usual(target, flight.route)
         self._paces.get(flight.route.name, self.is_far(target), flight.route.aim_s).add(duration_s)
--- a/trackwheel/relay/const.py
+++ b/trackwheel/relay/const.py
@@ -87,3 +87,5 @@
 """Boxes for each one that asks targets, in larger failure domains."""
 LEAST_GATHERERS: Final = 2
 """Boxes that ask targets in a larger failure domain at least: one may fail."""
+LOGGED_SHARDS: Final = 4
+"""Shards that one log line of a query names with their reasons."""
--- a/trackwheel/relay/gather.py
+++ b/trackwheel/relay/gather.py
@@ -16,6 +16,7 @@
 from trackwheel.relay.const import (
     HEDGE_EARLIEST_PACES,
     HEDGE_RESERVE_PACES,
+    LOGGED_SHARDS,
     MAX_SENDS,
     REPORT_SLACK_S,
 )
@@ -100,6 +101,7 @@
     record_lists: list[list[bytes]]
     missing: int
     reason: str
+    lacking: str = ""
 
 
 class GatherFailed(NamedTuple):
@@ -108,6 +110,7 @@
     ran: bool
     late: bool
     reason: str
+    lacking: str = ""
 
 
 GatherCommand = (
@@ -129,6 +132,7 @@
         self.arrivals = 0
         self.hedge_at = NEVER
         self.exhausted = False
+        self.last = ""
 
     @property
     def waits(self) -> bool:
@@ -190,6 +194,7 @@
             self._part_by_shard[name] = part
             self._withdraw(shard)
             return self._finish_or_go_on(now)
+        shard.last = f"{end.outcome.value} at {target.instance}"
         self._note_failure(shard, target, end.outcome)
         self._ask_or_exhaust(name, end.outcome.value, now)
         return self._finish_or_go_on(now)
@@ -269,6 +274,22 @@
         missing = len(self.plan.shards) - len(signature_by_shard)
         return Gathered(signature_by_shard, record_lists, missing, "")
 
+    def lacking(self, limit: int) -> str:
+        """Return which shards are not in and why, for the log; no more than a number of them."""
+        names = [name for name in self.plan.shards if not self._has(name)]
+        return "; ".join(f"{name}: {self._state(name)}" for name in names[:limit])
+
+    def _state(self, name: str) -> str:
+        shard = self._shard_by_name[name]
+        waited = [target.instance for target in shard.target_by_token.values()]
+        group = self._group_by_number.get(-1 if shard.group is None else shard.group)
+        if group is not None:
+            waited.append(f"peer {group.plan.address}")
+        states = [shard.last] if shard.last else []
+        if waited:
+            states.append(f"awaited of {', '.join(waited)}")
+        return ", ".join(states) or "no target"
+
     def take_new_parts(self) -> tuple[dict[str, bytes], list[list[bytes]]]:
         """Return signatures and records of the parts that were not taken before."""
         new = {name: part for name, part in self._part_by_shard.items() if name not in self._taken}
@@ -434,14 +455,16 @@
             self._fail("time is up", True)
 
     def _answer(self, reason: str) -> None:
-        gathered = self.parts()._replace(reason=reason)
+        lacking = self.lacking(LOGGED_SHARDS)
+        gathered = self.parts()._replace(reason=reason, lacking=lacking)
         self._end()
         self._commands.append(gathered)
 
     def _fail(self, reason: str, late: bool) -> None:
         waits = any(shard.waits for shard in self._shard_by_name.values())
+        lacking = self.lacking(LOGGED_SHARDS)
         self._end()
-        self._commands.append(GatherFailed(self._ran or waits, late, reason))
+        self._commands.append(GatherFailed(self._ran or waits, late, reason, lacking))
 
     def _end(self) -> None:
         self.ended = True
--- a/trackwheel/relay/service.py
+++ b/trackwheel/relay/service.py
@@ -94,11 +94,13 @@
             exchange.respond(self._wire.refusal(STATUS_NOT_FOUND, None, "no route"))
             return
         if route.shards:
-            self._serve_query(caller, route, exchange)
+            self._serve_query(caller, route, table.version, exchange)
         else:
-            self._serve_single(caller, route, exchange)
+            self._serve_single(caller, route, table.version, exchange)
 
-    def _serve_single(self, caller: CallerRequest, route: Route, exchange: Exchange) -> None:
+    def _serve_single(
+        self, caller: CallerRequest, route: Route, version: int, exchange: Exchange
+    ) -> None:
         plan = SinglePlan(
             RouteKey(route.name, route.aim_s),
             self._divider.pick(route),
@@ -109,7 +111,7 @@
         )
 
         def done(result: SingleAnswered | SingleFailed) -> None:
-            self._log_end(caller, route.name, result)
+            self._log_end(caller, route.name, version, result)
             if isinstance(result, SingleAnswered):
                 exchange.respond(self._wire.single_answer(result.answer))
                 return
@@ -117,15 +119,17 @@
 
         single = Single(plan, self._board, self._budget)
         run = SingleRun(caller, single, self._transport, done)
-        exchange.on_gone = run.cancel
+        exchange.on_gone = lambda: self._leave(caller, route.name, run)
         run.start()
 
-    def _serve_query(self, caller: CallerRequest, route: Route, exchange: Exchange) -> None:
+    def _serve_query(
+        self, caller: CallerRequest, route: Route, version: int, exchange: Exchange
+    ) -> None:
         plan = self._plan_query(caller, route)
         gather = Gather(plan, self._board, self._budget)
 
         def done(result: Gathered | GatherFailed) -> None:
-            self._log_end(caller, route.name, result)
+            self._log_end(caller, route.name, version, result)
             if isinstance(result, GatherFailed):
                 self._refuse(exchange, result)
                 return
@@ -139,9 +143,16 @@
 
         task = GatherTask(caller, gather, route.top_k)
         run = GatherRun(task, self._transport, self._groups, done)
-        exchange.on_gone = run.cancel
+        exchange.on_gone = lambda: self._leave(caller, route.name, run)
         run.start()
 
+    def _leave(self, caller: CallerRequest, route: str, run: GatherRun | SingleRun) -> None:
+        """Take that a client left before its answer."""
+        run.cancel()
+        self.ended_by_kind[("client_left",)] += 1
+        age_ms = (time.monotonic() - caller.http.arrived) * MILLISECONDS
+        self._log.write("client_left", id=caller.request_id, route=route, took_ms=round(age_ms, 1))
+
     def _plan_query(self, caller: CallerRequest, route: Route) -> GatherPlan:
         now = time.monotonic()
         end_at = _end_at(caller, route)
@@ -192,6 +203,7 @@
         self,
         request: CallerRequest,
         route: str,
+        version: int,
         result: Gathered | GatherFailed | SingleAnswered | SingleFailed,
     ) -> None:
         age_s = time.monotonic() - request.http.arrived
@@ -200,16 +212,24 @@
         common: dict[str, str | float] = {
             "id": request.request_id,
             "route": route,
+            "version": version,
             "took_ms": took_ms,
+            "deadline_ms": round((request.deadline - request.http.arrived) * MILLISECONDS),
         }
         match result:
-            case Gathered(_, _, missing, reason):
+            case Gathered(_, _, missing, reason, lacking):
                 kind = "partial" if missing else "whole"
-                self._log.write("query_end", missing=missing, reason=reason, **common)
+                event = "query_partial" if missing else "query_whole"
+                self._log.write(event, missing=missing, reason=reason, lacking=lacking, **common)
             case SingleAnswered(answer):
                 kind = "answered"
                 self._log.write("request_end", status=answer.status, **common)
-            case GatherFailed(ran, late, reason) | SingleFailed(ran, late, reason):
+            case GatherFailed(ran, late, reason, lacking):
+                kind = "given_up_ran" if ran else "given_up_not_run"
+                self._log.write(
+                    "given_up", ran=ran, late=late, reason=reason, lacking=lacking, **common
+                )
+            case SingleFailed(ran, late, reason):
                 kind = "given_up_ran" if ran else "given_up_not_run"
                 self._log.write("given_up", ran=ran, late=late, reason=reason, **common)
         self.ended_by_kind[(kind,)] += 1
--- a/trackwheel/relay/transport.py
+++ b/trackwheel/relay/transport.py
@@ -6,9 +6,10 @@
 
 from trackwheel.http1.models import EndKind, ExchangeEnd, Request, Response
 from trackwheel.http1.pool import Job, TargetPool
-from trackwheel.relay.board import Board, RouteKey
+from trackwheel.relay.board import Board, RouteKey, TargetBelief
 from trackwheel.relay.models import CallerRequest, Outcome, Target, TargetEnd, Wire
 from trackwheel.settings import split_address
+from trackwheel.telemetry.events import EventLog
 
 DEFAULT_CONNECTIONS = 8
 """Connections to a target of a service that the configuration does not name."""
@@ -42,10 +43,11 @@
 class TargetTransport:
     """Send requests to targets and keep the board informed."""
 
-    def __init__(self, wire: Wire, board: Board, clock: Clock) -> None:
+    def __init__(self, wire: Wire, board: Board, clock: Clock, log: EventLog) -> None:
         self._wire = wire
         self._board = board
         self._clock = clock
+        self._log = log
         self._pool_by_instance: dict[str, TargetPool] = {}
         self._limit_by_service: dict[str, int] = {}
         self._members = 1
@@ -86,7 +88,10 @@
         def ended(end: ExchangeEnd) -> None:
             result = self._read(end, sending.single)
             self.ended_by_outcome[(result.outcome.value,)] += 1
-            self._board.ended(target, sending.token, result.outcome, result.load, self._clock())
+            belief = self._board.ended(
+                target, sending.token, result.outcome, result.load, self._clock()
+            )
+            self._write(sending, result, belief)
             on_end(result)
 
         self._pool(target).submit(Job(sending.token, build, check, sending.once, ended))
@@ -98,6 +103,28 @@
         if pool is not None:
             pool.cancel(token)
 
+    def _write(self, sending: Sending, end: TargetEnd, belief: TargetBelief | None) -> None:
+        """Write what failed at a target, and what is believed of the target from now on."""
+        target = sending.target
+        if end.outcome is not Outcome.OK:
+            self._log.write(
+                "target_failed",
+                id=sending.request.request_id,
+                target=target.instance,
+                service=target.service,
+                outcome=end.outcome.value,
+                detail=end.detail,
+                why_sent=sending.reason,
+            )
+        if belief is not None:
+            self._log.write(
+                "target_belief",
+                target=target.instance,
+                service=target.service,
+                belief=belief.value,
+                after=end.outcome.value,
+            )
+
     def _read(self, end: ExchangeEnd, single: bool) -> TargetEnd:
         if end.answer is not None:
             return self._wire.read_end(end.answer, single)
