Compare boxes by their newest change of a target, not by the store's counter

The store's counter rises with heartbeats; each look of a watcher left its peers seemingly behind, and each of them asked for all 550 entries twice a second: 72 KB, which fills a link of 10 Mbit/s. Ruled out: resets of links (a dial takes 1 ms inside a domain); the store's outage (before it too). Change: beacons and asks carry the revision of the newest change; heartbeats without one are none; after a peer's whole view a box is in step with it. A peer's view takes nothing away by what it lacks. Tests first failing: heartbeats are no news; a loss dated differently is asked for once.

--- a/trackwheel/directory/models.py
+++ b/trackwheel/directory/models.py
@@ -71,10 +71,14 @@
 
 
 class DirectoryBeacon(NamedTuple):
-    """Say how far a watcher is, and whether the store has answered it lately."""
+    """Say how far a watcher is, and whether the store has answered it lately.
+
+    `targets_newest` is the revision of the newest change of a target; the store's own counter
+    rises without any.
+    """
 
     routes_version: int
-    targets_revision: int
+    targets_newest: int
     synced: bool
 
 
@@ -82,7 +86,7 @@
     """Ask a peer for what one lacks."""
 
     routes_version: int
-    targets_revision: int
+    targets_newest: int
 
 
 class RoutesPush(NamedTuple):
@@ -93,10 +97,10 @@
 
 
 class TargetsPush(NamedTuple):
-    """Pass entries on: all of them (`since` below 0) or the changes after a revision."""
+    """Pass entries on: all of them, or changes; `newest` is the sender's newest change."""
 
-    since: int
-    as_of: int
+    whole: bool
+    newest: int
     entries: list[TargetEntry]
     gone: list[EntryGone]
 
--- a/trackwheel/directory/service.py
+++ b/trackwheel/directory/service.py
@@ -77,7 +77,7 @@
     @property
     def ready(self) -> bool:
         """Return whether routes and targets are known."""
-        return self.table is not None and self._targets.as_of > 0
+        return self.table is not None and self._targets.newest > 0
 
     @property
     def synced(self) -> bool:
@@ -166,12 +166,9 @@
         return read.as_of
 
     def _take_targets_read(self, read: TargetsRead) -> int:
-        since = self._targets.as_of if read.since is None else read.since
-        changed = self._targets.take(read, time.monotonic())
-        if changed:
+        if self._targets.take(read, time.monotonic()):
             self._targets_changed("store")
-            entries, gone = read.entries, read.gone
-            push = TargetsPush(since, read.as_of, entries, gone)
+            push = TargetsPush(False, self._targets.newest, read.entries, read.gone)
             if read.since is None:
                 push = self._targets.snapshot()
             self._pass_on(push, self._near_peers)
@@ -187,10 +184,12 @@
                 self._log.write("routes_rejected", source=sender.box_id, reason=str(error))
 
     def _take_targets_push(self, sender: PeerIdentity, push: TargetsPush) -> None:
-        since = None if push.since < 0 else push.since
-        # A peer's whole view says nothing of what is newer here.
-        read = TargetsRead(since, push.entries, push.gone, push.as_of)
-        if not self._targets.take(read, time.monotonic()):
+        # What a peer's view lacks may be newer here, so that nothing is taken away for it.
+        read = TargetsRead(0, push.entries, push.gone, push.newest)
+        changed = self._targets.take(read, time.monotonic())
+        if push.whole:
+            self._targets.in_step_with(push.newest)
+        if not changed:
             return
         self._targets_changed(sender.box_id)
         if self._watching.watches(time.monotonic()):
@@ -198,18 +197,18 @@
 
     def _take_beacon(self, sender: PeerIdentity, beacon: DirectoryBeacon) -> None:
         self._watching.heard(beacon.synced, time.monotonic())
-        behind = beacon.targets_revision > self._targets.as_of and not self.synced
+        behind = beacon.targets_newest > self._targets.newest and not self.synced
         if beacon.routes_version > self.version or behind:
             self._ask(sender.address)
 
     def _take_ask(self, sender: PeerIdentity, ask: DirectoryAsk) -> None:
         if self.table is not None and ask.routes_version < self.version:
             self._hub.send(sender.address, RoutesPush(self.version, self._content))
-        if ask.targets_revision < self._targets.as_of:
+        if ask.targets_newest < self._targets.newest:
             self._hub.send(sender.address, self._targets.snapshot())
 
     def _ask(self, address: str) -> None:
-        self._hub.send(address, DirectoryAsk(self.version, self._targets.as_of))
+        self._hub.send(address, DirectoryAsk(self.version, self._targets.newest))
 
     def _adopt(self, table: RouteTable, content: bytes, source: str) -> None:
         """Put a newer configuration in force; an older one never is."""
@@ -226,7 +225,7 @@
     def _targets_changed(self, source: str) -> None:
         targets_by_service = self._targets.targets_by_service()
         count = sum(len(targets) for targets in targets_by_service.values())
-        self._log.write("targets", source=source, as_of=self._targets.as_of, count=count)
+        self._log.write("targets", source=source, newest=self._targets.newest, count=count)
         for handler in self._on_targets:
             handler(targets_by_service)
 
@@ -239,7 +238,7 @@
             await anyio.sleep(BEACON_PERIOD_S)
             if not self._watching.watches(time.monotonic()):
                 continue
-            beacon = DirectoryBeacon(self.version, self._targets.as_of, self.synced)
+            beacon = DirectoryBeacon(self.version, self._targets.newest, self.synced)
             for address in self._near_peers + self._far_watchers:
                 self._hub.send(address, beacon)
 
--- a/trackwheel/directory/targets.py
+++ b/trackwheel/directory/targets.py
@@ -23,7 +23,7 @@
         self._gone_revision_by_instance: dict[str, int] = {}
         self._store_away = False
         self._store_back_at = float("-inf")
-        self.as_of = 0
+        self.newest = 0
 
     def store_lost(self) -> None:
         """Take that the store does not answer: entries may lapse without cause."""
@@ -37,21 +37,33 @@
 
     def take(self, read: TargetsRead, now: float) -> bool:
         """Take news; return whether anything is another now."""
-        changed = [self._merge(entry, now) for entry in read.entries]
-        changed += [self._remove(gone.instance, gone.revision, now) for gone in read.gone]
+        changed = [self._note(self._merge(entry, now), entry.revision) for entry in read.entries]
+        changed += [
+            self._note(self._remove(gone.instance, gone.revision, now), gone.revision)
+            for gone in read.gone
+        ]
         if read.since is None:
-            changed += self._remove_missing(read, now)
-        if read.since is None or read.since <= self.as_of:
-            self.as_of = max(self.as_of, read.as_of)
+            removed = self._remove_missing(read, now)
+            changed += [self._note(was_there, read.as_of) for was_there in removed]
         return any(changed)
 
+    def in_step_with(self, newest: int) -> None:
+        """Take that all news up to a peer's newest are known."""
+        self.newest = max(self.newest, newest)
+
+    def _note(self, is_news: bool, revision: int) -> bool:
+        """Keep the revision of the newest news; entries that changed in nothing are none."""
+        if is_news:
+            self.newest = max(self.newest, revision)
+        return is_news
+
     def snapshot(self) -> TargetsPush:
         """Return all that is known, for a peer that lacks some of it."""
         entries = [
             held.entry for held in self._held_by_instance.values() if held.gone_revision is None
         ]
         gone = [EntryGone(*pair) for pair in self._gone_revision_by_instance.items()]
-        return TargetsPush(-1, self.as_of, entries, gone)
+        return TargetsPush(True, self.newest, entries, gone)
 
     def expire(self, now: float) -> bool:
         """Drop targets whose time as a last resort is over; return whether there were any."""
