--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -675,7 +675,7 @@
         SINGLE + "test_request_that_may_have_run_is_not_sent_again",
         Mutant(
             "trackwheel/relay/single.py",
-            "may_repeat = self.plan.repeatable or not self._ran",
+            "may_repeat = self.plan.repeatable or not self._attempts.ran",
             "may_repeat = True",
         ),
     ),
@@ -692,7 +692,7 @@
         SINGLE + "test_refusal_says_truly_that_nothing_ran",
         Mutant(
             "trackwheel/relay/single.py",
-            "ran = self._ran or bool(self._target_by_token)",
+            "ran = self._attempts.ran or bool(self._attempts.target_by_token)",
             "ran = True",
         ),
     ),
@@ -703,7 +703,7 @@
         SINGLE + "test_request_that_ran_once_is_never_called_not_run",
         Mutant(
             "trackwheel/relay/single.py",
-            "ran = self._ran or bool(self._target_by_token)",
+            "ran = self._attempts.ran or bool(self._attempts.target_by_token)",
             "ran = False",
         ),
     ),
@@ -747,9 +747,9 @@
         "targets refuse connections",
         SHARDS + "test_failed_connections_do_not_enlarge_the_budget",
         Mutant(
-            "trackwheel/relay/gather.py",
-            "if not shard.counted and not self.plan.repeat:",
-            "if shard.arrivals == 0 and not self.plan.repeat:",
+            "trackwheel/relay/attempts.py",
+            "if not self._counted:",
+            "if self._arrivals == 0:",
         ),
     ),
     Row(
--- a/tests/relay/test_gather.py
+++ b/tests/relay/test_gather.py
@@ -6,10 +6,10 @@
 from trackwheel.relay.board import Board
 from trackwheel.relay.budget import BudgetRule, RepeatBudget
 from trackwheel.relay.const import MAX_SENDS
-from trackwheel.relay.gather import (
+from trackwheel.relay.gather import Gather
+from trackwheel.relay.gather_models import (
     CancelGroup,
     CancelPart,
-    Gather,
     GatherCommand,
     Gathered,
     GatherFailed,
@@ -39,9 +39,7 @@
         max_attempts: int = 2,
         partial: bool = False,
     ) -> None:
-        plan = GatherPlan(
-            ROUTE, SHARDS, groups, least, max_attempts, ANSWER_AT, END_AT, partial, False
-        )
+        plan = GatherPlan(ROUTE, SHARDS, groups, least, max_attempts, ANSWER_AT, END_AT, partial)
         self.gather = Gather(plan, board, budget)
         self.open: dict[int, SendPart] = {}
         self.sent: list[SendPart] = []
--- /dev/null
+++ b/trackwheel/relay/attempts.py
@@ -0,0 +1,93 @@
+"""The sends of one request, or of one shard of a query, within its limits and its budget."""
+
+from typing import Final
+
+from trackwheel.relay.board import Board, Choice, RouteKey
+from trackwheel.relay.budget import RepeatBudget
+from trackwheel.relay.const import HEDGE_EARLIEST_PACES, HEDGE_RESERVE_PACES, MAX_SENDS
+from trackwheel.relay.models import NOTHING_RAN, Outcome, Target
+
+NEVER: Final = float("inf")
+
+
+class Attempts:
+    """Follow which targets were asked, how many may have run it, and what it has cost."""
+
+    def __init__(self, service: str, max_attempts: int) -> None:
+        self._service = service
+        self._max_attempts = max_attempts
+        self._tried: set[str] = set()
+        self._not_run_at: set[str] = set()
+        self._counted = False
+        self._sends = 0
+        self._runs = 0
+        self._arrivals = 0
+        self.target_by_token: dict[int, Target] = {}
+        self.ran = False
+        """Whether a target that has answered or broken off may have run it."""
+
+    def give_away(self, attempts: int, targets: set[str]) -> None:
+        """Leave some attempts, and the targets that they will meet, to a peer."""
+        self._counted = True
+        self._arrivals = 1
+        self._runs = attempts
+        self._tried = targets
+
+    def choose(
+        self, board: Board, budget: RepeatBudget, route: RouteKey, now: float
+    ) -> list[Choice]:
+        """Return the target to ask now, paid for, and those after it; none when it may not be."""
+        if self._runs >= self._max_attempts or self._sends >= MAX_SENDS:
+            return []
+        choices = self._rank(board, route, now)
+        return choices if choices and self._pay(budget, now) else []
+
+    def begin(self, token: int, target: Target) -> None:
+        """Take that it goes to a target."""
+        self.target_by_token[token] = target
+        self._tried.add(target.instance)
+        self._sends += 1
+        self._runs += 1
+        self._arrivals += 1
+
+    def succeed(self, token: int) -> None:
+        """Take that a target answered well."""
+        del self.target_by_token[token]
+        self.ran = True
+
+    def fail(self, token: int, outcome: Outcome) -> None:
+        """Take how it failed at a target."""
+        target = self.target_by_token.pop(token)
+        if outcome not in NOTHING_RAN:
+            self.ran = True
+            return
+        self._runs -= 1
+        if outcome is not Outcome.ELSEWHERE:
+            self._not_run_at.add(target.instance)
+        if outcome is Outcome.NOT_SENT:
+            self._arrivals -= 1
+
+    def _rank(self, board: Board, route: RouteKey, now: float) -> list[Choice]:
+        """Return targets to ask: those that were not tried, then those that did not run it."""
+        fresh = board.rank(self._service, route, now, frozenset(self._tried))
+        if fresh or self.target_by_token:
+            return fresh
+        ran = frozenset(self._tried - self._not_run_at)
+        return board.rank(self._service, route, now, ran)
+
+    def _pay(self, budget: RepeatBudget, now: float) -> bool:
+        if not self._counted:
+            self._counted = True
+            budget.first(self._service, now)
+            return True
+        # What could not be sent did not arrive, so that another target is not a repeat yet.
+        return self._arrivals == 0 or budget.take(self._service, now)
+
+
+def hedge_time(choices: list[Choice], answer_at: float, now: float) -> float:
+    """Return when a second target is asked: late enough to be rare, early enough to help."""
+    if len(choices) < 2:
+        return NEVER
+    earliest = now + HEDGE_EARLIEST_PACES * choices[0].usual_s
+    latest = answer_at - HEDGE_RESERVE_PACES * choices[1].expected_s
+    return max(earliest, latest)
--- a/trackwheel/relay/gather.py
+++ b/trackwheel/relay/gather.py
@@ -9,135 +9,39 @@
 in after that. It is given up at once when enough can no longer come.
 """
 
-from typing import NamedTuple
-
-from trackwheel.relay.board import Board, Choice, RouteKey
+from trackwheel.relay.attempts import NEVER, Attempts, hedge_time
+from trackwheel.relay.board import Board, Choice
 from trackwheel.relay.budget import RepeatBudget
-from trackwheel.relay.const import (
-    HEDGE_EARLIEST_PACES,
-    HEDGE_RESERVE_PACES,
-    LOGGED_SHARDS,
-    MAX_SENDS,
-    REPORT_SLACK_S,
-)
-from trackwheel.relay.models import NOTHING_RAN, Outcome, Part, Place, Target, TargetEnd
-
-NEVER = float("inf")
-
-
-class GroupPlan(NamedTuple):
-    """Shards that a peer is asked for; times are monotonic seconds.
-
-    The peer accepts before `accept_by` and reports what is in before `report_by`.
-    """
-
-    address: str
-    place: Place
-    shards: tuple[str, ...]
-    accept_by: float
-    report_by: float
-
-
-class GatherPlan(NamedTuple):
-    """Say what a query needs; times are monotonic seconds.
-
-    `answer_at` is the last moment to answer within the aim, `end_at` that to answer at all.
-    With `partial`, the answer is a part of a peer's: whatever is in at `answer_at` is given.
-    With `repeat`, another box may have asked for these shards before.
-    """
-
-    route: RouteKey
-    shards: tuple[str, ...]
-    groups: tuple[GroupPlan, ...]
-    least_coverage: float
-    max_attempts: int
-    answer_at: float
-    end_at: float
-    partial: bool
-    repeat: bool
-
-
-class SendPart(NamedTuple):
-    """Command: ask a target for a shard."""
-
-    token: int
-    shard: str
-    target: Target
-    reason: str
-
-
-class CancelPart(NamedTuple):
-    """Command: take an unanswered request back."""
-
-    token: int
-    target: Target
-
-
-class SendGroup(NamedTuple):
-    """Command: hand a group of shards to its peer."""
-
-    number: int
-    group: GroupPlan
-
-
-class CancelGroup(NamedTuple):
-    """Command: tell a peer that its shards are not awaited any more."""
-
-    number: int
-    address: str
-
-
-class PeerSilent(NamedTuple):
-    """Command: note that a peer showed no life in time."""
-
-    address: str
-    accepted: bool
-
-
-class Gathered(NamedTuple):
-    """Command: answer with these signatures and the greatest of these records."""
-
-    signature_by_shard: dict[str, bytes]
-    record_lists: list[list[bytes]]
-    missing: int
-    reason: str
-    lacking: str = ""
-
-
-class GatherFailed(NamedTuple):
-    """Command: tell the client that no answer comes; `ran` says whether a target may have run."""
-
-    ran: bool
-    late: bool
-    reason: str
-    lacking: str = ""
-
-
-GatherCommand = (
-    SendPart | CancelPart | SendGroup | CancelGroup | PeerSilent | Gathered | GatherFailed
+from trackwheel.relay.const import LOGGED_SHARDS, REPORT_SLACK_S
+from trackwheel.relay.gather_models import (
+    CancelGroup,
+    CancelPart,
+    GatherCommand,
+    Gathered,
+    GatherFailed,
+    GatherPlan,
+    GroupPlan,
+    PeerSilent,
+    SendGroup,
+    SendPart,
 )
+from trackwheel.relay.models import Part, TargetEnd
 
 
 class _Shard:
     """Follow one shard."""
 
-    def __init__(self) -> None:
-        self.target_by_token: dict[int, Target] = {}
+    def __init__(self, name: str, max_attempts: int) -> None:
+        self.attempts = Attempts(name, max_attempts)
         self.group: int | None = None
-        self.tried: set[str] = set()
-        self.not_run_at: set[str] = set()
-        self.counted = False
-        self.sends = 0
-        self.runs = 0
-        self.arrivals = 0
         self.hedge_at = NEVER
         self.exhausted = False
-        self.last = ""
+        self.last_failure = ""
 
     @property
     def waits(self) -> bool:
         """Return whether an answer may still come."""
-        return bool(self.target_by_token) or self.group is not None
+        return bool(self.attempts.target_by_token) or self.group is not None
 
 
 class _Group:
@@ -156,7 +60,7 @@
         self.plan = plan
         self._board = board
         self._budget = budget
-        self._shard_by_name = {name: _Shard() for name in plan.shards}
+        self._shard_by_name = {name: _Shard(name, plan.max_attempts) for name in plan.shards}
         self._group_by_number: dict[int, _Group] = {}
         self._part_by_shard: dict[str, Part] = {}
         self._merged_signature_by_shard: dict[str, bytes] = {}
@@ -164,7 +68,7 @@
         self._shard_name_by_token: dict[int, str] = {}
         self._taken: set[str] = set()
         self._next_token = 0
-        self._ran = False
+        self._merged_ran = False
         self._commands: list[GatherCommand] = []
         self.ended = False
 
@@ -188,14 +92,14 @@
         if self.ended or name is None:
             return []
         shard = self._shard_by_name[name]
-        target = shard.target_by_token.pop(token)
         if part is not None:
-            self._ran = True
+            shard.attempts.succeed(token)
             self._part_by_shard[name] = part
             self._withdraw(shard)
             return self._finish_or_go_on(now)
-        shard.last = f"{end.outcome.value} at {target.instance}"
-        self._note_failure(shard, target, end.outcome)
+        where = shard.attempts.target_by_token[token].instance
+        shard.last_failure = f"{end.outcome.value} at {where}"
+        shard.attempts.fail(token, end.outcome)
         self._ask_or_exhaust(name, end.outcome.value, now)
         return self._finish_or_go_on(now)
 
@@ -281,11 +185,11 @@
 
     def _state(self, name: str) -> str:
         shard = self._shard_by_name[name]
-        waited = [target.instance for target in shard.target_by_token.values()]
+        waited = [target.instance for target in shard.attempts.target_by_token.values()]
         group = self._group_by_number.get(-1 if shard.group is None else shard.group)
         if group is not None:
             waited.append(f"peer {group.plan.address}")
-        states = [shard.last] if shard.last else []
+        states = [shard.last_failure] if shard.last_failure else []
         if waited:
             states.append(f"awaited of {', '.join(waited)}")
         return ", ".join(states) or "no target"
@@ -306,11 +210,8 @@
         """Leave a shard to a peer, with all attempts but one, and the targets beside it."""
         shard = self._shard_by_name[name]
         shard.group = number
-        shard.counted = True
-        shard.arrivals = 1
-        shard.runs = self.peer_attempts
         beside = {t.instance for t in self._board.targets(name) if t.place == group.place}
-        shard.tried = beside
+        shard.attempts.give_away(self.peer_attempts, beside)
 
     def _has(self, name: str) -> bool:
         return name in self._part_by_shard or name in self._merged_signature_by_shard
@@ -323,7 +224,7 @@
         if known != signature_by_shard.keys() or known & self._merged_signature_by_shard.keys():
             # Merged records cannot be taken apart; with a foreign shard among them none count.
             return
-        self._ran = True
+        self._merged_ran = True
         self._merged_signature_by_shard |= signature_by_shard
         self._merged_records.append(records)
         for name in known:
@@ -353,19 +254,9 @@
         for name in group.plan.shards:
             shard = self._shard_by_name[name]
             shard.group = None
-            if not self._has(name) and not shard.target_by_token:
+            if not self._has(name) and not shard.attempts.target_by_token:
                 self._ask_or_exhaust(name, reason, now)
 
-    def _note_failure(self, shard: _Shard, target: Target, outcome: Outcome) -> None:
-        if outcome in NOTHING_RAN:
-            shard.runs -= 1
-            if outcome is not Outcome.ELSEWHERE:
-                shard.not_run_at.add(target.instance)
-            if outcome is Outcome.NOT_SENT:
-                shard.arrivals -= 1
-            return
-        self._ran = True
-
     def _ask_or_exhaust(self, name: str, reason: str, now: float) -> None:
         shard = self._shard_by_name[name]
         if not self._ask(name, reason, now) and not shard.waits:
@@ -374,50 +265,25 @@
     def _ask(self, name: str, reason: str, now: float) -> bool:
         """Send a shard to one more target; return False when there is none or it may not."""
         shard = self._shard_by_name[name]
-        if shard.runs >= self.plan.max_attempts or shard.sends >= MAX_SENDS:
-            return False
         if now >= self.plan.end_at:
             return False
-        choices = self._choices(name, shard, now)
-        if not choices or not self._pay(name, shard, now):
+        choices = shard.attempts.choose(self._board, self._budget, self.plan.route, now)
+        if not choices:
             return False
-        best = choices[0]
         token = self._next_token
         self._next_token += 1
-        shard.target_by_token[token] = best.target
-        shard.tried.add(best.target.instance)
-        shard.sends += 1
-        shard.runs += 1
-        shard.arrivals += 1
+        target = choices[0].target
+        shard.attempts.begin(token, target)
         self._shard_name_by_token[token] = name
-        if len(shard.target_by_token) == 1:
-            shard.hedge_at = self._hedge_time(best, choices[1:], now)
-        self._commands.append(SendPart(token, name, best.target, reason))
+        if len(shard.attempts.target_by_token) == 1:
+            shard.hedge_at = self._hedge_time(choices, now)
+        self._commands.append(SendPart(token, name, target, reason))
         return True
 
-    def _choices(self, name: str, shard: _Shard, now: float) -> list[Choice]:
-        """Return targets to ask: those that were not tried, then those that did not run it."""
-        fresh = self._board.rank(name, self.plan.route, now, frozenset(shard.tried))
-        if fresh or shard.target_by_token or not shard.tried:
-            return fresh
-        ran = frozenset(shard.tried - shard.not_run_at)
-        return self._board.rank(name, self.plan.route, now, ran)
-
-    def _pay(self, name: str, shard: _Shard, now: float) -> bool:
-        if not shard.counted and not self.plan.repeat:
-            shard.counted = True
-            self._budget.first(name, now)
-            return True
-        # What could not be sent did not arrive, so that another target is not a repeat yet.
-        return shard.arrivals == 0 or self._budget.take(name, now)
-
-    def _hedge_time(self, first: Choice, others: list[Choice], now: float) -> float:
-        """Return when a second target is asked: late enough to be rare, early enough to help."""
-        if not others or self.plan.max_attempts < 2:
+    def _hedge_time(self, choices: list[Choice], now: float) -> float:
+        if self.plan.max_attempts < 2:
             return NEVER
-        earliest = now + HEDGE_EARLIEST_PACES * first.usual_s
-        latest = self.plan.answer_at - HEDGE_RESERVE_PACES * others[0].expected_s
-        return max(earliest, latest)
+        return hedge_time(choices, self.plan.answer_at, now)
 
     def _in(self) -> int:
         return len(self._part_by_shard) + len(self._merged_signature_by_shard)
@@ -461,10 +327,11 @@
         self._commands.append(gathered)
 
     def _fail(self, reason: str, late: bool) -> None:
-        waits = any(shard.waits for shard in self._shard_by_name.values())
+        shards = self._shard_by_name.values()
+        ran = self._merged_ran or any(shard.waits or shard.attempts.ran for shard in shards)
         lacking = self.lacking(LOGGED_SHARDS)
         self._end()
-        self._commands.append(GatherFailed(self._ran or waits, late, reason, lacking))
+        self._commands.append(GatherFailed(ran, late, reason, lacking))
 
     def _end(self) -> None:
         self.ended = True
@@ -476,7 +343,7 @@
         self._group_by_number.clear()
 
     def _withdraw(self, shard: _Shard) -> None:
-        for token, target in shard.target_by_token.items():
+        for token, target in shard.attempts.target_by_token.items():
             self._shard_name_by_token.pop(token, None)
             self._commands.append(CancelPart(token, target))
-        shard.target_by_token.clear()
+        shard.attempts.target_by_token.clear()
--- /dev/null
+++ b/trackwheel/relay/gather_models.py
@@ -0,0 +1,97 @@
+"""What a gather takes and gives: plans, commands and ends."""
+
+from typing import NamedTuple
+
+from trackwheel.relay.board import RouteKey
+from trackwheel.relay.models import Place, Target
+
+
+class GroupPlan(NamedTuple):
+    """Shards that a peer is asked for; times are monotonic seconds.
+
+    The peer accepts before `accept_by` and reports what is in before `report_by`.
+    """
+
+    address: str
+    place: Place
+    shards: tuple[str, ...]
+    accept_by: float
+    report_by: float
+
+
+class GatherPlan(NamedTuple):
+    """Say what a query needs; times are monotonic seconds.
+
+    `answer_at` is the last moment to answer within the aim, `end_at` that to answer at all.
+    With `partial`, the answer is a part of a peer's: whatever is in at `answer_at` is given.
+    """
+
+    route: RouteKey
+    shards: tuple[str, ...]
+    groups: tuple[GroupPlan, ...]
+    least_coverage: float
+    max_attempts: int
+    answer_at: float
+    end_at: float
+    partial: bool
+
+
+class SendPart(NamedTuple):
+    """Command: ask a target for a shard."""
+
+    token: int
+    shard: str
+    target: Target
+    reason: str
+
+
+class CancelPart(NamedTuple):
+    """Command: take an unanswered request back."""
+
+    token: int
+    target: Target
+
+
+class SendGroup(NamedTuple):
+    """Command: hand a group of shards to its peer."""
+
+    number: int
+    group: GroupPlan
+
+
+class CancelGroup(NamedTuple):
+    """Command: tell a peer that its shards are not awaited any more."""
+
+    number: int
+    address: str
+
+
+class PeerSilent(NamedTuple):
+    """Command: note that a peer showed no life in time."""
+
+    address: str
+    accepted: bool
+
+
+class Gathered(NamedTuple):
+    """Command: answer with these signatures and the greatest of these records."""
+
+    signature_by_shard: dict[str, bytes]
+    record_lists: list[list[bytes]]
+    missing: int
+    reason: str
+    lacking: str = ""
+
+
+class GatherFailed(NamedTuple):
+    """Command: tell the client that no answer comes; `ran` says whether a target may have run."""
+
+    ran: bool
+    late: bool
+    reason: str
+    lacking: str = ""
+
+
+GatherCommand = (
+    SendPart | CancelPart | SendGroup | CancelGroup | PeerSilent | Gathered | GatherFailed
+)
--- a/trackwheel/relay/groups.py
+++ b/trackwheel/relay/groups.py
@@ -8,9 +8,9 @@
 from trackwheel.peers.models import PeerIdentity
 from trackwheel.relay.board import Board, RouteKey
 from trackwheel.relay.budget import RepeatBudget
-from trackwheel.relay.gather import (
+from trackwheel.relay.gather import Gather
+from trackwheel.relay.gather_models import (
     CancelGroup,
-    Gather,
     Gathered,
     GatherFailed,
     GatherPlan,
@@ -201,7 +201,6 @@
             answer_at,
             answer_at,
             True,
-            False,
         )
         return GatherTask(request, Gather(plan, self._board, self._budget), message.top_k)
 
--- a/trackwheel/relay/runs.py
+++ b/trackwheel/relay/runs.py
@@ -4,10 +4,10 @@
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
-from trackwheel.relay.gather import (
+from trackwheel.relay.gather import Gather
+from trackwheel.relay.gather_models import (
     CancelGroup,
     CancelPart,
-    Gather,
     GatherCommand,
     Gathered,
     GatherFailed,
--- a/trackwheel/relay/service.py
+++ b/trackwheel/relay/service.py
@@ -17,7 +17,8 @@
     RETRY_AFTER_S,
     RETURN_MARGIN_S,
 )
-from trackwheel.relay.gather import Gather, Gathered, GatherFailed, GatherPlan, GroupPlan
+from trackwheel.relay.gather import Gather
+from trackwheel.relay.gather_models import Gathered, GatherFailed, GatherPlan, GroupPlan
 from trackwheel.relay.groups import PeerGroups
 from trackwheel.relay.merge import merge_records
 from trackwheel.relay.models import CallerRequest, Place, Wire
@@ -180,7 +181,6 @@
             answer_at,
             end_at,
             False,
-            False,
         )
 
     def _report_by(self, key: RouteKey, address: str, answer_at: float, now: float) -> float:
--- a/trackwheel/relay/single.py
+++ b/trackwheel/relay/single.py
@@ -7,10 +7,10 @@
 from typing import NamedTuple
 
 from trackwheel.http1.models import Response
+from trackwheel.relay.attempts import NEVER, Attempts, hedge_time
 from trackwheel.relay.board import Board, RouteKey
 from trackwheel.relay.budget import RepeatBudget
-from trackwheel.relay.const import HEDGE_EARLIEST_PACES, HEDGE_RESERVE_PACES, MAX_SENDS
-from trackwheel.relay.models import NOTHING_RAN, Outcome, Target, TargetEnd
+from trackwheel.relay.models import Outcome, Target, TargetEnd
 
 
 class SinglePlan(NamedTuple):
@@ -63,38 +63,35 @@
         self.plan = plan
         self._board = board
         self._budget = budget
-        self._target_by_token: dict[int, Target] = {}
-        self._tried: set[str] = set()
-        self._not_run_at: set[str] = set()
+        self._attempts = Attempts(plan.service, plan.max_attempts)
         self._next_token = 0
-        self._runs = 0
-        self._arrivals = 0
-        self._ran = False
         self._failure: Response | None = None
-        self._hedge_at = float("inf")
+        self._hedge_at = NEVER
         self._commands: list[SingleCommand] = []
         self.ended = False
 
     def start(self, now: float) -> list[SingleCommand]:
         """Send the request to the best target."""
         if not self._ask("first", now):
-            self._fail("no target is known", False, now)
+            self._fail("no target is known", False)
         return self._take_commands()
 
     def target_ended(self, token: int, end: TargetEnd, now: float) -> list[SingleCommand]:
         """Take the end of the request at one target."""
-        target = self._target_by_token.pop(token, None)
-        if self.ended or target is None:
+        if self.ended or token not in self._attempts.target_by_token:
             return []
         if end.outcome is Outcome.OK and end.answer is not None:
-            self._answer(end.answer, now)
+            self._attempts.succeed(token)
+            self._answer(end.answer)
             return self._take_commands()
-        self._note_failure(target, end)
-        may_repeat = self.plan.repeatable or not self._ran
+        self._attempts.fail(token, end.outcome)
+        if end.outcome is Outcome.FAILED:
+            self._failure = end.answer
+        may_repeat = self.plan.repeatable or not self._attempts.ran
         if may_repeat and self._ask(end.outcome.value, now):
             return self._take_commands()
-        if not self._target_by_token:
-            self._give_up(end, now)
+        if not self._attempts.target_by_token:
+            self._give_up(end)
         return self._take_commands()
 
     def tick(self, now: float) -> list[SingleCommand]:
@@ -102,9 +99,9 @@
         if self.ended:
             return []
         if now >= self.plan.end_at:
-            self._fail("time is up", True, now)
+            self._fail("time is up", True)
         elif now >= self._hedge_at:
-            self._hedge_at = float("inf")
+            self._hedge_at = NEVER
             self._ask("hedge", now)
         return self._take_commands()
 
@@ -118,72 +115,43 @@
         """Return when `tick` is next needed (monotonic seconds)."""
         return min(self._hedge_at, self.plan.end_at)
 
-    def _note_failure(self, target: Target, end: TargetEnd) -> None:
-        if end.outcome in NOTHING_RAN:
-            self._runs -= 1
-            if end.outcome is not Outcome.ELSEWHERE:
-                self._not_run_at.add(target.instance)
-            if end.outcome is Outcome.NOT_SENT:
-                self._arrivals -= 1
-            return
-        self._ran = True
-        if end.answer is not None and end.outcome is Outcome.FAILED:
-            self._failure = end.answer
-
     def _ask(self, reason: str, now: float) -> bool:
         """Send the request to one more target; return False when it may not or there is none."""
-        if self._runs >= self.plan.max_attempts or self._next_token >= MAX_SENDS:
-            return False
         if now >= self.plan.end_at:
             return False
-        choices = self._board.rank(self.plan.service, self.plan.route, now, frozenset(self._tried))
-        if not choices and not self._target_by_token:
-            ran = frozenset(self._tried - self._not_run_at)
-            choices = self._board.rank(self.plan.service, self.plan.route, now, ran)
-        if not choices or not self._pay(now):
+        choices = self._attempts.choose(self._board, self._budget, self.plan.route, now)
+        if not choices:
             return False
-        best = choices[0]
         token = self._next_token
         self._next_token += 1
-        self._target_by_token[token] = best.target
-        self._tried.add(best.target.instance)
-        self._runs += 1
-        self._arrivals += 1
-        if self.plan.repeatable and len(choices) > 1 and token == 0:
-            earliest = now + HEDGE_EARLIEST_PACES * best.usual_s
-            reserve_s = HEDGE_RESERVE_PACES * choices[1].expected_s
-            self._hedge_at = max(earliest, self.plan.answer_at - reserve_s)
-        self._commands.append(SendSingle(token, best.target, reason))
+        target = choices[0].target
+        self._attempts.begin(token, target)
+        if self.plan.repeatable and token == 0:
+            self._hedge_at = hedge_time(choices, self.plan.answer_at, now)
+        self._commands.append(SendSingle(token, target, reason))
         return True
 
-    def _pay(self, now: float) -> bool:
-        if self._next_token == 0:
-            self._budget.first(self.plan.service, now)
-            return True
-        # What could not be sent did not arrive, so that another target is not a repeat yet.
-        return self._arrivals == 0 or self._budget.take(self.plan.service, now)
-
-    def _give_up(self, end: TargetEnd, now: float) -> None:
+    def _give_up(self, end: TargetEnd) -> None:
         """End with a target's own failure where there is one."""
         if self._failure is not None:
-            self._answer(self._failure, now)
+            self._answer(self._failure)
             return
-        self._fail(end.detail or end.outcome.value, False, now)
+        self._fail(end.detail or end.outcome.value, False)
 
-    def _answer(self, answer: Response, now: float) -> None:
+    def _answer(self, answer: Response) -> None:
         self._end()
         self._commands.append(SingleAnswered(answer))
 
-    def _fail(self, reason: str, late: bool, now: float) -> None:
-        ran = self._ran or bool(self._target_by_token)
+    def _fail(self, reason: str, late: bool) -> None:
+        ran = self._attempts.ran or bool(self._attempts.target_by_token)
         self._end()
         self._commands.append(SingleFailed(ran, late, reason))
 
     def _end(self) -> None:
         self.ended = True
-        for token, target in self._target_by_token.items():
+        for token, target in self._attempts.target_by_token.items():
             self._commands.append(CancelSingle(token, target))
-        self._target_by_token.clear()
+        self._attempts.target_by_token.clear()
 
     def _take_commands(self) -> list[SingleCommand]:
         commands, self._commands = self._commands, []
