Make the box on the platform a package: parts, figures, life and numbers apart

Cause: trackwheel/entry.py had grown to 355 lines with four jobs. Change: entry/box.py wires, entry/run.py starts and stops, entry/figures.py says what is served, entry/const.py holds the numbers; python -m trackwheel.entry as before.

--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -826,7 +826,7 @@
         STOP,
         "requests under way and on a kept connection at a planned stop",
         ENTRY + "test_planned_stop_finishes_what_is_under_way",
-        Mutant("trackwheel/entry.py", "while time.monotonic() < end:", "while False:"),
+        Mutant("trackwheel/entry/run.py", "while time.monotonic() < end:", "while False:"),
     ),
     Row(
         PLATFORM,
--- a/trackwheel/cli.py
+++ b/trackwheel/cli.py
@@ -100,7 +100,7 @@
 
 
 def _entry(arguments: Arguments) -> int:
-    from trackwheel.entry import run_entry  # noqa: PLC0415
+    from trackwheel.entry.run import run_entry  # noqa: PLC0415
     from trackwheel.platform.settings import SETTINGS_VARIABLE  # noqa: PLC0415
 
     path = arguments["SETTINGS"] or os.environ.get(SETTINGS_VARIABLE)
--- /dev/null
+++ b/trackwheel/entry/__main__.py
@@ -0,0 +1,10 @@
+"""Run a box as `python -m trackwheel.entry`, with the settings file that the platform names."""
+
+import os
+from pathlib import Path
+
+from trackwheel.entry.run import run_entry
+from trackwheel.platform.settings import SETTINGS_VARIABLE
+
+if __name__ == "__main__":
+    run_entry(Path(os.environ[SETTINGS_VARIABLE]))
--- a/trackwheel/entry.py
+++ b/trackwheel/entry/box.py
@@ -1,30 +1,31 @@
-"""The composition root of a box on the platform: it wires the parts, runs and stops them."""
+"""The composition root of a box on the platform: it wires the parts."""
 
-import asyncio
 import os
-import signal
 import time
-from pathlib import Path
 from typing import Final
 
-import anyio
-
 from trackwheel.directory.models import DIRECTORY_MESSAGES
 from trackwheel.directory.service import DirectoryService
 from trackwheel.directory.targets import TargetDirectory
 from trackwheel.directory.watching import Watching
-from trackwheel.fleet.membership import Timing
+from trackwheel.entry.const import (
+    FIRST_LIMITS,
+    PATH_METRICS,
+    STORE_TIMEOUT_S,
+    TIMING,
+    WATCHERS_PER_DOMAIN,
+)
+from trackwheel.entry.figures import add_figures
 from trackwheel.fleet.models import FLEET_MESSAGES, Member, Status
 from trackwheel.fleet.service import FleetService
-from trackwheel.garbage import tune_garbage_collection
 from trackwheel.http1.models import Request, Response
-from trackwheel.http1.server import Exchange, ServerConnection, ServerState
+from trackwheel.http1.server import Exchange, ServerState
 from trackwheel.peers.codec import Codec
 from trackwheel.peers.hub import Hub
 from trackwheel.peers.models import PeerIdentity
 from trackwheel.platform.names import PATH_READY
 from trackwheel.platform.seeds import SeedList
-from trackwheel.platform.settings import SETTINGS_VARIABLE, BoxSettings, read_settings
+from trackwheel.platform.settings import BoxSettings
 from trackwheel.platform.store import StoreClient
 from trackwheel.platform.wire import PlatformWire
 from trackwheel.relay.board import Board
@@ -36,35 +37,10 @@
 from trackwheel.relay.service import RelayService
 from trackwheel.relay.transport import TargetTransport
 from trackwheel.routing.models import Limits, RouteTable
-from trackwheel.settings import split_address
 from trackwheel.telemetry.events import EventLog
 from trackwheel.telemetry.figures import Figures
 
 ALL_MESSAGES: Final = (*FLEET_MESSAGES, *DIRECTORY_MESSAGES, *RELAY_MESSAGES)
-TIMING: Final = Timing(2.0, 0.5, 1.5, rumour_sends=1)
-"""Probe period, wait for its answer, suspicion (seconds) and tellings of rumours of the membership.
-
-Requests go around a peer that shows no life after 40 ms, whatever the membership says, so that
-probes may be rare: at 0.5 s they were more than half of the bytes between 60 boxes. Links lose
-nothing, and digests find what a rumour missed, so that each is told once for a doubling."""
-WATCHERS_PER_DOMAIN: Final = 1
-"""Boxes of one failure domain that read the store while all is well."""
-STORE_TIMEOUT_S: Final = 1.5
-"""Longest wait for an answer of the store beyond the time that a watch may rest."""
-FIRST_LIMITS: Final = Limits(16_384, 262_144, 3.0, 15.0)
-"""What clients may send before a configuration is known."""
-METRICS_VARIABLE: Final = "TRACKWHEEL_METRICS_PORT"
-"""Environment variable with the port of the figures; without it none are served."""
-PATH_METRICS: Final = b"/metrics"
-BACKLOG: Final = 1024
-LEAST_LINGER_S: Final = 3.2
-"""A stopping box serves on at least so long: clients are sent to it until two checks missed."""
-STOP_MARGIN_S: Final = 0.15
-"""Time kept between the last answer of a stopping box and the platform's kill."""
-CLOSE_WAIT_S: Final = 0.05
-STOP_LOOK_S: Final = 0.05
-SUMMARY_PERIOD_S: Final = 10.0
-"""How often a box writes its counts."""
 
 
 class _NoTls:
@@ -131,7 +107,7 @@
         self.metrics = ServerState(self._answer_metrics, self._limits)
         self.stopping = False
         self._wire_parts()
-        self._add_figures()
+        add_figures(self)
 
     @property
     def ready(self) -> bool:
@@ -199,38 +175,6 @@
         table = self.directory.table
         return FIRST_LIMITS if table is None else table.limits
 
-    def _add_figures(self) -> None:
-        figures, directory = self.figures, self.directory
-        figures.add_counts(
-            "requests_total",
-            "Requests by how they ended",
-            ("kind",),
-            lambda: self.relay.ended_by_kind,
-        )
-        figures.add_counts(
-            "target_sends_total",
-            "Requests sent to targets, by why and how far",
-            ("reason", "distance"),
-            lambda: self.transport.sent_by_reason,
-        )
-        figures.add_counts(
-            "target_ends_total",
-            "Requests at targets by how they ended",
-            ("outcome",),
-            lambda: self.transport.ended_by_outcome,
-        )
-        for name, text, reading in (
-            ("routes_version", "Version in force", lambda: float(directory.version)),
-            ("store_in_step", "1 if the store answered lately", lambda: float(directory.synced)),
-            ("store_calls", "Calls on the store", lambda: float(directory.store_calls)),
-            ("members", "Boxes that are known", lambda: float(len(self.fleet.members))),
-            ("repeats_denied", "Repeats without budget", lambda: float(self.budget.denied)),
-            ("peer_bytes", "Bytes sent to boxes", lambda: float(self.hub.bytes_sent)),
-            ("under_way", "Requests under way", lambda: float(self.clients.busy)),
-            ("lines_dropped", "Log lines dropped", lambda: float(self.log.dropped)),
-        ):
-            figures.add_reading(name, text, reading)
-
     def _answer_metrics(self, request: Request, exchange: Exchange) -> None:
         if request.target != PATH_METRICS:
             exchange.respond(Response(404, (), b""))
@@ -257,99 +201,3 @@
         int(time.time() * 1000),
         Status.ALIVE,
     )
-
-
-async def run_entry_box(path: Path) -> None:
-    """Run a box until it is told to stop and has finished what it began."""
-    box = EntryBox(read_settings(path))
-    try:
-        async with anyio.create_task_group() as tasks:
-            await tasks.start(box.hub.run)
-            tasks.start_soon(box.fleet.run)
-            tasks.start_soon(box.directory.run)
-            tasks.start_soon(_write_summaries, box)
-            await _listen(box.clients, box.settings.clients)
-            await _listen(box.readiness, box.settings.readiness)
-            await _listen_for_metrics(box)
-            box.log.write("started", boot=box.hub.identity.boot, domain=box.settings.place[1])
-            await _until_stopped(box, path)
-            await _finish(box)
-            tasks.cancel_scope.cancel()
-    finally:
-        with anyio.CancelScope(shield=True):
-            await box.store.close()
-    box.log.write("stopped")
-
-
-async def _write_summaries(box: EntryBox) -> None:
-    """Write what the box has done so far, now and then."""
-    while True:
-        await anyio.sleep(SUMMARY_PERIOD_S)
-        box.log.write(
-            "summary",
-            version=box.directory.version,
-            synced=box.directory.synced,
-            members=len(box.fleet.members),
-            store_calls=box.directory.store_calls,
-            repeats_denied=box.budget.denied,
-            peer_bytes=box.hub.bytes_sent,
-            peer_messages=box.hub.messages_sent,
-            **{
-                f"sent_{reason}_{distance}".replace(" ", "_"): number
-                for (reason, distance), number in box.transport.sent_by_reason.items()
-            },
-        )
-
-
-async def _listen(state: ServerState, address: str) -> None:
-    host, port = split_address(address)
-    loop = asyncio.get_running_loop()
-    await loop.create_server(lambda: ServerConnection(state), host, port, backlog=BACKLOG)
-
-
-async def _listen_for_metrics(box: EntryBox) -> None:
-    """Serve figures; a port that is taken costs the figures, not the box."""
-    port = os.environ.get(METRICS_VARIABLE)
-    if port is None:
-        return
-    try:
-        await _listen(box.metrics, f"{box.settings.ip}:{port}")
-    except (OSError, ValueError) as error:
-        box.log.write("no_metrics", port=port, reason=str(error))
-
-
-async def _until_stopped(box: EntryBox, path: Path) -> None:
-    """Return at the first signal to stop; a hang-up reads the settings anew."""
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-        async for received in signals:
-            if received != signal.SIGHUP:
-                box.log.write("stopping", signal=received.name)
-                return
-            box.log.write("reload", path=str(path))
-
-
-async def _finish(box: EntryBox) -> None:
-    """Serve those who are here until they are gone or the time is up."""
-    began = time.monotonic()
-    end = began + box.settings.grace_s - STOP_MARGIN_S
-    box.stop()
-    while time.monotonic() < end:
-        await anyio.sleep(STOP_LOOK_S)
-        if time.monotonic() - began <= LEAST_LINGER_S:
-            continue
-        # A request that came on a kept connection from now on could outlast the grace.
-        box.clients.close_idle()
-        if not box.clients.connections and not box.busy:
-            break
-    box.clients.close_idle()
-    await anyio.sleep(CLOSE_WAIT_S)
-
-
-def run_entry(path: Path) -> None:
-    """Run a box on the platform in this process."""
-    tune_garbage_collection()
-    anyio.run(run_entry_box, path, backend_options={"use_uvloop": True})
-
-
-if __name__ == "__main__":
-    run_entry(Path(os.environ[SETTINGS_VARIABLE]))
--- /dev/null
+++ b/trackwheel/entry/run.py
@@ -0,0 +1,116 @@
+"""The life of a box on the platform: start, summaries, reload, stop."""
+
+import asyncio
+import os
+import signal
+import time
+from pathlib import Path
+
+import anyio
+
+from trackwheel.entry.box import EntryBox
+from trackwheel.entry.const import (
+    BACKLOG,
+    CLOSE_WAIT_S,
+    LEAST_LINGER_S,
+    METRICS_VARIABLE,
+    STOP_LOOK_S,
+    STOP_MARGIN_S,
+    SUMMARY_PERIOD_S,
+)
+from trackwheel.garbage import tune_garbage_collection
+from trackwheel.http1.server import ServerConnection, ServerState
+from trackwheel.platform.settings import read_settings
+from trackwheel.settings import split_address
+
+
+async def run_entry_box(path: Path) -> None:
+    """Run a box until it is told to stop and has finished what it began."""
+    box = EntryBox(read_settings(path))
+    try:
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(box.hub.run)
+            tasks.start_soon(box.fleet.run)
+            tasks.start_soon(box.directory.run)
+            tasks.start_soon(_write_summaries, box)
+            await _listen(box.clients, box.settings.clients)
+            await _listen(box.readiness, box.settings.readiness)
+            await _listen_for_metrics(box)
+            box.log.write("started", boot=box.hub.identity.boot, domain=box.settings.place[1])
+            await _until_stopped(box, path)
+            await _finish(box)
+            tasks.cancel_scope.cancel()
+    finally:
+        with anyio.CancelScope(shield=True):
+            await box.store.close()
+    box.log.write("stopped")
+
+
+async def _write_summaries(box: EntryBox) -> None:
+    """Write what the box has done so far, now and then."""
+    while True:
+        await anyio.sleep(SUMMARY_PERIOD_S)
+        box.log.write(
+            "summary",
+            version=box.directory.version,
+            synced=box.directory.synced,
+            members=len(box.fleet.members),
+            store_calls=box.directory.store_calls,
+            repeats_denied=box.budget.denied,
+            peer_bytes=box.hub.bytes_sent,
+            peer_messages=box.hub.messages_sent,
+            **{
+                f"sent_{reason}_{distance}".replace(" ", "_"): number
+                for (reason, distance), number in box.transport.sent_by_reason.items()
+            },
+        )
+
+
+async def _listen(state: ServerState, address: str) -> None:
+    host, port = split_address(address)
+    loop = asyncio.get_running_loop()
+    await loop.create_server(lambda: ServerConnection(state), host, port, backlog=BACKLOG)
+
+
+async def _listen_for_metrics(box: EntryBox) -> None:
+    """Serve figures; a port that is taken costs the figures, not the box."""
+    port = os.environ.get(METRICS_VARIABLE)
+    if port is None:
+        return
+    try:
+        await _listen(box.metrics, f"{box.settings.ip}:{port}")
+    except (OSError, ValueError) as error:
+        box.log.write("no_metrics", port=port, reason=str(error))
+
+
+async def _until_stopped(box: EntryBox, path: Path) -> None:
+    """Return at the first signal to stop; a hang-up reads the settings anew."""
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        async for received in signals:
+            if received != signal.SIGHUP:
+                box.log.write("stopping", signal=received.name)
+                return
+            box.log.write("reload", path=str(path))
+
+
+async def _finish(box: EntryBox) -> None:
+    """Serve those who are here until they are gone or the time is up."""
+    began = time.monotonic()
+    end = began + box.settings.grace_s - STOP_MARGIN_S
+    box.stop()
+    while time.monotonic() < end:
+        await anyio.sleep(STOP_LOOK_S)
+        if time.monotonic() - began <= LEAST_LINGER_S:
+            continue
+        # A request that came on a kept connection from now on could outlast the grace.
+        box.clients.close_idle()
+        if not box.clients.connections and not box.busy:
+            break
+    box.clients.close_idle()
+    await anyio.sleep(CLOSE_WAIT_S)
+
+
+def run_entry(path: Path) -> None:
+    """Run a box on the platform in this process."""
+    tune_garbage_collection()
+    anyio.run(run_entry_box, path, backend_options={"use_uvloop": True})
