Move the product's key-value clients out of the platform's folder, and end the circle of app and samples

Cause: trackwheel/platform/ held the clients of the product's own interface beside those of the users' platform; app.py and telemetry/samples.py imported each other; a millisecond stood in six modules; three settings of the platform were read and not used.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -43,7 +43,7 @@
 from trackwheel.peers.codec import Codec
 from trackwheel.peers.hub import Hub
 from trackwheel.peers.models import PeerIdentity
-from trackwheel.platform.clients import HttpBoxList
+from trackwheel.storage.clients import HttpBoxList
 from trackwheel.targets.models import TargetAnswer
 from trackwheel.tls import TlsContexts
 
--- a/tests/files/test_apply.py
+++ b/tests/files/test_apply.py
@@ -19,7 +19,7 @@
     WriteManifest,
 )
 from trackwheel.files.models import EMPTY_MANIFEST, Manifest, ManifestEntry
-from trackwheel.platform.models import Written
+from trackwheel.storage.models import Written
 
 
 class Store:
--- a/tests/files/test_stored.py
+++ b/tests/files/test_stored.py
@@ -19,8 +19,8 @@
     next_page,
     page_of,
 )
-from trackwheel.platform.errors import PlatformError, platform_error
-from trackwheel.platform.models import Stored, Written
+from trackwheel.storage.errors import PlatformError, platform_error
+from trackwheel.storage.models import Stored, Written
 
 ON_ONE_PAGE = [name for name in map(str, range(2000)) if page_of(name) == 3][:4]
 
--- a/tests/platform/test_clients.py
+++ b/tests/storage/test_clients.py
@@ -12,8 +12,8 @@
 from standins.fleet import free_ports
 from standins.http import listen
 from standins.key_value import StandinKeyValue
-from trackwheel.platform.clients import HttpBoxList, HttpKeyValue
-from trackwheel.platform.models import BoxList, Stored, Written
+from trackwheel.storage.clients import HttpBoxList, HttpKeyValue
+from trackwheel.storage.models import BoxList, Stored, Written
 
 Test = Callable[[HttpKeyValue, StandinKeyValue], Coroutine[Any, Any, None]]
 
--- a/trackwheel/app.py
+++ b/trackwheel/app.py
@@ -28,14 +28,14 @@
 from trackwheel.peers.codec import Codec
 from trackwheel.peers.hub import Hub
 from trackwheel.peers.models import PeerIdentity
-from trackwheel.platform.clients import HttpBoxList, HttpKeyValue
 from trackwheel.settings import Settings
+from trackwheel.storage.clients import HttpBoxList, HttpKeyValue
 from trackwheel.targets.client import AiohttpTargetClient
 from trackwheel.telemetry.burn import Burn
 from trackwheel.telemetry.explain import Traces
 from trackwheel.telemetry.logs import Log
 from trackwheel.telemetry.metrics import Metrics
-from trackwheel.telemetry.samples import box_samples
+from trackwheel.telemetry.samples import SampledParts, box_samples
 from trackwheel.tls import Certificates, HttpsConfig
 
 LOG = Log("box")
@@ -84,7 +84,17 @@
             lambda: self.files.manifest.revision,
         )
         self.metrics = Metrics()
-        self.metrics.add(lambda: box_samples(self))
+        sampled = SampledParts(
+            self.hub,
+            self.fleet,
+            self.files,
+            self.store,
+            self.queries,
+            self.once,
+            self.dispatch,
+            self.burn,
+        )
+        self.metrics.add(lambda: box_samples(sampled))
         self.leaving = False
         self._wire()
 
--- a/trackwheel/entry/box.py
+++ b/trackwheel/entry/box.py
@@ -15,7 +15,7 @@
     TIMING,
     WATCHERS_PER_DOMAIN,
 )
-from trackwheel.entry.figures import add_figures
+from trackwheel.entry.figures import CountedParts, add_figures
 from trackwheel.fleet.models import FLEET_MESSAGES, Member, Status
 from trackwheel.fleet.service import FleetService
 from trackwheel.http1.models import Request, Response
@@ -107,7 +107,19 @@
         self.metrics = ServerState(self._answer_metrics, self._limits)
         self.stopping = False
         self._wire_parts()
-        add_figures(self)
+        add_figures(
+            self.figures,
+            CountedParts(
+                self.relay,
+                self.transport,
+                self.directory,
+                self.fleet,
+                self.budget,
+                self.hub,
+                self.clients,
+                self.log,
+            ),
+        )
 
     @property
     def ready(self) -> bool:
--- a/trackwheel/entry/figures.py
+++ b/trackwheel/entry/figures.py
@@ -1,14 +1,34 @@
 """Which figures a box on the platform serves."""
 
-from typing import TYPE_CHECKING
+from typing import NamedTuple
 
-if TYPE_CHECKING:
-    from trackwheel.entry.box import EntryBox
+from trackwheel.directory.service import DirectoryService
+from trackwheel.fleet.service import FleetService
+from trackwheel.http1.server import ServerState
+from trackwheel.peers.hub import Hub
+from trackwheel.relay.budget import RepeatBudget
+from trackwheel.relay.service import RelayService
+from trackwheel.relay.transport import TargetTransport
+from trackwheel.telemetry.events import EventLog
+from trackwheel.telemetry.figures import Figures
 
 
-def add_figures(box: "EntryBox") -> None:
+class CountedParts(NamedTuple):
+    """The parts of a box whose counts are served."""
+
+    relay: RelayService
+    transport: TargetTransport
+    directory: DirectoryService
+    fleet: FleetService
+    budget: RepeatBudget
+    hub: Hub
+    clients: ServerState
+    log: EventLog
+
+
+def add_figures(figures: Figures, box: CountedParts) -> None:
     """Serve what the parts of a box count, and some of its values."""
-    figures, directory = box.figures, box.directory
+    directory = box.directory
     figures.add_counts(
         "requests_total",
         "Requests by how they ended",
--- a/trackwheel/files/applier.py
+++ b/trackwheel/files/applier.py
@@ -27,8 +27,8 @@
 from trackwheel.files.models import EMPTY_MANIFEST, Manifest, ManifestEntry, OperatorsFile
 from trackwheel.files.parse import parse_file
 from trackwheel.files.stored import Read, StoredManifests
-from trackwheel.platform.errors import PlatformError
-from trackwheel.platform.models import KeyValueClient, Stored
+from trackwheel.storage.errors import PlatformError
+from trackwheel.storage.models import KeyValueClient, Stored
 
 OnAccepted = Callable[[dict[str, bytes], Manifest], None]
 
--- a/trackwheel/files/apply.py
+++ b/trackwheel/files/apply.py
@@ -10,7 +10,7 @@
 from trackwheel.files.const import MAX_RECENT_APPLIES
 from trackwheel.files.keeper import is_newer
 from trackwheel.files.models import Manifest, ManifestEntry
-from trackwheel.platform.models import Written
+from trackwheel.storage.models import Written
 
 
 class ApplyOutcome(StrEnum):
--- a/trackwheel/files/service.py
+++ b/trackwheel/files/service.py
@@ -36,7 +36,7 @@
 from trackwheel.inbox import Inbox
 from trackwheel.peers.hub import Hub
 from trackwheel.peers.models import PeerIdentity
-from trackwheel.platform.models import KeyValueClient
+from trackwheel.storage.models import KeyValueClient
 from trackwheel.telemetry.logs import Log
 
 LOG = Log("files")
--- a/trackwheel/files/stored.py
+++ b/trackwheel/files/stored.py
@@ -21,8 +21,8 @@
     PAGE_DIGEST_DIGITS,
 )
 from trackwheel.files.models import Manifest, ManifestEntry
-from trackwheel.platform.errors import PlatformError, platform_error
-from trackwheel.platform.models import KeyValueClient, Stored, Written
+from trackwheel.storage.errors import PlatformError, platform_error
+from trackwheel.storage.models import KeyValueClient, Stored, Written
 
 EntryByName = dict[str, ManifestEntry]
 
--- a/trackwheel/fleet/service.py
+++ b/trackwheel/fleet/service.py
@@ -33,7 +33,7 @@
 from trackwheel.inbox import Inbox
 from trackwheel.peers.hub import Hub
 from trackwheel.peers.models import PeerIdentity
-from trackwheel.platform.models import BoxListClient
+from trackwheel.storage.models import BoxListClient
 from trackwheel.telemetry.logs import Log
 
 LOG = Log("fleet")
--- a/trackwheel/platform/__init__.py
+++ b/trackwheel/platform/__init__.py
@@ -1,1 +1,1 @@
-"""The edge towards the platform: its key-value service and its box list."""
+"""The edge towards the users' platform: names, formats and calls; nothing here decides."""
--- a/trackwheel/platform/decode.py
+++ b/trackwheel/platform/decode.py
@@ -4,8 +4,8 @@
 from returns.result import Failure, Result, Success
 
 from trackwheel.directory.models import TargetEntry
-from trackwheel.errors import Problem, TrackwheelError
-from trackwheel.platform.errors import PlatformError
+from trackwheel.errors import TrackwheelError
+from trackwheel.platform.errors import store_error
 from trackwheel.platform.names import KIND_SAFE, PREFIX_TARGETS, STATE_DRAINING
 from trackwheel.routing.models import (
     Limits,
@@ -15,8 +15,7 @@
     WeightedService,
 )
 from trackwheel.routing.table import index_routes
-
-MILLISECONDS = 1000.0
+from trackwheel.units import MILLISECONDS
 
 
 class _Part(msgspec.Struct):
@@ -81,7 +80,7 @@
     try:
         config = _CONFIG_DECODER.decode(content)
     except msgspec.DecodeError as error:
-        return Failure(PlatformError(Problem("bad_config", "decode", "store", str(error))))
+        return Failure(store_error("bad_config", "decode", "store", error))
     limits = config.limits
     return Success(
         RouteTable(
@@ -128,7 +127,7 @@
     try:
         server = _SERVER_DECODER.decode(value)
     except msgspec.DecodeError as error:
-        return Failure(PlatformError(Problem("bad_entry", "decode", key, str(error))))
+        return Failure(store_error("bad_entry", "decode", key, error))
     return Success(
         TargetEntry(
             key.removeprefix(PREFIX_TARGETS),
--- a/trackwheel/platform/errors.py
+++ b/trackwheel/platform/errors.py
@@ -1,13 +1,13 @@
-"""Errors of the edge towards the platform."""
+"""Errors of the edge towards the users' platform."""
 
 from trackwheel.errors import Problem, TrackwheelError
 
 
-class PlatformError(TrackwheelError):
-    """Say that the platform did not answer; what was asked of it may have taken effect."""
+class StoreError(TrackwheelError):
+    """Say that the store did not answer, or that what it holds cannot be read."""
 
 
-def platform_error(step: str, peer: str, error: object) -> PlatformError:
-    """Return the error for a call that did not succeed."""
+def store_error(code: str, step: str, peer: str, error: object) -> StoreError:
+    """Return the error for a call or an item that is of no use."""
     detail = repr(error) if isinstance(error, Exception) else str(error)
-    return PlatformError(Problem("platform_unavailable", step, peer, detail, "Try again later"))
+    return StoreError(Problem(code, step, peer, detail))
--- a/trackwheel/platform/seeds.py
+++ b/trackwheel/platform/seeds.py
@@ -2,8 +2,8 @@
 
 from returns.result import Result, Success
 
-from trackwheel.platform.errors import PlatformError
-from trackwheel.platform.models import BoxList
+from trackwheel.storage.errors import PlatformError
+from trackwheel.storage.models import BoxList
 
 
 class SeedList:
--- a/trackwheel/platform/settings.py
+++ b/trackwheel/platform/settings.py
@@ -11,8 +11,6 @@
 SETTINGS_VARIABLE: Final = "TRACKWHEEL_CONFIG"
 """Environment variable with the path of the settings file."""
 
-MILLISECONDS: Final = 1000.0
-
 
 class SettingsError(TrackwheelError):
     """Name every key of the settings file that is missing or wrong."""
@@ -28,12 +26,9 @@
     clients: str
     readiness: str
     peers: str
-    first_port: int
-    last_port: int
     seeds: tuple[str, ...]
     store: str
     grace_s: float
-    drain_s: float
     budget: BudgetRule
 
 
@@ -79,10 +74,6 @@
 def parse_settings(file: str, text: str) -> BoxSettings:
     """Return checked settings; raise `SettingsError` that names every mistake."""
     lines = _Lines(file, text)
-    first, _, last = lines.text("internal_port_range").partition(",")
-    if not (first.isdigit() and last.isdigit()):
-        lines.mistakes.append(f"{file}: internal_port_range: remedy: write FIRST,LAST")
-        first = last = "0"
     settings = BoxSettings(
         box_id=lines.text("node_name"),
         ip=lines.text("ip"),
@@ -96,12 +87,9 @@
         readiness=lines.address("listen.readiness"),
         # The platform keeps `control` for whoever gives orders; boxes meet their peers there.
         peers=lines.address("listen.control"),
-        first_port=int(first),
-        last_port=int(last),
         seeds=_words(lines.value_by_key.get("seeds", "")),
         store=lines.address("platform.address"),
         grace_s=lines.number("bounds.grace_s"),
-        drain_s=lines.number("bounds.drain_ms") / MILLISECONDS,
         budget=BudgetRule(
             lines.number("bounds.retry_budget_ratio"),
             lines.number("bounds.retry_window_s"),
--- a/trackwheel/platform/store.py
+++ b/trackwheel/platform/store.py
@@ -17,7 +17,7 @@
 )
 from trackwheel.errors import Problem, TrackwheelError
 from trackwheel.platform.decode import decode_routes, decode_target
-from trackwheel.platform.errors import platform_error
+from trackwheel.platform.errors import store_error
 from trackwheel.platform.names import (
     KEY_CONFIG,
     PATH_RANGE,
@@ -26,11 +26,12 @@
 )
 from trackwheel.routing.models import RouteTable
 from trackwheel.telemetry.events import EventLog
+from trackwheel.units import MILLISECONDS
 
 STATUS_OK: Final = 200
 STATUS_NOT_FOUND: Final = 404
 STATUS_HISTORY_GONE: Final = 410
-MILLISECONDS: Final = 1000
+UNAVAILABLE: Final = "store_unavailable"
 
 T = TypeVar("T")
 
@@ -147,12 +148,14 @@
         try:
             response = await self._client.get(path, params=parameters, timeout=timeout)
         except httpx.HTTPError as error:
-            return Failure(platform_error(path, self._address, error))
+            return Failure(store_error(UNAVAILABLE, path, self._address, error))
         if response.status_code == STATUS_HISTORY_GONE:
             detail = "the store has forgotten the changes since then"
             return Failure(HistoryGoneError(Problem("history_gone", path, self._address, detail)))
         if response.status_code != STATUS_OK:
-            return Failure(platform_error(path, self._address, f"status {response.status_code}"))
+            return Failure(
+                store_error(UNAVAILABLE, path, self._address, f"status {response.status_code}")
+            )
         return Success(response.content)
 
     def _routes_page(self, content: bytes) -> Result[RoutesRead, TrackwheelError]:
@@ -175,7 +178,7 @@
         try:
             content = written[-1].content()
         except binascii.Error as error:
-            return Failure(platform_error("decode", KEY_CONFIG, error))
+            return Failure(store_error("bad_config", "decode", KEY_CONFIG, error))
         return decode_routes(content).map(lambda table: RoutesRead(table, content, as_of))
 
     def _entries(self, items: list[_Item]) -> list[TargetEntry]:
@@ -185,7 +188,7 @@
             try:
                 result = decode_target(item.tls_key, item.content(), item.revision)
             except binascii.Error as error:
-                result = Failure(platform_error("decode", item.tls_key, error))
+                result = Failure(store_error("bad_entry", "decode", item.tls_key, error))
             match result:
                 case Success(entry):
                     entries.append(entry)
@@ -197,4 +200,4 @@
         try:
             return msgspec.json.decode(content, type=kind)
         except msgspec.DecodeError as error:
-            return platform_error(step, self._address, error)
+            return store_error("bad_answer", step, self._address, error)
--- a/trackwheel/platform/wire.py
+++ b/trackwheel/platform/wire.py
@@ -19,8 +19,8 @@
     TARGET_HEADERS,
 )
 from trackwheel.relay.models import CallerRequest, Load, Outcome, TargetEnd
+from trackwheel.units import MILLISECONDS
 
-MILLISECONDS = 1000.0
 DEFAULT_DEADLINE_S = 30.0
 """Time of a request whose client tells none; the route's own time bounds it further."""
 STATUS_FAILED = 502
--- a/trackwheel/relay/groups.py
+++ b/trackwheel/relay/groups.py
@@ -30,8 +30,7 @@
 from trackwheel.relay.timer import Timer
 from trackwheel.relay.transport import TargetTransport
 from trackwheel.telemetry.events import EventLog
-
-MILLISECONDS = 1000.0
+from trackwheel.units import MILLISECONDS
 
 
 class _Handed:
--- a/trackwheel/relay/service.py
+++ b/trackwheel/relay/service.py
@@ -2,6 +2,7 @@
 
 import time
 from collections import Counter
+from http import HTTPStatus
 
 from trackwheel.http1.models import Request
 from trackwheel.http1.server import Exchange
@@ -30,13 +31,7 @@
 from trackwheel.routing.table import WeightedDivider, find_route
 from trackwheel.telemetry.events import EventLog
 from trackwheel.telemetry.figures import Figures
-
-STATUS_NOT_FOUND = 404
-STATUS_FAILED = 502
-STATUS_UNAVAILABLE = 503
-STATUS_LATE = 504
-
-MILLISECONDS = 1000.0
+from trackwheel.units import MILLISECONDS
 
 
 class RelayService:
@@ -82,7 +77,7 @@
         if table is None:
             reason = "no configuration is known yet"
             exchange.respond(
-                self._wire.refusal(STATUS_UNAVAILABLE, NO_ROUTES_RETRY_AFTER_S, reason)
+                self._wire.refusal(HTTPStatus.SERVICE_UNAVAILABLE, NO_ROUTES_RETRY_AFTER_S, reason)
             )
             return
         caller = self._wire.read_request(request)
@@ -92,7 +87,7 @@
             self._log.write(
                 "no_route", id=caller.request_id, path=caller.path, version=table.version
             )
-            exchange.respond(self._wire.refusal(STATUS_NOT_FOUND, None, "no route"))
+            exchange.respond(self._wire.refusal(HTTPStatus.NOT_FOUND, None, "no route"))
             return
         if route.shards:
             self._serve_query(caller, route, table.version, exchange)
@@ -193,10 +188,12 @@
     def _refuse(self, exchange: Exchange, failed: GatherFailed | SingleFailed) -> None:
         """Give the final answer of a request that is given up."""
         if not failed.ran:
-            answer = self._wire.refusal(STATUS_UNAVAILABLE, RETRY_AFTER_S, failed.reason)
+            answer = self._wire.refusal(
+                HTTPStatus.SERVICE_UNAVAILABLE, RETRY_AFTER_S, failed.reason
+            )
             exchange.respond(answer)
             return
-        status = STATUS_LATE if failed.late else STATUS_FAILED
+        status = HTTPStatus.GATEWAY_TIMEOUT if failed.late else HTTPStatus.BAD_GATEWAY
         exchange.respond(self._wire.refusal(status, None, failed.reason))
 
     def _log_end(
--- a/trackwheel/platform/clients.py
+++ b/trackwheel/storage/clients.py
@@ -7,14 +7,14 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from trackwheel.platform.const import (
+from trackwheel.storage.const import (
     CALL_TIMEOUT_S,
     STATUS_CONFLICT,
     STATUS_OK,
     WATCH_WAIT_S,
 )
-from trackwheel.platform.errors import PlatformError, platform_error
-from trackwheel.platform.models import BoxList, Stored, Written
+from trackwheel.storage.errors import PlatformError, platform_error
+from trackwheel.storage.models import BoxList, Stored, Written
 
 
 class _Value(msgspec.Struct):
--- a/trackwheel/platform/models.py
+++ b/trackwheel/storage/models.py
@@ -5,7 +5,7 @@
 import msgspec
 from returns.result import Result
 
-from trackwheel.platform.errors import PlatformError
+from trackwheel.storage.errors import PlatformError
 
 
 class Stored(NamedTuple):
--- a/trackwheel/telemetry/samples.py
+++ b/trackwheel/telemetry/samples.py
@@ -1,20 +1,38 @@
 """The samples that one box gives when its metrics are read."""
 
 import time
-from typing import TYPE_CHECKING
+from typing import NamedTuple
 
+from trackwheel.dispatch.service import DispatchService
+from trackwheel.files.service import FilesService
+from trackwheel.fleet.service import FleetService
+from trackwheel.gateway.once import OnceRunner
+from trackwheel.gateway.queries import QueryRunner
+from trackwheel.peers.hub import Hub
+from trackwheel.storage.clients import HttpKeyValue
+from trackwheel.telemetry.burn import Burn
 from trackwheel.telemetry.models import Sample
 
-if TYPE_CHECKING:
-    from trackwheel.app import Box
 
+class SampledParts(NamedTuple):
+    """The parts of a box that are asked for samples."""
 
-def box_samples(box: "Box") -> list[Sample]:
+    hub: Hub
+    fleet: FleetService
+    files: FilesService
+    store: HttpKeyValue
+    queries: QueryRunner
+    once: OnceRunner
+    dispatch: DispatchService
+    burn: Burn
+
+
+def box_samples(box: SampledParts) -> list[Sample]:
     """Return every sample of a box; docs/OPERATIONS.md says what each one means."""
     return [*_fleet(box), *_files(box), *_gateway(box), *_dispatch(box), *_burn(box)]
 
 
-def _fleet(box: "Box") -> list[Sample]:
+def _fleet(box: SampledParts) -> list[Sample]:
     hub = box.hub
     return [
         Sample("trackwheel_boxes", "Boxes that are present.", {}, len(box.fleet.members)),
@@ -25,7 +43,7 @@
     ]
 
 
-def _files(box: "Box") -> list[Sample]:
+def _files(box: SampledParts) -> list[Sample]:
     files = box.files
     age_s = time.time() - files.last_store_contact if files.last_store_contact else -1.0
     return [
@@ -36,7 +54,7 @@
     ]
 
 
-def _gateway(box: "Box") -> list[Sample]:
+def _gateway(box: SampledParts) -> list[Sample]:
     queries = box.queries
     samples = [
         Sample("trackwheel_queries_running", "Queries under way.", {}, queries.running),
@@ -59,7 +77,7 @@
     return samples
 
 
-def _dispatch(box: "Box") -> list[Sample]:
+def _dispatch(box: SampledParts) -> list[Sample]:
     samples = []
     for outcome, count in box.dispatch.sent_by_outcome.items():
         labels = {"outcome": outcome}
@@ -81,7 +99,7 @@
     return samples
 
 
-def _burn(box: "Box") -> list[Sample]:
+def _burn(box: SampledParts) -> list[Sample]:
     samples = []
     for row in box.burn.rows():
         for window, rate in (("fast", row.fast_rate), ("slow", row.slow_rate)):
