Name the fields of plans, forwards, routes and targets where they are made

Cause: up to sixteen fields of one type stood in a row without names; a swap of two would not show. Change: keywords; a set that nothing read is gone.

--- a/trackwheel/directory/targets.py
+++ b/trackwheel/directory/targets.py
@@ -92,14 +92,14 @@
             entry = held.entry
             region = self._region_by_failure_domain.get(entry.failure_domain, "")
             target = Target(
-                entry.instance,
-                entry.service,
-                entry.address,
-                Place(region, entry.failure_domain),
-                entry.slots,
-                entry.leaving,
-                held.gone_revision is not None,
-                held.cold_until,
+                instance=entry.instance,
+                service=entry.service,
+                address=entry.address,
+                place=Place(region, entry.failure_domain),
+                slots=entry.slots,
+                leaving=entry.leaving,
+                doubtful=held.gone_revision is not None,
+                cold_until=held.cold_until,
             )
             found.setdefault(entry.service, []).append(target)
         return {service: tuple(targets) for service, targets in found.items()}
--- a/trackwheel/platform/decode.py
+++ b/trackwheel/platform/decode.py
@@ -107,18 +107,18 @@
     if route.service:
         services = (WeightedService(route.service, 1.0),)
     return Route(
-        route.name,
-        route.host,
-        route.path_prefix,
-        route.kind == KIND_SAFE,
-        route.timeout_ms / MILLISECONDS,
-        route.target_latency_ms / MILLISECONDS,
-        max(1, route.max_attempts),
-        route.priority,
-        services,
-        tuple(route.fanout_services),
-        route.top_k,
-        route.min_coverage,
+        name=route.name,
+        host=route.host,
+        prefix=route.path_prefix,
+        repeatable=route.kind == KIND_SAFE,
+        timeout_s=route.timeout_ms / MILLISECONDS,
+        aim_s=route.target_latency_ms / MILLISECONDS,
+        max_attempts=max(1, route.max_attempts),
+        priority=route.priority,
+        services=services,
+        shards=tuple(route.fanout_services),
+        top_k=route.top_k,
+        least_coverage=route.min_coverage,
     )
 
 
@@ -130,13 +130,13 @@
         return Failure(store_error("bad_entry", "decode", key, error))
     return Success(
         TargetEntry(
-            key.removeprefix(PREFIX_TARGETS),
-            server.service,
-            server.address,
-            server.zone,
-            server.slots,
-            server.state == STATE_DRAINING,
-            server.warmup_left_ms / MILLISECONDS,
-            revision,
+            instance=key.removeprefix(PREFIX_TARGETS),
+            service=server.service,
+            address=server.address,
+            failure_domain=server.zone,
+            slots=server.slots,
+            leaving=server.state == STATE_DRAINING,
+            cold_s=server.warmup_left_ms / MILLISECONDS,
+            revision=revision,
         )
     )
--- a/trackwheel/relay/groups.py
+++ b/trackwheel/relay/groups.py
@@ -51,7 +51,6 @@
         self.forward = forward
         self.report = report
         self.run: GatherRun | None = None
-        self.sent: set[str] = set()
 
 
 class PeerGroups:
@@ -123,22 +122,22 @@
             return max(0.0, until - now - ways_s) * MILLISECONDS
 
         return GroupForward(
-            group_id,
-            request.request_id,
-            request.host,
-            request.path,
-            request.http.method,
-            request.http.target,
-            list(self._wire.forwarded_headers(request.http)),
-            request.http.body,
-            plan.route.name,
-            list(group.shards),
-            task.top_k,
-            task.gather.peer_attempts,
-            plan.route.aim_s * MILLISECONDS,
-            left_ms(group.report_by),
-            left_ms(plan.answer_at),
-            max(0.0, request.deadline - now) * MILLISECONDS,
+            group_id=group_id,
+            request_id=request.request_id,
+            host=request.host,
+            path=request.path,
+            method=request.http.method,
+            target=request.http.target,
+            headers=list(self._wire.forwarded_headers(request.http)),
+            body=request.http.body,
+            route=plan.route.name,
+            shards=list(group.shards),
+            top_k=task.top_k,
+            max_attempts=task.gather.peer_attempts,
+            aim_ms=plan.route.aim_s * MILLISECONDS,
+            report_in_ms=left_ms(group.report_by),
+            answer_in_ms=left_ms(plan.answer_at),
+            end_in_ms=max(0.0, request.deadline - now) * MILLISECONDS,
         )
 
     def _take_accepted(self, sender: PeerIdentity, message: GroupAccepted) -> None:
@@ -192,14 +191,14 @@
         request = CallerRequest(message.request_id, message.host, message.path, deadline, http)
         answer_at = now + message.answer_in_ms / MILLISECONDS
         plan = GatherPlan(
-            RouteKey(message.route, message.aim_ms / MILLISECONDS),
-            tuple(message.shards),
-            (),
-            0.0,
-            message.max_attempts,
-            answer_at,
-            answer_at,
-            True,
+            route=RouteKey(message.route, message.aim_ms / MILLISECONDS),
+            shards=tuple(message.shards),
+            groups=(),
+            least_coverage=0.0,
+            max_attempts=message.max_attempts,
+            answer_at=answer_at,
+            end_at=answer_at,
+            partial=True,
         )
         return GatherTask(request, Gather(plan, self._board, self._budget), message.top_k)
 
--- a/trackwheel/relay/service.py
+++ b/trackwheel/relay/service.py
@@ -98,12 +98,12 @@
         self, caller: CallerRequest, route: Route, version: int, exchange: Exchange
     ) -> None:
         plan = SinglePlan(
-            RouteKey(route.name, route.aim_s),
-            self._divider.pick(route),
-            route.repeatable,
-            route.max_attempts,
-            _answer_at(caller, route),
-            _end_at(caller, route),
+            route=RouteKey(route.name, route.aim_s),
+            service=self._divider.pick(route),
+            repeatable=route.repeatable,
+            max_attempts=route.max_attempts,
+            answer_at=_answer_at(caller, route),
+            end_at=_end_at(caller, route),
         )
 
         def done(result: SingleAnswered | SingleFailed) -> None:
@@ -168,14 +168,14 @@
             )
         )
         return GatherPlan(
-            key,
-            route.shards,
-            groups,
-            route.least_coverage,
-            route.max_attempts,
-            answer_at,
-            end_at,
-            False,
+            route=key,
+            shards=route.shards,
+            groups=groups,
+            least_coverage=route.least_coverage,
+            max_attempts=route.max_attempts,
+            answer_at=answer_at,
+            end_at=end_at,
+            partial=False,
         )
 
     def _report_by(self, key: RouteKey, address: str, answer_at: float, now: float) -> float:
