--- a/trackwheel/relay/gather.py
+++ b/trackwheel/relay/gather.py
@@ -192,7 +192,7 @@
         states = [shard.last_failure] if shard.last_failure else []
         if waited:
             states.append(f"awaited of {', '.join(waited)}")
-        return ", ".join(states) or "no target"
+        return ", ".join(states) or "no target, or no repeat, is left"
 
     def take_new_parts(self) -> tuple[dict[str, bytes], list[list[bytes]]]:
         """Return signatures and records of the parts that were not taken before."""
