--- a/standins/entry_fleet.py
+++ b/standins/entry_fleet.py
@@ -40,7 +40,7 @@
 bounds.drain_ms=3000
 bounds.grace_s=4
 bounds.retry_budget_ratio=0.2
-bounds.retry_window_s=10
+bounds.retry_window_s=1
 bounds.retry_extra=200
 platform.address={store}
 """
--- a/tests/whole/test_entry.py
+++ b/tests/whole/test_entry.py
@@ -227,11 +227,20 @@
     assert platform.ready(place)
 
 
+def answers(address: str) -> bool:
+    """Return whether anything listens at an address."""
+    try:
+        httpx.get(f"http://{address}/ready", timeout=2.0)
+    except httpx.ConnectError:
+        return False
+    return True
+
+
 def test_box_without_configuration_is_not_ready_and_says_not_run(tmp_path: Path) -> None:
     with EntryFleet(["a"], tmp_path) as fleet:
         (place,) = fleet.boxes
         fleet.start(place)
-        time.sleep(1.0)
+        wait_until(lambda: answers(place.readiness), 15.0, "the first answer")
         assert not fleet.ready(place)
         answer = fleet.ask(place, "/q/x")
         assert answer.status_code == 503
