Ask for late shards through peers beside other targets, and pack frames between boxes

Ruled out: hedging earlier (the time went into connections), more attempts for the peer (the rule of two attempts would be broken when a silent peer wakes).

Change: what a peer's report lacks, what is late and what a lost peer had goes in one message a region to a peer beside other targets (relay/grouping.py), over a link that is there already. That peer asks only targets beside it, pays from its own budget, and sends each part as it comes; a part that came by itself gives way to merged records that hold it too. Parts of a peer are told after the aim as well, and it says whether anything may have run, so that a refusal's "not run" is true after a lost peer. Groups of a lost sender are dropped. Frames over 200 bytes are packed by zlib; targets are asked of far boxes only while no watcher is heard from.

--- a/tests/directory/test_service.py
+++ b/tests/directory/test_service.py
@@ -8,7 +8,15 @@
 from returns.result import Failure, Result, Success
 
 from tests.platform.test_wire import CONFIG
-from trackwheel.directory.models import RoutesPush, RoutesRead
+from trackwheel.directory.models import (
+    DirectoryAsk,
+    DirectoryBeacon,
+    RoutesPush,
+    RoutesRead,
+    TargetEntry,
+    TargetsPush,
+    TargetsRead,
+)
 from trackwheel.directory.service import DirectoryService
 from trackwheel.directory.targets import TargetDirectory
 from trackwheel.directory.watching import Watching
@@ -108,3 +116,31 @@
 def test_unreadable_configuration_is_a_failure() -> None:
     assert isinstance(FakeSource().decode_routes(b"{}"), Failure)
     assert isinstance(FakeSource().decode_routes(read(1).content), Success)
+
+
+ENTRY = TargetEntry("i-1", "s", "10.0.0.9:1", "here-a", 2, False, 0.0, 5)
+
+
+@pytest.mark.parametrize(
+    ("starting", "wanted"), [(False, False), (True, True)], ids=["near-watcher-heard", "unheard"]
+)
+def test_targets_are_asked_of_far_boxes_only_when_no_watcher_is_heard(
+    starting: bool, wanted: bool
+) -> None:
+    """At a start each of 84 boxes had all targets from several others in other regions."""
+    service, hub, _ = make_service()
+    service.set_peers(False, [], [])
+    if not starting:
+        service._take_beacon(PEER, DirectoryBeacon(0, 0, True))
+    service.peer_version("10.9.0.1:1", 3)
+    assert hub.sent == [("10.9.0.1:1", DirectoryAsk(0, 0, wanted))]
+
+
+@pytest.mark.parametrize("wanted", [True, False], ids=["wanted", "not-wanted"])
+def test_targets_are_sent_to_those_who_want_them(wanted: bool) -> None:
+    service, hub, _ = make_service()
+    service._take_targets_read(TargetsRead(None, [ENTRY], [], 6))
+    hub.sent.clear()
+    service._take_ask(PEER, DirectoryAsk(0, 0, wanted))
+    kinds = [type(message) for _, message in hub.sent]
+    assert kinds == ([TargetsPush] if wanted else [])
--- a/tests/relay/test_peers.py
+++ b/tests/relay/test_grouping.py
@@ -2,12 +2,13 @@
 
 import pytest
 
-from tests.relay.conftest import HERE, THERE, target
+from tests.relay.conftest import HERE, ROUTE, THERE, target
 from trackwheel.relay.board import Board
 from trackwheel.relay.const import PEER_AVOID_S
 from trackwheel.relay.gatherers import choose_gatherers
+from trackwheel.relay.grouping import GroupPlanner, group_far_shards
 from trackwheel.relay.models import Place, Target
-from trackwheel.relay.peers import PeerBoard, PeerBox, group_far_shards
+from trackwheel.relay.peers import PeerBoard, PeerBox
 
 BESIDE = Place("here", "here-b")
 YONDER = Place("yonder", "yonder-a")
@@ -106,3 +107,67 @@
     lost = next(iter(chosen))
     after = choose_gatherers([box for box in domain if box.address != lost])
     assert chosen - {lost} <= after
+
+
+TARGETS = {"a": [HERE, THERE], "b": [HERE, THERE, YONDER], "c": [HERE, YONDER], "d": [BESIDE]}
+"""Places of the targets of four shards; each target is named after its shard and place."""
+
+
+def board_of(places_by_shard: dict[str, list[Place]]) -> Board:
+    board = Board(HERE, 1)
+    board.set_targets(
+        {
+            shard: tuple(
+                target(f"{shard}@{place.failure_domain}", shard, place) for place in places
+            )
+            for shard, places in places_by_shard.items()
+        }
+    )
+    return board
+
+
+@pytest.mark.parametrize(
+    ("tried", "gathers", "expected"),
+    [
+        pytest.param(
+            {"a": {"a@here-a"}, "b": {"b@here-a"}},
+            True,
+            [("there:1", ("a", "b"))],
+            id="one-group-for-all",
+        ),
+        pytest.param({"c": {"c@here-a"}}, True, [("yonder:1", ("c",))], id="single-shard-too"),
+        pytest.param(
+            {"a": {"a@here-a"}, "c": {"c@here-a"}},
+            True,
+            [("there:1", ("a",)), ("yonder:1", ("c",))],
+            id="two-places",
+        ),
+        pytest.param({"a": {"a@here-a", "a@there-a"}}, True, [], id="all-were-tried"),
+        pytest.param(
+            {"a": set(), "d": set()}, True, [("beside:1", ("d",))], id="own-target-is-left"
+        ),
+        pytest.param(
+            {"a": set(), "b": set()}, False, [("near:1", ("a", "b"))], id="own-domain-by-a-peer"
+        ),
+    ],
+)
+def test_late_shards_go_beside_other_targets(
+    tried: dict[str, set[str]], gathers: bool, expected: list[tuple[str, tuple[str, ...]]]
+) -> None:
+    planner = GroupPlanner(HERE, board_of(TARGETS), PeerBoard())
+    planner.set_peers(PEERS, gathers)
+    tried_by_shard = {shard: frozenset(targets) for shard, targets in tried.items()}
+    groups = planner.groups_elsewhere(tried_by_shard, ROUTE, 0.0)
+    assert sorted((group.address, group.shards) for group in groups) == expected
+    assert all(group.repeat for group in groups)
+
+
+def test_late_shards_go_over_links_that_are_there() -> None:
+    """A new link to another region takes longer than the answer may."""
+    peer_board = PeerBoard()
+    peer_board.accepted("there:2", 0.02)
+    planner = GroupPlanner(HERE, board_of({"a": [THERE]}), peer_board)
+    planner.set_peers(tuple(PeerBox(f"there:{n}", THERE) for n in range(5)), True)
+    for _ in range(3):
+        (group,) = planner.groups_elsewhere({"a": frozenset()}, ROUTE, 0.0)
+        assert group.address == "there:2"
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -1,5 +1,7 @@
 """Bad input from anyone: every decoder gives a clear error or a sound value, never a crash."""
 
+import zlib
+
 import cbor2
 import msgspec
 import pytest
@@ -14,7 +16,7 @@
 from trackwheel.gateway.ledger import parse_id
 from trackwheel.ini import InvalidIniError
 from trackwheel.peers.codec import Codec
-from trackwheel.peers.const import PROTOCOL_VERSION
+from trackwheel.peers.const import MAX_FRAME_BYTES, PROTOCOL_VERSION
 from trackwheel.peers.errors import FrameError
 from trackwheel.settings import parse_settings
 from trackwheel.targets.models import HealthPage, TargetAnswer, WrongVersion
@@ -143,3 +145,24 @@
         parse_settings("box.ini", GOOD_SETTINGS.replace(old, new, 1))
     assert (section, key) in [(error.section, error.key) for error in caught.value.errors]
     assert all(error.remedy for error in caught.value.errors)
+
+
+def test_large_frames_are_packed_and_read_back() -> None:
+    messages = [Withdraw("a query's id", [])] * 20
+    frame = CODEC.encode(messages)
+    assert len(frame) < len(cbor2.dumps(messages)) / 2
+    assert CODEC.decode(frame, "peer") == messages
+
+
+@pytest.mark.parametrize(
+    "packed",
+    [
+        pytest.param(b"no zlib", id="garbage"),
+        pytest.param(zlib.compress(cbor2.dumps([]))[:-4], id="cut-off"),
+        pytest.param(zlib.compress(cbor2.dumps(b"0" * (MAX_FRAME_BYTES + 1))), id="too-large"),
+        pytest.param(zlib.compress(b"\xff"), id="garbage-inside"),
+    ],
+)
+def test_packed_garbage_is_a_frame_error(packed: bytes) -> None:
+    with pytest.raises(FrameError):
+        CODEC.decode(cbor2.dumps([PROTOCOL_VERSION, packed]), "peer")
--- a/trackwheel/directory/service.py
+++ b/trackwheel/directory/service.py
@@ -104,9 +104,13 @@
         self._far_watchers = tuple(far_watchers)
 
     def peer_version(self, address: str, version: int) -> None:
-        """Take the version that a peer says it has in force."""
+        """Take the version that a peer, often in another region, says it has in force.
+
+        Its targets are asked for only while no watcher is heard from: one near sends them too.
+        """
         if version > self.version:
-            self._ask(address)
+            unheard = self._watching.watches(time.monotonic()) and not self.synced
+            self._ask(address, targets_wanted=unheard)
 
     async def run(self) -> None:
         """Keep in step until cancelled."""
@@ -209,16 +213,17 @@
         self._watching.heard(beacon.synced, time.monotonic())
         behind = beacon.targets_newest > self._targets.newest and not self.synced
         if beacon.routes_version > self.version or behind:
-            self._ask(sender.address)
+            self._ask(sender.address, targets_wanted=True)
 
     def _take_ask(self, sender: PeerIdentity, ask: DirectoryAsk) -> None:
         if self.table is not None and ask.routes_version < self.version:
             self._hub.send(sender.address, RoutesPush(self.version, self._packed))
-        if ask.targets_newest < self._targets.newest:
+        if ask.targets_wanted and ask.targets_newest < self._targets.newest:
             self._hub.send(sender.address, self._targets.snapshot())
 
-    def _ask(self, address: str) -> None:
-        self._hub.send(address, DirectoryAsk(self.version, self._targets.newest))
+    def _ask(self, address: str, targets_wanted: bool) -> None:
+        ask = DirectoryAsk(self.version, self._targets.newest, targets_wanted)
+        self._hub.send(address, ask)
 
     def _adopt(self, table: RouteTable, packed: bytes, source: str) -> None:
         """Put a newer configuration in force; an older one never is."""
--- a/trackwheel/peers/const.py
+++ b/trackwheel/peers/const.py
@@ -2,8 +2,14 @@
 
 from typing import Final
 
-PROTOCOL_VERSION: Final = 1
+PROTOCOL_VERSION: Final = 2
+"""Boxes of other versions refuse each other's links; raised whenever a message changes."""
 MAX_FRAME_BYTES: Final = 8_000_000
+"""Largest frame, before it is packed."""
+PACK_OVER_BYTES: Final = 200
+"""Bodies larger than this are packed; smaller ones gain less than the packing adds."""
+PACK_LEVEL: Final = 1
+"""zlib's fastest level: 10 microseconds a kilobyte, where level 6 takes four times that."""
 MAX_WAITING_MESSAGES: Final = 20_000
 MAX_FRAME_MESSAGES: Final = 256
 CONNECT_TIMEOUT_S: Final = 1.0
--- a/trackwheel/relay/attempts.py
+++ b/trackwheel/relay/attempts.py
@@ -13,15 +13,17 @@
 class Attempts:
     """Follow which targets were asked, how many may have run it, and what it has cost."""
 
-    def __init__(self, service: str, max_attempts: int) -> None:
+    def __init__(self, service: str, max_attempts: int, repeat: bool = False) -> None:
+        """Begin; with `repeat`, it was asked before and only targets beside this box are asked."""
         self._service = service
         self._max_attempts = max_attempts
+        self._only_beside = repeat
         self._tried: set[str] = set()
         self._not_run_at: set[str] = set()
-        self._counted = False
+        self._counted = repeat
         self._sends = 0
         self._runs = 0
-        self._arrivals = 0
+        self._arrivals = int(repeat)
         self.target_by_token: dict[int, Target] = {}
         self.ran = False
         """Whether a target that has answered or broken off may have run it."""
@@ -33,11 +35,31 @@
         self._runs = attempts
         self._tried = targets
 
+    @property
+    def tried(self) -> frozenset[str]:
+        """Return the targets that it went to, or that a peer may have asked."""
+        return frozenset(self._tried)
+
+    @property
+    def may_run(self) -> bool:
+        """Return whether one more target may run it."""
+        return self._runs < self._max_attempts and self._sends < MAX_SENDS
+
+    def lend(self, targets: set[str]) -> None:
+        """Leave one more attempt, and the targets that it will meet, to a peer."""
+        self._tried |= targets
+        self._runs += 1
+        self._arrivals += 1
+
+    def peer_lost(self) -> None:
+        """Take that a peer was lost before it told anything: its targets may be asked again."""
+        self._tried.clear()
+
     def choose(
         self, board: Board, budget: RepeatBudget, route: RouteKey, now: float
     ) -> list[Choice]:
         """Return the target to ask now, paid for, and those after it; none when it may not be."""
-        if self._runs >= self._max_attempts or self._sends >= MAX_SENDS:
+        if not self.may_run:
             return []
         choices = self._rank(board, route, now)
         return choices if choices and self._pay(budget, now) else []
@@ -69,11 +91,11 @@
 
     def _rank(self, board: Board, route: RouteKey, now: float) -> list[Choice]:
         """Return targets to ask: those that were not tried, then those that did not run it."""
-        fresh = board.rank(self._service, route, now, frozenset(self._tried))
+        fresh = board.rank(self._service, route, now, self.tried, self._only_beside)
         if fresh or self.target_by_token:
             return fresh
         ran = frozenset(self._tried - self._not_run_at)
-        return board.rank(self._service, route, now, ran)
+        return board.rank(self._service, route, now, ran, self._only_beside)
 
     def _pay(self, budget: RepeatBudget, now: float) -> bool:
         if not self._counted:
--- a/trackwheel/relay/board.py
+++ b/trackwheel/relay/board.py
@@ -148,20 +148,32 @@
         self._learn_slowness(record, duration_s / max(1e-4, usual_s), now)
 
     def rank(
-        self, service: str, route: RouteKey, now: float, tried: frozenset[str] = frozenset()
+        self,
+        service: str,
+        route: RouteKey,
+        now: float,
+        tried: frozenset[str] = frozenset(),
+        only_beside: bool = False,
     ) -> list[Choice]:
-        """Return the targets that may get a request, the best one first."""
+        """Return the targets that may get a request, the best one first.
+
+        With `only_beside`, none but those of this box's failure domain.
+        """
         choices = [
             self._choice(target, route, now)
             for target in self.targets(service)
             if not target.leaving and target.instance not in tried
+            if not only_beside or target.place == self._place
         ]
         return sorted(choices, key=lambda choice: (choice.last_resort, choice.cost_s))
 
-    def has_target_at(self, service: str, place: Place, now: float) -> bool:
+    def has_target_at(
+        self, service: str, place: Place, now: float, tried: frozenset[str] = frozenset()
+    ) -> bool:
         """Return whether a service has a target in a failure domain that is in use."""
         return any(
             target.place == place
+            and target.instance not in tried
             and not target.leaving
             and not target.doubtful
             and self._record(target.instance).ejected_until <= now
--- a/trackwheel/relay/const.py
+++ b/trackwheel/relay/const.py
@@ -81,8 +81,12 @@
 """How much later than due a peer's report may come, for timers and the way."""
 FIRST_ROUND_TRIP_S: Final = 0.03
 """Round trip to a peer before one was measured."""
+ROUND_TRIP_WEIGHT: Final = 0.2
+"""Weight of the newest round trip in a peer's usual one."""
 PEER_AVOID_S: Final = 1.5
 """How long a peer that did not accept a query is passed over."""
+REPORT_MARGIN_S: Final = 0.003
+"""How much before the last moment to answer a peer's second report should be there."""
 LEAST_GROUP: Final = 2
 """Fewer far shards than this are asked directly: a message to a peer would not be smaller."""
 SMALL_DOMAIN: Final = 4
--- a/trackwheel/relay/gather.py
+++ b/trackwheel/relay/gather.py
@@ -1,16 +1,20 @@
 """The decisions about one query over many shards, without I/O.
 
 Shards with a target near this box are asked directly, each of its best target. The others are
-handed in groups to peers beside their targets, which answer with merged records. A shard that is
-late is asked of a second target while that can still answer before the aim; a shard whose target
-failed is asked again at once; the shards of a peer that shows no life are asked directly.
+handed in groups to peers beside their targets, which answer with merged records. Shards that are
+late are asked for elsewhere while that can still answer before the aim: through a peer beside
+other targets, which has connections to them, or else directly. A shard whose target failed is
+asked again at once; the shards of a peer that shows no life are asked around it.
 
 The query ends when every shard is in, at its aim with enough of them, or as soon as enough are
 in after that. It is given up at once when enough can no longer come.
 """
 
+from collections.abc import Sequence
+from typing import Protocol
+
 from trackwheel.relay.attempts import NEVER, Attempts, hedge_time
-from trackwheel.relay.board import Board, Choice
+from trackwheel.relay.board import Board, RouteKey
 from trackwheel.relay.budget import RepeatBudget
 from trackwheel.relay.const import LOGGED_SHARDS, REPORT_SLACK_S
 from trackwheel.relay.gather_models import (
@@ -28,12 +32,21 @@
 from trackwheel.relay.models import Part, TargetEnd
 
 
+class Regrouping(Protocol):
+    """Find peers beside other targets for shards that are late or failed."""
+
+    def groups_elsewhere(
+        self, tried_by_shard: dict[str, frozenset[str]], route: RouteKey, now: float
+    ) -> tuple[GroupPlan, ...]:
+        """Return groups beside targets that were not tried; no shard is in two of them."""
+
+
 class _Shard:
     """Follow one shard."""
 
-    def __init__(self, name: str, max_attempts: int) -> None:
-        self.attempts = Attempts(name, max_attempts)
-        self.group: int | None = None
+    def __init__(self, name: str, plan: GatherPlan) -> None:
+        self.attempts = Attempts(name, plan.max_attempts, plan.repeat)
+        self.groups: set[int] = set()
         self.hedge_at = NEVER
         self.exhausted = False
         self.last_failure = ""
@@ -41,7 +54,7 @@
     @property
     def waits(self) -> bool:
         """Return whether an answer may still come."""
-        return bool(self.attempts.target_by_token) or self.group is not None
+        return bool(self.attempts.target_by_token or self.groups)
 
 
 class _Group:
@@ -56,31 +69,36 @@
 class Gather:
     """Decide, from events and the time, what one query sends and when it ends."""
 
-    def __init__(self, plan: GatherPlan, board: Board, budget: RepeatBudget) -> None:
+    def __init__(
+        self,
+        plan: GatherPlan,
+        board: Board,
+        budget: RepeatBudget,
+        regrouping: Regrouping | None = None,
+    ) -> None:
         self.plan = plan
         self._board = board
         self._budget = budget
-        self._shard_by_name = {name: _Shard(name, plan.max_attempts) for name in plan.shards}
+        self._regrouping = regrouping
+        self._shard_by_name = {name: _Shard(name, plan) for name in plan.shards}
         self._group_by_number: dict[int, _Group] = {}
+        self._next_group = 0
         self._part_by_shard: dict[str, Part] = {}
         self._merged_signature_by_shard: dict[str, bytes] = {}
         self._merged_records: list[list[bytes]] = []
         self._shard_name_by_token: dict[int, str] = {}
         self._taken: set[str] = set()
         self._next_token = 0
-        self._merged_ran = False
+        self._peers_ran = False
         self._commands: list[GatherCommand] = []
         self.ended = False
 
     def start(self, now: float) -> list[GatherCommand]:
         """Hand the groups to their peers and ask the best target of each other shard."""
-        for number, group in enumerate(self.plan.groups):
-            self._group_by_number[number] = _Group(group)
-            self._commands.append(SendGroup(number, group))
-            for name in group.shards:
-                self._give_away(name, number, group)
+        for group in self.plan.groups:
+            self._hand_over(group)
         for name, shard in self._shard_by_name.items():
-            if shard.group is None:
+            if not shard.groups:
                 self._ask_or_exhaust(name, "first", now)
         return self._finish_or_go_on(now)
 
@@ -116,26 +134,31 @@
         signature_by_shard: dict[str, bytes],
         records: list[bytes],
         final: bool,
+        ran: bool,
         now: float,
     ) -> list[GatherCommand]:
-        """Take parts that a peer merged; after the final ones it sends no more."""
+        """Take parts that a peer merged; after the final ones it sends no more.
+
+        `ran` says whether targets may have run any of its shards.
+        """
         group = self._group_by_number.get(number)
         if self.ended or group is None:
             return []
         group.accepted = True
         group.check_at = NEVER
+        self._peers_ran |= ran
         self._take_merged(group.plan.shards, signature_by_shard, records)
         if final:
             self._release(number, "lacking", now)
-        else:
-            self._ask_rest(group, "hedge", now)
+        elif not group.plan.repeat:
+            self._ask_elsewhere(group.plan.shards, "hedge", now)
         return self._finish_or_go_on(now)
 
     def group_lost(self, number: int, now: float) -> list[GatherCommand]:
         """Take that the link to a peer broke, or that it cannot gather."""
         if self.ended or number not in self._group_by_number:
             return []
-        self._release(number, "peer lost", now)
+        self._lose(number, "peer lost", now)
         return self._finish_or_go_on(now)
 
     def tick(self, now: float) -> list[GatherCommand]:
@@ -145,13 +168,13 @@
         for number, group in list(self._group_by_number.items()):
             if group.check_at <= now:
                 self._doubt(number, group, now)
-        for name, shard in self._shard_by_name.items():
-            if not self._has(name) and shard.hedge_at <= now:
-                shard.hedge_at = NEVER
-                self._ask(name, "hedge", now)
+        due = [name for name, shard in self._shard_by_name.items() if shard.hedge_at <= now]
+        for name in due:
+            self._shard_by_name[name].hedge_at = NEVER
+        self._ask_elsewhere(due, "hedge", now)
         return self._finish_or_go_on(now)
 
-    def cancel(self, now: float) -> list[GatherCommand]:
+    def cancel(self) -> list[GatherCommand]:
         """Take everything back since nobody waits for the answer any more."""
         if not self.ended:
             self._end()
@@ -165,7 +188,7 @@
             shard.hedge_at for name, shard in self._shard_by_name.items() if not self._has(name)
         ]
         times += [group.check_at for group in self._group_by_number.values()]
-        if self._enough() or self.plan.partial:
+        if self._enough() and not self.plan.partial:
             times.append(self.plan.answer_at)
         return min(times)
 
@@ -186,9 +209,7 @@
     def _state(self, name: str) -> str:
         shard = self._shard_by_name[name]
         waited = [target.instance for target in shard.attempts.target_by_token.values()]
-        group = self._group_by_number.get(-1 if shard.group is None else shard.group)
-        if group is not None:
-            waited.append(f"peer {group.plan.address}")
+        waited += [f"peer {self._group_by_number[n].plan.address}" for n in sorted(shard.groups)]
         states = [shard.last_failure] if shard.last_failure else []
         if waited:
             states.append(f"awaited of {', '.join(waited)}")
@@ -206,12 +227,26 @@
         """Return how many targets a peer may run a shard on; what is left is this box's own."""
         return max(1, self.plan.max_attempts - 1)
 
-    def _give_away(self, name: str, number: int, group: GroupPlan) -> None:
-        """Leave a shard to a peer, with all attempts but one, and the targets beside it."""
-        shard = self._shard_by_name[name]
-        shard.group = number
-        beside = {t.instance for t in self._board.targets(name) if t.place == group.place}
-        shard.attempts.give_away(self.peer_attempts, beside)
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether a target may have run any shard, here or at a peer."""
+        shards = self._shard_by_name.values()
+        return self._peers_ran or any(shard.waits or shard.attempts.ran for shard in shards)
+
+    def _hand_over(self, group: GroupPlan) -> None:
+        """Leave a group to a peer: a first one with all attempts but one, a repeat with one."""
+        number = self._next_group
+        self._next_group += 1
+        self._group_by_number[number] = _Group(group)
+        self._commands.append(SendGroup(number, group))
+        for name in group.shards:
+            shard = self._shard_by_name[name]
+            shard.groups.add(number)
+            beside = {t.instance for t in self._board.targets(name) if t.place == group.place}
+            if group.repeat:
+                shard.attempts.lend(beside)
+            else:
+                shard.attempts.give_away(self.peer_attempts, beside)
 
     def _has(self, name: str) -> bool:
         return name in self._part_by_shard or name in self._merged_signature_by_shard
@@ -219,44 +254,76 @@
     def _take_merged(
         self, asked: tuple[str, ...], signature_by_shard: dict[str, bytes], records: list[bytes]
     ) -> None:
-        """Take merged parts instead of those of the same shards that came directly."""
+        """Take merged parts instead of those of the same shards that came by themselves."""
         known = signature_by_shard.keys() & set(asked)
         if known != signature_by_shard.keys() or known & self._merged_signature_by_shard.keys():
             # Merged records cannot be taken apart; with a foreign shard among them none count.
             return
-        self._merged_ran = True
-        self._merged_signature_by_shard |= signature_by_shard
-        self._merged_records.append(records)
+        if len(known) == 1:
+            self._take_part(signature_by_shard, records)
+        elif known:
+            self._merged_signature_by_shard |= signature_by_shard
+            self._merged_records.append(records)
         for name in known:
-            self._part_by_shard.pop(name, None)
+            if name in self._merged_signature_by_shard:
+                self._part_by_shard.pop(name, None)
             self._withdraw(self._shard_by_name[name])
 
+    def _take_part(self, signature_by_shard: dict[str, bytes], records: list[bytes]) -> None:
+        """Take a peer's part of one shard, which can give way to merged ones later."""
+        for name, signature in signature_by_shard.items():
+            self._part_by_shard.setdefault(name, Part(signature, records))
+
     def _doubt(self, number: int, group: _Group, now: float) -> None:
         """Go around a peer that did not accept, or did not report in time."""
         group.check_at = NEVER
         self._commands.append(PeerSilent(group.plan.address, group.accepted))
         if not group.accepted:
             self._commands.append(CancelGroup(number, group.plan.address))
-            self._release(number, "peer silent", now)
+            self._lose(number, "peer silent", now)
             return
         # Its parts still count when they come.
-        self._ask_rest(group, "peer late", now)
+        self._ask_elsewhere(group.plan.shards, "peer late", now)
 
-    def _ask_rest(self, group: _Group, reason: str, now: float) -> None:
-        """Ask other targets for what a peer has not brought yet."""
-        for name in group.plan.shards:
-            if not self._has(name):
-                self._ask(name, reason, now)
+    def _lose(self, number: int, reason: str, now: float) -> None:
+        """Await nothing more of a peer that told nothing; its targets may be asked again."""
+        # It may have asked them all the same.
+        self._peers_ran = True
+        for name in self._group_by_number[number].plan.shards:
+            self._shard_by_name[name].attempts.peer_lost()
+        self._release(number, reason, now)
 
     def _release(self, number: int, reason: str, now: float) -> None:
-        """Await nothing more of a peer; ask directly for what it did not bring."""
-        group = self._group_by_number.pop(number)
-        for name in group.plan.shards:
-            shard = self._shard_by_name[name]
-            shard.group = None
-            if not self._has(name) and not shard.attempts.target_by_token:
+        """Await nothing more of a peer; ask elsewhere for what it did not bring."""
+        shards = self._group_by_number.pop(number).plan.shards
+        for name in shards:
+            self._shard_by_name[name].groups.discard(number)
+        self._ask_elsewhere(
+            [name for name in shards if not self._shard_by_name[name].waits], reason, now
+        )
+
+    def _ask_elsewhere(self, names: Sequence[str], reason: str, now: float) -> None:
+        """Ask once more for shards that are not in: through peers beside other targets, or not."""
+        lacking = [name for name in names if not self._has(name)]
+        handed = self._hand_elsewhere(lacking, now)
+        for name in lacking:
+            if name not in handed:
                 self._ask_or_exhaust(name, reason, now)
 
+    def _hand_elsewhere(self, names: Sequence[str], now: float) -> set[str]:
+        """Hand shards to peers beside targets that were not tried; return which were handed."""
+        tried_by_shard = {
+            name: self._shard_by_name[name].attempts.tried
+            for name in names
+            if self._shard_by_name[name].attempts.may_run
+        }
+        if self._regrouping is None or not tried_by_shard or now >= self.plan.end_at:
+            return set()
+        groups = self._regrouping.groups_elsewhere(tried_by_shard, self.plan.route, now)
+        for group in groups:
+            self._hand_over(group)
+        return {name for group in groups for name in group.shards}
+
     def _ask_or_exhaust(self, name: str, reason: str, now: float) -> None:
         shard = self._shard_by_name[name]
         if not self._ask(name, reason, now) and not shard.waits:
@@ -276,15 +343,10 @@
         shard.attempts.begin(token, target)
         self._shard_name_by_token[token] = name
         if len(shard.attempts.target_by_token) == 1:
-            shard.hedge_at = self._hedge_time(choices, now)
+            shard.hedge_at = hedge_time(choices, self.plan.answer_at, now)
         self._commands.append(SendPart(token, name, target, reason))
         return True
 
-    def _hedge_time(self, choices: list[Choice], now: float) -> float:
-        if self.plan.max_attempts < 2:
-            return NEVER
-        return hedge_time(choices, self.plan.answer_at, now)
-
     def _in(self) -> int:
         return len(self._part_by_shard) + len(self._merged_signature_by_shard)
 
@@ -311,8 +373,8 @@
         if self._in() == len(self.plan.shards):
             self._answer("whole")
         elif self.plan.partial:
-            if now >= self.plan.answer_at or not waits:
-                self._answer("aim" if waits else "nothing more can come")
+            if now >= self.plan.end_at or not waits:
+                self._answer("time is up" if waits else "nothing more can come")
         elif self._hopeless():
             self._fail("too few shards can answer", False)
         elif self._enough() and (now >= self.plan.answer_at or not waits):
@@ -327,8 +389,7 @@
         self._commands.append(gathered)
 
     def _fail(self, reason: str, late: bool) -> None:
-        shards = self._shard_by_name.values()
-        ran = self._merged_ran or any(shard.waits or shard.attempts.ran for shard in shards)
+        ran = self.may_have_run
         lacking = self.lacking(LOGGED_SHARDS)
         self._end()
         self._commands.append(GatherFailed(ran, late, reason, lacking))
--- a/trackwheel/relay/gather_models.py
+++ b/trackwheel/relay/gather_models.py
@@ -9,7 +9,8 @@
 class GroupPlan(NamedTuple):
     """Shards that a peer is asked for; times are monotonic seconds.
 
-    The peer accepts before `accept_by` and reports what is in before `report_by`.
+    The peer accepts before `accept_by` and reports what is in before `report_by`. With `repeat`,
+    other targets were asked for the shards before.
     """
 
     address: str
@@ -17,13 +18,15 @@
     shards: tuple[str, ...]
     accept_by: float
     report_by: float
+    repeat: bool = False
 
 
 class GatherPlan(NamedTuple):
     """Say what a query needs; times are monotonic seconds.
 
     `answer_at` is the last moment to answer within the aim, `end_at` that to answer at all.
-    With `partial`, the answer is a part of a peer's: whatever is in at `answer_at` is given.
+    With `partial`, the answer is a part of a peer's: whatever is in at `end_at` is given. With
+    `repeat`, others were asked before: only targets in this box's failure domain are asked now.
     """
 
     route: RouteKey
@@ -34,6 +37,7 @@
     answer_at: float
     end_at: float
     partial: bool
+    repeat: bool = False
 
 
 class SendPart(NamedTuple):
--- /dev/null
+++ b/trackwheel/relay/grouping.py
@@ -0,0 +1,189 @@
+"""Which shards of a query are handed to which peers, decided without I/O."""
+
+from collections.abc import Callable, Iterable
+from typing import Final, NamedTuple
+
+from trackwheel.relay.board import Board, RouteKey
+from trackwheel.relay.const import (
+    ACCEPT_SLACK_S,
+    HEDGE_EARLIEST_PACES,
+    HEDGE_RESERVE_PACES,
+    LEAST_GROUP,
+)
+from trackwheel.relay.gather_models import GroupPlan
+from trackwheel.relay.models import Place
+from trackwheel.relay.peers import PeerBoard, PeerBox
+
+FARTHEST: Final = 2
+"""Distance of a place in another region."""
+
+
+Pick = Callable[[list[PeerBox], float], PeerBox | None]
+
+
+class ShardGroup(NamedTuple):
+    """Some shards and the peer beside their targets."""
+
+    peer: PeerBox
+    shards: tuple[str, ...]
+
+
+class GroupPlanner:
+    """Divide the shards of a query among this box and the peers beside their targets."""
+
+    def __init__(self, own: Place, board: Board, peer_board: PeerBoard) -> None:
+        self._own = own
+        self._board = board
+        self._peer_board = peer_board
+        self._peers: tuple[PeerBox, ...] = ()
+        self._gathers = True
+
+    def set_peers(self, peers: tuple[PeerBox, ...], gathers: bool) -> None:
+        """Take the boxes to which shards may be handed, and whether this box asks targets."""
+        self._peers = peers
+        self._gathers = gathers
+
+    def first_groups(
+        self, shards: tuple[str, ...], route: RouteKey, answer_at: float, now: float
+    ) -> tuple[GroupPlan, ...]:
+        """Return the groups that peers ask for first; what is left out is asked directly."""
+        groups = group_far_shards(
+            shards, self._own, self._gathers, self._peers, self._board, self._peer_board, now
+        )
+        return tuple(
+            GroupPlan(
+                group.peer.address,
+                group.peer.place,
+                group.shards,
+                self._accept_by(group.peer.address, now),
+                self._report_by(route, group.peer.address, answer_at, now),
+                False,
+            )
+            for group in groups
+        )
+
+    def groups_elsewhere(
+        self, tried_by_shard: dict[str, frozenset[str]], route: RouteKey, now: float
+    ) -> tuple[GroupPlan, ...]:
+        """Return groups for shards that are late or failed, beside targets that were not tried."""
+        left = {
+            shard
+            for shard, tried in tried_by_shard.items()
+            if not (self._gathers and self._board.has_target_at(shard, self._own, now, tried))
+        }
+        peers_by_place = _by_place(self._peers)
+        groups: list[ShardGroup] = []
+        for distance in range(FARTHEST + 1):
+            held_by_place = {
+                place: {
+                    shard
+                    for shard in left
+                    if self._board.has_target_at(shard, place, now, tried_by_shard[shard])
+                }
+                for place in peers_by_place
+                if _distance(place, self._own) == distance
+            }
+            for peer, held in _fewest(
+                held_by_place, left, peers_by_place, self._peer_board.pick_known, now, 1
+            ):
+                groups.append(ShardGroup(peer, tuple(sorted(held))))
+                left -= held
+        return tuple(
+            GroupPlan(
+                group.peer.address,
+                group.peer.place,
+                group.shards,
+                self._accept_by(group.peer.address, now),
+                self._usual_report(route, group.peer.address, now),
+                True,
+            )
+            for group in groups
+        )
+
+    def _accept_by(self, address: str, now: float) -> float:
+        return now + self._peer_board.round_trip_s(address) + ACCEPT_SLACK_S
+
+    def _report_by(self, route: RouteKey, address: str, answer_at: float, now: float) -> float:
+        """Return when a peer reports what is in: other targets can then still be asked."""
+        latest = answer_at - HEDGE_RESERVE_PACES * self._board.usual_s(route, far=True)
+        return max(latest, self._usual_report(route, address, now))
+
+    def _usual_report(self, route: RouteKey, address: str, now: float) -> float:
+        usual_s = self._peer_board.round_trip_s(address)
+        return now + usual_s + HEDGE_EARLIEST_PACES * self._board.usual_s(route, far=False)
+
+
+def group_far_shards(
+    shards: tuple[str, ...],
+    own: Place,
+    gathers: bool,
+    peers: tuple[PeerBox, ...],
+    board: Board,
+    peer_board: PeerBoard,
+    now: float,
+) -> list[ShardGroup]:
+    """Return the shards that peers ask for this box, in as few groups as will do.
+
+    A box that gathers asks the targets of its own failure domain itself; another one leaves them
+    to a peer there. Domains of the own region come before others. What is left out is asked
+    directly: shards with a target in the own domain, and single ones elsewhere.
+    """
+    left = {shard for shard in shards if not (gathers and board.has_target_at(shard, own, now))}
+    peers_by_place = _by_place(peer for peer in peers if peer.place != own or not gathers)
+    groups: list[ShardGroup] = []
+    for distance in range(FARTHEST + 1):
+        held_by_place = {
+            place: {shard for shard in left if board.has_target_at(shard, place, now)}
+            for place in peers_by_place
+            if _distance(place, own) == distance
+        }
+        for chosen, held in _fewest(
+            held_by_place, left, peers_by_place, peer_board.pick, now, LEAST_GROUP
+        ):
+            groups.append(ShardGroup(chosen, tuple(shard for shard in shards if shard in held)))
+            left -= held
+    return groups
+
+
+def _by_place(peers: Iterable[PeerBox]) -> dict[Place, list[PeerBox]]:
+    peers_by_place: dict[Place, list[PeerBox]] = {}
+    for peer in peers:
+        peers_by_place.setdefault(peer.place, []).append(peer)
+    return peers_by_place
+
+
+def _distance(place: Place, own: Place) -> int:
+    """Return 0 for the own failure domain, 1 for the own region, 2 for others."""
+    if place == own:
+        return 0
+    return 1 if place.region == own.region else FARTHEST
+
+
+def _fewest(
+    held_by_place: dict[Place, set[str]],
+    wanted: set[str],
+    peers_by_place: dict[Place, list[PeerBox]],
+    pick: Pick,
+    now: float,
+    least: int,
+) -> list[tuple[PeerBox, set[str]]]:
+    """Return peers and what each is to gather, the place that holds most of the rest first.
+
+    Places that hold fewer of the shards than `least` get none.
+    """
+    left = set(wanted)
+    found: list[tuple[PeerBox, set[str]]] = []
+    while left and held_by_place:
+        most = max(len(held & left) for held in held_by_place.values())
+        if most < least:
+            break
+        best = [place for place, held in held_by_place.items() if len(held & left) == most]
+        chosen = pick([peer for place in best for peer in peers_by_place[place]], now)
+        if chosen is None:
+            for place in best:
+                del held_by_place[place]
+            continue
+        held = held_by_place.pop(chosen.place) & left
+        found.append((chosen, held))
+        left -= held
+    return found
--- a/trackwheel/relay/groups.py
+++ b/trackwheel/relay/groups.py
@@ -1,6 +1,7 @@
 """The shell between gathers and peers: hands groups out, and gathers those of others."""
 
 import time
+from collections import deque
 from itertools import count
 
 from trackwheel.http1.models import Request
@@ -8,6 +9,7 @@
 from trackwheel.peers.models import PeerIdentity
 from trackwheel.relay.board import Board, RouteKey
 from trackwheel.relay.budget import RepeatBudget
+from trackwheel.relay.const import REPORT_MARGIN_S
 from trackwheel.relay.gather import Gather
 from trackwheel.relay.gather_models import (
     CancelGroup,
@@ -36,10 +38,11 @@
 class _Handed:
     """A group that a peer gathers for a query of this box."""
 
-    def __init__(self, run: GatherRun, number: int, address: str, now: float) -> None:
+    def __init__(self, run: GatherRun, command: SendGroup, now: float) -> None:
         self.run = run
-        self.number = number
-        self.address = address
+        self.number = command.number
+        self.address = command.group.address
+        self.shards = command.group.shards
         self.asked_at = now
         self.accepted = False
 
@@ -47,10 +50,13 @@
 class _Taken:
     """A group that this box gathers for a peer."""
 
-    def __init__(self, forward: GroupForward, report: Timer) -> None:
+    def __init__(self, sender: str, forward: GroupForward, report: Timer) -> None:
+        self.sender = sender
         self.forward = forward
         self.report = report
         self.run: GatherRun | None = None
+        self.at_once = forward.repeat
+        """Whether each part is sent as it comes, not with others in a report."""
 
 
 class PeerGroups:
@@ -89,10 +95,11 @@
     def send_group(self, run: GatherRun, command: SendGroup) -> None:
         """Hand a group to its peer."""
         now = time.monotonic()
-        address = command.group.address
         group_id = str(next(self._numbers))
-        self._handed_by_id[group_id] = _Handed(run, command.number, address, now)
-        self._hub.send(address, self._forward_message(group_id, run.task, command, now))
+        self._handed_by_id[group_id] = _Handed(run, command, now)
+        self._hub.send(
+            command.group.address, self._forward_message(group_id, run.task, command, now)
+        )
 
     def cancel_group(self, run: GatherRun, command: CancelGroup) -> None:
         """Take a group back."""
@@ -133,11 +140,12 @@
             route=plan.route.name,
             shards=list(group.shards),
             top_k=task.top_k,
-            max_attempts=task.gather.peer_attempts,
+            max_attempts=1 if group.repeat else task.gather.peer_attempts,
             aim_ms=plan.route.aim_s * MILLISECONDS,
             report_in_ms=left_ms(group.report_by),
-            answer_in_ms=left_ms(plan.answer_at),
+            answer_in_ms=left_ms(plan.answer_at - REPORT_MARGIN_S),
             end_in_ms=max(0.0, request.deadline - now) * MILLISECONDS,
+            repeat=group.repeat,
         )
 
     def _take_accepted(self, sender: PeerIdentity, message: GroupAccepted) -> None:
@@ -156,7 +164,7 @@
         if message.final:
             del self._handed_by_id[message.group_id]
         gather = handed.run.task.gather
-        names = gather.plan.groups[handed.number].shards
+        names = handed.shards
         signature_by_shard = {
             names[place]: signature
             for place, signature in zip(message.shards, message.signatures, strict=True)
@@ -164,7 +172,9 @@
         records = split_records(message.records)
         now = time.monotonic()
         handed.run.perform(
-            gather.group_parts(handed.number, signature_by_shard, records, message.final, now)
+            gather.group_parts(
+                handed.number, signature_by_shard, records, message.final, message.ran, now
+            )
         )
 
     def _take_forward(self, sender: PeerIdentity, message: GroupForward) -> None:
@@ -174,17 +184,41 @@
         if key in self._taken_by_key:
             return
         self._hub.send(sender.address, GroupAccepted(message.group_id))
-        taken = _Taken(message, Timer(lambda: self._report(sender, key, False)))
+        reports = deque(sorted((message.report_in_ms, message.answer_in_ms)))
+        taken = _Taken(
+            sender.address, message, Timer(lambda: self._report_in_time(sender, key, now, reports))
+        )
         self._taken_by_key[key] = taken
         taken.run = GatherRun(
             self._task(message, now),
             self._transport,
             self,
             lambda result: self._finished(sender, key, result),
+            lambda: self._part_came(sender, key),
         )
-        taken.report.set(now + message.report_in_ms / MILLISECONDS)
+        if not taken.at_once:
+            taken.report.set(now + reports[0] / MILLISECONDS)
         taken.run.start()
 
+    def _report_in_time(
+        self, sender: PeerIdentity, key: tuple[str, str], taken_at: float, reports: deque[float]
+    ) -> None:
+        """Report what is in; after the last report, tell of each part as it comes."""
+        taken = self._taken_by_key.get(key)
+        if taken is None:
+            return
+        reports.popleft()
+        if reports:
+            taken.report.set(taken_at + reports[0] / MILLISECONDS)
+        else:
+            taken.at_once = True
+        self._report(sender, key, False)
+
+    def _part_came(self, sender: PeerIdentity, key: tuple[str, str]) -> None:
+        taken = self._taken_by_key.get(key)
+        if taken is not None and taken.at_once:
+            self._report(sender, key, False)
+
     def _task(self, message: GroupForward, now: float) -> GatherTask:
         http = Request(message.method, message.target, tuple(message.headers), message.body, now)
         deadline = now + message.end_in_ms / MILLISECONDS
@@ -197,8 +231,9 @@
             least_coverage=0.0,
             max_attempts=message.max_attempts,
             answer_at=answer_at,
-            end_at=answer_at,
+            end_at=deadline,
             partial=True,
+            repeat=message.repeat,
         )
         return GatherTask(request, Gather(plan, self._board, self._budget), message.top_k)
 
@@ -228,14 +263,37 @@
             return
         gather, forward = taken.run.task.gather, taken.forward
         signature_by_shard, records = gather.take_new_parts()
+        if forward.repeat:
+            # The shards were asked elsewhere too: the sender takes whichever part comes first.
+            for (name, signature), part in zip(signature_by_shard.items(), records, strict=True):
+                self._send_parts(sender, taken, {name: signature}, [part], False)
+            signature_by_shard, records = {}, []
+        if final or signature_by_shard or not taken.at_once:
+            self._send_parts(sender, taken, signature_by_shard, records, final)
+
+    def _send_parts(
+        self,
+        sender: PeerIdentity,
+        taken: _Taken,
+        signature_by_shard: dict[str, bytes],
+        records: list[list[bytes]],
+        final: bool,
+    ) -> None:
+        assert taken.run is not None
+        forward = taken.forward
         places = [place for place, name in enumerate(forward.shards) if name in signature_by_shard]
         signatures = [signature_by_shard[forward.shards[place]] for place in places]
         merged = merge_records(records, forward.top_k)
-        message = GroupParts(forward.group_id, places, signatures, merged, final)
+        ran = taken.run.task.gather.may_have_run
+        message = GroupParts(forward.group_id, places, signatures, merged, final, ran)
         self._hub.send(sender.address, message)
 
     def _take_cancel(self, sender: PeerIdentity, message: GroupCancel) -> None:
-        taken = self._taken_by_key.pop((sender.boot, message.group_id), None)
+        self._drop((sender.boot, message.group_id))
+
+    def _drop(self, key: tuple[str, str]) -> None:
+        """Stop gathering a group for which nobody waits any more."""
+        taken = self._taken_by_key.pop(key, None)
         if taken is None:
             return
         taken.report.stop()
@@ -245,6 +303,8 @@
     def _link_lost(self, address: str) -> None:
         now = time.monotonic()
         self.peer_board.failed(address, now)
+        for key in [key for key, taken in self._taken_by_key.items() if taken.sender == address]:
+            self._drop(key)
         for group_id, handed in list(self._handed_by_id.items()):
             if handed.address == address and self._handed_by_id.pop(group_id, None) is not None:
                 handed.run.perform(handed.run.task.gather.group_lost(handed.number, now))
--- a/trackwheel/relay/runs.py
+++ b/trackwheel/relay/runs.py
@@ -62,12 +62,14 @@
         transport: TargetTransport,
         groups: GroupSender,
         on_done: Callable[[Gathered | GatherFailed], None],
+        on_part: Callable[[], None] | None = None,
     ) -> None:
         self.task = task
         self._gather = task.gather
         self._transport = transport
         self._groups = groups
         self._on_done = on_done
+        self._on_part = on_part
         self._timer = Timer(self._tick)
         self._token_by_number: dict[int, object] = {}
 
@@ -77,7 +79,7 @@
 
     def cancel(self) -> None:
         """Stop since nobody waits any more."""
-        self.perform(self._gather.cancel(time.monotonic()))
+        self.perform(self._gather.cancel())
         self._timer.stop()
         self._groups.forget(self)
 
@@ -114,6 +116,8 @@
         if end.outcome is Outcome.OK and end.answer is not None:
             part = Part(end.signature, greatest_records(end.answer.body, self.task.top_k))
         self.perform(self._gather.part_ended(number, end, part, time.monotonic()))
+        if part is not None and self._on_part is not None:
+            self._on_part()
 
     def _send(self, command: SendPart) -> None:
         token = self._token_by_number[command.token] = object()
@@ -147,7 +151,7 @@
 
     def cancel(self) -> None:
         """Stop since nobody waits any more."""
-        self._perform(self._single.cancel(time.monotonic()))
+        self._perform(self._single.cancel())
         self._timer.stop()
 
     def _tick(self) -> None:
--- a/trackwheel/relay/service.py
+++ b/trackwheel/relay/service.py
@@ -9,21 +9,19 @@
 from trackwheel.relay.board import Board, RouteKey
 from trackwheel.relay.budget import RepeatBudget
 from trackwheel.relay.const import (
-    ACCEPT_SLACK_S,
     FINAL_MARGIN_S,
-    HEDGE_EARLIEST_PACES,
-    HEDGE_RESERVE_PACES,
     NEW_CONNECTION_MARGIN_S,
     NO_ROUTES_RETRY_AFTER_S,
     RETRY_AFTER_S,
     RETURN_MARGIN_S,
 )
 from trackwheel.relay.gather import Gather
-from trackwheel.relay.gather_models import Gathered, GatherFailed, GatherPlan, GroupPlan
+from trackwheel.relay.gather_models import Gathered, GatherFailed, GatherPlan
+from trackwheel.relay.grouping import GroupPlanner
 from trackwheel.relay.groups import PeerGroups
 from trackwheel.relay.merge import merge_records
 from trackwheel.relay.models import CallerRequest, Place, Wire
-from trackwheel.relay.peers import PeerBox, group_far_shards
+from trackwheel.relay.peers import PeerBox
 from trackwheel.relay.runs import GatherRun, GatherTask, SingleRun
 from trackwheel.relay.single import Single, SingleAnswered, SingleFailed, SinglePlan
 from trackwheel.relay.transport import TargetTransport
@@ -55,12 +53,10 @@
         self._groups = groups
         self._log = log
         self._figures = figures
-        self._place = place
         self.ended_by_kind: Counter[tuple[str]] = Counter()
         self._divider = WeightedDivider()
         self._table: RouteTable | None = None
-        self._peers: tuple[PeerBox, ...] = ()
-        self._gathers = True
+        self._planner = GroupPlanner(place, board, groups.peer_board)
 
     def set_table(self, table: RouteTable) -> None:
         """Take a configuration; requests under way keep the one they began with."""
@@ -68,8 +64,7 @@
 
     def set_peers(self, peers: tuple[PeerBox, ...], gathers: bool) -> None:
         """Take the boxes to which shards may be handed, and whether this box asks targets."""
-        self._peers = peers
-        self._gathers = gathers
+        self._planner.set_peers(peers, gathers)
 
     def handle(self, request: Request, exchange: Exchange) -> None:
         """Serve one request of a client."""
@@ -122,7 +117,7 @@
         self, caller: CallerRequest, route: Route, version: int, exchange: Exchange
     ) -> None:
         plan = self._plan_query(caller, route)
-        gather = Gather(plan, self._board, self._budget)
+        gather = Gather(plan, self._board, self._budget, self._planner)
 
         def done(result: Gathered | GatherFailed) -> None:
             self._log_end(caller, route.name, version, result)
@@ -154,23 +149,10 @@
         end_at = _end_at(caller, route)
         answer_at = min(end_at, _answer_at(caller, route))
         key = RouteKey(route.name, route.aim_s)
-        peer_board = self._groups.peer_board
-        groups = tuple(
-            GroupPlan(
-                group.peer.address,
-                group.peer.place,
-                group.shards,
-                now + peer_board.round_trip_s(group.peer.address) + ACCEPT_SLACK_S,
-                self._report_by(key, group.peer.address, answer_at, now),
-            )
-            for group in group_far_shards(
-                route.shards, self._place, self._gathers, self._peers, self._board, peer_board, now
-            )
-        )
         return GatherPlan(
             route=key,
             shards=route.shards,
-            groups=groups,
+            groups=self._planner.first_groups(route.shards, key, answer_at, now),
             least_coverage=route.least_coverage,
             max_attempts=route.max_attempts,
             answer_at=answer_at,
@@ -178,13 +160,6 @@
             partial=False,
         )
 
-    def _report_by(self, key: RouteKey, address: str, answer_at: float, now: float) -> float:
-        """Return when a peer reports what is in: other targets can then still be asked."""
-        latest = answer_at - HEDGE_RESERVE_PACES * self._board.usual_s(key, far=True)
-        usual_s = self._groups.peer_board.round_trip_s(address)
-        usual_s += HEDGE_EARLIEST_PACES * self._board.usual_s(key, far=False)
-        return max(latest, now + usual_s)
-
     def _refuse(self, exchange: Exchange, failed: GatherFailed | SingleFailed) -> None:
         """Give the final answer of a request that is given up."""
         if not failed.ran:
--- a/trackwheel/relay/single.py
+++ b/trackwheel/relay/single.py
@@ -105,7 +105,7 @@
             self._ask("hedge", now)
         return self._take_commands()
 
-    def cancel(self, now: float) -> list[SingleCommand]:
+    def cancel(self) -> list[SingleCommand]:
         """Take everything back since nobody waits for the answer any more."""
         if not self.ended:
             self._end()
