Open links to one other region ahead, and give most of the fixed allowance to boxes that ask targets

Ruled out: more rings of probes, which would open links as a side effect (each costs messages).

Change: each box opens links to one box of each failure domain of one other region, chosen by a hash of both, and late shards go over links that stand before others. Four fifths of the allowance are divided by the boxes that ask targets, one fifth by all; one that begins to ask waits for a window (10 s), since the box before it may have used its part.

--- a/tests/relay/test_grouping.py
+++ b/tests/relay/test_grouping.py
@@ -154,7 +154,7 @@
 def test_late_shards_go_beside_other_targets(
     tried: dict[str, set[str]], gathers: bool, expected: list[tuple[str, tuple[str, ...]]]
 ) -> None:
-    planner = GroupPlanner(HERE, board_of(TARGETS), PeerBoard())
+    planner = GroupPlanner(HERE, "own:1", board_of(TARGETS), PeerBoard())
     planner.set_peers(PEERS, gathers)
     tried_by_shard = {shard: frozenset(targets) for shard, targets in tried.items()}
     groups = planner.groups_elsewhere(tried_by_shard, ROUTE, 0.0)
@@ -164,10 +164,27 @@
 
 def test_late_shards_go_over_links_that_are_there() -> None:
     """A new link to another region takes longer than the answer may."""
-    peer_board = PeerBoard()
-    peer_board.accepted("there:2", 0.02)
-    planner = GroupPlanner(HERE, board_of({"a": [THERE]}), peer_board)
+    peer_board = PeerBoard(lambda address: address == "there:2")
+    planner = GroupPlanner(HERE, "own:1", board_of({"a": [THERE]}), peer_board)
     planner.set_peers(tuple(PeerBox(f"there:{n}", THERE) for n in range(5)), True)
     for _ in range(3):
         (group,) = planner.groups_elsewhere({"a": frozenset()}, ROUTE, 0.0)
         assert group.address == "there:2"
+    peer_board.failed("there:2", 0.0)
+    (group,) = planner.groups_elsewhere({"a": frozenset()}, ROUTE, 0.0)
+    assert group.address != "there:2"
+
+
+def test_links_are_wanted_to_each_domain_of_one_other_region() -> None:
+    yonder_b = Place("yonder", "yonder-b")
+    places = [HERE, BESIDE, YONDER, yonder_b]
+    peers = [PeerBox(f"{place.failure_domain}:{n}", place) for place in places for n in range(4)]
+    wanted: set[str] = set()
+    for own in range(40):
+        planner = GroupPlanner(HERE, f"own:{own}", Board(HERE, 1), PeerBoard())
+        assert planner.links_wanted() == []
+        planner.set_peers(tuple(peers), True)
+        links = planner.links_wanted()
+        assert sorted(address.split(":")[0] for address in links) == ["yonder-a", "yonder-b"]
+        wanted.update(links)
+    assert len(wanted) == 8, "boxes differ in their choice, so that all peers get some"
--- a/trackwheel/entry/box.py
+++ b/trackwheel/entry/box.py
@@ -97,6 +97,7 @@
             self.log,
             self.figures,
             place,
+            settings.peers,
         )
         self.clients = ServerState(
             self.relay.handle,
@@ -160,10 +161,9 @@
         ]
         gatherers = choose_gatherers(boxes)
         others = [box for box in boxes if box.address != own.address]
-        self.relay.set_peers(
-            tuple(box for box in others if box.address in gatherers), own.address in gatherers
-        )
-        self.budget.set_members(len(members), time.monotonic())
+        asks = own.address in gatherers
+        self.relay.set_peers(tuple(box for box in others if box.address in gatherers), asks)
+        self.budget.set_members(len(members), len(gatherers), asks, time.monotonic())
         self._set_connection_limits()
 
     def _take_routes(self, table: RouteTable) -> None:
--- a/trackwheel/peers/hub.py
+++ b/trackwheel/peers/hub.py
@@ -85,20 +85,37 @@
         if address == self.identity.address:
             self.receive(self.identity, message)
             return True
-        outbox = self._outbox_by_address.get(address)
+        outbox = self._outbox(address)
         if outbox is None:
-            if self._closed_until_by_address.get(address, 0.0) > time.monotonic():
-                self.messages_dropped += 1
-                return False
-            outbox = self._outbox_by_address[address] = Outbox()
-            assert self._tasks is not None, "the hub is not running"
-            self._tasks.start_soon(self._dial, address, outbox)
+            self.messages_dropped += 1
+            return False
         self.messages_sent += 1
         if outbox.put(message):
             return True
         self.messages_dropped += 1
         return False
 
+    def open(self, address: str) -> None:
+        """Open a link to a box before there is work for it."""
+        if address != self.identity.address:
+            self._outbox(address)
+
+    def is_linked(self, address: str) -> bool:
+        """Return whether a link to a box stands, so that a message needs one way and no more."""
+        return address in self._link_count_by_address
+
+    def _outbox(self, address: str) -> Outbox | None:
+        """Return what carries messages to a box; None shortly after a link could not be opened."""
+        outbox = self._outbox_by_address.get(address)
+        if outbox is not None:
+            return outbox
+        if self._closed_until_by_address.get(address, 0.0) > time.monotonic():
+            return None
+        outbox = self._outbox_by_address[address] = Outbox()
+        assert self._tasks is not None, "the hub is not running"
+        self._tasks.start_soon(self._dial, address, outbox)
+        return outbox
+
     async def run(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
         """Take links until cancelled."""
         host, port = split_address(self.identity.address)
--- a/trackwheel/relay/budget.py
+++ b/trackwheel/relay/budget.py
@@ -10,6 +10,7 @@
 from trackwheel.relay.const import (
     BUDGET_BUCKETS,
     BUDGET_SAFETY,
+    BUDGET_SHARE_OF_ALL,
     BUDGET_SHARE_OF_EXTRA,
     MEMBERS_MEMORY_S,
 )
@@ -48,24 +49,51 @@
         return self._total
 
 
+class RecentMost:
+    """Keep the largest number of a span (seconds)."""
+
+    def __init__(self, span_s: float) -> None:
+        self._span_s = span_s
+        self._falling: deque[tuple[float, int]] = deque()
+
+    def add(self, number: int, now: float) -> None:
+        """Take the number as it is from now on."""
+        while self._falling and self._falling[-1][1] <= number:
+            self._falling.pop()
+        self._falling.append((now, number))
+        while self._falling[0][0] < now - self._span_s:
+            self._falling.popleft()
+
+    @property
+    def most(self) -> int:
+        """Return the largest number of the span before the last one was taken; 0 for none."""
+        return self._falling[0][1] if self._falling else 0
+
+
 class RepeatBudget:
     """Decide whether one more request for a service may be sent than clients asked for."""
 
     def __init__(self, rule: BudgetRule, born: float) -> None:
         self._rule = rule
         self._born = born
-        self._members_seen: deque[tuple[float, int]] = deque()
+        self._asks_since: float | None = None
+        self._members = RecentMost(MEMBERS_MEMORY_S)
+        self._askers = RecentMost(MEMBERS_MEMORY_S)
         self._firsts_by_service: dict[str, SlidingCount] = {}
         self._repeats_by_service: dict[str, SlidingCount] = {}
         self.denied = 0
 
-    def set_members(self, members: int, now: float) -> None:
-        """Take how many boxes are known; the most of the last minute share the allowance."""
-        while self._members_seen and self._members_seen[-1][1] <= members:
-            self._members_seen.pop()
-        self._members_seen.append((now, members))
-        while self._members_seen[0][0] < now - MEMBERS_MEMORY_S:
-            self._members_seen.popleft()
+    def set_members(self, members: int, askers: int, asks: bool, now: float) -> None:
+        """Take how many boxes are known, how many ask targets for the others, and if this does.
+
+        The most of the last minute count: a box that is cut off thinks that it is alone.
+        """
+        self._members.add(members, now)
+        self._askers.add(askers, now)
+        if not asks:
+            self._asks_since = None
+        elif self._asks_since is None:
+            self._asks_since = now
 
     def first(self, service: str, now: float) -> None:
         """Count a first request for a service."""
@@ -87,11 +115,20 @@
         """Return this box's part of the fixed allowance.
 
         None in the first window of its life: another box, or an earlier life of this one, may
-        have used it, and at its start a box does not know yet how many there are.
+        have used it, and at its start a box does not know yet how many there are. The larger part
+        is shared by the boxes that ask targets; one that begins to waits for a window, in which
+        the part of the box before it runs out.
         """
-        if now - self._born < self._rule.window_s or not self._members_seen:
+        if self._is_new(self._born, now) or not self._members.most:
             return 0.0
-        return self._rule.extra * BUDGET_SHARE_OF_EXTRA / self._members_seen[0][1]
+        allowance = self._rule.extra * BUDGET_SHARE_OF_EXTRA
+        extra = allowance * BUDGET_SHARE_OF_ALL / self._members.most
+        if self._asks_since is not None and not self._is_new(self._asks_since, now):
+            extra += allowance * (1.0 - BUDGET_SHARE_OF_ALL) / self._askers.most
+        return extra
+
+    def _is_new(self, since: float, now: float) -> bool:
+        return now - since < self._rule.window_s
 
     def _count(self, count_by_service: dict[str, SlidingCount], service: str) -> SlidingCount:
         count = count_by_service.get(service)
--- a/trackwheel/relay/const.py
+++ b/trackwheel/relay/const.py
@@ -65,6 +65,9 @@
 """Part of the allowed ratio of repeats that is used; the rest covers counts that differ."""
 BUDGET_SHARE_OF_EXTRA: Final = 0.7
 """Part of the fixed allowance that members divide; the rest covers views that differ."""
+BUDGET_SHARE_OF_ALL: Final = 0.2
+"""Part of that which all boxes divide, for requests around peers; the rest is for those boxes
+that ask targets, which send nearly all repeats: with equal parts half of them were denied."""
 MEMBERS_MEMORY_S: Final = 60.0
 """How long the largest number of members counts: a box that is cut off thinks it is alone."""
 BUDGET_BUCKETS: Final = 20
@@ -89,6 +92,8 @@
 """How much before the last moment to answer a peer's second report should be there."""
 LEAST_GROUP: Final = 2
 """Fewer far shards than this are asked directly: a message to a peer would not be smaller."""
+LEAST_GROUP_ELSEWHERE: Final = 1
+"""A late shard goes through a peer even by itself: the peer has a connection to the target."""
 SMALL_DOMAIN: Final = 4
 """Up to so many boxes of a failure domain each ask targets themselves."""
 BOXES_PER_GATHERER: Final = 5
--- a/trackwheel/relay/gather.py
+++ b/trackwheel/relay/gather.py
@@ -97,9 +97,10 @@
         """Hand the groups to their peers and ask the best target of each other shard."""
         for group in self.plan.groups:
             self._hand_over(group)
+        reason = "repeat" if self.plan.repeat else "first"
         for name, shard in self._shard_by_name.items():
             if not shard.groups:
-                self._ask_or_exhaust(name, "first", now)
+                self._ask_or_exhaust(name, reason, now)
         return self._finish_or_go_on(now)
 
     def part_ended(
--- a/trackwheel/relay/grouping.py
+++ b/trackwheel/relay/grouping.py
@@ -1,14 +1,16 @@
 """Which shards of a query are handed to which peers, decided without I/O."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable, Iterator
 from typing import Final, NamedTuple
 
+from trackwheel.fleet.members import ring_position
 from trackwheel.relay.board import Board, RouteKey
 from trackwheel.relay.const import (
     ACCEPT_SLACK_S,
     HEDGE_EARLIEST_PACES,
     HEDGE_RESERVE_PACES,
     LEAST_GROUP,
+    LEAST_GROUP_ELSEWHERE,
 )
 from trackwheel.relay.gather_models import GroupPlan
 from trackwheel.relay.models import Place
@@ -18,9 +20,6 @@
 """Distance of a place in another region."""
 
 
-Pick = Callable[[list[PeerBox], float], PeerBox | None]
-
-
 class ShardGroup(NamedTuple):
     """Some shards and the peer beside their targets."""
 
@@ -31,8 +30,9 @@
 class GroupPlanner:
     """Divide the shards of a query among this box and the peers beside their targets."""
 
-    def __init__(self, own: Place, board: Board, peer_board: PeerBoard) -> None:
+    def __init__(self, own: Place, own_address: str, board: Board, peer_board: PeerBoard) -> None:
         self._own = own
+        self._own_address = own_address
         self._board = board
         self._peer_board = peer_board
         self._peers: tuple[PeerBox, ...] = ()
@@ -71,9 +71,8 @@
             for shard, tried in tried_by_shard.items()
             if not (self._gathers and self._board.has_target_at(shard, self._own, now, tried))
         }
-        peers_by_place = _by_place(self._peers)
         groups: list[ShardGroup] = []
-        for distance in range(FARTHEST + 1):
+        for peers_by_place in self._by_nearness():
             held_by_place = {
                 place: {
                     shard
@@ -81,10 +80,9 @@
                     if self._board.has_target_at(shard, place, now, tried_by_shard[shard])
                 }
                 for place in peers_by_place
-                if _distance(place, self._own) == distance
             }
             for peer, held in _fewest(
-                held_by_place, left, peers_by_place, self._peer_board.pick_known, now, 1
+                held_by_place, left, peers_by_place, self._peer_board, now, LEAST_GROUP_ELSEWHERE
             ):
                 groups.append(ShardGroup(peer, tuple(sorted(held))))
                 left -= held
@@ -100,6 +98,34 @@
             for group in groups
         )
 
+    def links_wanted(self) -> list[str]:
+        """Return the peers to which links should stand before late shards go there.
+
+        One box of each failure domain of one other region: it takes three ways there and back to
+        open a link, which is more than a late shard has left. Each box has its own choice.
+        """
+        peers_by_region: dict[str, list[PeerBox]] = {}
+        for peer in self._peers:
+            if peer.place.region != self._own.region:
+                peers_by_region.setdefault(peer.place.region, []).append(peer)
+        if not peers_by_region:
+            return []
+        region = min(peers_by_region, key=self._own_order)
+        return [
+            min((peer.address for peer in peers), key=self._own_order)
+            for peers in _by_place(peers_by_region[region]).values()
+        ]
+
+    def _own_order(self, name: str) -> int:
+        return ring_position(f"{self._own_address}/{name}")
+
+    def _by_nearness(self) -> Iterator[dict[Place, list[PeerBox]]]:
+        """Give the peers by place, near ones first, and those with a link before others."""
+        for distance in range(FARTHEST + 1):
+            near = [peer for peer in self._peers if _distance(peer.place, self._own) == distance]
+            yield _by_place(self._peer_board.linked(near))
+            yield _by_place(near)
+
     def _accept_by(self, address: str, now: float) -> float:
         return now + self._peer_board.round_trip_s(address) + ACCEPT_SLACK_S
 
@@ -138,7 +164,7 @@
             if _distance(place, own) == distance
         }
         for chosen, held in _fewest(
-            held_by_place, left, peers_by_place, peer_board.pick, now, LEAST_GROUP
+            held_by_place, left, peers_by_place, peer_board, now, LEAST_GROUP
         ):
             groups.append(ShardGroup(chosen, tuple(shard for shard in shards if shard in held)))
             left -= held
@@ -163,7 +189,7 @@
     held_by_place: dict[Place, set[str]],
     wanted: set[str],
     peers_by_place: dict[Place, list[PeerBox]],
-    pick: Pick,
+    peer_board: PeerBoard,
     now: float,
     least: int,
 ) -> list[tuple[PeerBox, set[str]]]:
@@ -178,7 +204,7 @@
         if most < least:
             break
         best = [place for place, held in held_by_place.items() if len(held & left) == most]
-        chosen = pick([peer for place in best for peer in peers_by_place[place]], now)
+        chosen = peer_board.pick([peer for place in best for peer in peers_by_place[place]], now)
         if chosen is None:
             for place in best:
                 del held_by_place[place]
--- a/trackwheel/relay/groups.py
+++ b/trackwheel/relay/groups.py
@@ -2,6 +2,7 @@
 
 import time
 from collections import deque
+from collections.abc import Iterable
 from itertools import count
 
 from trackwheel.http1.models import Request
@@ -80,13 +81,18 @@
         self._numbers = count()
         self._handed_by_id: dict[str, _Handed] = {}
         self._taken_by_key: dict[tuple[str, str], _Taken] = {}
-        self.peer_board = PeerBoard()
+        self.peer_board = PeerBoard(hub.is_linked)
         hub.register(GroupForward, self._take_forward)
         hub.register(GroupAccepted, self._take_accepted)
         hub.register(GroupParts, self._take_parts)
         hub.register(GroupCancel, self._take_cancel)
         hub.on_link_lost(self._link_lost)
 
+    def open_links(self, addresses: Iterable[str]) -> None:
+        """Open links to peers before there is work for them."""
+        for address in addresses:
+            self._hub.open(address)
+
     @property
     def taken(self) -> int:
         """Return how many groups this box gathers for peers."""
--- a/trackwheel/relay/peers.py
+++ b/trackwheel/relay/peers.py
@@ -1,5 +1,6 @@
 """What is known of the peers that gather shards for this box, and the messages to them."""
 
+from collections.abc import Callable, Iterable
 from typing import Final, NamedTuple
 
 from trackwheel.relay.const import FIRST_ROUND_TRIP_S, PEER_AVOID_S, ROUND_TRIP_WEIGHT
@@ -72,7 +73,8 @@
 class PeerBoard:
     """Know the round trip to each peer and which ones showed no life lately."""
 
-    def __init__(self) -> None:
+    def __init__(self, is_linked: Callable[[str], bool] = lambda address: False) -> None:
+        self._is_linked = is_linked
         self._round_trip_by_address: dict[str, float] = {}
         self._avoid_until_by_address: dict[str, float] = {}
         self._turn = 0
@@ -101,7 +103,6 @@
         self._turn += 1
         return usable[self._turn % len(usable)]
 
-    def pick_known(self, peers: list[PeerBox], now: float) -> PeerBox | None:
-        """Return a usable peer to which there is a link already, in turn, if there is one."""
-        known = [peer for peer in peers if peer.address in self._round_trip_by_address]
-        return self.pick(known, now) or self.pick(peers, now)
+    def linked(self, peers: Iterable[PeerBox]) -> list[PeerBox]:
+        """Return the peers to which a link stands."""
+        return [peer for peer in peers if self._is_linked(peer.address)]
--- a/trackwheel/relay/service.py
+++ b/trackwheel/relay/service.py
@@ -45,6 +45,7 @@
         log: EventLog,
         figures: Figures,
         place: Place,
+        address: str,
     ) -> None:
         self._wire = wire
         self._board = board
@@ -56,7 +57,7 @@
         self.ended_by_kind: Counter[tuple[str]] = Counter()
         self._divider = WeightedDivider()
         self._table: RouteTable | None = None
-        self._planner = GroupPlanner(place, board, groups.peer_board)
+        self._planner = GroupPlanner(place, address, board, groups.peer_board)
 
     def set_table(self, table: RouteTable) -> None:
         """Take a configuration; requests under way keep the one they began with."""
@@ -65,6 +66,7 @@
     def set_peers(self, peers: tuple[PeerBox, ...], gathers: bool) -> None:
         """Take the boxes to which shards may be handed, and whether this box asks targets."""
         self._planner.set_peers(peers, gathers)
+        self._groups.open_links(self._planner.links_wanted())
 
     def handle(self, request: Request, exchange: Exchange) -> None:
         """Serve one request of a client."""
