Send peers the changes of targets since their own newest, and never pass over a gap

A watcher that the store does not answer asked every other watcher twice a second and got all 800 targets each time. Reading the code for it showed a fault besides: a box took the newest revision of any push as its own, so that a change whose push was lost with a link was never asked for; a target's leaving could stay unknown there.

Ruled out: fewer beacons (news would heal later; the bytes are in the answers).

Change: a push says after which revision it holds all changes. A box whose own newest is older takes the entries, keeps its revision and asks. Answers hold what changed since the asker's newest.

Before: the test of the lost push fails on the old code (newest 5, target a ready for good).

--- a/tests/directory/test_targets.py
+++ b/tests/directory/test_targets.py
@@ -104,15 +104,14 @@
     assert states(directory) == {"n": "ready", "a": "ready"}
 
 
-def test_snapshot_brings_a_newcomer_in_step() -> None:
+def test_all_changes_bring_a_newcomer_in_step() -> None:
     old = make_directory()
     for news in NEWS:
         old.take(news, 0.0)
-    push = old.snapshot()
+    push = old.changes(0)
     new = make_directory()
-    assert push.whole
-    new.take(TargetsRead(0, push.entries, push.gone, push.newest), 0.0)
-    new.in_step_with(push.newest)
+    assert push.since == 0
+    assert new.take_push(push, 0.0)
     new.expire(100.0)
     assert states(new) == {"c": "ready"}
     assert new.newest == old.newest
@@ -135,9 +134,7 @@
     by_watch.take(TargetsRead(2, [], [EntryGone("a", 3)], 3), 0.0)
     by_reading.take(TargetsRead(None, [entry("b", 2)], [], 40), 0.0)
     assert by_watch.newest < by_reading.newest
-    push = by_reading.snapshot()
-    by_watch.take(TargetsRead(0, push.entries, push.gone, push.newest), 1.0)
-    by_watch.in_step_with(push.newest)
+    by_watch.take_push(by_reading.changes(by_watch.newest), 1.0)
     assert by_watch.newest == by_reading.newest
 
 
@@ -147,3 +144,47 @@
     assert not directory.take(TargetsRead(2, [entry("a", 6)], [], 6), 0.0)
     assert not directory.take(TargetsRead(6, [], [EntryGone("a", 5)], 6), 0.0)
     assert states(directory)["a"] == "ready"
+
+
+@pytest.mark.parametrize(
+    ("since", "instances", "gone"),
+    [
+        pytest.param(0, {"c"}, {"a", "b"}, id="newcomer"),
+        pytest.param(3, {"c"}, {"a", "b"}, id="some"),
+        pytest.param(4, {"c"}, {"b"}, id="last"),
+        pytest.param(5, set(), set(), id="in-step"),
+    ],
+)
+def test_peer_gets_what_changed_since_its_own_newest(
+    since: int, instances: set[str], gone: set[str]
+) -> None:
+    """Whole copies of 800 targets for each lag were half of the bytes of a day with a reshard."""
+    directory = make_directory()
+    for news in NEWS:
+        directory.take(news, 0.0)
+    push = directory.changes(since)
+    assert {entry.instance for entry in push.entries} == instances
+    assert {gone.instance for gone in push.gone} == gone
+
+
+def test_heartbeat_is_no_change_for_a_peer() -> None:
+    directory = make_directory()
+    directory.take(NEWS[0], 0.0)
+    directory.take(TargetsRead(2, [entry("a", 50)], [], 60), 1.0)
+    assert directory.changes(2).entries == []
+
+
+def test_push_after_a_lost_one_leaves_a_gap_that_is_asked_for() -> None:
+    """Otherwise a box could miss for good that a target is leaving."""
+    watcher, peer = make_directory(), make_directory()
+    watcher.take(NEWS[0], 0.0)
+    peer.take_push(watcher.changes(0), 0.0)
+    watcher.take(NEWS[1], 0.0)
+    lost = watcher.newest
+    watcher.take(NEWS[3], 0.0)
+    assert peer.take_push(watcher.changes(lost), 0.0)
+    assert peer.newest == 2
+    assert states(peer)["a"] == "ready"
+    peer.take_push(watcher.changes(peer.newest), 0.0)
+    assert peer.newest == watcher.newest
+    assert states(peer)["a"] == "leaving"
--- a/trackwheel/directory/models.py
+++ b/trackwheel/directory/models.py
@@ -98,9 +98,13 @@
 
 
 class TargetsPush(NamedTuple):
-    """Pass entries on: all of them, or changes; `newest` is the sender's newest change."""
+    """Pass on all changes after the revision `since`, up to the sender's `newest` one.
 
-    whole: bool
+    After 0 those are all entries. A peer that lacks earlier changes takes these, and asks for the
+    rest when it hears how far others are.
+    """
+
+    since: int
     newest: int
     entries: list[TargetEntry]
     gone: list[EntryGone]
--- a/trackwheel/directory/service.py
+++ b/trackwheel/directory/service.py
@@ -172,12 +172,10 @@
         return read.as_of
 
     def _take_targets_read(self, read: TargetsRead) -> int:
+        since = 0 if read.since is None else self._targets.newest
         if self._targets.take(read, time.monotonic()):
             self._targets_changed("store")
-            push = TargetsPush(False, self._targets.newest, read.entries, read.gone)
-            if read.since is None:
-                push = self._targets.snapshot()
-            self._pass_on(push, self._near_peers)
+            self._pass_on(self._targets.changes(since), self._near_peers)
         return read.as_of
 
     def _take_routes_push(self, sender: PeerIdentity, push: RoutesPush) -> None:
@@ -198,11 +196,7 @@
         return self._source.decode_routes(content)
 
     def _take_targets_push(self, sender: PeerIdentity, push: TargetsPush) -> None:
-        # What a peer's view lacks may be newer here, so that nothing is taken away for it.
-        read = TargetsRead(0, push.entries, push.gone, push.newest)
-        changed = self._targets.take(read, time.monotonic())
-        if push.whole:
-            self._targets.in_step_with(push.newest)
+        changed = self._targets.take_push(push, time.monotonic())
         if not changed:
             return
         self._targets_changed(sender.box_id)
@@ -219,7 +213,7 @@
         if self.table is not None and ask.routes_version < self.version:
             self._hub.send(sender.address, RoutesPush(self.version, self._packed))
         if ask.targets_wanted and ask.targets_newest < self._targets.newest:
-            self._hub.send(sender.address, self._targets.snapshot())
+            self._hub.send(sender.address, self._targets.changes(ask.targets_newest))
 
     def _ask(self, address: str, targets_wanted: bool) -> None:
         ask = DirectoryAsk(self.version, self._targets.newest, targets_wanted)
--- a/trackwheel/directory/targets.py
+++ b/trackwheel/directory/targets.py
@@ -9,6 +9,7 @@
 
 class _Held(NamedTuple):
     entry: TargetEntry
+    changed_revision: int
     cold_until: float
     gone_revision: int | None
     drop_at: float
@@ -24,6 +25,7 @@
         self._store_away = False
         self._store_back_at = float("-inf")
         self.newest = 0
+        """The revision up to which all changes are known here."""
 
     def store_lost(self) -> None:
         """Take that the store does not answer: entries may lapse without cause."""
@@ -47,9 +49,16 @@
             changed += [self._note(was_there, read.as_of) for was_there in removed]
         return any(changed)
 
-    def in_step_with(self, newest: int) -> None:
-        """Take that all news up to a peer's newest are known."""
-        self.newest = max(self.newest, newest)
+    def take_push(self, push: TargetsPush, now: float) -> bool:
+        """Take news of a peer; return whether anything is another now.
+
+        Whatever the push lacks may be newer here, so that nothing is taken away for it.
+        """
+        changed = [self._merge(entry, now) for entry in push.entries]
+        changed += [self._remove(gone.instance, gone.revision, now) for gone in push.gone]
+        if self.newest >= push.since:
+            self.newest = max(self.newest, push.newest)
+        return any(changed)
 
     def _note(self, is_news: bool, revision: int) -> bool:
         """Keep the revision of the newest news; entries that changed in nothing are none."""
@@ -57,13 +66,19 @@
             self.newest = max(self.newest, revision)
         return is_news
 
-    def snapshot(self) -> TargetsPush:
-        """Return all that is known, for a peer that lacks some of it."""
+    def changes(self, since: int) -> TargetsPush:
+        """Return all changes after a revision, for a peer that knows those up to it."""
         entries = [
-            held.entry for held in self._held_by_instance.values() if held.gone_revision is None
+            held.entry
+            for held in self._held_by_instance.values()
+            if held.gone_revision is None and held.changed_revision > since
+        ]
+        gone = [
+            EntryGone(instance, revision)
+            for instance, revision in self._gone_revision_by_instance.items()
+            if revision > since
         ]
-        gone = [EntryGone(*pair) for pair in self._gone_revision_by_instance.items()]
-        return TargetsPush(True, self.newest, entries, gone)
+        return TargetsPush(since, self.newest, entries, gone)
 
     def expire(self, now: float) -> bool:
         """Drop targets whose time as a last resort is over; return whether there were any."""
@@ -116,7 +131,7 @@
                 return False
         self._gone_revision_by_instance.pop(entry.instance, None)
         cold_until = now + entry.cold_s
-        self._held_by_instance[entry.instance] = _Held(entry, cold_until, None, 0.0)
+        self._held_by_instance[entry.instance] = _Held(entry, entry.revision, cold_until, None, 0.0)
         return True
 
     def _remove(self, instance: str, revision: int, now: float) -> bool:
