Let peers decline shards whose targets are slow, and ask late shards only for records that can count

Ruled out: merging late parts at the second peer (a shard that comes both merged and from the first peer cannot be taken out again); asking slow targets first and hedging (costs the time of a hedge).

Change: a peer tells at once which shards others should ask for (GroupDeclined), when its own target costs twice the usual time and another one is better; where all are slow, as under too much load, nothing is declined. The sender hands them, as first requests, to a peer beside other targets; when all have declined it asks directly. A message for late shards names the least record that can still count (relay/parts.py), taken only from records that nothing can replace. The bookkeeping of parts moves out of the gather, and take_part/take_merged with it.

--- a/tests/relay/test_gather.py
+++ b/tests/relay/test_gather.py
@@ -10,6 +10,7 @@
 from trackwheel.relay.gather_models import (
     CancelGroup,
     CancelPart,
+    Declined,
     GatherCommand,
     Gathered,
     GatherFailed,
@@ -24,6 +25,7 @@
 SHARDS = tuple(f"s{number}" for number in range(10))
 ANSWER_AT = 0.18
 END_AT = 1.0
+TOP_K = 3
 GROUP = GroupPlan("peer:1", HERE, ("s0", "s1", "s2"), 0.06, 0.08)
 
 
@@ -34,13 +36,18 @@
         self.tried_by_shard: dict[str, frozenset[str]] = {}
 
     def groups_elsewhere(
-        self, tried_by_shard: dict[str, frozenset[str]], route: RouteKey, now: float
+        self,
+        tried_by_shard: dict[str, frozenset[str]],
+        route: RouteKey,
+        answer_at: float,
+        repeat: bool,
+        now: float,
     ) -> tuple[GroupPlan, ...]:
         self.tried_by_shard = tried_by_shard
         if not tried_by_shard:
             return ()
         shards = tuple(tried_by_shard)
-        return (GroupPlan("other:1", THERE, shards, now + 0.05, now + 0.08, True),)
+        return (GroupPlan("other:1", THERE, shards, now + 0.05, now + 0.08, repeat),)
 
 
 class Session:
@@ -58,13 +65,13 @@
         elsewhere: "Elsewhere | None" = None,
     ) -> None:
         plan = GatherPlan(
-            ROUTE, SHARDS, groups, least, max_attempts, ANSWER_AT, END_AT, partial, repeat
+            ROUTE, SHARDS, TOP_K, groups, least, max_attempts, ANSWER_AT, END_AT, partial, repeat
         )
         self.gather = Gather(plan, board, budget, elsewhere)
         self.open: dict[int, SendPart] = {}
         self.sent: list[SendPart] = []
         self.groups: list[SendGroup] = []
-        self.other: list[CancelGroup | PeerSilent] = []
+        self.other: list[CancelGroup | PeerSilent | Declined] = []
         self.end: Gathered | GatherFailed | None = None
         self.take(self.gather.start(0.0))
 
@@ -78,7 +85,7 @@
                     del self.open[token]
                 case SendGroup():
                     self.groups.append(command)
-                case CancelGroup() | PeerSilent():
+                case CancelGroup() | PeerSilent() | Declined():
                     self.other.append(command)
                 case Gathered() | GatherFailed():
                     assert self.end is None
@@ -351,7 +358,7 @@
     ) -> None:
         session = Session(board, budget, groups=(GROUP,))
         session.parts(shards, final=False)
-        assert not session.gather.parts().signature_by_shard
+        assert not session.gather.parts.gathered().signature_by_shard
 
     def test_peer_is_told_when_the_query_ends_without_it(
         self, board: Board, budget: RepeatBudget
@@ -368,9 +375,9 @@
 def test_partial_gather_gives_what_is_in(board: Board, budget: RepeatBudget) -> None:
     session = Session(board, budget, least=0.0, partial=True)
     session.answer("s0")
-    first, _ = session.gather.take_new_parts()
+    first, _ = session.gather.parts.take_unreported()
     session.answer("s1")
-    second, _ = session.gather.take_new_parts()
+    second, _ = session.gather.parts.take_unreported()
     assert (list(first), list(second)) == (["s0"], ["s1"])
     session.tick(ANSWER_AT)
     assert session.end is None, "parts that come after the aim are still told"
@@ -430,7 +437,7 @@
         session.parts([], final=False)
         for number in (first, 1 - first):
             session.parts(["s0", "s1"] if number == 0 else ["s0"], False, number=number)
-        gathered = session.gather.parts()
+        gathered = session.gather.parts.gathered()
         assert gathered.signature_by_shard == {"s0": b"peer0-s0", "s1": b"peer0-s1"}
         assert len(gathered.record_lists) == 1
 
@@ -477,3 +484,85 @@
         session.parts([], final=True, ran=events == "ran")
     assert isinstance(session.end, GatherFailed)
     assert session.end.ran is ran
+
+
+class TestDeclined:
+    """A peer whose targets are slow leaves their shards to others."""
+
+    def test_peer_declines_what_is_better_elsewhere(
+        self, board: Board, budget: RepeatBudget
+    ) -> None:
+        make_slow(board, "s0-near")
+        session = Session(board, budget, least=0.0, partial=True)
+        assert session.other == [Declined(("s0",))]
+        assert {sent.shard for sent in session.sent} == set(SHARDS[1:])
+
+    def test_where_all_are_slow_nothing_is_declined(
+        self, board: Board, budget: RepeatBudget
+    ) -> None:
+        """Under too much load all boxes would send their shards to each other."""
+        for number, shard in enumerate(SHARDS * 20):
+            near = board.targets(shard)[0]
+            board.sent(near, number, ROUTE, -1.0)
+            board.ended(near, number, Outcome.OK, None, -0.6)
+        session = Session(board, budget, least=0.0, partial=True)
+        assert session.other == []
+
+    def test_repeat_is_never_declined(self, board: Board, budget: RepeatBudget) -> None:
+        make_slow(board, "s0-near")
+        session = Session(board, budget, least=0.0, partial=True, repeat=True)
+        assert session.sent[0].target.instance == "s0-near"
+
+    def test_declined_shards_go_elsewhere_and_are_no_repeats(
+        self, board: Board, no_budget: RepeatBudget
+    ) -> None:
+        elsewhere = Elsewhere()
+        session = Session(board, no_budget, groups=(GROUP,), elsewhere=elsewhere)
+        session.take(session.gather.group_declined(0, ["s1"], 0.01))
+        assert session.groups[-1].group[:3] == ("other:1", THERE, ("s1",))
+        assert not session.groups[-1].group.repeat
+        assert elsewhere.tried_by_shard == {"s1": {"s1-near"}}
+
+    def test_shard_that_all_decline_is_asked_directly(
+        self, board: Board, no_budget: RepeatBudget
+    ) -> None:
+        session = Session(board, no_budget, groups=(GROUP,))
+        session.take(session.gather.group_declined(0, ["s1"], 0.01))
+        assert (session.sent[-1].shard, session.sent[-1].reason) == ("s1", "declined")
+
+    def test_declined_shard_is_not_asked_again_for_the_peers_report(
+        self, board: Board, budget: RepeatBudget
+    ) -> None:
+        session = Session(board, budget, groups=(GROUP,), elsewhere=Elsewhere())
+        session.take(session.gather.group_declined(0, ["s1"], 0.01))
+        session.parts(["s0"], final=True)
+        assert [command.group.shards for command in session.groups[1:]] == [("s1",), ("s2",)]
+
+    def test_own_slow_target_leaves_its_shard_to_a_peer(
+        self, board: Board, budget: RepeatBudget
+    ) -> None:
+        make_slow(board, "s0-near")
+        session = Session(board, budget, elsewhere=Elsewhere())
+        assert [command.group.shards for command in session.groups] == [("s0",)]
+        assert {sent.shard for sent in session.sent} == set(SHARDS[1:])
+
+
+def test_late_shards_are_asked_for_records_that_can_count(
+    board: Board, budget: RepeatBudget
+) -> None:
+    session = Session(board, budget, groups=(GROUP,), elsewhere=Elsewhere())
+    for shard in SHARDS[3:]:
+        session.answer(shard)
+    session.parts(["s0"], final=False)
+    assert session.groups[0].floor == b""
+    assert session.groups[-1].floor == b"s7".ljust(16)
+
+
+def make_slow(board: Board, instance: str) -> None:
+    """Let a target answer ten times as slowly as others."""
+    service = instance.split("-", maxsplit=1)[0]
+    slow = next(found for found in board.targets(service) if found.instance == instance)
+    quick = board.targets("s9")[0]
+    for number, (found, ended_at) in enumerate([(quick, -0.96)] * 64 + [(slow, -0.6)] * 4):
+        board.sent(found, number, ROUTE, -1.0)
+        board.ended(found, number, Outcome.OK, None, ended_at)
--- a/tests/relay/test_grouping.py
+++ b/tests/relay/test_grouping.py
@@ -157,7 +157,7 @@
     planner = GroupPlanner(HERE, "own:1", board_of(TARGETS), PeerBoard())
     planner.set_peers(PEERS, gathers)
     tried_by_shard = {shard: frozenset(targets) for shard, targets in tried.items()}
-    groups = planner.groups_elsewhere(tried_by_shard, ROUTE, 0.0)
+    groups = planner.groups_elsewhere(tried_by_shard, ROUTE, 0.2, True, 0.0)
     assert sorted((group.address, group.shards) for group in groups) == expected
     assert all(group.repeat for group in groups)
 
@@ -168,10 +168,10 @@
     planner = GroupPlanner(HERE, "own:1", board_of({"a": [THERE]}), peer_board)
     planner.set_peers(tuple(PeerBox(f"there:{n}", THERE) for n in range(5)), True)
     for _ in range(3):
-        (group,) = planner.groups_elsewhere({"a": frozenset()}, ROUTE, 0.0)
+        (group,) = planner.groups_elsewhere({"a": frozenset()}, ROUTE, 0.2, True, 0.0)
         assert group.address == "there:2"
     peer_board.failed("there:2", 0.0)
-    (group,) = planner.groups_elsewhere({"a": frozenset()}, ROUTE, 0.0)
+    (group,) = planner.groups_elsewhere({"a": frozenset()}, ROUTE, 0.2, True, 0.0)
     assert group.address != "there:2"
 
 
--- a/trackwheel/relay/attempts.py
+++ b/trackwheel/relay/attempts.py
@@ -24,6 +24,7 @@
         self._sends = 0
         self._runs = 0
         self._arrivals = int(repeat)
+        self._given = 0
         self.target_by_token: dict[int, Target] = {}
         self.ran = False
         """Whether a target that has answered or broken off may have run it."""
@@ -31,9 +32,17 @@
     def give_away(self, attempts: int, targets: set[str]) -> None:
         """Leave some attempts, and the targets that they will meet, to a peer."""
         self._counted = True
-        self._arrivals = 1
-        self._runs = attempts
-        self._tried = targets
+        self._arrivals += 1
+        self._runs += attempts
+        self._given = attempts
+        self._tried |= targets
+
+    def take_back(self) -> None:
+        """Take that a peer has asked no target and leaves that to others."""
+        self._arrivals -= 1
+        self._runs -= self._given
+        self._given = 0
+        self._counted = self._arrivals > 0
 
     @property
     def tried(self) -> frozenset[str]:
@@ -51,8 +60,8 @@
         self._runs += 1
         self._arrivals += 1
 
-    def peer_lost(self) -> None:
-        """Take that a peer was lost before it told anything: its targets may be asked again."""
+    def forget_tried(self) -> None:
+        """Take that the targets tried so far may be asked again: nobody knows that they were."""
         self._tried.clear()
 
     def choose(
--- a/trackwheel/relay/board.py
+++ b/trackwheel/relay/board.py
@@ -104,6 +104,10 @@
         """Return whether a target stands in another region."""
         return target.place.region != self._place.region
 
+    def is_beside(self, target: Target) -> bool:
+        """Return whether a target stands in this box's failure domain."""
+        return target.place == self._place
+
     def usual_s(self, route: RouteKey, far: bool) -> float:
         """Return the usual time of a route's answers (seconds)."""
         return self._paces.get(route.name, far, route.aim_s).usual_s
--- a/trackwheel/relay/const.py
+++ b/trackwheel/relay/const.py
@@ -53,6 +53,9 @@
 """So many usual times of the second target are left before the aim when it is asked."""
 MAX_SENDS: Final = 4
 """Sends of one request, or of one shard of a query, whatever became of the earlier ones."""
+DECLINE_PACES: Final = 2.0
+"""A shard is left to others when its target here costs so many usual times: that is when a second
+target would be asked anyway."""
 RETURN_MARGIN_S: Final = 0.0105
 """Time kept between the last moment to answer and the aim: both ways to a client (3 ms each
 at the farther site) and timers."""
--- a/trackwheel/relay/gather.py
+++ b/trackwheel/relay/gather.py
@@ -16,12 +16,12 @@
 from trackwheel.relay.attempts import NEVER, Attempts, hedge_time
 from trackwheel.relay.board import Board, RouteKey
 from trackwheel.relay.budget import RepeatBudget
-from trackwheel.relay.const import LOGGED_SHARDS, REPORT_SLACK_S
+from trackwheel.relay.const import DECLINE_PACES, LOGGED_SHARDS, REPORT_SLACK_S
 from trackwheel.relay.gather_models import (
     CancelGroup,
     CancelPart,
+    Declined,
     GatherCommand,
-    Gathered,
     GatherFailed,
     GatherPlan,
     GroupPlan,
@@ -30,15 +30,24 @@
     SendPart,
 )
 from trackwheel.relay.models import Part, TargetEnd
+from trackwheel.relay.parts import PartsIn
 
 
 class Regrouping(Protocol):
     """Find peers beside other targets for shards that are late or failed."""
 
     def groups_elsewhere(
-        self, tried_by_shard: dict[str, frozenset[str]], route: RouteKey, now: float
+        self,
+        tried_by_shard: dict[str, frozenset[str]],
+        route: RouteKey,
+        answer_at: float,
+        repeat: bool,
+        now: float,
     ) -> tuple[GroupPlan, ...]:
-        """Return groups beside targets that were not tried; no shard is in two of them."""
+        """Return groups beside targets that were not tried; no shard is in two of them.
+
+        `repeat` says whether targets were asked for the shards before.
+        """
 
 
 class _Shard:
@@ -83,11 +92,8 @@
         self._shard_by_name = {name: _Shard(name, plan) for name in plan.shards}
         self._group_by_number: dict[int, _Group] = {}
         self._next_group = 0
-        self._part_by_shard: dict[str, Part] = {}
-        self._merged_signature_by_shard: dict[str, bytes] = {}
-        self._merged_records: list[list[bytes]] = []
+        self.parts = PartsIn(plan.shards, plan.top_k)
         self._shard_name_by_token: dict[int, str] = {}
-        self._taken: set[str] = set()
         self._next_token = 0
         self._peers_ran = False
         self._commands: list[GatherCommand] = []
@@ -97,12 +103,40 @@
         """Hand the groups to their peers and ask the best target of each other shard."""
         for group in self.plan.groups:
             self._hand_over(group)
+        own = [name for name, shard in self._shard_by_name.items() if not shard.groups]
         reason = "repeat" if self.plan.repeat else "first"
-        for name, shard in self._shard_by_name.items():
-            if not shard.groups:
+        left_to_others = self._leave_to_others(own, now)
+        for name in own:
+            if name not in left_to_others:
                 self._ask_or_exhaust(name, reason, now)
         return self._finish_or_go_on(now)
 
+    def _leave_to_others(self, names: Sequence[str], now: float) -> set[str]:
+        """Leave shards to other boxes whose best target is not beside this one; return which."""
+        if self.plan.repeat:
+            return set()
+        better = [name for name in names if self._is_better_elsewhere(name, now)]
+        if not self.plan.partial:
+            return self._hand_elsewhere(better, False, now)
+        for name in better:
+            self._shard_by_name[name].exhausted = True
+        if better:
+            self._commands.append(Declined(tuple(better)))
+        return set(better)
+
+    def _is_better_elsewhere(self, name: str, now: float) -> bool:
+        """Return whether the targets beside this box are worse than others, and worse than usual.
+
+        Where all are slow, as under too much load, shards stay: others would send theirs here.
+        """
+        choices = self._board.rank(name, self.plan.route, now)
+        if not choices or self._board.is_beside(choices[0].target):
+            return False
+        beside = next((choice for choice in choices if self._board.is_beside(choice.target)), None)
+        if beside is None or beside.last_resort:
+            return True
+        return beside.cost_s >= DECLINE_PACES * beside.usual_s
+
     def part_ended(
         self, token: int, end: TargetEnd, part: Part | None, now: float
     ) -> list[GatherCommand]:
@@ -113,7 +147,7 @@
         shard = self._shard_by_name[name]
         if part is not None:
             shard.attempts.succeed(token)
-            self._part_by_shard[name] = part
+            self.parts.take(name, part)
             self._withdraw(shard)
             return self._finish_or_go_on(now)
         where = shard.attempts.target_by_token[token].instance
@@ -148,11 +182,28 @@
         group.accepted = True
         group.check_at = NEVER
         self._peers_ran |= ran
-        self._take_merged(group.plan.shards, signature_by_shard, records)
+        for name in self.parts.take_merged(group.plan.shards, signature_by_shard, records):
+            self._withdraw(self._shard_by_name[name])
         if final:
             self._release(number, "lacking", now)
         elif not group.plan.repeat:
-            self._ask_elsewhere(group.plan.shards, "hedge", now)
+            self._ask_elsewhere(self._shards_of(number), "hedge", now)
+        return self._finish_or_go_on(now)
+
+    def group_declined(self, number: int, shards: Sequence[str], now: float) -> list[GatherCommand]:
+        """Take that a peer leaves shards to others, whose targets are better."""
+        if self.ended or number not in self._group_by_number:
+            return []
+        declined = [name for name in self._shards_of(number) if name in shards]
+        for name in declined:
+            self._shard_by_name[name].groups.discard(number)
+            self._shard_by_name[name].attempts.take_back()
+        handed = self._hand_elsewhere(declined, False, now)
+        for name in declined:
+            if name not in handed:
+                # All others have declined too, or nobody is there: any target will do.
+                self._shard_by_name[name].attempts.forget_tried()
+                self._ask_or_exhaust(name, "declined", now)
         return self._finish_or_go_on(now)
 
     def group_lost(self, number: int, now: float) -> list[GatherCommand]:
@@ -186,25 +237,16 @@
         """Return when `tick` is next needed (monotonic seconds)."""
         times = [self.plan.end_at]
         times += [
-            shard.hedge_at for name, shard in self._shard_by_name.items() if not self._has(name)
+            shard.hedge_at for name, shard in self._shard_by_name.items() if name not in self.parts
         ]
         times += [group.check_at for group in self._group_by_number.values()]
         if self._enough() and not self.plan.partial:
             times.append(self.plan.answer_at)
         return min(times)
 
-    def parts(self) -> Gathered:
-        """Return what is in so far."""
-        signature_by_shard = dict(self._merged_signature_by_shard)
-        signature_by_shard |= {name: part.signature for name, part in self._part_by_shard.items()}
-        record_lists = [*self._merged_records]
-        record_lists += [part.records for part in self._part_by_shard.values()]
-        missing = len(self.plan.shards) - len(signature_by_shard)
-        return Gathered(signature_by_shard, record_lists, missing, "")
-
     def lacking(self, limit: int) -> str:
         """Return which shards are not in and why, for the log; no more than a number of them."""
-        names = [name for name in self.plan.shards if not self._has(name)]
+        names = [name for name in self.plan.shards if name not in self.parts]
         return "; ".join(f"{name}: {self._state(name)}" for name in names[:limit])
 
     def _state(self, name: str) -> str:
@@ -216,13 +258,6 @@
             states.append(f"awaited of {', '.join(waited)}")
         return ", ".join(states) or "no target, or no repeat, is left"
 
-    def take_new_parts(self) -> tuple[dict[str, bytes], list[list[bytes]]]:
-        """Return signatures and records of the parts that were not taken before."""
-        new = {name: part for name, part in self._part_by_shard.items() if name not in self._taken}
-        self._taken |= new.keys()
-        signature_by_shard = {name: part.signature for name, part in new.items()}
-        return signature_by_shard, [part.records for part in new.values()]
-
     @property
     def peer_attempts(self) -> int:
         """Return how many targets a peer may run a shard on; what is left is this box's own."""
@@ -239,7 +274,10 @@
         number = self._next_group
         self._next_group += 1
         self._group_by_number[number] = _Group(group)
-        self._commands.append(SendGroup(number, group))
+        floor = self.parts.floor() if group.repeat else b""
+        self._commands.append(SendGroup(number, group, floor))
+        if not group.repeat:
+            self.parts.expect_merged(group.shards)
         for name in group.shards:
             shard = self._shard_by_name[name]
             shard.groups.add(number)
@@ -249,31 +287,10 @@
             else:
                 shard.attempts.give_away(self.peer_attempts, beside)
 
-    def _has(self, name: str) -> bool:
-        return name in self._part_by_shard or name in self._merged_signature_by_shard
-
-    def _take_merged(
-        self, asked: tuple[str, ...], signature_by_shard: dict[str, bytes], records: list[bytes]
-    ) -> None:
-        """Take merged parts instead of those of the same shards that came by themselves."""
-        known = signature_by_shard.keys() & set(asked)
-        if known != signature_by_shard.keys() or known & self._merged_signature_by_shard.keys():
-            # Merged records cannot be taken apart; with a foreign shard among them none count.
-            return
-        if len(known) == 1:
-            self._take_part(signature_by_shard, records)
-        elif known:
-            self._merged_signature_by_shard |= signature_by_shard
-            self._merged_records.append(records)
-        for name in known:
-            if name in self._merged_signature_by_shard:
-                self._part_by_shard.pop(name, None)
-            self._withdraw(self._shard_by_name[name])
-
-    def _take_part(self, signature_by_shard: dict[str, bytes], records: list[bytes]) -> None:
-        """Take a peer's part of one shard, which can give way to merged ones later."""
-        for name, signature in signature_by_shard.items():
-            self._part_by_shard.setdefault(name, Part(signature, records))
+    def _shards_of(self, number: int) -> list[str]:
+        """Return the shards that are left to a peer."""
+        shards = self._group_by_number[number].plan.shards
+        return [name for name in shards if number in self._shard_by_name[name].groups]
 
     def _doubt(self, number: int, group: _Group, now: float) -> None:
         """Go around a peer that did not accept, or did not report in time."""
@@ -284,19 +301,20 @@
             self._lose(number, "peer silent", now)
             return
         # Its parts still count when they come.
-        self._ask_elsewhere(group.plan.shards, "peer late", now)
+        self._ask_elsewhere(self._shards_of(number), "peer late", now)
 
     def _lose(self, number: int, reason: str, now: float) -> None:
         """Await nothing more of a peer that told nothing; its targets may be asked again."""
         # It may have asked them all the same.
         self._peers_ran = True
-        for name in self._group_by_number[number].plan.shards:
-            self._shard_by_name[name].attempts.peer_lost()
+        for name in self._shards_of(number):
+            self._shard_by_name[name].attempts.forget_tried()
         self._release(number, reason, now)
 
     def _release(self, number: int, reason: str, now: float) -> None:
         """Await nothing more of a peer; ask elsewhere for what it did not bring."""
-        shards = self._group_by_number.pop(number).plan.shards
+        shards = self._shards_of(number)
+        del self._group_by_number[number]
         for name in shards:
             self._shard_by_name[name].groups.discard(number)
         self._ask_elsewhere(
@@ -305,13 +323,13 @@
 
     def _ask_elsewhere(self, names: Sequence[str], reason: str, now: float) -> None:
         """Ask once more for shards that are not in: through peers beside other targets, or not."""
-        lacking = [name for name in names if not self._has(name)]
-        handed = self._hand_elsewhere(lacking, now)
+        lacking = [name for name in names if name not in self.parts]
+        handed = self._hand_elsewhere(lacking, True, now)
         for name in lacking:
             if name not in handed:
                 self._ask_or_exhaust(name, reason, now)
 
-    def _hand_elsewhere(self, names: Sequence[str], now: float) -> set[str]:
+    def _hand_elsewhere(self, names: Sequence[str], repeat: bool, now: float) -> set[str]:
         """Hand shards to peers beside targets that were not tried; return which were handed."""
         tried_by_shard = {
             name: self._shard_by_name[name].attempts.tried
@@ -320,7 +338,9 @@
         }
         if self._regrouping is None or not tried_by_shard or now >= self.plan.end_at:
             return set()
-        groups = self._regrouping.groups_elsewhere(tried_by_shard, self.plan.route, now)
+        groups = self._regrouping.groups_elsewhere(
+            tried_by_shard, self.plan.route, self.plan.answer_at, repeat, now
+        )
         for group in groups:
             self._hand_over(group)
         return {name for group in groups for name in group.shards}
@@ -348,11 +368,8 @@
         self._commands.append(SendPart(token, name, target, reason))
         return True
 
-    def _in(self) -> int:
-        return len(self._part_by_shard) + len(self._merged_signature_by_shard)
-
     def _enough(self) -> bool:
-        found = self._in()
+        found = len(self.parts)
         return found > 0 and found / len(self.plan.shards) >= self.plan.least_coverage
 
     def _hopeless(self) -> bool:
@@ -369,9 +386,9 @@
 
     def _finish(self, now: float) -> None:
         waits = any(
-            shard.waits for name, shard in self._shard_by_name.items() if not self._has(name)
+            shard.waits for name, shard in self._shard_by_name.items() if name not in self.parts
         )
-        if self._in() == len(self.plan.shards):
+        if len(self.parts) == len(self.plan.shards):
             self._answer("whole")
         elif self.plan.partial:
             if now >= self.plan.end_at or not waits:
@@ -385,7 +402,7 @@
 
     def _answer(self, reason: str) -> None:
         lacking = self.lacking(LOGGED_SHARDS)
-        gathered = self.parts()._replace(reason=reason, lacking=lacking)
+        gathered = self.parts.gathered()._replace(reason=reason, lacking=lacking)
         self._end()
         self._commands.append(gathered)
 
@@ -400,7 +417,7 @@
         for shard in self._shard_by_name.values():
             self._withdraw(shard)
         for number, group in self._group_by_number.items():
-            if any(not self._has(name) for name in group.plan.shards):
+            if any(name not in self.parts for name in group.plan.shards):
                 self._commands.append(CancelGroup(number, group.plan.address))
         self._group_by_number.clear()
 
--- a/trackwheel/relay/gather_models.py
+++ b/trackwheel/relay/gather_models.py
@@ -31,6 +31,7 @@
 
     route: RouteKey
     shards: tuple[str, ...]
+    top_k: int
     groups: tuple[GroupPlan, ...]
     least_coverage: float
     max_attempts: int
@@ -57,10 +58,11 @@
 
 
 class SendGroup(NamedTuple):
-    """Command: hand a group of shards to its peer."""
+    """Command: hand a group of shards to its peer; records below `floor` are not needed."""
 
     number: int
     group: GroupPlan
+    floor: bytes
 
 
 class CancelGroup(NamedTuple):
@@ -70,6 +72,12 @@
     address: str
 
 
+class Declined(NamedTuple):
+    """Command: tell the sender of a group that others should ask for some of its shards."""
+
+    shards: tuple[str, ...]
+
+
 class PeerSilent(NamedTuple):
     """Command: note that a peer showed no life in time."""
 
@@ -97,5 +105,12 @@
 
 
 GatherCommand = (
-    SendPart | CancelPart | SendGroup | CancelGroup | PeerSilent | Gathered | GatherFailed
+    SendPart
+    | CancelPart
+    | SendGroup
+    | CancelGroup
+    | Declined
+    | PeerSilent
+    | Gathered
+    | GatherFailed
 )
--- a/trackwheel/relay/grouping.py
+++ b/trackwheel/relay/grouping.py
@@ -63,9 +63,17 @@
         )
 
     def groups_elsewhere(
-        self, tried_by_shard: dict[str, frozenset[str]], route: RouteKey, now: float
+        self,
+        tried_by_shard: dict[str, frozenset[str]],
+        route: RouteKey,
+        answer_at: float,
+        repeat: bool,
+        now: float,
     ) -> tuple[GroupPlan, ...]:
-        """Return groups for shards that are late or failed, beside targets that were not tried."""
+        """Return groups beside targets that were not tried, for shards late, failed or declined.
+
+        `repeat` says whether targets were asked for the shards before.
+        """
         left = {
             shard
             for shard, tried in tried_by_shard.items()
@@ -92,8 +100,8 @@
                 group.peer.place,
                 group.shards,
                 self._accept_by(group.peer.address, now),
-                self._usual_report(route, group.peer.address, now),
-                True,
+                self._report_by(route, group.peer.address, answer_at, now),
+                repeat,
             )
             for group in groups
         )
--- a/trackwheel/relay/groups.py
+++ b/trackwheel/relay/groups.py
@@ -14,6 +14,7 @@
 from trackwheel.relay.gather import Gather
 from trackwheel.relay.gather_models import (
     CancelGroup,
+    Declined,
     Gathered,
     GatherFailed,
     GatherPlan,
@@ -25,6 +26,7 @@
 from trackwheel.relay.peers import (
     GroupAccepted,
     GroupCancel,
+    GroupDeclined,
     GroupForward,
     GroupParts,
     PeerBoard,
@@ -84,6 +86,7 @@
         self.peer_board = PeerBoard(hub.is_linked)
         hub.register(GroupForward, self._take_forward)
         hub.register(GroupAccepted, self._take_accepted)
+        hub.register(GroupDeclined, self._take_declined)
         hub.register(GroupParts, self._take_parts)
         hub.register(GroupCancel, self._take_cancel)
         hub.on_link_lost(self._link_lost)
@@ -145,13 +148,14 @@
             body=request.http.body,
             route=plan.route.name,
             shards=list(group.shards),
-            top_k=task.top_k,
+            top_k=plan.top_k,
             max_attempts=1 if group.repeat else task.gather.peer_attempts,
             aim_ms=plan.route.aim_s * MILLISECONDS,
             report_in_ms=left_ms(group.report_by),
             answer_in_ms=left_ms(plan.answer_at - REPORT_MARGIN_S),
             end_in_ms=max(0.0, request.deadline - now) * MILLISECONDS,
             repeat=group.repeat,
+            floor=command.floor,
         )
 
     def _take_accepted(self, sender: PeerIdentity, message: GroupAccepted) -> None:
@@ -163,6 +167,18 @@
         handed.run.task.gather.group_accepted(handed.number)
         handed.run.perform([])
 
+    def _take_declined(self, sender: PeerIdentity, message: GroupDeclined) -> None:
+        handed = self._handed_by_id.get(message.group_id)
+        if handed is None or handed.address != sender.address:
+            return
+        names = [handed.shards[place] for place in message.shards]
+        task = handed.run.task
+        self._log.write(
+            "group_declined", id=task.request.request_id, peer=sender.box_id, shards=len(names)
+        )
+        gather = task.gather
+        handed.run.perform(gather.group_declined(handed.number, names, time.monotonic()))
+
     def _take_parts(self, sender: PeerIdentity, message: GroupParts) -> None:
         handed = self._handed_by_id.get(message.group_id)
         if handed is None or handed.address != sender.address:
@@ -201,11 +217,18 @@
             self,
             lambda result: self._finished(sender, key, result),
             lambda: self._part_came(sender, key),
+            lambda command: self._send_declined(sender, message, command),
         )
         if not taken.at_once:
             taken.report.set(now + reports[0] / MILLISECONDS)
         taken.run.start()
 
+    def _send_declined(
+        self, sender: PeerIdentity, forward: GroupForward, command: Declined
+    ) -> None:
+        places = [place for place, name in enumerate(forward.shards) if name in command.shards]
+        self._hub.send(sender.address, GroupDeclined(forward.group_id, places))
+
     def _report_in_time(
         self, sender: PeerIdentity, key: tuple[str, str], taken_at: float, reports: deque[float]
     ) -> None:
@@ -233,6 +256,7 @@
         plan = GatherPlan(
             route=RouteKey(message.route, message.aim_ms / MILLISECONDS),
             shards=tuple(message.shards),
+            top_k=message.top_k,
             groups=(),
             least_coverage=0.0,
             max_attempts=message.max_attempts,
@@ -241,7 +265,7 @@
             partial=True,
             repeat=message.repeat,
         )
-        return GatherTask(request, Gather(plan, self._board, self._budget), message.top_k)
+        return GatherTask(request, Gather(plan, self._board, self._budget))
 
     def _finished(
         self, sender: PeerIdentity, key: tuple[str, str], result: Gathered | GatherFailed
@@ -268,7 +292,7 @@
         if taken is None or taken.run is None:
             return
         gather, forward = taken.run.task.gather, taken.forward
-        signature_by_shard, records = gather.take_new_parts()
+        signature_by_shard, records = gather.parts.take_unreported()
         if forward.repeat:
             # The shards were asked elsewhere too: the sender takes whichever part comes first.
             for (name, signature), part in zip(signature_by_shard.items(), records, strict=True):
@@ -289,7 +313,7 @@
         forward = taken.forward
         places = [place for place, name in enumerate(forward.shards) if name in signature_by_shard]
         signatures = [signature_by_shard[forward.shards[place]] for place in places]
-        merged = merge_records(records, forward.top_k)
+        merged = merge_records(records, forward.top_k, forward.floor)
         ran = taken.run.task.gather.may_have_run
         message = GroupParts(forward.group_id, places, signatures, merged, final, ran)
         self._hub.send(sender.address, message)
--- a/trackwheel/relay/merge.py
+++ b/trackwheel/relay/merge.py
@@ -17,6 +17,10 @@
     return nlargest(top_k, split_records(body))
 
 
-def merge_records(record_lists: Iterable[list[bytes]], top_k: int) -> bytes:
-    """Return the greatest records of all parts, falling; equal ones all count."""
-    return b"".join(nlargest(top_k, (record for records in record_lists for record in records)))
+def merge_records(record_lists: Iterable[list[bytes]], top_k: int, floor: bytes = b"") -> bytes:
+    """Return the greatest records of all parts that are above a floor, falling.
+
+    Equal ones all count.
+    """
+    above = (record for records in record_lists for record in records if record > floor)
+    return b"".join(nlargest(top_k, above))
--- a/trackwheel/relay/peers.py
+++ b/trackwheel/relay/peers.py
@@ -12,7 +12,7 @@
 
     The peer reports what is in at `report_in_ms`, again at `answer_in_ms`, and sends each part that
     comes later as it comes. With `repeat`, other targets were asked for the shards before: the
-    peer asks those beside it and no others, and pays for that.
+    peer asks those beside it and no others, and pays for that. Only records above `floor` are sent.
     """
 
     group_id: str
@@ -32,6 +32,7 @@
     answer_in_ms: float
     end_in_ms: float
     repeat: bool
+    floor: bytes
 
 
 class GroupAccepted(NamedTuple):
@@ -40,6 +41,13 @@
     group_id: str
 
 
+class GroupDeclined(NamedTuple):
+    """Leave shards, by place in the request, to others whose targets are better."""
+
+    group_id: str
+    shards: list[int]
+
+
 class GroupParts(NamedTuple):
     """Bring parts: shards by place in the request, their signatures, their greatest records.
 
@@ -60,7 +68,7 @@
     group_id: str
 
 
-RELAY_MESSAGES: Final = (GroupForward, GroupAccepted, GroupParts, GroupCancel)
+RELAY_MESSAGES: Final = (GroupForward, GroupAccepted, GroupDeclined, GroupParts, GroupCancel)
 
 
 class PeerBox(NamedTuple):
--- a/trackwheel/relay/runs.py
+++ b/trackwheel/relay/runs.py
@@ -8,6 +8,7 @@
 from trackwheel.relay.gather_models import (
     CancelGroup,
     CancelPart,
+    Declined,
     GatherCommand,
     Gathered,
     GatherFailed,
@@ -34,7 +35,6 @@
 
     request: CallerRequest
     gather: Gather
-    top_k: int
 
 
 class GroupSender(Protocol):
@@ -63,6 +63,7 @@
         groups: GroupSender,
         on_done: Callable[[Gathered | GatherFailed], None],
         on_part: Callable[[], None] | None = None,
+        on_declined: Callable[[Declined], None] | None = None,
     ) -> None:
         self.task = task
         self._gather = task.gather
@@ -70,6 +71,7 @@
         self._groups = groups
         self._on_done = on_done
         self._on_part = on_part
+        self._on_declined = on_declined
         self._timer = Timer(self._tick)
         self._token_by_number: dict[int, object] = {}
 
@@ -96,6 +98,9 @@
                     self._groups.send_group(self, command)
                 case CancelGroup():
                     self._groups.cancel_group(self, command)
+                case Declined():
+                    assert self._on_declined is not None, "only what a peer asked for is declined"
+                    self._on_declined(command)
                 case PeerSilent():
                     self._groups.peer_silent(command)
                 case Gathered() | GatherFailed():
@@ -114,7 +119,7 @@
         self._token_by_number.pop(number, None)
         part = None
         if end.outcome is Outcome.OK and end.answer is not None:
-            part = Part(end.signature, greatest_records(end.answer.body, self.task.top_k))
+            part = Part(end.signature, greatest_records(end.answer.body, self._gather.plan.top_k))
         self.perform(self._gather.part_ended(number, end, part, time.monotonic()))
         if part is not None and self._on_part is not None:
             self._on_part()
--- a/trackwheel/relay/service.py
+++ b/trackwheel/relay/service.py
@@ -134,7 +134,7 @@
             )
             exchange.respond(answer)
 
-        task = GatherTask(caller, gather, route.top_k)
+        task = GatherTask(caller, gather)
         run = GatherRun(task, self._transport, self._groups, done)
         exchange.on_gone = lambda: self._leave(caller, route.name, run)
         run.start()
@@ -154,6 +154,7 @@
         return GatherPlan(
             route=key,
             shards=route.shards,
+            top_k=route.top_k,
             groups=self._planner.first_groups(route.shards, key, answer_at, now),
             least_coverage=route.least_coverage,
             max_attempts=route.max_attempts,
