Divide a shard's allowance among the boxes beside its targets, and a single service's among all

The allowance of a shard was divided by the 12 boxes that ask targets, of which only the six beside its own targets send repeats for it.

Ruled out: the whole allowance without a reserve (views of the fleet differ while boxes come and go).

Change: the budget knows which services are shards and where their targets are; four fifths of a shard's part go to the boxes beside them. 0.8 of the allowance is used instead of 0.7: since boxes wait for a window after their start, the reserve covers views that differ and nothing else.

--- a/trackwheel/entry/box.py
+++ b/trackwheel/entry/box.py
@@ -2,6 +2,8 @@
 
 import os
 import time
+from collections import Counter
+from itertools import chain
 from typing import Final
 
 from trackwheel.directory.models import DIRECTORY_MESSAGES
@@ -163,18 +165,32 @@
         others = [box for box in boxes if box.address != own.address]
         asks = own.address in gatherers
         self.relay.set_peers(tuple(box for box in others if box.address in gatherers), asks)
-        self.budget.set_members(len(members), len(gatherers), asks, time.monotonic())
+        now = time.monotonic()
+        self.budget.set_members(len(members), now)
+        askers = Counter(box.place.failure_domain for box in boxes if box.address in gatherers)
+        self.budget.set_askers(askers, own.failure_domain, asks, now)
         self._set_connection_limits()
 
     def _take_routes(self, table: RouteTable) -> None:
         self.fleet.set_files_revision(table.version)
         self.relay.set_table(table)
         self._set_connection_limits()
+        self._set_shards()
 
     def _take_targets(self, targets_by_service: dict[str, tuple[Target, ...]]) -> None:
         self.board.set_targets(targets_by_service)
         instances = {t.instance for found in targets_by_service.values() for t in found}
         self.transport.keep_only(instances)
+        self._set_shards()
+
+    def _set_shards(self) -> None:
+        """Tell the budget which services are shards, and where their targets are."""
+        table = self.directory.table
+        if table is None:
+            return
+        routes = chain.from_iterable(table.routes_by_host.values())
+        shards = {shard for route in routes for shard in route.shards}
+        self.budget.set_shards({shard: self.board.domains(shard) for shard in shards})
 
     def _set_connection_limits(self) -> None:
         table = self.directory.table
--- a/trackwheel/relay/board.py
+++ b/trackwheel/relay/board.py
@@ -100,6 +100,10 @@
         """Return the known targets of a service."""
         return self._targets_by_service.get(service, ())
 
+    def domains(self, service: str) -> frozenset[str]:
+        """Return the failure domains in which a service has targets."""
+        return frozenset(target.place.failure_domain for target in self.targets(service))
+
     def is_far(self, target: Target) -> bool:
         """Return whether a target stands in another region."""
         return target.place.region != self._place.region
--- a/trackwheel/relay/budget.py
+++ b/trackwheel/relay/budget.py
@@ -5,6 +5,7 @@
 """
 
 from collections import deque
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from trackwheel.relay.const import (
@@ -78,23 +79,36 @@
         self._born = born
         self._asks_since: float | None = None
         self._members = RecentMost(MEMBERS_MEMORY_S)
-        self._askers = RecentMost(MEMBERS_MEMORY_S)
+        self._askers_by_domain: dict[str, RecentMost] = {}
+        self._own_domain = ""
+        self._domains_by_shard: dict[str, frozenset[str]] = {}
         self._firsts_by_service: dict[str, SlidingCount] = {}
         self._repeats_by_service: dict[str, SlidingCount] = {}
         self.denied = 0
 
-    def set_members(self, members: int, askers: int, asks: bool, now: float) -> None:
-        """Take how many boxes are known, how many ask targets for the others, and if this does.
+    def set_members(self, members: int, now: float) -> None:
+        """Take how many boxes are known.
 
         The most of the last minute count: a box that is cut off thinks that it is alone.
         """
         self._members.add(members, now)
-        self._askers.add(askers, now)
+
+    def set_askers(
+        self, askers_by_domain: Mapping[str, int], own_domain: str, asks: bool, now: float
+    ) -> None:
+        """Take how many boxes of each failure domain ask targets for others, and if this does."""
+        for domain, askers in askers_by_domain.items():
+            self._askers_by_domain.setdefault(domain, RecentMost(MEMBERS_MEMORY_S)).add(askers, now)
+        self._own_domain = own_domain
         if not asks:
             self._asks_since = None
         elif self._asks_since is None:
             self._asks_since = now
 
+    def set_shards(self, domains_by_shard: dict[str, frozenset[str]]) -> None:
+        """Take in which failure domains the targets of each shard are."""
+        self._domains_by_shard = domains_by_shard
+
     def first(self, service: str, now: float) -> None:
         """Count a first request for a service."""
         self._count(self._firsts_by_service, service).add(now)
@@ -105,27 +119,38 @@
         # wherever it begins, then holds more than the rule says.
         firsts = self._count(self._firsts_by_service, service).total(now, BUDGET_BUCKETS - 1)
         repeats = self._count(self._repeats_by_service, service).total(now, BUDGET_BUCKETS + 1)
-        if repeats + 1 > firsts * self._rule.ratio * BUDGET_SAFETY + self._extra(now):
+        if repeats + 1 > firsts * self._rule.ratio * BUDGET_SAFETY + self._extra(service, now):
             self.denied += 1
             return False
         self._count(self._repeats_by_service, service).add(now)
         return True
 
-    def _extra(self, now: float) -> float:
-        """Return this box's part of the fixed allowance.
+    def _extra(self, service: str, now: float) -> float:
+        """Return this box's part of the fixed allowance for a service.
 
         None in the first window of its life: another box, or an earlier life of this one, may
-        have used it, and at its start a box does not know yet how many there are. The larger part
-        is shared by the boxes that ask targets; one that begins to waits for a window, in which
-        the part of the box before it runs out.
+        have used it, and at its start a box does not know yet how many there are.
         """
         if self._is_new(self._born, now) or not self._members.most:
             return 0.0
         allowance = self._rule.extra * BUDGET_SHARE_OF_EXTRA
+        domains = self._domains_by_shard.get(service)
+        if domains is None:
+            return allowance / self._members.most
         extra = allowance * BUDGET_SHARE_OF_ALL / self._members.most
-        if self._asks_since is not None and not self._is_new(self._asks_since, now):
-            extra += allowance * (1.0 - BUDGET_SHARE_OF_ALL) / self._askers.most
-        return extra
+        return extra + allowance * (1.0 - BUDGET_SHARE_OF_ALL) * self._asker_share(domains, now)
+
+    def _asker_share(self, domains: frozenset[str], now: float) -> float:
+        """Return this box's share of what the boxes beside a shard's targets divide.
+
+        A box that begins to ask targets waits for a window, in which the part of the box before
+        it runs out.
+        """
+        waits = self._asks_since is None or self._is_new(self._asks_since, now)
+        if waits or self._own_domain not in domains:
+            return 0.0
+        known = domains & self._askers_by_domain.keys()
+        return 1.0 / max(1, sum(self._askers_by_domain[domain].most for domain in known))
 
     def _is_new(self, since: float, now: float) -> bool:
         return now - since < self._rule.window_s
--- a/trackwheel/relay/const.py
+++ b/trackwheel/relay/const.py
@@ -66,11 +66,11 @@
 
 BUDGET_SAFETY: Final = 0.8
 """Part of the allowed ratio of repeats that is used; the rest covers counts that differ."""
-BUDGET_SHARE_OF_EXTRA: Final = 0.7
+BUDGET_SHARE_OF_EXTRA: Final = 0.8
 """Part of the fixed allowance that members divide; the rest covers views that differ."""
 BUDGET_SHARE_OF_ALL: Final = 0.2
-"""Part of that which all boxes divide, for requests around peers; the rest is for those boxes
-that ask targets, which send nearly all repeats: with equal parts half of them were denied."""
+"""Part of that which all boxes divide for a shard, for requests around peers; the rest is for the
+boxes beside its targets that ask them for others, since those send nearly all repeats."""
 MEMBERS_MEMORY_S: Final = 60.0
 """How long the largest number of members counts: a box that is cut off thinks it is alone."""
 BUDGET_BUCKETS: Final = 20
