Keep a gather's costs for each event independent of how many shards the query has

Cause: after each answer the gather looked at every shard three times (who waits, who is lost, when the next hedge is due), so that a query over 135 shards cost 135 x 135 looks.

Ruled out: fewer shards a message (more messages cost more).

Change: the shards that are not in, the lost ones and a heap of hedge times are kept as they change. Whether a shard is better left to others looks at the targets beside the box first, and ranks all of them only when those are poor.

--- a/trackwheel/relay/gather.py
+++ b/trackwheel/relay/gather.py
@@ -11,6 +11,7 @@
 """
 
 from collections.abc import Sequence
+from heapq import heappop, heappush
 from typing import Protocol
 
 from trackwheel.relay.attempts import NEVER, Attempts, hedge_time
@@ -56,8 +57,6 @@
     def __init__(self, name: str, plan: GatherPlan) -> None:
         self.attempts = Attempts(name, plan.max_attempts, plan.repeat)
         self.groups: set[int] = set()
-        self.hedge_at = NEVER
-        self.exhausted = False
         self.last_failure = ""
 
     @property
@@ -90,6 +89,10 @@
         self._budget = budget
         self._regrouping = regrouping
         self._shard_by_name = {name: _Shard(name, plan) for name in plan.shards}
+        self._lacking_by_name = dict(self._shard_by_name)
+        self._hedges: list[tuple[float, str]] = []
+        """A heap of times and shards; those that are in by then are passed over."""
+        self._exhausted: set[str] = set()
         self._group_by_number: dict[int, _Group] = {}
         self._next_group = 0
         self.parts = PartsIn(plan.shards, plan.top_k)
@@ -118,8 +121,7 @@
         better = [name for name in names if self._is_better_elsewhere(name, now)]
         if not self.plan.partial:
             return self._hand_elsewhere(better, False, now)
-        for name in better:
-            self._shard_by_name[name].exhausted = True
+        self._exhausted.update(better)
         if better:
             self._commands.append(Declined(tuple(better)))
         return set(better)
@@ -129,13 +131,11 @@
 
         Where all are slow, as under too much load, shards stay: others would send theirs here.
         """
+        for choice in self._board.rank(name, self.plan.route, now, only_beside=True):
+            if not choice.last_resort and choice.cost_s < DECLINE_PACES * choice.usual_s:
+                return False
         choices = self._board.rank(name, self.plan.route, now)
-        if not choices or self._board.is_beside(choices[0].target):
-            return False
-        beside = next((choice for choice in choices if self._board.is_beside(choice.target)), None)
-        if beside is None or beside.last_resort:
-            return True
-        return beside.cost_s >= DECLINE_PACES * beside.usual_s
+        return bool(choices) and not self._board.is_beside(choices[0].target)
 
     def part_ended(
         self, token: int, end: TargetEnd, part: Part | None, now: float
@@ -148,7 +148,7 @@
         if part is not None:
             shard.attempts.succeed(token)
             self.parts.take(name, part)
-            self._withdraw(shard)
+            self._came_in(name)
             return self._finish_or_go_on(now)
         where = shard.attempts.target_by_token[token].instance
         shard.last_failure = f"{end.outcome.value} at {where}"
@@ -183,7 +183,7 @@
         group.check_at = NEVER
         self._peers_ran |= ran
         for name in self.parts.take_merged(group.plan.shards, signature_by_shard, records):
-            self._withdraw(self._shard_by_name[name])
+            self._came_in(name)
         if final:
             self._release(number, "lacking", now)
         elif not group.plan.repeat:
@@ -220,9 +220,9 @@
         for number, group in list(self._group_by_number.items()):
             if group.check_at <= now:
                 self._doubt(number, group, now)
-        due = [name for name, shard in self._shard_by_name.items() if shard.hedge_at <= now]
-        for name in due:
-            self._shard_by_name[name].hedge_at = NEVER
+        due: list[str] = []
+        while self._next_hedge() <= now:
+            due.append(heappop(self._hedges)[1])
         self._ask_elsewhere(due, "hedge", now)
         return self._finish_or_go_on(now)
 
@@ -235,18 +235,21 @@
 
     def next_wake(self) -> float:
         """Return when `tick` is next needed (monotonic seconds)."""
-        times = [self.plan.end_at]
-        times += [
-            shard.hedge_at for name, shard in self._shard_by_name.items() if name not in self.parts
-        ]
+        times = [self.plan.end_at, self._next_hedge()]
         times += [group.check_at for group in self._group_by_number.values()]
         if self._enough() and not self.plan.partial:
             times.append(self.plan.answer_at)
         return min(times)
 
+    def _next_hedge(self) -> float:
+        """Return when the next shard is late that is not in."""
+        while self._hedges and self._hedges[0][1] not in self._lacking_by_name:
+            heappop(self._hedges)
+        return self._hedges[0][0] if self._hedges else NEVER
+
     def lacking(self, limit: int) -> str:
         """Return which shards are not in and why, for the log; no more than a number of them."""
-        names = [name for name in self.plan.shards if name not in self.parts]
+        names = list(self._lacking_by_name)
         return "; ".join(f"{name}: {self._state(name)}" for name in names[:limit])
 
     def _state(self, name: str) -> str:
@@ -348,7 +351,7 @@
     def _ask_or_exhaust(self, name: str, reason: str, now: float) -> None:
         shard = self._shard_by_name[name]
         if not self._ask(name, reason, now) and not shard.waits:
-            shard.exhausted = True
+            self._exhausted.add(name)
 
     def _ask(self, name: str, reason: str, now: float) -> bool:
         """Send a shard to one more target; return False when there is none or it may not."""
@@ -364,17 +367,21 @@
         shard.attempts.begin(token, target)
         self._shard_name_by_token[token] = name
         if len(shard.attempts.target_by_token) == 1:
-            shard.hedge_at = hedge_time(choices, self.plan.answer_at, now)
+            self._plan_hedge(name, hedge_time(choices, self.plan.answer_at, now))
         self._commands.append(SendPart(token, name, target, reason))
         return True
 
+    def _plan_hedge(self, name: str, at: float) -> None:
+        if at < NEVER:
+            heappush(self._hedges, (at, name))
+
     def _enough(self) -> bool:
         found = len(self.parts)
         return found > 0 and found / len(self.plan.shards) >= self.plan.least_coverage
 
     def _hopeless(self) -> bool:
         """Return whether too many shards can no longer come."""
-        lost = sum(shard.exhausted for shard in self._shard_by_name.values())
+        lost = len(self._exhausted)
         total = len(self.plan.shards)
         return (total - lost) / total < self.plan.least_coverage or lost == total
 
@@ -385,9 +392,7 @@
         return commands
 
     def _finish(self, now: float) -> None:
-        waits = any(
-            shard.waits for name, shard in self._shard_by_name.items() if name not in self.parts
-        )
+        waits = any(shard.waits for shard in self._lacking_by_name.values())
         if len(self.parts) == len(self.plan.shards):
             self._answer("whole")
         elif self.plan.partial:
@@ -421,6 +426,12 @@
                 self._commands.append(CancelGroup(number, group.plan.address))
         self._group_by_number.clear()
 
+    def _came_in(self, name: str) -> None:
+        """Await nothing more for a shard."""
+        self._withdraw(self._shard_by_name[name])
+        self._lacking_by_name.pop(name, None)
+        self._exhausted.discard(name)
+
     def _withdraw(self, shard: _Shard) -> None:
         for token, target in shard.attempts.target_by_token.items():
             self._shard_name_by_token.pop(token, None)
