Soak real boxes under seeded faults from outside, and check what clients and targets saw

Change: soak/ draws overlapping faults from a seed (kill, stop, freeze and reload of boxes; store down, silent, without history; links to the store and to targets delayed, reset, silent, cut one way by a loopback proxy; targets that shed, fail, reset, slow down and leave; new configurations) and runs real boxes as processes under them. Clients keep their connections until a box closes them; a balancer looks at /ready as the users' platform does. Checked: whole and own answers with true coverage; at most once and "not run" as targets saw it; nobody waits past the deadline; no request cut but by a kill or freeze; no older configuration again; a leaving target left alone; everything whole at the end. One seed runs in the tests.

--- /dev/null
+++ b/soak/clients.py
@@ -0,0 +1,117 @@
+"""Clients that keep their connections, and what they were told."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from random import Random
+from typing import NamedTuple
+
+import aiohttp
+
+from soak.const import CLIENT_PAUSE_S, DEADLINE_S, MISSES_UNTIL_OUT, READY_PERIOD_S
+from standins.entry_fleet import HOST, EntryPlace
+
+
+class Told(NamedTuple):
+    """What a client was told of one request; status 0 is a connection that ended."""
+
+    request_id: str
+    kind: str
+    box: str
+    began: float
+    ended: float
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class Balancer:
+    """Send new connections to boxes that call themselves ready, as the users' platform does.
+
+    A box is out after two questions in a row without a 200; when fewer than half are in, all are
+    used. Open connections stay where they are.
+    """
+
+    def __init__(self, seed: int, places: list[EntryPlace]) -> None:
+        self._random = Random(seed)
+        self._places = places
+        self._misses_by_box = dict.fromkeys((place.name for place in places), 0)
+
+    def pick(self) -> EntryPlace:
+        """Return the box for a new connection."""
+        ready = [p for p in self._places if self._misses_by_box[p.name] < MISSES_UNTIL_OUT]
+        enough = 2 * len(ready) >= len(self._places)
+        return self._random.choice(ready if enough else self._places)
+
+    async def run(self, until: float) -> None:
+        """Ask every box once a second until a moment (monotonic seconds)."""
+        async with aiohttp.ClientSession() as session:
+            while time.monotonic() < until:
+                await asyncio.gather(*(self._look(session, place) for place in self._places))
+                await asyncio.sleep(READY_PERIOD_S)
+
+    async def _look(self, session: aiohttp.ClientSession, place: EntryPlace) -> None:
+        limit = aiohttp.ClientTimeout(total=READY_PERIOD_S)
+        try:
+            async with session.get(f"http://{place.readiness}/ready", timeout=limit) as answer:
+                ready = answer.status == 200
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            ready = False
+        self._misses_by_box[place.name] = 0 if ready else self._misses_by_box[place.name] + 1
+
+
+class Client:
+    """Send requests over one connection until that ends, then over one to another box."""
+
+    def __init__(self, seed: int, number: int, balancer: Balancer, told: list[Told]) -> None:
+        self._random = Random(seed * 1_000 + number)
+        self._number = number
+        self._balancer = balancer
+        self._told = told
+        self._sent = 0
+
+    async def run(self, until: float, version: Callable[[], int]) -> None:
+        """Ask until a moment (monotonic seconds); `version` tells the newest configuration."""
+        while time.monotonic() < until:
+            place = self._balancer.pick()
+            connector = aiohttp.TCPConnector(limit=1)
+            async with aiohttp.ClientSession(connector=connector) as session:
+                while time.monotonic() < until and await self._ask(session, place, version):
+                    await asyncio.sleep(self._random.random() * CLIENT_PAUSE_S)
+            await asyncio.sleep(CLIENT_PAUSE_S)
+
+    async def _ask(
+        self, session: aiohttp.ClientSession, place: EntryPlace, version: Callable[[], int]
+    ) -> bool:
+        """Send one request; return whether its connection can be used on."""
+        kind = self._random.choice("qqqlov")
+        path = f"/{kind}/x"
+        if kind == "v":
+            kind = f"v{version()}"
+            path = f"/{kind}/"
+        self._sent += 1
+        request_id = f"{self._number:04x}{self._sent:012x}"
+        headers = {
+            "Host": HOST,
+            "X-Attempt-Id": request_id,
+            "X-Deadline-Ms": str(int(DEADLINE_S * 1000)),
+        }
+        began = time.monotonic()
+        status, body = 0, b""
+        answered: dict[str, str] = {}
+        try:
+            method = "POST" if kind == "o" else "GET"
+            data = b"promise" if kind == "o" else None
+            url = f"http://{place.front}{path}"
+            limit = aiohttp.ClientTimeout(total=2 * DEADLINE_S)
+            async with session.request(
+                method, url, headers=headers, data=data, timeout=limit
+            ) as answer:
+                body = await answer.read()
+                status = answer.status
+                answered = {name.lower(): value for name, value in answer.headers.items()}
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            status = 0
+        ended = time.monotonic()
+        self._told.append(Told(request_id, kind, place.name, began, ended, status, answered, body))
+        return status > 0 and answered.get("connection", "").lower() != "close"
--- /dev/null
+++ b/soak/const.py
@@ -0,0 +1,32 @@
+"""Numbers of the soak."""
+
+from typing import Final
+
+SHARDS: Final = tuple(f"shard-{number}" for number in range(6))
+TOP_K: Final = 4
+LEAST_COVERAGE: Final = 0.6
+DEADLINE_S: Final = 2.0
+CLIENTS: Final = 10
+CLIENT_PAUSE_S: Final = 0.08
+"""Longest rest of a client between two requests: some 150 requests a second in all."""
+READY_PERIOD_S: Final = 1.0
+"""How often the balancer asks a box whether it is ready, as on the users' platform."""
+MISSES_UNTIL_OUT: Final = 2
+"""Questions in a row without a 200 after which a box gets no new connections, as there."""
+FIRST_FAULT_S: Final = 0.5
+FAULTS_PER_S: Final = 1.2
+"""Faults last up to `LONGEST_FAULT_S`, so that two or three overlap as a rule."""
+SHORTEST_FAULT_S: Final = 0.2
+LONGEST_FAULT_S: Final = 3.0
+SETTLE_S: Final = 6.0
+"""Time without faults at the end, after which everything must be whole again."""
+DRAIN_S: Final = 3.0
+"""How long after its notice a leaving target may get new work, as the settings say."""
+CONTACT_S: Final = 4.0
+"""Promises with a time bound are checked when nothing was disturbed for so long before."""
+LATE_S: Final = 0.7
+"""How much later than a client's deadline an answer may come on a busy machine."""
+GRACE_S: Final = 4.0
+"""Time that a box has to finish after SIGTERM, as the settings say."""
+CUT_SLACK_S: Final = 0.3
+"""How long after its cause a disturbance may still show at a client."""
--- a/standins/entry_fleet.py
+++ b/standins/entry_fleet.py
@@ -88,7 +88,7 @@
                 readiness=readiness,
                 control=control,
                 seeds=",".join(controls[:3]),
-                store=self._store_running.address,
+                store=self.reach(f"store-of-{name}", self._store_running.address),
             )
             (self._folder / f"{name}.conf").write_text(text)
             self.boxes.append(
@@ -112,6 +112,10 @@
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
 
+    def reach(self, name: str, address: str) -> str:
+        """Return the address at which boxes reach a store or a target; a proxy has another one."""
+        return address
+
     def call(self, coroutine: Coroutine[Any, Any, T]) -> T:
         """Run a coroutine among the stand-ins and return its result."""
         return asyncio.run_coroutine_threadsafe(coroutine, self._loop).result(10.0)
@@ -136,6 +140,7 @@
         """Start a target and let it write its entry."""
         target = ShardTarget(instance, service)
         self.call(target.start())
+        target.address = self.reach(instance, target.address)
         self.target_by_instance[instance] = target
         self.put(f"servers/{instance}", target.entry(zone=zone))
         return target
--- a/standins/shard_target.py
+++ b/standins/shard_target.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 
 from aiohttp import web
 
@@ -11,7 +12,7 @@
 
 
 class ShardTarget:
-    """Serve one service; `runs` notes the id of each request that ran."""
+    """Serve one service; `runs` notes the id of each request that ran, `run_times` when."""
 
     def __init__(self, instance: str, service: str) -> None:
         self.instance = instance
@@ -20,6 +21,7 @@
         self.delay_s = 0.0
         self.fault = ""
         self.runs: list[str] = []
+        self.run_times: list[float] = []
         self.left = 0
         self._running: Running | None = None
 
@@ -59,6 +61,7 @@
         if self.fault == "shed":
             return web.Response(status=503, headers={"X-Not-Executed": "1"})
         self.runs.append(attempt)
+        self.run_times.append(time.monotonic())
         body = await request.read()
         try:
             await asyncio.sleep(self.delay_s)
--- /dev/null
+++ b/tests/soak/test_run.py
@@ -0,0 +1,17 @@
+"""Seeds of the soak against real boxes: a fresh fleet, and every seed that failed once."""
+
+from pathlib import Path
+
+import pytest
+
+from soak.run import run_soak
+
+SECONDS = 12.0
+
+
+@pytest.mark.parametrize("seed", [2], ids="seed-{}".format)
+def test_no_promise_is_broken(seed: int, tmp_path: Path) -> None:
+    verdict = run_soak(seed, SECONDS, 4, tmp_path)
+    assert verdict.broken == []
+    assert verdict.faults >= 5
+    assert verdict.answers_by_status[200] > 500
