--- a/tests/directory/test_service.py
+++ b/tests/directory/test_service.py
@@ -67,6 +67,7 @@
         TargetDirectory({}),
         Watching(time.monotonic(), True),
         log,  # type: ignore[arg-type]
+        3.0,
     )
     service.set_peers(True, ["10.0.0.2:1"], ["10.0.1.1:1"])
     return service, hub, log
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -34,6 +34,7 @@
     assert settings.seeds == ("10.1.0.9:8106", "10.2.0.21:8106")
     assert settings.budget == (0.2, 10.0, 54.0)
     assert settings.grace_s == 6.0
+    assert settings.drain_s == 3.0
 
 
 @pytest.mark.parametrize(
--- a/trackwheel/directory/const.py
+++ b/trackwheel/directory/const.py
@@ -24,7 +24,8 @@
 """How often a box that does not watch looks whether it should."""
 ROUTES_REST_S: Final = 0.05
 """Pause between two watches of the routes, so that a storm of versions costs fewer calls."""
-TARGETS_REST_S: Final = 0.6
-"""The same for targets; a fifth of the time in which a leaving target must be left alone."""
+TARGETS_REST_SHARE: Final = 0.2
+"""The same for targets, as part of the time in which a leaving one gets its last work; their
+heartbeats end each watch within a second, and each call is paid for."""
 PACK_LEVEL: Final = 1
 """zlib's fastest level: a megabyte of routes would hold a link of 10 Mbit/s for a second a peer."""
--- a/trackwheel/directory/service.py
+++ b/trackwheel/directory/service.py
@@ -16,7 +16,7 @@
     RETRY_LONGEST_S,
     ROUTES_REST_S,
     SYNCED_S,
-    TARGETS_REST_S,
+    TARGETS_REST_SHARE,
     WATCH_WAIT_S,
 )
 from trackwheel.directory.models import (
@@ -51,12 +51,14 @@
         targets: TargetDirectory,
         watching: Watching,
         log: EventLog,
+        drain_s: float,
     ) -> None:
         self._hub = hub
         self._source = source
         self._targets = targets
         self._watching = watching
         self._log = log
+        self._targets_rest_s = drain_s * TARGETS_REST_SHARE
         self._packed = b""
         self._store_answered_at = float("-inf")
         self._store_lost = False
@@ -133,7 +135,7 @@
             self._source.read_targets,
             self._source.watch_targets,
             self._take_targets_read,
-            TARGETS_REST_S,
+            self._targets_rest_s,
         )
 
     async def _follow(
--- a/trackwheel/entry/box.py
+++ b/trackwheel/entry/box.py
@@ -84,6 +84,7 @@
             TargetDirectory(settings.region_by_failure_domain),
             Watching(now, first=settings.peers in settings.seeds),
             self.log,
+            settings.drain_s,
         )
         wire = PlatformWire()
         self.board = Board(place, seed=os.getpid())
--- a/trackwheel/platform/settings.py
+++ b/trackwheel/platform/settings.py
@@ -7,6 +7,7 @@
 from trackwheel.relay.budget import BudgetRule
 from trackwheel.relay.models import Place
 from trackwheel.settings import split_address
+from trackwheel.units import MILLISECONDS
 
 SETTINGS_VARIABLE: Final = "TRACKWHEEL_CONFIG"
 """Environment variable with the path of the settings file."""
@@ -29,6 +30,7 @@
     seeds: tuple[str, ...]
     store: str
     grace_s: float
+    drain_s: float
     budget: BudgetRule
 
 
@@ -90,6 +92,7 @@
         seeds=_words(lines.value_by_key.get("seeds", "")),
         store=lines.address("platform.address"),
         grace_s=lines.number("bounds.grace_s"),
+        drain_s=lines.number("bounds.drain_ms") / MILLISECONDS,
         budget=BudgetRule(
             lines.number("bounds.retry_budget_ratio"),
             lines.number("bounds.retry_window_s"),
