Explain a request from the logs of several boxes

Cause: on the platform there is no operators' address to ask; on-call engineers have logs, and had to grep an id over all boxes and read the lines by hand.

Change: `trackwheel explain ID LOG...` prints what each box wrote of a request, the answering box last, and the cause of its end (telemetry/story.py, no I/O). Lines of other programs, and prefixes before a line's object, are passed over.

Ruled out: one order of time over all boxes (their steady clocks do not compare, their time of day jumps).

--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -24,6 +24,7 @@
         pytest.param(["check", "nothing.ini"], 1, id="no-file"),
         pytest.param(["show", "--box=127.0.0.1:9"], 1, id="no-box"),
         pytest.param(["serve", "nothing.ini"], 1, id="no-settings"),
+        pytest.param(["explain", "a", "nothing.log"], 1, id="no-log"),
         pytest.param(["dance"], 2, id="unknown-command"),
         pytest.param([], 2, id="nothing"),
     ],
@@ -42,6 +43,22 @@
     assert all(str(bad) in error for error in report["errors"])
 
 
+def test_explain_reads_logs_of_several_boxes(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    logs = [tmp_path / "one.log", tmp_path / "two.log"]
+    logs[0].write_text('{"at":1.0,"box":"b-1","event":"client_left","id":"a","took_ms":9.0}\n')
+    logs[1].write_text('{"at":5.0,"box":"b-2","event":"group_end","id":"a","shards":3}\n')
+    argv = ["explain", "a", *map(str, logs)]
+    assert main(argv) == 0
+    shown = capsys.readouterr().out.splitlines()
+    assert shown[0] == "b-2 5.000 group_end shards=3"
+    assert shown[-1] == "cause: the client left after 9.0 ms"
+    assert main([*argv, "--json"]) == 0
+    assert json.loads(capsys.readouterr().out)["cause"] == "the client left after 9.0 ms"
+    assert main(["explain", "other", str(logs[0])]) == 1
+
+
 def test_commands_against_a_fleet(
     fleet: SmallFleet, tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
--- a/trackwheel/cli.py
+++ b/trackwheel/cli.py
@@ -7,6 +7,7 @@
   trackwheel apply FILE [--box=ADDRESS] [--by=NAME] [--expect=VERSION] [--json] [options]
   trackwheel show [NAME] [--box=ADDRESS] [--json] [options]
   trackwheel query SERVICE [TEXT] --key-file=PATH [--callers=ADDRESS] [--json] [options]
+  trackwheel explain ID FILE... [--json]
   trackwheel explain ID [--box=ADDRESS] [--json] [options]
   trackwheel burn [--box=ADDRESS]... [--html=PATH] [--json] [options]
   trackwheel (-h | --help)
@@ -20,7 +21,8 @@
   apply    Put one operators' file in force, as a whole, and wait for the boxes.
   show     Show what is in force, where and since when; with NAME, that file's text.
   query    Ask a service as a group; the group's key is read from a file.
-  explain  Show the steps of one query at the box that answered it.
+  explain  Show the steps of one query at the box that answered it, or, with log files of
+           boxes on the platform, what they wrote of one request and why it ended so.
   burn     Report how fast groups use up their error budgets at services.
 
 Options:
@@ -54,6 +56,7 @@
 from trackwheel.telemetry.burn import merge_rows
 from trackwheel.telemetry.burn_page import render_page
 from trackwheel.telemetry.models import BurnRow
+from trackwheel.telemetry.story import LogLine, read_log, tell_story
 
 EXIT_DONE: Final = 0
 EXIT_FAILED: Final = 1
@@ -233,6 +236,8 @@
 
 
 def _explain(arguments: Arguments) -> int:
+    if arguments["FILE"]:
+        return _explain_logs(arguments)
     report = _call(arguments, "GET", _box(arguments), f"/v1/explain/{arguments['ID']}")
     if arguments["--json"]:
         _print_json(report)
@@ -251,6 +256,26 @@
     return EXIT_DONE if "steps" in report else EXIT_FAILED
 
 
+def _explain_logs(arguments: Arguments) -> int:
+    """Tell the story of a request from the logs of several boxes."""
+    lines: list[LogLine] = []
+    for name in arguments["FILE"]:
+        try:
+            lines += read_log(Path(name).read_text(encoding="utf-8", errors="replace"))
+        except OSError as error:
+            raise CommandError(f"{name}: {error.strerror}; name a log file") from error
+    story = tell_story(lines, arguments["ID"])
+    if arguments["--json"]:
+        _print_json({"cause": story.cause, "lines": [line._asdict() for line in story.lines]})
+    else:
+        for line in story.lines:
+            shown = {name: value for name, value in line.fields.items() if name != "id"}
+            fields = " ".join(f"{name}={value}" for name, value in shown.items())
+            print(f"{line.box} {line.at:.3f} {line.event} {fields}")
+        print(f"cause: {story.cause}")
+    return EXIT_DONE if story.lines else EXIT_FAILED
+
+
 def _burn(arguments: Arguments) -> int:
     rows: list[BurnRow] = []
     for box in arguments["--box"]:
--- /dev/null
+++ b/trackwheel/telemetry/story.py
@@ -0,0 +1,80 @@
+"""The story of one request, from the log lines of several boxes on the platform."""
+
+import json
+from collections.abc import Iterable
+from typing import Any, Final, NamedTuple
+
+ENDS: Final = ("query_whole", "query_partial", "request_end", "given_up", "client_left", "no_route")
+"""Events with which the box that took a request says how it ended."""
+
+
+class LogLine(NamedTuple):
+    """One event; `at` is steady time of its own box, not comparable with that of others."""
+
+    box: str
+    at: float
+    event: str
+    fields: dict[str, Any]
+
+
+class Story(NamedTuple):
+    """What boxes wrote of one request, the answering box last, and the cause of its end."""
+
+    lines: list[LogLine]
+    cause: str
+
+
+def read_log(text: str) -> list[LogLine]:
+    """Return the events of a log; whatever stands before a line's object is passed over."""
+    found: list[LogLine] = []
+    for line in text.splitlines():
+        start = line.find("{")
+        try:
+            fields = json.loads(line[start:]) if start >= 0 else None
+        except ValueError:
+            # Lines of other programs, and the last one of a box that was killed.
+            continue
+        if isinstance(fields, dict) and {"at", "box", "event"} <= fields.keys():
+            keys = (fields.pop("box"), fields.pop("at"), fields.pop("event"))
+            found.append(LogLine(*keys, fields))
+    return found
+
+
+def tell_story(lines: Iterable[LogLine], request_id: str) -> Story:
+    """Return what boxes wrote of a request and why it ended as it did."""
+    own = [line for line in lines if line.fields.get("id") == request_id]
+    end = next((line for line in own if line.event in ENDS), None)
+    answering = end.box if end else ""
+    own.sort(key=lambda line: (line.box == answering, line.box, line.at))
+    return Story(own, _cause(own, end))
+
+
+def _cause(lines: list[LogLine], end: LogLine | None) -> str:
+    if not lines:
+        return "no box wrote of it: another id, or its lines were left out (`left_out`)"
+    if end is None:
+        return "no box wrote its end: the box that took it ended, or left the line out"
+    took = f"after {end.fields.get('took_ms')} ms"
+    match end.event:
+        case "client_left":
+            return f"the client left {took}"
+        case "no_route":
+            return f"version {end.fields.get('version')} has no route for {end.fields.get('path')}"
+        case "given_up":
+            ran = "targets may have run it" if end.fields.get("ran") else "no target ran it"
+            return f"given up {took}, {ran}: {_why(lines, end)}"
+        case "query_partial":
+            return f"answered {took} ({end.fields.get('reason')}) without {_why(lines, end)}"
+    return f"answered {took}"
+
+
+def _why(lines: list[LogLine], end: LogLine) -> str:
+    """Return what is known of the shards that lack, or of the target that failed last."""
+    lacking = end.fields.get("lacking")
+    if lacking:
+        return str(lacking)
+    failed = [line.fields for line in lines if line.event == "target_failed"]
+    if not failed:
+        return str(end.fields.get("reason", "no reason is known"))
+    last = failed[-1]
+    return f"{last.get('outcome')} at {last.get('target')} ({last.get('detail')})"
