Let a box that asks targets itself pass its own slow target over

Cause: reading the planner with the gather: a box beside the shard's slow target left the shard to others, but the planner leaves out shards whose own failure domain has an untried target in use, so that nothing was handed and the far target was asked directly over a new connection. Tests with a fake planner did not show it; one with the real planner fails first.

Change: targets beside this box count as passed over before the planner is asked, and are usable again when no peer takes the shard.

--- a/tests/relay/test_gather.py
+++ b/tests/relay/test_gather.py
@@ -6,7 +6,7 @@
 from trackwheel.relay.board import Board, RouteKey
 from trackwheel.relay.budget import BudgetRule, RepeatBudget
 from trackwheel.relay.const import MAX_SENDS
-from trackwheel.relay.gather import Gather
+from trackwheel.relay.gather import Gather, Regrouping
 from trackwheel.relay.gather_models import (
     CancelGroup,
     CancelPart,
@@ -20,7 +20,9 @@
     SendGroup,
     SendPart,
 )
+from trackwheel.relay.grouping import GroupPlanner
 from trackwheel.relay.models import Outcome, Part
+from trackwheel.relay.peers import PeerBoard, PeerBox
 
 SHARDS = tuple(f"s{number}" for number in range(10))
 ANSWER_AT = 0.18
@@ -62,7 +64,7 @@
         max_attempts: int = 2,
         partial: bool = False,
         repeat: bool = False,
-        elsewhere: "Elsewhere | None" = None,
+        elsewhere: Regrouping | None = None,
     ) -> None:
         plan = GatherPlan(
             ROUTE, SHARDS, TOP_K, groups, least, max_attempts, ANSWER_AT, END_AT, partial, repeat
@@ -547,6 +549,17 @@
         assert {sent.shard for sent in session.sent} == set(SHARDS[1:])
 
 
+def test_own_slow_target_is_passed_over_with_the_real_planner(
+    board: Board, budget: RepeatBudget
+) -> None:
+    planner = GroupPlanner(HERE, "own:1", board, PeerBoard())
+    planner.set_peers((PeerBox("there:1", THERE),), True)
+    make_slow(board, "s0-near")
+    session = Session(board, budget, elsewhere=planner)
+    assert [command.group[:3] for command in session.groups] == [("there:1", THERE, ("s0",))]
+    assert {sent.shard for sent in session.sent} == set(SHARDS[1:])
+
+
 def test_late_shards_are_asked_for_records_that_can_count(
     board: Board, budget: RepeatBudget
 ) -> None:
--- a/trackwheel/relay/attempts.py
+++ b/trackwheel/relay/attempts.py
@@ -60,6 +60,10 @@
         self._runs += 1
         self._arrivals += 1
 
+    def pass_over(self, targets: set[str]) -> None:
+        """Leave some targets out of the choice, as if they had been tried."""
+        self._tried |= targets
+
     def forget_tried(self) -> None:
         """Take that the targets tried so far may be asked again: nobody knows that they were."""
         self._tried.clear()
--- a/trackwheel/relay/gather.py
+++ b/trackwheel/relay/gather.py
@@ -120,12 +120,23 @@
             return set()
         better = [name for name in names if self._is_better_elsewhere(name, now)]
         if not self.plan.partial:
-            return self._hand_elsewhere(better, False, now)
+            return self._hand_past_own(better, now)
         self._exhausted.update(better)
         if better:
             self._commands.append(Declined(tuple(better)))
         return set(better)
 
+    def _hand_past_own(self, names: Sequence[str], now: float) -> set[str]:
+        """Hand shards to peers beside targets of other failure domains; return which were."""
+        for name in names:
+            beside = {t.instance for t in self._board.targets(name) if self._board.is_beside(t)}
+            self._shard_by_name[name].attempts.pass_over(beside)
+        handed = self._hand_elsewhere(names, False, now)
+        for name in names:
+            if name not in handed:
+                self._shard_by_name[name].attempts.forget_tried()
+        return handed
+
     def _is_better_elsewhere(self, name: str, now: float) -> bool:
         """Return whether the targets beside this box are worse than others, and worse than usual.
 
