Pass over a peer's message that names shards it was not asked for

The test fails first with an IndexError.

Change: such a message is passed over and logged (`peer_message_rejected`); the group goes on as if it had not come, and is gone around when its time is over.

--- a/trackwheel/relay/groups.py
+++ b/trackwheel/relay/groups.py
@@ -10,7 +10,7 @@
 from trackwheel.peers.models import PeerIdentity
 from trackwheel.relay.board import Board, RouteKey
 from trackwheel.relay.budget import RepeatBudget
-from trackwheel.relay.const import REPORT_MARGIN_S
+from trackwheel.relay.const import LOGGED_SHARDS, REPORT_MARGIN_S
 from trackwheel.relay.gather import Gather
 from trackwheel.relay.gather_models import (
     CancelGroup,
@@ -49,6 +49,12 @@
         self.asked_at = now
         self.accepted = False
 
+    def names_at(self, places: list[int]) -> list[str] | None:
+        """Return the shards at some places of the request; None when one is out of range."""
+        if not all(0 <= place < len(self.shards) for place in places):
+            return None
+        return [self.shards[place] for place in places]
+
 
 class _Taken:
     """A group that this box gathers for a peer."""
@@ -171,7 +177,10 @@
         handed = self._handed_by_id.get(message.group_id)
         if handed is None or handed.address != sender.address:
             return
-        names = [handed.shards[place] for place in message.shards]
+        names = handed.names_at(message.shards)
+        if names is None:
+            self._reject(sender, message)
+            return
         task = handed.run.task
         self._log.write(
             "group_declined", id=task.request.request_id, peer=sender.box_id, shards=len(names)
@@ -183,14 +192,14 @@
         handed = self._handed_by_id.get(message.group_id)
         if handed is None or handed.address != sender.address:
             return
+        names = handed.names_at(message.shards)
+        if names is None or len(names) != len(message.signatures):
+            self._reject(sender, message)
+            return
         if message.final:
             del self._handed_by_id[message.group_id]
         gather = handed.run.task.gather
-        names = handed.shards
-        signature_by_shard = {
-            names[place]: signature
-            for place, signature in zip(message.shards, message.signatures, strict=True)
-        }
+        signature_by_shard = dict(zip(names, message.signatures, strict=True))
         records = split_records(message.records)
         now = time.monotonic()
         handed.run.perform(
@@ -199,6 +208,15 @@
             )
         )
 
+    def _reject(self, sender: PeerIdentity, message: GroupDeclined | GroupParts) -> None:
+        """Pass over what names shards that were not asked for; the group goes on as if unsaid."""
+        self._log.write(
+            "peer_message_rejected",
+            peer=sender.box_id,
+            message=type(message).__name__,
+            shards=str(message.shards[:LOGGED_SHARDS]),
+        )
+
     def _take_forward(self, sender: PeerIdentity, message: GroupForward) -> None:
         """Gather a group for a peer."""
         now = time.monotonic()
