Plan groups in one place, and call the boxes that ask targets gatherers everywhere

Reading the additions: the planner built a GroupPlan in two places with the same times, its method took five arguments that the gather's plan holds, and the budget called `askers` what the glossary calls gatherers. No behaviour changes; tests follow the names.

--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -677,7 +677,7 @@
         BUDGET,
         "a box asks targets in the place of another one that used its part",
         REPEATS + "test_box_that_takes_the_place_of_another_waits_for_a_window",
-        Mutant("trackwheel/relay/budget.py", " or self._is_new(self._asks_since, now)", ""),
+        Mutant("trackwheel/relay/budget.py", " or self._is_new(self._gathers_since, now)", ""),
     ),
     Row(
         PLATFORM,
--- a/tests/relay/test_budget.py
+++ b/tests/relay/test_budget.py
@@ -90,15 +90,15 @@
 """A shard with targets in two failure domains."""
 
 
-@pytest.mark.parametrize("askers", [1, 3, 14], ids=str)
-def test_boxes_beside_the_targets_share_most_of_the_allowance(askers: int) -> None:
+@pytest.mark.parametrize("gatherers", [1, 3, 14], ids=str)
+def test_boxes_beside_the_targets_share_most_of_the_allowance(gatherers: int) -> None:
     """Whatever the division, all boxes together stay within it, and most of it can be used."""
     taken_by_domain = dict.fromkeys("abcdef", 0)
     for domain in taken_by_domain:
         for box in range(14):
             budget = RepeatBudget(LARGE_RULE, OLD)
             budget.set_members(84, OLD)
-            budget.set_askers(dict.fromkeys("abcdef", askers), domain, box < askers, OLD)
+            budget.set_gatherers(dict.fromkeys("abcdef", gatherers), domain, box < gatherers, OLD)
             budget.set_shards(SHARD)
             taken_by_domain[domain] += sum(budget.take("s", 0.0) for _ in range(200))
     assert LARGE_RULE.extra * 0.5 < sum(taken_by_domain.values()) <= LARGE_RULE.extra
@@ -108,7 +108,7 @@
 def test_service_that_every_box_asks_is_shared_evenly() -> None:
     budget = RepeatBudget(LARGE_RULE, OLD)
     budget.set_members(10, OLD)
-    budget.set_askers({"a": 1}, "a", False, OLD)
+    budget.set_gatherers({"a": 1}, "a", False, OLD)
     budget.set_shards(SHARD)
     assert sum(budget.take("single", 0.0) for _ in range(100)) >= LARGE_RULE.extra * 0.7 // 10
 
@@ -118,10 +118,10 @@
     budget = RepeatBudget(RULE, OLD)
     budget.set_members(20, OLD)
     budget.set_shards({"s": frozenset("a"), "t": frozenset("a")})
-    budget.set_askers({"a": 2}, "a", False, OLD)
+    budget.set_gatherers({"a": 2}, "a", False, OLD)
     before = sum(budget.take("s", 0.0) for _ in range(100))
-    budget.set_askers({"a": 2}, "a", True, 0.1)
+    budget.set_gatherers({"a": 2}, "a", True, 0.1)
     assert sum(budget.take("s", 9.9) for _ in range(100)) == 0
     assert sum(budget.take("s", 11.2) for _ in range(100)) > before
-    budget.set_askers({"a": 2}, "a", False, 12.0)
+    budget.set_gatherers({"a": 2}, "a", False, 12.0)
     assert not budget.take("t", 12.0)
--- a/tests/relay/test_gather.py
+++ b/tests/relay/test_gather.py
@@ -3,7 +3,7 @@
 import pytest
 
 from tests.relay.conftest import HERE, ROUTE, THERE, end
-from trackwheel.relay.board import Board, RouteKey
+from trackwheel.relay.board import Board
 from trackwheel.relay.budget import BudgetRule, RepeatBudget
 from trackwheel.relay.const import MAX_SENDS
 from trackwheel.relay.gather import Gather, Regrouping
@@ -40,8 +40,7 @@
     def groups_elsewhere(
         self,
         tried_by_shard: dict[str, frozenset[str]],
-        route: RouteKey,
-        answer_at: float,
+        plan: GatherPlan,
         repeat: bool,
         now: float,
     ) -> tuple[GroupPlan, ...]:
--- a/tests/relay/test_grouping.py
+++ b/tests/relay/test_grouping.py
@@ -5,6 +5,7 @@
 from tests.relay.conftest import HERE, ROUTE, THERE, target
 from trackwheel.relay.board import Board
 from trackwheel.relay.const import PEER_AVOID_S
+from trackwheel.relay.gather_models import GatherPlan
 from trackwheel.relay.gatherers import choose_gatherers
 from trackwheel.relay.grouping import GroupPlanner, group_far_shards
 from trackwheel.relay.models import Place, Target
@@ -109,6 +110,7 @@
     assert chosen - {lost} <= after
 
 
+PLAN = GatherPlan(ROUTE, ("a", "b", "c", "d"), 3, (), 0.8, 2, 0.2, 1.0, False)
 TARGETS = {"a": [HERE, THERE], "b": [HERE, THERE, YONDER], "c": [HERE, YONDER], "d": [BESIDE]}
 """Places of the targets of four shards; each target is named after its shard and place."""
 
@@ -157,7 +159,7 @@
     planner = GroupPlanner(HERE, "own:1", board_of(TARGETS), PeerBoard())
     planner.set_peers(PEERS, gathers)
     tried_by_shard = {shard: frozenset(targets) for shard, targets in tried.items()}
-    groups = planner.groups_elsewhere(tried_by_shard, ROUTE, 0.2, True, 0.0)
+    groups = planner.groups_elsewhere(tried_by_shard, PLAN, True, 0.0)
     assert sorted((group.address, group.shards) for group in groups) == expected
     assert all(group.repeat for group in groups)
 
@@ -168,10 +170,10 @@
     planner = GroupPlanner(HERE, "own:1", board_of({"a": [THERE]}), peer_board)
     planner.set_peers(tuple(PeerBox(f"there:{n}", THERE) for n in range(5)), True)
     for _ in range(3):
-        (group,) = planner.groups_elsewhere({"a": frozenset()}, ROUTE, 0.2, True, 0.0)
+        (group,) = planner.groups_elsewhere({"a": frozenset()}, PLAN, True, 0.0)
         assert group.address == "there:2"
     peer_board.failed("there:2", 0.0)
-    (group,) = planner.groups_elsewhere({"a": frozenset()}, ROUTE, 0.2, True, 0.0)
+    (group,) = planner.groups_elsewhere({"a": frozenset()}, PLAN, True, 0.0)
     assert group.address != "there:2"
 
 
--- a/trackwheel/entry/box.py
+++ b/trackwheel/entry/box.py
@@ -164,12 +164,12 @@
         ]
         gatherers = choose_gatherers(boxes)
         others = [box for box in boxes if box.address != own.address]
-        asks = own.address in gatherers
-        self.relay.set_peers(tuple(box for box in others if box.address in gatherers), asks)
+        gathers = own.address in gatherers
+        self.relay.set_peers(tuple(box for box in others if box.address in gatherers), gathers)
         now = time.monotonic()
         self.budget.set_members(len(members), now)
-        askers = Counter(box.place.failure_domain for box in boxes if box.address in gatherers)
-        self.budget.set_askers(askers, own.failure_domain, asks, now)
+        domains = (box.place.failure_domain for box in boxes if box.address in gatherers)
+        self.budget.set_gatherers(Counter(domains), own.failure_domain, gathers, now)
         self._set_connection_limits()
 
     def _take_routes(self, table: RouteTable) -> None:
--- a/trackwheel/relay/budget.py
+++ b/trackwheel/relay/budget.py
@@ -77,9 +77,9 @@
     def __init__(self, rule: BudgetRule, born: float) -> None:
         self._rule = rule
         self._born = born
-        self._asks_since: float | None = None
+        self._gathers_since: float | None = None
         self._members = RecentMost(MEMBERS_MEMORY_S)
-        self._askers_by_domain: dict[str, RecentMost] = {}
+        self._gatherers_by_domain: dict[str, RecentMost] = {}
         self._own_domain = ""
         self._domains_by_shard: dict[str, frozenset[str]] = {}
         self._firsts_by_service: dict[str, SlidingCount] = {}
@@ -93,17 +93,19 @@
         """
         self._members.add(members, now)
 
-    def set_askers(
-        self, askers_by_domain: Mapping[str, int], own_domain: str, asks: bool, now: float
+    def set_gatherers(
+        self, gatherers_by_domain: Mapping[str, int], own_domain: str, gathers: bool, now: float
     ) -> None:
         """Take how many boxes of each failure domain ask targets for others, and if this does."""
-        for domain, askers in askers_by_domain.items():
-            self._askers_by_domain.setdefault(domain, RecentMost(MEMBERS_MEMORY_S)).add(askers, now)
+        for domain, gatherers in gatherers_by_domain.items():
+            self._gatherers_by_domain.setdefault(domain, RecentMost(MEMBERS_MEMORY_S)).add(
+                gatherers, now
+            )
         self._own_domain = own_domain
-        if not asks:
-            self._asks_since = None
-        elif self._asks_since is None:
-            self._asks_since = now
+        if not gathers:
+            self._gathers_since = None
+        elif self._gathers_since is None:
+            self._gathers_since = now
 
     def set_shards(self, domains_by_shard: dict[str, frozenset[str]]) -> None:
         """Take in which failure domains the targets of each shard are."""
@@ -138,19 +140,19 @@
         if domains is None:
             return allowance / self._members.most
         extra = allowance * BUDGET_SHARE_OF_ALL / self._members.most
-        return extra + allowance * (1.0 - BUDGET_SHARE_OF_ALL) * self._asker_share(domains, now)
+        return extra + allowance * (1.0 - BUDGET_SHARE_OF_ALL) * self._gatherer_share(domains, now)
 
-    def _asker_share(self, domains: frozenset[str], now: float) -> float:
+    def _gatherer_share(self, domains: frozenset[str], now: float) -> float:
         """Return this box's share of what the boxes beside a shard's targets divide.
 
         A box that begins to ask targets waits for a window, in which the part of the box before
         it runs out.
         """
-        waits = self._asks_since is None or self._is_new(self._asks_since, now)
+        waits = self._gathers_since is None or self._is_new(self._gathers_since, now)
         if waits or self._own_domain not in domains:
             return 0.0
-        known = domains & self._askers_by_domain.keys()
-        return 1.0 / max(1, sum(self._askers_by_domain[domain].most for domain in known))
+        known = domains & self._gatherers_by_domain.keys()
+        return 1.0 / max(1, sum(self._gatherers_by_domain[domain].most for domain in known))
 
     def _is_new(self, since: float, now: float) -> bool:
         return now - since < self._rule.window_s
--- a/trackwheel/relay/gather.py
+++ b/trackwheel/relay/gather.py
@@ -15,7 +15,7 @@
 from typing import Protocol
 
 from trackwheel.relay.attempts import NEVER, Attempts, hedge_time
-from trackwheel.relay.board import Board, RouteKey
+from trackwheel.relay.board import Board
 from trackwheel.relay.budget import RepeatBudget
 from trackwheel.relay.const import DECLINE_PACES, LOGGED_SHARDS, REPORT_SLACK_S
 from trackwheel.relay.gather_models import (
@@ -40,8 +40,7 @@
     def groups_elsewhere(
         self,
         tried_by_shard: dict[str, frozenset[str]],
-        route: RouteKey,
-        answer_at: float,
+        plan: GatherPlan,
         repeat: bool,
         now: float,
     ) -> tuple[GroupPlan, ...]:
@@ -352,9 +351,7 @@
         }
         if self._regrouping is None or not tried_by_shard or now >= self.plan.end_at:
             return set()
-        groups = self._regrouping.groups_elsewhere(
-            tried_by_shard, self.plan.route, self.plan.answer_at, repeat, now
-        )
+        groups = self._regrouping.groups_elsewhere(tried_by_shard, self.plan, repeat, now)
         for group in groups:
             self._hand_over(group)
         return {name for group in groups for name in group.shards}
--- a/trackwheel/relay/grouping.py
+++ b/trackwheel/relay/grouping.py
@@ -12,7 +12,7 @@
     LEAST_GROUP,
     LEAST_GROUP_ELSEWHERE,
 )
-from trackwheel.relay.gather_models import GroupPlan
+from trackwheel.relay.gather_models import GatherPlan, GroupPlan
 from trackwheel.relay.models import Place
 from trackwheel.relay.peers import PeerBoard, PeerBox
 
@@ -50,23 +50,12 @@
         groups = group_far_shards(
             shards, self._own, self._gathers, self._peers, self._board, self._peer_board, now
         )
-        return tuple(
-            GroupPlan(
-                group.peer.address,
-                group.peer.place,
-                group.shards,
-                self._accept_by(group.peer.address, now),
-                self._report_by(route, group.peer.address, answer_at, now),
-                False,
-            )
-            for group in groups
-        )
+        return tuple(self._plan(group, route, answer_at, False, now) for group in groups)
 
     def groups_elsewhere(
         self,
         tried_by_shard: dict[str, frozenset[str]],
-        route: RouteKey,
-        answer_at: float,
+        plan: GatherPlan,
         repeat: bool,
         now: float,
     ) -> tuple[GroupPlan, ...]:
@@ -94,17 +83,16 @@
             ):
                 groups.append(ShardGroup(peer, tuple(sorted(held))))
                 left -= held
-        return tuple(
-            GroupPlan(
-                group.peer.address,
-                group.peer.place,
-                group.shards,
-                self._accept_by(group.peer.address, now),
-                self._report_by(route, group.peer.address, answer_at, now),
-                repeat,
-            )
-            for group in groups
-        )
+        return tuple(self._plan(group, plan.route, plan.answer_at, repeat, now) for group in groups)
+
+    def _plan(
+        self, group: ShardGroup, route: RouteKey, answer_at: float, repeat: bool, now: float
+    ) -> GroupPlan:
+        """Return a group with the times at which its peer should have accepted and reported."""
+        address = group.peer.address
+        accept_by = now + self._peer_board.round_trip_s(address) + ACCEPT_SLACK_S
+        report_by = self._report_by(route, address, answer_at, now)
+        return GroupPlan(address, group.peer.place, group.shards, accept_by, report_by, repeat)
 
     def links_wanted(self) -> list[str]:
         """Return the peers to which links should stand before late shards go there.
@@ -134,17 +122,12 @@
             yield _by_place(self._peer_board.linked(near))
             yield _by_place(near)
 
-    def _accept_by(self, address: str, now: float) -> float:
-        return now + self._peer_board.round_trip_s(address) + ACCEPT_SLACK_S
-
     def _report_by(self, route: RouteKey, address: str, answer_at: float, now: float) -> float:
         """Return when a peer reports what is in: other targets can then still be asked."""
         latest = answer_at - HEDGE_RESERVE_PACES * self._board.usual_s(route, far=True)
-        return max(latest, self._usual_report(route, address, now))
-
-    def _usual_report(self, route: RouteKey, address: str, now: float) -> float:
         usual_s = self._peer_board.round_trip_s(address)
-        return now + usual_s + HEDGE_EARLIEST_PACES * self._board.usual_s(route, far=False)
+        usual_s += HEDGE_EARLIEST_PACES * self._board.usual_s(route, far=False)
+        return max(latest, now + usual_s)
 
 
 def group_far_shards(
