--- a/trackwheel/relay/gather.py
+++ b/trackwheel/relay/gather.py
@@ -11,10 +11,9 @@
 """
 
 from collections.abc import Sequence
-from heapq import heappop, heappush
 from typing import Protocol
 
-from trackwheel.relay.attempts import NEVER, Attempts, hedge_time
+from trackwheel.relay.attempts import NEVER, hedge_time
 from trackwheel.relay.board import Board
 from trackwheel.relay.budget import RepeatBudget
 from trackwheel.relay.const import DECLINE_PACES, LOGGED_SHARDS, REPORT_SLACK_S
@@ -32,6 +31,7 @@
 )
 from trackwheel.relay.models import Part, TargetEnd
 from trackwheel.relay.parts import PartsIn
+from trackwheel.relay.shards import Shard, ShardBook
 
 
 class Regrouping(Protocol):
@@ -50,20 +50,6 @@
         """
 
 
-class _Shard:
-    """Follow one shard."""
-
-    def __init__(self, name: str, plan: GatherPlan) -> None:
-        self.attempts = Attempts(name, plan.max_attempts, plan.repeat)
-        self.groups: set[int] = set()
-        self.last_failure = ""
-
-    @property
-    def waits(self) -> bool:
-        """Return whether an answer may still come."""
-        return bool(self.attempts.target_by_token or self.groups)
-
-
 class _Group:
     """Follow the shards that a peer gathers."""
 
@@ -87,11 +73,7 @@
         self._board = board
         self._budget = budget
         self._regrouping = regrouping
-        self._shard_by_name = {name: _Shard(name, plan) for name in plan.shards}
-        self._lacking_by_name = dict(self._shard_by_name)
-        self._hedges: list[tuple[float, str]] = []
-        """A heap of times and shards; those that are in by then are passed over."""
-        self._exhausted: set[str] = set()
+        self._shards = ShardBook(plan)
         self._group_by_number: dict[int, _Group] = {}
         self._next_group = 0
         self.parts = PartsIn(plan.shards, plan.top_k)
@@ -105,12 +87,12 @@
         """Hand the groups to their peers and ask the best target of each other shard."""
         for group in self.plan.groups:
             self._hand_over(group)
-        own = [name for name, shard in self._shard_by_name.items() if not shard.groups]
+        own = self._shards.without_group()
         reason = "repeat" if self.plan.repeat else "first"
         left_to_others = self._leave_to_others(own, now)
         for name in own:
             if name not in left_to_others:
-                self._ask_or_exhaust(name, reason, now)
+                self._ask_or_lose(name, reason, now)
         return self._finish_or_go_on(now)
 
     def _leave_to_others(self, names: Sequence[str], now: float) -> set[str]:
@@ -120,7 +102,7 @@
         better = [name for name in names if self._is_better_elsewhere(name, now)]
         if not self.plan.partial:
             return self._hand_past_own(better, now)
-        self._exhausted.update(better)
+        self._shards.lose(better)
         if better:
             self._commands.append(Declined(tuple(better)))
         return set(better)
@@ -129,11 +111,11 @@
         """Hand shards to peers beside targets of other failure domains; return which were."""
         for name in names:
             beside = {t.instance for t in self._board.targets(name) if self._board.is_beside(t)}
-            self._shard_by_name[name].attempts.pass_over(beside)
+            self._shards[name].attempts.pass_over(beside)
         handed = self._hand_elsewhere(names, False, now)
         for name in names:
             if name not in handed:
-                self._shard_by_name[name].attempts.forget_tried()
+                self._shards[name].attempts.forget_tried()
         return handed
 
     def _is_better_elsewhere(self, name: str, now: float) -> bool:
@@ -154,7 +136,7 @@
         name = self._shard_name_by_token.pop(token, None)
         if self.ended or name is None:
             return []
-        shard = self._shard_by_name[name]
+        shard = self._shards[name]
         if part is not None:
             shard.attempts.succeed(token)
             self.parts.take(name, part)
@@ -163,7 +145,7 @@
         where = shard.attempts.target_by_token[token].instance
         shard.last_failure = f"{end.outcome.value} at {where}"
         shard.attempts.fail(token, end.outcome)
-        self._ask_or_exhaust(name, end.outcome.value, now)
+        self._ask_or_lose(name, end.outcome.value, now)
         return self._finish_or_go_on(now)
 
     def group_accepted(self, number: int) -> None:
@@ -206,14 +188,14 @@
             return []
         declined = [name for name in self._shards_of(number) if name in shards]
         for name in declined:
-            self._shard_by_name[name].groups.discard(number)
-            self._shard_by_name[name].attempts.take_back()
+            self._shards[name].groups.discard(number)
+            self._shards[name].attempts.take_back()
         handed = self._hand_elsewhere(declined, False, now)
         for name in declined:
             if name not in handed:
                 # All others have declined too, or nobody is there: any target will do.
-                self._shard_by_name[name].attempts.forget_tried()
-                self._ask_or_exhaust(name, "declined", now)
+                self._shards[name].attempts.forget_tried()
+                self._ask_or_lose(name, "declined", now)
         return self._finish_or_go_on(now)
 
     def group_lost(self, number: int, now: float) -> list[GatherCommand]:
@@ -230,10 +212,7 @@
         for number, group in list(self._group_by_number.items()):
             if group.check_at <= now:
                 self._doubt(number, group, now)
-        due: list[str] = []
-        while self._next_hedge() <= now:
-            due.append(heappop(self._hedges)[1])
-        self._ask_elsewhere(due, "hedge", now)
+        self._ask_elsewhere(self._shards.take_late(now), "hedge", now)
         return self._finish_or_go_on(now)
 
     def cancel(self) -> list[GatherCommand]:
@@ -245,32 +224,12 @@
 
     def next_wake(self) -> float:
         """Return when `tick` is next needed (monotonic seconds)."""
-        times = [self.plan.end_at, self._next_hedge()]
+        times = [self.plan.end_at, self._shards.next_hedge()]
         times += [group.check_at for group in self._group_by_number.values()]
         if self._enough() and not self.plan.partial:
             times.append(self.plan.answer_at)
         return min(times)
 
-    def _next_hedge(self) -> float:
-        """Return when the next shard is late that is not in."""
-        while self._hedges and self._hedges[0][1] not in self._lacking_by_name:
-            heappop(self._hedges)
-        return self._hedges[0][0] if self._hedges else NEVER
-
-    def lacking(self, limit: int) -> str:
-        """Return which shards are not in and why, for the log; no more than a number of them."""
-        names = list(self._lacking_by_name)
-        return "; ".join(f"{name}: {self._state(name)}" for name in names[:limit])
-
-    def _state(self, name: str) -> str:
-        shard = self._shard_by_name[name]
-        waited = [target.instance for target in shard.attempts.target_by_token.values()]
-        waited += [f"peer {self._group_by_number[n].plan.address}" for n in sorted(shard.groups)]
-        states = [shard.last_failure] if shard.last_failure else []
-        if waited:
-            states.append(f"awaited of {', '.join(waited)}")
-        return ", ".join(states) or "no target, or no repeat, is left"
-
     @property
     def peer_attempts(self) -> int:
         """Return how many targets a peer may run a shard on; what is left is this box's own."""
@@ -279,8 +238,9 @@
     @property
     def may_have_run(self) -> bool:
         """Return whether a target may have run any shard, here or at a peer."""
-        shards = self._shard_by_name.values()
-        return self._peers_ran or any(shard.waits or shard.attempts.ran for shard in shards)
+        return self._peers_ran or any(
+            shard.waits or shard.attempts.ran for shard in self._shards.all
+        )
 
     def _hand_over(self, group: GroupPlan) -> None:
         """Leave a group to a peer: a first one with all attempts but one, a repeat with one."""
@@ -292,7 +252,7 @@
         if not group.repeat:
             self.parts.expect_merged(group.shards)
         for name in group.shards:
-            shard = self._shard_by_name[name]
+            shard = self._shards[name]
             shard.groups.add(number)
             beside = {t.instance for t in self._board.targets(name) if t.place == group.place}
             if group.repeat:
@@ -302,8 +262,7 @@
 
     def _shards_of(self, number: int) -> list[str]:
         """Return the shards that are left to a peer."""
-        shards = self._group_by_number[number].plan.shards
-        return [name for name in shards if number in self._shard_by_name[name].groups]
+        return self._shards.in_group(self._group_by_number[number].plan.shards, number)
 
     def _doubt(self, number: int, group: _Group, now: float) -> None:
         """Go around a peer that did not accept, or did not report in time."""
@@ -321,7 +280,7 @@
         # It may have asked them all the same.
         self._peers_ran = True
         for name in self._shards_of(number):
-            self._shard_by_name[name].attempts.forget_tried()
+            self._shards[name].attempts.forget_tried()
         self._release(number, reason, now)
 
     def _release(self, number: int, reason: str, now: float) -> None:
@@ -329,10 +288,8 @@
         shards = self._shards_of(number)
         del self._group_by_number[number]
         for name in shards:
-            self._shard_by_name[name].groups.discard(number)
-        self._ask_elsewhere(
-            [name for name in shards if not self._shard_by_name[name].waits], reason, now
-        )
+            self._shards[name].groups.discard(number)
+        self._ask_elsewhere([name for name in shards if not self._shards[name].waits], reason, now)
 
     def _ask_elsewhere(self, names: Sequence[str], reason: str, now: float) -> None:
         """Ask once more for shards that are not in: through peers beside other targets, or not."""
@@ -340,14 +297,14 @@
         handed = self._hand_elsewhere(lacking, True, now)
         for name in lacking:
             if name not in handed:
-                self._ask_or_exhaust(name, reason, now)
+                self._ask_or_lose(name, reason, now)
 
     def _hand_elsewhere(self, names: Sequence[str], repeat: bool, now: float) -> set[str]:
         """Hand shards to peers beside targets that were not tried; return which were handed."""
         tried_by_shard = {
-            name: self._shard_by_name[name].attempts.tried
+            name: self._shards[name].attempts.tried
             for name in names
-            if self._shard_by_name[name].attempts.may_run
+            if self._shards[name].attempts.may_run
         }
         if self._regrouping is None or not tried_by_shard or now >= self.plan.end_at:
             return set()
@@ -356,14 +313,14 @@
             self._hand_over(group)
         return {name for group in groups for name in group.shards}
 
-    def _ask_or_exhaust(self, name: str, reason: str, now: float) -> None:
-        shard = self._shard_by_name[name]
+    def _ask_or_lose(self, name: str, reason: str, now: float) -> None:
+        shard = self._shards[name]
         if not self._ask(name, reason, now) and not shard.waits:
-            self._exhausted.add(name)
+            self._shards.lose([name])
 
     def _ask(self, name: str, reason: str, now: float) -> bool:
         """Send a shard to one more target; return False when there is none or it may not."""
-        shard = self._shard_by_name[name]
+        shard = self._shards[name]
         if now >= self.plan.end_at:
             return False
         choices = shard.attempts.choose(self._board, self._budget, self.plan.route, now)
@@ -375,21 +332,17 @@
         shard.attempts.begin(token, target)
         self._shard_name_by_token[token] = name
         if len(shard.attempts.target_by_token) == 1:
-            self._plan_hedge(name, hedge_time(choices, self.plan.answer_at, now))
+            self._shards.hedge(name, hedge_time(choices, self.plan.answer_at, now))
         self._commands.append(SendPart(token, name, target, reason))
         return True
 
-    def _plan_hedge(self, name: str, at: float) -> None:
-        if at < NEVER:
-            heappush(self._hedges, (at, name))
-
     def _enough(self) -> bool:
         found = len(self.parts)
         return found > 0 and found / len(self.plan.shards) >= self.plan.least_coverage
 
     def _hopeless(self) -> bool:
         """Return whether too many shards can no longer come."""
-        lost = len(self._exhausted)
+        lost = self._shards.lost
         total = len(self.plan.shards)
         return (total - lost) / total < self.plan.least_coverage or lost == total
 
@@ -400,7 +353,7 @@
         return commands
 
     def _finish(self, now: float) -> None:
-        waits = any(shard.waits for shard in self._lacking_by_name.values())
+        waits = self._shards.waits
         if len(self.parts) == len(self.plan.shards):
             self._answer("whole")
         elif self.plan.partial:
@@ -414,20 +367,26 @@
             self._fail("time is up", True)
 
     def _answer(self, reason: str) -> None:
-        lacking = self.lacking(LOGGED_SHARDS)
+        lacking = self._lacking()
         gathered = self.parts.gathered()._replace(reason=reason, lacking=lacking)
         self._end()
         self._commands.append(gathered)
 
     def _fail(self, reason: str, late: bool) -> None:
         ran = self.may_have_run
-        lacking = self.lacking(LOGGED_SHARDS)
+        lacking = self._lacking()
         self._end()
         self._commands.append(GatherFailed(ran, late, reason, lacking))
 
+    def _lacking(self) -> str:
+        """Return which shards are not in and why, for the log."""
+        return self._shards.lacking(
+            LOGGED_SHARDS, lambda number: self._group_by_number[number].plan.address
+        )
+
     def _end(self) -> None:
         self.ended = True
-        for shard in self._shard_by_name.values():
+        for shard in self._shards.all:
             self._withdraw(shard)
         for number, group in self._group_by_number.items():
             if any(name not in self.parts for name in group.plan.shards):
@@ -436,11 +395,10 @@
 
     def _came_in(self, name: str) -> None:
         """Await nothing more for a shard."""
-        self._withdraw(self._shard_by_name[name])
-        self._lacking_by_name.pop(name, None)
-        self._exhausted.discard(name)
+        self._withdraw(self._shards[name])
+        self._shards.came_in(name)
 
-    def _withdraw(self, shard: _Shard) -> None:
+    def _withdraw(self, shard: Shard) -> None:
         for token, target in shard.attempts.target_by_token.items():
             self._shard_name_by_token.pop(token, None)
             self._commands.append(CancelPart(token, target))
