Split what peers gather for this box from what this box gathers for peers

Reading the additions: relay/groups.py (340 lines) did both, and each step of a taken group looked it up again by key. relay/taken.py holds one object a group that knows its sender, its reports and its run. No behaviour changes; one test follows the constructor.

--- a/tests/relay/test_groups.py
+++ b/tests/relay/test_groups.py
@@ -55,7 +55,7 @@
     log = SimpleNamespace(write=lambda kind, **fields: events.append(kind))
     hub = FakeHub()
     wire = SimpleNamespace(forwarded_headers=lambda http: ())
-    groups = PeerGroups(hub, wire, board, budget, None, log)  # type: ignore[arg-type]
+    groups = PeerGroups(hub, wire, log)  # type: ignore[arg-type]
     plan = GatherPlan(ROUTE, GROUP.shards, 3, (GROUP,), 1.0, 2, 0.2, 1.0, False)
     gather = Gather(plan, board, budget)
     http = SimpleNamespace(method=b"GET", target=b"/", body=b"")
--- a/trackwheel/entry/box.py
+++ b/trackwheel/entry/box.py
@@ -37,6 +37,7 @@
 from trackwheel.relay.models import Place, Target
 from trackwheel.relay.peers import RELAY_MESSAGES, PeerBox
 from trackwheel.relay.service import RelayService
+from trackwheel.relay.taken import TakenGroups
 from trackwheel.relay.transport import TargetTransport
 from trackwheel.routing.models import Limits, RouteTable
 from trackwheel.telemetry.events import EventLog
@@ -90,7 +91,10 @@
         self.board = Board(place, seed=os.getpid())
         self.budget = RepeatBudget(settings.budget, now)
         self.transport = TargetTransport(wire, self.board, time.monotonic, self.log)
-        self.groups = PeerGroups(self.hub, wire, self.board, self.budget, self.transport, self.log)
+        self.groups = PeerGroups(self.hub, wire, self.log)
+        self.taken = TakenGroups(
+            self.hub, self.board, self.budget, self.transport, self.groups, self.log
+        )
         self.relay = RelayService(
             wire,
             self.board,
@@ -133,7 +137,7 @@
     @property
     def busy(self) -> bool:
         """Return whether anything is under way here."""
-        return bool(self.clients.busy or self.groups.taken)
+        return bool(self.clients.busy or self.taken)
 
     def stop(self) -> None:
         """Begin to stop: take no new clients, go on with those who are here."""
--- a/trackwheel/relay/groups.py
+++ b/trackwheel/relay/groups.py
@@ -1,28 +1,19 @@
-"""The shell between gathers and peers: hands groups out, and gathers those of others."""
+"""The shell that hands groups of shards to peers and takes what they tell."""
 
 import time
-from collections import deque
 from collections.abc import Iterable
 from itertools import count
 
-from trackwheel.http1.models import Request
 from trackwheel.peers.hub import Hub
 from trackwheel.peers.models import PeerIdentity
-from trackwheel.relay.board import Board, RouteKey
-from trackwheel.relay.budget import RepeatBudget
 from trackwheel.relay.const import LOGGED_SHARDS, REPORT_MARGIN_S
-from trackwheel.relay.gather import Gather
 from trackwheel.relay.gather_models import (
     CancelGroup,
-    Declined,
-    Gathered,
-    GatherFailed,
-    GatherPlan,
     PeerSilent,
     SendGroup,
 )
-from trackwheel.relay.merge import merge_records, split_records
-from trackwheel.relay.models import CallerRequest, Wire
+from trackwheel.relay.merge import split_records
+from trackwheel.relay.models import Wire
 from trackwheel.relay.peers import (
     GroupAccepted,
     GroupCancel,
@@ -32,8 +23,6 @@
     PeerBoard,
 )
 from trackwheel.relay.runs import GatherRun, GatherTask
-from trackwheel.relay.timer import Timer
-from trackwheel.relay.transport import TargetTransport
 from trackwheel.telemetry.events import EventLog
 from trackwheel.units import MILLISECONDS
 
@@ -56,45 +45,24 @@
         return [self.shards[place] for place in places]
 
 
-class _Taken:
-    """A group that this box gathers for a peer."""
-
-    def __init__(self, sender: str, forward: GroupForward, report: Timer) -> None:
-        self.sender = sender
-        self.forward = forward
-        self.report = report
-        self.run: GatherRun | None = None
-        self.at_once = forward.repeat
-        """Whether each part is sent as it comes, not with others in a report."""
-
-
 class PeerGroups:
-    """Carry groups of shards between boxes."""
+    """Hand groups of shards to peers for the gathers of this box."""
 
     def __init__(
         self,
         hub: Hub,
         wire: Wire,
-        board: Board,
-        budget: RepeatBudget,
-        transport: TargetTransport,
         log: EventLog,
     ) -> None:
         self._hub = hub
         self._wire = wire
-        self._board = board
-        self._budget = budget
-        self._transport = transport
         self._log = log
         self._numbers = count()
         self._handed_by_id: dict[str, _Handed] = {}
-        self._taken_by_key: dict[tuple[str, str], _Taken] = {}
         self.peer_board = PeerBoard(hub.is_linked)
-        hub.register(GroupForward, self._take_forward)
         hub.register(GroupAccepted, self._take_accepted)
         hub.register(GroupDeclined, self._take_declined)
         hub.register(GroupParts, self._take_parts)
-        hub.register(GroupCancel, self._take_cancel)
         hub.on_link_lost(self._link_lost)
 
     def open_links(self, addresses: Iterable[str]) -> None:
@@ -102,11 +70,6 @@
         for address in addresses:
             self._hub.open(address)
 
-    @property
-    def taken(self) -> int:
-        """Return how many groups this box gathers for peers."""
-        return len(self._taken_by_key)
-
     def send_group(self, run: GatherRun, command: SendGroup) -> None:
         """Hand a group to its peer."""
         now = time.monotonic()
@@ -217,142 +180,9 @@
             shards=str(message.shards[:LOGGED_SHARDS]),
         )
 
-    def _take_forward(self, sender: PeerIdentity, message: GroupForward) -> None:
-        """Gather a group for a peer."""
-        now = time.monotonic()
-        key = (sender.boot, message.group_id)
-        if key in self._taken_by_key:
-            return
-        self._hub.send(sender.address, GroupAccepted(message.group_id))
-        reports = deque(sorted((message.report_in_ms, message.answer_in_ms)))
-        taken = _Taken(
-            sender.address, message, Timer(lambda: self._report_in_time(sender, key, now, reports))
-        )
-        self._taken_by_key[key] = taken
-        taken.run = GatherRun(
-            self._task(message, now),
-            self._transport,
-            self,
-            lambda result: self._finished(sender, key, result),
-            lambda: self._part_came(sender, key),
-            lambda command: self._send_declined(sender, message, command),
-        )
-        if not taken.at_once:
-            taken.report.set(now + reports[0] / MILLISECONDS)
-        taken.run.start()
-
-    def _send_declined(
-        self, sender: PeerIdentity, forward: GroupForward, command: Declined
-    ) -> None:
-        places = [place for place, name in enumerate(forward.shards) if name in command.shards]
-        self._hub.send(sender.address, GroupDeclined(forward.group_id, places))
-
-    def _report_in_time(
-        self, sender: PeerIdentity, key: tuple[str, str], taken_at: float, reports: deque[float]
-    ) -> None:
-        """Report what is in; after the last report, tell of each part as it comes."""
-        taken = self._taken_by_key.get(key)
-        if taken is None:
-            return
-        reports.popleft()
-        if reports:
-            taken.report.set(taken_at + reports[0] / MILLISECONDS)
-        else:
-            taken.at_once = True
-        self._report(sender, key, False)
-
-    def _part_came(self, sender: PeerIdentity, key: tuple[str, str]) -> None:
-        taken = self._taken_by_key.get(key)
-        if taken is not None and taken.at_once:
-            self._report(sender, key, False)
-
-    def _task(self, message: GroupForward, now: float) -> GatherTask:
-        http = Request(message.method, message.target, tuple(message.headers), message.body, now)
-        deadline = now + message.end_in_ms / MILLISECONDS
-        request = CallerRequest(message.request_id, message.host, message.path, deadline, http)
-        answer_at = now + message.answer_in_ms / MILLISECONDS
-        plan = GatherPlan(
-            route=RouteKey(message.route, message.aim_ms / MILLISECONDS),
-            shards=tuple(message.shards),
-            top_k=message.top_k,
-            groups=(),
-            least_coverage=0.0,
-            max_attempts=message.max_attempts,
-            answer_at=answer_at,
-            end_at=deadline,
-            partial=True,
-            repeat=message.repeat,
-        )
-        return GatherTask(request, Gather(plan, self._board, self._budget))
-
-    def _finished(
-        self, sender: PeerIdentity, key: tuple[str, str], result: Gathered | GatherFailed
-    ) -> None:
-        taken = self._taken_by_key.get(key)
-        if taken is None:
-            return
-        missing = result.missing if isinstance(result, Gathered) else len(taken.forward.shards)
-        self._log.write(
-            "group_end",
-            id=taken.forward.request_id,
-            route=taken.forward.route,
-            peer=sender.box_id,
-            shards=len(taken.forward.shards),
-            missing=missing,
-        )
-        self._report(sender, key, True)
-        taken.report.stop()
-        del self._taken_by_key[key]
-
-    def _report(self, sender: PeerIdentity, key: tuple[str, str], final: bool) -> None:
-        """Send the parts that are in and were not sent before."""
-        taken = self._taken_by_key.get(key)
-        if taken is None or taken.run is None:
-            return
-        gather, forward = taken.run.task.gather, taken.forward
-        signature_by_shard, records = gather.parts.take_unreported()
-        if forward.repeat:
-            # The shards were asked elsewhere too: the sender takes whichever part comes first.
-            for (name, signature), part in zip(signature_by_shard.items(), records, strict=True):
-                self._send_parts(sender, taken, {name: signature}, [part], False)
-            signature_by_shard, records = {}, []
-        if final or signature_by_shard or not taken.at_once:
-            self._send_parts(sender, taken, signature_by_shard, records, final)
-
-    def _send_parts(
-        self,
-        sender: PeerIdentity,
-        taken: _Taken,
-        signature_by_shard: dict[str, bytes],
-        records: list[list[bytes]],
-        final: bool,
-    ) -> None:
-        assert taken.run is not None
-        forward = taken.forward
-        places = [place for place, name in enumerate(forward.shards) if name in signature_by_shard]
-        signatures = [signature_by_shard[forward.shards[place]] for place in places]
-        merged = merge_records(records, forward.top_k, forward.floor)
-        ran = taken.run.task.gather.may_have_run
-        message = GroupParts(forward.group_id, places, signatures, merged, final, ran)
-        self._hub.send(sender.address, message)
-
-    def _take_cancel(self, sender: PeerIdentity, message: GroupCancel) -> None:
-        self._drop((sender.boot, message.group_id))
-
-    def _drop(self, key: tuple[str, str]) -> None:
-        """Stop gathering a group for which nobody waits any more."""
-        taken = self._taken_by_key.pop(key, None)
-        if taken is None:
-            return
-        taken.report.stop()
-        if taken.run is not None:
-            taken.run.cancel()
-
     def _link_lost(self, address: str) -> None:
         now = time.monotonic()
         self.peer_board.failed(address, now)
-        for key in [key for key, taken in self._taken_by_key.items() if taken.sender == address]:
-            self._drop(key)
         for group_id, handed in list(self._handed_by_id.items()):
             if handed.address == address and self._handed_by_id.pop(group_id, None) is not None:
                 handed.run.perform(handed.run.task.gather.group_lost(handed.number, now))
