--- a/tests/relay/test_gather.py
+++ b/tests/relay/test_gather.py
@@ -6,7 +6,7 @@
 from trackwheel.relay.board import Board
 from trackwheel.relay.budget import BudgetRule, RepeatBudget
 from trackwheel.relay.const import MAX_SENDS
-from trackwheel.relay.gather import Gather, Regrouping
+from trackwheel.relay.gather import Gather
 from trackwheel.relay.gather_models import (
     CancelGroup,
     CancelPart,
@@ -17,6 +17,7 @@
     GatherPlan,
     GroupPlan,
     PeerSilent,
+    Regrouping,
     SendGroup,
     SendPart,
 )
--- a/trackwheel/http1/pool.py
+++ b/trackwheel/http1/pool.py
@@ -33,7 +33,6 @@
         self._waiting: deque[Job] = deque()
         self._connection_by_token: dict[object, ClientConnection] = {}
         self._open: set[ClientConnection] = set()
-        self.opened = 0
 
     def submit(self, job: Job) -> None:
         """Send a request as soon as a connection is free; `on_end` is called later, once."""
@@ -104,7 +103,6 @@
         except (OSError, TimeoutError) as error:
             self._connect_failed(error)
             return
-        self.opened += 1
         self._open.add(connection)
         connection.idle_since = time.monotonic()
         self._idle.append(connection)
--- a/trackwheel/relay/gather.py
+++ b/trackwheel/relay/gather.py
@@ -11,7 +11,6 @@
 """
 
 from collections.abc import Sequence
-from typing import Protocol
 
 from trackwheel.relay.attempts import NEVER, hedge_time
 from trackwheel.relay.board import Board
@@ -26,6 +25,7 @@
     GatherPlan,
     GroupPlan,
     PeerSilent,
+    Regrouping,
     SendGroup,
     SendPart,
 )
@@ -34,22 +34,6 @@
 from trackwheel.relay.shards import Shard, ShardBook
 
 
-class Regrouping(Protocol):
-    """Find peers beside other targets for shards that are late or failed."""
-
-    def groups_elsewhere(
-        self,
-        tried_by_shard: dict[str, frozenset[str]],
-        plan: GatherPlan,
-        repeat: bool,
-        now: float,
-    ) -> tuple[GroupPlan, ...]:
-        """Return groups beside targets that were not tried; no shard is in two of them.
-
-        `repeat` says whether targets were asked for the shards before.
-        """
-
-
 class _Group:
     """Follow the shards that a peer gathers."""
 
--- a/trackwheel/relay/gather_models.py
+++ b/trackwheel/relay/gather_models.py
@@ -1,6 +1,6 @@
 """What a gather takes and gives: plans, commands and ends."""
 
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from trackwheel.relay.board import RouteKey
 from trackwheel.relay.models import Place, Target
@@ -41,6 +41,22 @@
     repeat: bool = False
 
 
+class Regrouping(Protocol):
+    """Find peers beside other targets for shards that are late or failed."""
+
+    def groups_elsewhere(
+        self,
+        tried_by_shard: dict[str, frozenset[str]],
+        plan: GatherPlan,
+        repeat: bool,
+        now: float,
+    ) -> tuple[GroupPlan, ...]:
+        """Return groups beside targets that were not tried; no shard is in two of them.
+
+        `repeat` says whether targets were asked for the shards before.
+        """
+
+
 class SendPart(NamedTuple):
     """Command: ask a target for a shard."""
 
--- a/trackwheel/relay/runs.py
+++ b/trackwheel/relay/runs.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
+from trackwheel.relay.board import RouteKey
 from trackwheel.relay.gather import Gather
 from trackwheel.relay.gather_models import (
     CancelGroup,
@@ -17,7 +18,7 @@
     SendPart,
 )
 from trackwheel.relay.merge import greatest_records
-from trackwheel.relay.models import CallerRequest, Outcome, Part, TargetEnd
+from trackwheel.relay.models import CallerRequest, Outcome, Part, Target, TargetEnd
 from trackwheel.relay.single import (
     CancelSingle,
     SendSingle,
@@ -53,6 +54,39 @@
         """Drop the groups of a query that ended."""
 
 
+class _Sends:
+    """The requests of one run that are at targets, by the numbers that its decisions give them."""
+
+    def __init__(
+        self,
+        transport: TargetTransport,
+        request: CallerRequest,
+        route: RouteKey,
+        on_end: Callable[[int, TargetEnd], None],
+    ) -> None:
+        self._transport = transport
+        self._request = request
+        self._route = route
+        self._on_end = on_end
+        self._token_by_number: dict[int, object] = {}
+
+    def send(
+        self, number: int, target: Target, reason: str, single: bool = False, once: bool = False
+    ) -> None:
+        """Send the request to a target; its end is told unless it is withdrawn."""
+        token = self._token_by_number[number] = object()
+        sending = Sending(token, self._request, target, self._route, reason, single, once)
+        self._transport.send(sending, lambda end: self._ended(number, end))
+
+    def withdraw(self, number: int, target: Target) -> None:
+        """Take a request back."""
+        self._transport.withdraw(self._token_by_number.pop(number), target)
+
+    def _ended(self, number: int, end: TargetEnd) -> None:
+        self._token_by_number.pop(number, None)
+        self._on_end(number, end)
+
+
 class GatherRun:
     """Carry out the decisions of one gather."""
 
@@ -67,13 +101,12 @@
     ) -> None:
         self.task = task
         self._gather = task.gather
-        self._transport = transport
+        self._sends = _Sends(transport, task.request, task.gather.plan.route, self._ended)
         self._groups = groups
         self._on_done = on_done
         self._on_part = on_part
         self._on_declined = on_declined
         self._timer = Timer(self._tick)
-        self._token_by_number: dict[int, object] = {}
 
     def start(self) -> None:
         """Begin."""
@@ -90,10 +123,10 @@
         done: Gathered | GatherFailed | None = None
         for command in commands:
             match command:
-                case SendPart():
-                    self._send(command)
+                case SendPart(number, _, target, reason):
+                    self._sends.send(number, target, reason)
                 case CancelPart(number, target):
-                    self._transport.withdraw(self._token_by_number.pop(number), target)
+                    self._sends.withdraw(number, target)
                 case SendGroup():
                     self._groups.send_group(self, command)
                 case CancelGroup():
@@ -116,7 +149,6 @@
         self.perform(self._gather.tick(time.monotonic()))
 
     def _ended(self, number: int, end: TargetEnd) -> None:
-        self._token_by_number.pop(number, None)
         part = None
         if end.outcome is Outcome.OK and end.answer is not None:
             part = Part(end.signature, greatest_records(end.answer.body, self._gather.plan.top_k))
@@ -124,14 +156,6 @@
         if part is not None and self._on_part is not None:
             self._on_part()
 
-    def _send(self, command: SendPart) -> None:
-        token = self._token_by_number[command.token] = object()
-        route = self._gather.plan.route
-        sending = Sending(
-            token, self.task.request, command.target, route, command.reason, False, False
-        )
-        self._transport.send(sending, lambda end: self._ended(command.token, end))
-
 
 class SingleRun:
     """Carry out the decisions of one request to one target."""
@@ -143,12 +167,10 @@
         transport: TargetTransport,
         on_done: Callable[[SingleAnswered | SingleFailed], None],
     ) -> None:
-        self._request = request
         self._single = single
-        self._transport = transport
+        self._sends = _Sends(transport, request, single.plan.route, self._ended)
         self._on_done = on_done
         self._timer = Timer(self._tick)
-        self._token_by_number: dict[int, object] = {}
 
     def start(self) -> None:
         """Begin."""
@@ -163,17 +185,17 @@
         self._perform(self._single.tick(time.monotonic()))
 
     def _ended(self, number: int, end: TargetEnd) -> None:
-        self._token_by_number.pop(number, None)
         self._perform(self._single.target_ended(number, end, time.monotonic()))
 
     def _perform(self, commands: list[SingleCommand]) -> None:
         done: SingleAnswered | SingleFailed | None = None
         for command in commands:
             match command:
-                case SendSingle():
-                    self._send(command)
+                case SendSingle(number, target, reason):
+                    once = not self._single.plan.repeatable
+                    self._sends.send(number, target, reason, single=True, once=once)
                 case CancelSingle(number, target):
-                    self._transport.withdraw(self._token_by_number.pop(number), target)
+                    self._sends.withdraw(number, target)
                 case SingleAnswered() | SingleFailed():
                     done = command
         if done is not None:
@@ -181,17 +203,3 @@
             self._on_done(done)
         elif not self._single.ended:
             self._timer.set(self._single.next_wake())
-
-    def _send(self, command: SendSingle) -> None:
-        token = self._token_by_number[command.token] = object()
-        plan = self._single.plan
-        sending = Sending(
-            token,
-            self._request,
-            command.target,
-            plan.route,
-            command.reason,
-            True,
-            not plan.repeatable,
-        )
-        self._transport.send(sending, lambda end: self._ended(command.token, end))
--- a/trackwheel/relay/transport.py
+++ b/trackwheel/relay/transport.py
@@ -54,11 +54,6 @@
         self.sent_by_reason: Counter[tuple[str, str]] = Counter()
         self.ended_by_outcome: Counter[tuple[str]] = Counter()
 
-    @property
-    def connections_opened(self) -> int:
-        """Return how many connections the present pools have opened."""
-        return sum(pool.opened for pool in self._pool_by_instance.values())
-
     def set_limits(self, connections_by_service: dict[str, int], members: int) -> None:
         """Take how many connections the targets of each service take from all boxes."""
         self._limit_by_service = connections_by_service
