--- a/soak/clients.py
+++ b/soak/clients.py
@@ -10,6 +10,7 @@
 
 from soak.const import CLIENT_PAUSE_S, DEADLINE_S, MISSES_UNTIL_OUT, READY_PERIOD_S
 from standins.entry_fleet import HOST, EntryPlace
+from trackwheel.units import MILLISECONDS
 
 
 class Told(NamedTuple):
@@ -85,33 +86,33 @@
     ) -> bool:
         """Send one request; return whether its connection can be used on."""
         kind = self._random.choice("qqqlov")
-        path = f"/{kind}/x"
         if kind == "v":
             kind = f"v{version()}"
-            path = f"/{kind}/"
         self._sent += 1
         request_id = f"{self._number:04x}{self._sent:012x}"
-        headers = {
-            "Host": HOST,
-            "X-Attempt-Id": request_id,
-            "X-Deadline-Ms": str(int(DEADLINE_S * 1000)),
-        }
         began = time.monotonic()
-        status, body = 0, b""
-        answered: dict[str, str] = {}
         try:
-            method = "POST" if kind == "o" else "GET"
-            data = b"promise" if kind == "o" else None
-            url = f"http://{place.front}{path}"
-            limit = aiohttp.ClientTimeout(total=2 * DEADLINE_S)
-            async with session.request(
-                method, url, headers=headers, data=data, timeout=limit
-            ) as answer:
-                body = await answer.read()
-                status = answer.status
-                answered = {name.lower(): value for name, value in answer.headers.items()}
+            status, headers, body = await _exchange(session, place, kind, request_id)
         except (aiohttp.ClientError, TimeoutError, OSError):
-            status = 0
+            status, headers, body = 0, {}, b""
         ended = time.monotonic()
-        self._told.append(Told(request_id, kind, place.name, began, ended, status, answered, body))
-        return status > 0 and answered.get("connection", "").lower() != "close"
+        self._told.append(Told(request_id, kind, place.name, began, ended, status, headers, body))
+        return status > 0 and headers.get("connection", "").lower() != "close"
+
+
+async def _exchange(
+    session: aiohttp.ClientSession, place: EntryPlace, kind: str, request_id: str
+) -> tuple[int, dict[str, str], bytes]:
+    """Return the status, headers and body of the answer to one request."""
+    headers = {
+        "Host": HOST,
+        "X-Attempt-Id": request_id,
+        "X-Deadline-Ms": str(int(DEADLINE_S * MILLISECONDS)),
+    }
+    url = f"http://{place.front}/{kind}/x"
+    method, data = ("POST", b"promise") if kind == "o" else ("GET", None)
+    limit = aiohttp.ClientTimeout(total=2 * DEADLINE_S)
+    async with session.request(method, url, headers=headers, data=data, timeout=limit) as answer:
+        body = await answer.read()
+        named = {name.lower(): value for name, value in answer.headers.items()}
+        return answer.status, named, body
--- a/trackwheel/cli.py
+++ b/trackwheel/cli.py
@@ -56,7 +56,7 @@
 from trackwheel.telemetry.burn import merge_rows
 from trackwheel.telemetry.burn_page import render_page
 from trackwheel.telemetry.models import BurnRow
-from trackwheel.telemetry.story import LogLine, read_log, tell_story
+from trackwheel.telemetry.story import LogLine, read_log, render_story, tell_story
 
 EXIT_DONE: Final = 0
 EXIT_FAILED: Final = 1
@@ -268,11 +268,7 @@
     if arguments["--json"]:
         _print_json({"cause": story.cause, "lines": [line._asdict() for line in story.lines]})
     else:
-        for line in story.lines:
-            shown = {name: value for name, value in line.fields.items() if name != "id"}
-            fields = " ".join(f"{name}={value}" for name, value in shown.items())
-            print(f"{line.box} {line.at:.3f} {line.event} {fields}")
-        print(f"cause: {story.cause}")
+        print(render_story(story))
     return EXIT_DONE if story.lines else EXIT_FAILED
 
 
--- a/trackwheel/telemetry/story.py
+++ b/trackwheel/telemetry/story.py
@@ -49,6 +49,16 @@
     return Story(own, _cause(own, end))
 
 
+def render_story(story: Story) -> str:
+    """Return a story as text: a line for each event, and the cause."""
+    texts: list[str] = []
+    for line in story.lines:
+        shown = {name: value for name, value in line.fields.items() if name != "id"}
+        fields = " ".join(f"{name}={value}" for name, value in shown.items())
+        texts.append(f"{line.box} {line.at:.3f} {line.event} {fields}")
+    return "\n".join([*texts, f"cause: {story.cause}"])
+
+
 def _cause(lines: list[LogLine], end: LogLine | None) -> str:
     if not lines:
         return "no box wrote of it: another id, or its lines were left out (`left_out`)"
