Log the refusal of a request that came before any configuration was known

Change: such a refusal is a `given_up` line with its reason, and counted as `no_configuration`.

The test fails first (no event).

--- a/tests/telemetry/test_story.py
+++ b/tests/telemetry/test_story.py
@@ -11,6 +11,7 @@
 {"at":99.0,"box":"front-2","event":"group_end","id":"a","peer":"front-1","shards":6,"missing":1}
 {"at":11.0,"box":"front-1","event":"given_up","id":"b","ran":true,"reason":"reset","took_ms":7.0}
 {"at":11.0,"box":"front-1","event":"given_up","id":"c","ran":false,"reason":"no target is known","took_ms":0.1}
+{"at":11.0,"box":"front-1","event":"given_up","id":"i","ran":false,"reason":"no configuration is known yet"}
 {"at":11.0,"box":"front-1","event":"client_left","id":"d","took_ms":300.0}
 {"at":11.0,"box":"front-1","event":"no_route","id":"e","path":"/x/","version":7}
 {"at":11.0,"box":"front-1","event":"query_whole","id":"f","took_ms":20.0}
@@ -30,6 +31,7 @@
         ("e", "version 7 has no route for /x/"),
         ("f", "answered after 20.0 ms"),
         ("g", "no box wrote its end: the box that took it ended, or left the line out"),
+        ("i", "given up at once, no target ran it: no configuration is known yet"),
         ("h", "no box wrote of it: another id, or its lines were left out (`left_out`)"),
     ],
 )
@@ -47,5 +49,5 @@
 
 
 def test_other_lines_are_passed_over() -> None:
-    assert len(read_log(LOG)) == 10
+    assert len(read_log(LOG)) == 11
     assert read_log("") == []
--- a/trackwheel/relay/service.py
+++ b/trackwheel/relay/service.py
@@ -71,13 +71,10 @@
     def handle(self, request: Request, exchange: Exchange) -> None:
         """Serve one request of a client."""
         table = self._table
+        caller = self._wire.read_request(request)
         if table is None:
-            reason = "no configuration is known yet"
-            exchange.respond(
-                self._wire.refusal(HTTPStatus.SERVICE_UNAVAILABLE, NO_ROUTES_RETRY_AFTER_S, reason)
-            )
+            self._refuse_without_routes(caller, exchange)
             return
-        caller = self._wire.read_request(request)
         route = find_route(table, caller.host, caller.path)
         if route is None:
             self.ended_by_kind[("no_route",)] += 1
@@ -91,6 +88,15 @@
         else:
             self._serve_single(caller, route, table.version, exchange)
 
+    def _refuse_without_routes(self, caller: CallerRequest, exchange: Exchange) -> None:
+        """Refuse a request that came before any configuration was known here."""
+        reason = "no configuration is known yet"
+        self.ended_by_kind[("no_configuration",)] += 1
+        self._log.write("given_up", id=caller.request_id, ran=False, late=False, reason=reason)
+        exchange.respond(
+            self._wire.refusal(HTTPStatus.SERVICE_UNAVAILABLE, NO_ROUTES_RETRY_AFTER_S, reason)
+        )
+
     def _serve_single(
         self, caller: CallerRequest, route: Route, version: int, exchange: Exchange
     ) -> None:
--- a/trackwheel/telemetry/story.py
+++ b/trackwheel/telemetry/story.py
@@ -64,7 +64,8 @@
         return "no box wrote of it: another id, or its lines were left out (`left_out`)"
     if end is None:
         return "no box wrote its end: the box that took it ended, or left the line out"
-    took = f"after {end.fields.get('took_ms')} ms"
+    took_ms = end.fields.get("took_ms")
+    took = "at once" if took_ms is None else f"after {took_ms} ms"
     match end.event:
         case "client_left":
             return f"the client left {took}"
