Let the strangers of the TLS tests speak the present protocol version

Change: they send the version that boxes speak. As strict as before: with the old number the impostor would have been refused for the wrong reason. Ruled out: taking both versions (boxes refuse others by design).

--- a/tests/whole/test_tls.py
+++ b/tests/whole/test_tls.py
@@ -17,6 +17,7 @@
 from standins.fleet import SmallFleet, wait_until
 from tests.conftest import PLACES, write_file
 from trackwheel.cli import main
+from trackwheel.peers.const import PROTOCOL_VERSION
 
 SERVICE = "ledger"
 REFUSALS = (OSError, EOFError, TimeoutError, WebSocketException)
@@ -47,7 +48,7 @@
     try:
         with connect(f"wss://{box.peers}/", ssl=context, open_timeout=2, proxy=None) as socket:
             socket.recv(timeout=2)
-            socket.send(cbor2.dumps([1, identity]))
+            socket.send(cbor2.dumps([PROTOCOL_VERSION, identity]))
             socket.recv(timeout=0.7)
     except TimeoutError:
         return True
