Do not ask a target at whose address another one has answered

The logs show 94 requests for shard nohu14o that ended with `elsewhere` at i-d7bfdc10cb within four seconds, while its only other target did not answer: a target ejected for a second is still a last resort, so that every box went on asking at an address that a target of another shard had been given.

Ruled out: the larger share of the allowance (all repeats of the seven boxes together stay under 118 of 148 by their books; the boxes were stable until second 10); counting such arrivals in our books (they would pay for another service's budget, which a box cannot know).

Change: such a target is not ranked for 30 s, not even as a last resort; a restarted target has a new name, so it does not come back.

--- a/trackwheel/relay/board.py
+++ b/trackwheel/relay/board.py
@@ -15,6 +15,7 @@
     FAILURE_WEIGHT,
     FAR_COST_AIMS,
     FASTER_WEIGHT,
+    GONE_S,
     JITTER,
     LONGEST_EJECT_S,
     MOST_SLOWNESS,
@@ -72,6 +73,7 @@
         self.failure_at = 0.0
         self.failures_in_a_row = 0
         self.ejected_until = 0.0
+        self.gone_until = 0.0
         self.load: Load | None = None
         self.load_at = 0.0
 
@@ -171,6 +173,7 @@
             self._choice(target, route, now)
             for target in self.targets(service)
             if not target.leaving and target.instance not in tried
+            if self._record(target.instance).gone_until <= now
             if not only_beside or target.place == self._place
         ]
         return sorted(choices, key=lambda choice: (choice.last_resort, choice.cost_s))
@@ -185,6 +188,7 @@
             and not target.leaving
             and not target.doubtful
             and self._record(target.instance).ejected_until <= now
+            and self._record(target.instance).gone_until <= now
             for target in self.targets(service)
         )
 
@@ -249,12 +253,14 @@
         record.failure_at = now
         if outcome is Outcome.OK:
             record.failures_in_a_row = 0
-            record.ejected_until = 0.0
+            record.ejected_until = record.gone_until = 0.0
             return
         if outcome is Outcome.NOT_RUN:
             return
         record.failures_in_a_row += 1
-        if outcome in (Outcome.NOT_SENT, Outcome.ELSEWHERE):
+        if outcome is Outcome.ELSEWHERE:
+            record.ejected_until = record.gone_until = now + GONE_S
+        elif outcome is Outcome.NOT_SENT:
             record.ejected_until = now + DISCONNECT_EJECT_S
         elif record.failures_in_a_row >= EJECT_AFTER:
             doublings = record.failures_in_a_row - EJECT_AFTER
--- a/trackwheel/relay/const.py
+++ b/trackwheel/relay/const.py
@@ -47,6 +47,9 @@
 DISCONNECT_EJECT_S: Final = 1.0
 """Time out of use after a connection could not be opened."""
 
+GONE_S: Final = 30.0
+"""Time in which a target is not asked at all after another one answered at its address. It is gone,
+since a restarted target has a new name; one wrong answer should not lose it for good."""
 HEDGE_EARLIEST_PACES: Final = 2.0
 """A second target is asked no sooner than after this many usual times."""
 HEDGE_RESERVE_PACES: Final = 2.5
