Judge each watch of the store by itself, ask peers that are ahead, and notice silent connections

Traced by log at the watcher front-quimper-hall-6: its watch of the targets began on a connection that the store's trouble had silenced, and ended by its time-out of 6.5 s at 17.47 s; the watch of the routes was answered at 11.9 s, and one clock served both, so that the box counted as in step, asked none of the peers that were ahead, and kept its neighbours from reading the store themselves.

Ruled out: a lost push (hall-1 and hall-2 hear of the news from hall-6 alone, and it had none); a reading that missed the entry (the first reading after the time-out brought it).

Change: each watch is judged by its own answers; one that stands still at a revision for longer than the pause between two watches asks a peer that is ahead, in step or not; a watch of the targets waits 0.4 of the drain time; each call on the store has a connection of its own. Links between boxes had no bound for silence at all: they get TCP's keep-alive and 2 s for an acknowledgement, targets' connections 1.5 s, and where one has gone silent the idle ones to that target go with it.

Tests: directory, peers, http1, platform; each fails without its mechanism.

--- a/tests/directory/test_service.py
+++ b/tests/directory/test_service.py
@@ -4,6 +4,7 @@
 import time
 from typing import Any
 
+import anyio
 import pytest
 from returns.result import Failure, Result, Success
 
@@ -59,15 +60,17 @@
         self.events.append(kind)
 
 
-def make_service() -> tuple[DirectoryService, FakeHub, FakeLog]:
+def make_service(
+    source: FakeSource | None = None, drain_s: float = 3.0
+) -> tuple[DirectoryService, FakeHub, FakeLog]:
     hub, log = FakeHub(), FakeLog()
     service = DirectoryService(
         hub,  # type: ignore[arg-type]
-        FakeSource(),  # type: ignore[arg-type]
+        source or FakeSource(),  # type: ignore[arg-type]
         TargetDirectory({}),
         Watching(time.monotonic(), True),
         log,  # type: ignore[arg-type]
-        3.0,
+        drain_s,
     )
     service.set_peers(True, ["10.0.0.2:1"], ["10.0.1.1:1"])
     return service, hub, log
@@ -145,3 +148,41 @@
     service._take_ask(PEER, DirectoryAsk(0, 0, wanted))
     kinds = [type(message) for _, message in hub.sent]
     assert kinds == ([TargetsPush] if wanted else [])
+
+
+class SilentTargets(FakeSource):
+    """Answer the watch of the routes; that of the targets hears nothing after the first reading."""
+
+    async def read_routes(self) -> Result[RoutesRead, TrackwheelError]:
+        return Success(read(3))
+
+    async def watch_routes(self, after: int, wait_s: float) -> Result[RoutesRead, TrackwheelError]:
+        await anyio.sleep(0.02)
+        return Success(RoutesRead(None, b"", after))
+
+    async def read_targets(self) -> Result[TargetsRead, TrackwheelError]:
+        return Success(TargetsRead(None, [ENTRY], [], 6))
+
+    async def watch_targets(
+        self, after: int, wait_s: float
+    ) -> Result[TargetsRead, TrackwheelError]:
+        await anyio.sleep_forever()
+        raise AssertionError("never answered")
+
+
+def test_peer_that_is_ahead_is_asked_while_the_own_watch_is_silent() -> None:
+    """The routes' watch was answered, so that the box counted as in step and asked nobody."""
+    drain_s = 0.2
+
+    async def scenario() -> list[Any]:
+        service, hub, _ = make_service(SilentTargets(), drain_s)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(service.run)
+            await anyio.sleep(drain_s / 4)
+            for _ in range(4):
+                service._take_beacon(PEER, DirectoryBeacon(3, 9, True))
+                await anyio.sleep(drain_s / 6)
+            tasks.cancel_scope.cancel()
+        return [message for _, message in hub.sent if isinstance(message, DirectoryAsk)]
+
+    assert DirectoryAsk(3, 5, True) in anyio.run(scenario)
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -227,3 +227,26 @@
             assert pool.unused
 
     run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("error", "kept"),
+    [(TimeoutError(), 0), (ConnectionResetError(), 1)],
+    ids=["silent", "reset"],
+)
+def test_idle_connections_go_with_one_that_went_silent(run: Run, error: OSError, kept: int) -> None:
+    """Connections to one target mostly go silent together; each would cost its time-out."""
+
+    async def scenario() -> None:
+        async with Target(plays(OK, OK)) as target:
+            pool = TargetPool("127.0.0.1", target.port, 4)
+            await asyncio.gather(exchange(pool), exchange(pool))
+            asked = asyncio.create_task(exchange(pool))
+            await asyncio.sleep(0)
+            (connection,) = pool._connection_by_token.values()
+            connection.connection_lost(error)
+            assert (await asked).kind is EndKind.BROKEN
+            assert len(pool._idle) == kept
+            pool.close()
+
+    run(scenario())
--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -869,6 +869,51 @@
             "now",
         ),
     ),
+    Row(
+        PLATFORM,
+        LEAVING,
+        "the watch of the targets has gone silent, that of the routes is answered",
+        "tests/directory/test_service.py::"
+        "test_peer_that_is_ahead_is_asked_while_the_own_watch_is_silent",
+        Mutant(
+            "trackwheel/directory/in_step.py",
+            "return not in_step or now - self._behind_since >= self._patience_s",
+            "return not in_step",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        LEAVING,
+        "a connection to the store goes silent for good",
+        "tests/platform/test_store.py::test_silent_connection_is_met_only_once",
+        Mutant(
+            "trackwheel/http1/call.py",
+            "        async with asyncio.timeout(timeout_s):\n            return await ended\n",
+            "        return await ended\n",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        MEMBERSHIP,
+        "links between boxes go silent for good",
+        "tests/peers/test_hub.py::test_link_that_is_not_acknowledged_breaks",
+        Mutant(
+            "trackwheel/peers/hub.py",
+            "        watch_for_silence(socket.transport, LINK_UNACKNOWLEDGED_MS)\n",
+            "",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        MEMBERSHIP,
+        "connections to a target go silent for good",
+        "tests/http1/test_client.py::test_idle_connections_go_with_one_that_went_silent",
+        Mutant(
+            "trackwheel/http1/pool.py",
+            "            elif connection.silent:\n                self._drop_idle()\n",
+            "",
+        ),
+    ),
     Row(
         PLATFORM,
         LEAVING,
--- a/trackwheel/directory/const.py
+++ b/trackwheel/directory/const.py
@@ -2,10 +2,19 @@
 
 from typing import Final
 
-WATCH_WAIT_S: Final = 5.0
-"""How long a watch waits for a change; longer means fewer calls, shorter an earlier doubt."""
-SYNCED_S: Final = WATCH_WAIT_S + 1.5
-"""A watcher whose last good answer of the store is older no longer counts as in step."""
+STORE_SLACK_S: Final = 1.0
+"""Longest wait for an answer of the store beyond the time that a watch may rest. It answers in
+milliseconds; a hundredfold of that is still heard."""
+ROUTES_WAIT_S: Final = 5.0
+"""How long a watch of the routes waits for a change. Longer means fewer calls; a connection that
+goes silent meanwhile is noticed by TCP's keep-alive."""
+ROUTES_PATIENCE_S: Final = ROUTES_WAIT_S + STORE_SLACK_S + 0.5
+"""A watcher whose routes the store confirmed longer ago no longer counts as in step."""
+TARGETS_WAIT_SHARE: Final = 0.4
+"""How long a watch of the targets waits for a change, as part of the time in which a leaving target
+gets its last work. With the pause between two watches and the slack it stays below that time, so
+that a connection that has gone silent is given up before its news are overdue at all boxes that
+trust this one."""
 BEACON_PERIOD_S: Final = 0.5
 """How often watchers say how far they are; a push that was lost heals within one period."""
 UNHEARD_S: Final = 2.0
--- a/trackwheel/directory/service.py
+++ b/trackwheel/directory/service.py
@@ -14,11 +14,14 @@
     PACK_LEVEL,
     RETRY_FIRST_S,
     RETRY_LONGEST_S,
+    ROUTES_PATIENCE_S,
     ROUTES_REST_S,
-    SYNCED_S,
+    ROUTES_WAIT_S,
+    STORE_SLACK_S,
     TARGETS_REST_SHARE,
-    WATCH_WAIT_S,
+    TARGETS_WAIT_SHARE,
 )
+from trackwheel.directory.in_step import Lag, StoreFlow
 from trackwheel.directory.models import (
     DirectoryAsk,
     DirectoryBeacon,
@@ -59,9 +62,12 @@
         self._watching = watching
         self._log = log
         self._targets_rest_s = drain_s * TARGETS_REST_SHARE
+        self._targets_wait_s = drain_s * TARGETS_WAIT_SHARE
         self._packed = b""
-        self._store_answered_at = float("-inf")
-        self._store_lost = False
+        self._routes_flow = StoreFlow(ROUTES_PATIENCE_S)
+        patience_s = self._targets_rest_s + self._targets_wait_s + STORE_SLACK_S
+        self._targets_flow = StoreFlow(patience_s)
+        self._lag = Lag(self._targets_rest_s)
         self._near_peers: tuple[str, ...] = ()
         self._far_watchers: tuple[str, ...] = ()
         self._on_routes: list[Callable[[RouteTable], None]] = []
@@ -85,8 +91,9 @@
 
     @property
     def synced(self) -> bool:
-        """Return whether the store has answered this box lately."""
-        return time.monotonic() - self._store_answered_at < SYNCED_S and not self._store_lost
+        """Return whether the store has answered both watches of this box lately."""
+        now = time.monotonic()
+        return self._routes_flow.in_step(now) and self._targets_flow.in_step(now)
 
     def on_routes(self, handler: Callable[[RouteTable], None]) -> None:
         """Call a handler with each new configuration."""
@@ -127,6 +134,8 @@
             self._source.read_routes,
             self._source.watch_routes,
             self._take_routes_read,
+            self._routes_flow,
+            ROUTES_WAIT_S,
             ROUTES_REST_S,
         )
 
@@ -135,6 +144,8 @@
             self._source.read_targets,
             self._source.watch_targets,
             self._take_targets_read,
+            self._targets_flow,
+            self._targets_wait_s,
             self._targets_rest_s,
         )
 
@@ -143,6 +154,8 @@
         read: Callable[[], Awaitable[Result[T, TrackwheelError]]],
         watch: Callable[[int, float], Awaitable[Result[T, TrackwheelError]]],
         take: Callable[[T], int],
+        flow: StoreFlow,
+        wait_s: float,
         rest_s: float,
     ) -> None:
         """Read once, then follow the changes, as long as this box is to watch."""
@@ -154,17 +167,17 @@
                 await anyio.sleep(LOOK_PERIOD_S)
                 continue
             self.store_calls += 1
-            result = await (read() if after is None else watch(after, WATCH_WAIT_S))
+            result = await (read() if after is None else watch(after, wait_s))
             match result:
                 case Success(found):
-                    self._store_answered()
+                    self._store_answered(flow)
                     after = take(found)
                     pause_s = RETRY_FIRST_S
                     await anyio.sleep(rest_s)
                 case Failure(HistoryGoneError()):
                     after = None
                 case Failure(error):
-                    self._store_failed(error)
+                    self._store_failed(flow, error)
                     await anyio.sleep(pause_s)
                     pause_s = min(RETRY_LONGEST_S, pause_s * 2)
 
@@ -207,7 +220,9 @@
 
     def _take_beacon(self, sender: PeerIdentity, beacon: DirectoryBeacon) -> None:
         self._watching.heard(beacon.synced, time.monotonic())
-        behind = beacon.targets_newest > self._targets.newest and not self.synced
+        behind = self._lag.asks(
+            self._targets.newest, beacon.targets_newest, self.synced, time.monotonic()
+        )
         if beacon.routes_version > self.version or behind:
             self._ask(sender.address, targets_wanted=True)
 
@@ -260,16 +275,16 @@
             if self._targets.next_expiry() <= now and self._targets.expire(now):
                 self._targets_changed("expiry")
 
-    def _store_answered(self) -> None:
+    def _store_answered(self, flow: StoreFlow) -> None:
         now = time.monotonic()
-        self._store_answered_at = now
         self._targets.store_back(now)
-        if self._store_lost:
-            self._store_lost = False
-            self._log.write("store_regained")
+        if flow.answered(now):
+            self._log.write("store_regained", watch=self._flow_name(flow))
 
-    def _store_failed(self, error: TrackwheelError) -> None:
+    def _store_failed(self, flow: StoreFlow, error: TrackwheelError) -> None:
         self._targets.store_lost()
-        if not self._store_lost:
-            self._store_lost = True
-            self._log.write("store_lost", reason=str(error))
+        if flow.failed():
+            self._log.write("store_lost", watch=self._flow_name(flow), reason=str(error))
+
+    def _flow_name(self, flow: StoreFlow) -> str:
+        return "targets" if flow is self._targets_flow else "routes"
--- a/trackwheel/entry/box.py
+++ b/trackwheel/entry/box.py
@@ -6,6 +6,7 @@
 from itertools import chain
 from typing import Final
 
+from trackwheel.directory.const import STORE_SLACK_S
 from trackwheel.directory.models import DIRECTORY_MESSAGES
 from trackwheel.directory.service import DirectoryService
 from trackwheel.directory.targets import TargetDirectory
@@ -13,7 +14,6 @@
 from trackwheel.entry.const import (
     FIRST_LIMITS,
     PATH_METRICS,
-    STORE_TIMEOUT_S,
     TIMING,
     WATCHERS_PER_DOMAIN,
 )
@@ -78,7 +78,7 @@
             seed=os.getpid(),
             watchers_per_domain=WATCHERS_PER_DOMAIN,
         )
-        self.store = StoreClient(settings.store, STORE_TIMEOUT_S, self.log)
+        self.store = StoreClient(settings.store, STORE_SLACK_S, self.log)
         self.directory = DirectoryService(
             self.hub,
             self.store,
--- a/trackwheel/entry/const.py
+++ b/trackwheel/entry/const.py
@@ -13,8 +13,6 @@
 nothing, and digests find what a rumour missed, so that each is told once for a doubling."""
 WATCHERS_PER_DOMAIN: Final = 1
 """Boxes of one failure domain that read the store while all is well."""
-STORE_TIMEOUT_S: Final = 1.5
-"""Longest wait for an answer of the store beyond the time that a watch may rest."""
 FIRST_LIMITS: Final = Limits(16_384, 262_144, 3.0, 15.0)
 """What clients may send before a configuration is known."""
 METRICS_VARIABLE: Final = "TRACKWHEEL_METRICS_PORT"
--- a/trackwheel/entry/run.py
+++ b/trackwheel/entry/run.py
@@ -27,22 +27,18 @@
 async def run_entry_box(path: Path) -> None:
     """Run a box until it is told to stop and has finished what it began."""
     box = EntryBox(read_settings(path))
-    try:
-        async with anyio.create_task_group() as tasks:
-            await tasks.start(box.hub.run)
-            tasks.start_soon(box.fleet.run)
-            tasks.start_soon(box.directory.run)
-            tasks.start_soon(_write_summaries, box)
-            clients = await _listen(box.clients, box.settings.clients)
-            await _listen(box.readiness, box.settings.readiness)
-            await _listen_for_metrics(box)
-            box.log.write("started", boot=box.hub.identity.boot, domain=box.settings.place[1])
-            await _until_stopped(box, path)
-            await _finish(box, clients)
-            tasks.cancel_scope.cancel()
-    finally:
-        with anyio.CancelScope(shield=True):
-            await box.store.close()
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(box.hub.run)
+        tasks.start_soon(box.fleet.run)
+        tasks.start_soon(box.directory.run)
+        tasks.start_soon(_write_summaries, box)
+        clients = await _listen(box.clients, box.settings.clients)
+        await _listen(box.readiness, box.settings.readiness)
+        await _listen_for_metrics(box)
+        box.log.write("started", boot=box.hub.identity.boot, domain=box.settings.place[1])
+        await _until_stopped(box, path)
+        await _finish(box, clients)
+        tasks.cancel_scope.cancel()
     box.log.write("stopped")
 
 
--- a/trackwheel/http1/client.py
+++ b/trackwheel/http1/client.py
@@ -8,7 +8,12 @@
 
 import httptools
 
-from trackwheel.http1.const import CLOSE_DELIMITED_STATUSES, DEFAULT_REUSE_S, REUSE_MARGIN_S
+from trackwheel.http1.const import (
+    CLOSE_DELIMITED_STATUSES,
+    DEFAULT_REUSE_S,
+    REUSE_MARGIN_S,
+    TARGET_UNACKNOWLEDGED_MS,
+)
 from trackwheel.http1.models import EndKind, ExchangeEnd, Request, Response, header
 from trackwheel.http1.sockets import watch_for_silence
 
@@ -53,6 +58,8 @@
         self._ended_by_close = False
         self.idle_since = 0.0
         self.reuse_s = DEFAULT_REUSE_S
+        self.silent = False
+        """Whether it ended since nothing was acknowledged on it any more."""
 
     @property
     def open(self) -> bool:
@@ -64,7 +71,7 @@
         """Take the new connection."""
         # uvloop's transports are no subclasses of the one in asyncio.
         self._transport = cast(asyncio.Transport, transport)
-        watch_for_silence(transport)
+        watch_for_silence(transport, TARGET_UNACKNOWLEDGED_MS)
 
     def send(self, request: Request, check: Check, on_end: OnEnd) -> None:
         """Send a request; `on_end` is called once, unless the exchange is abandoned."""
@@ -103,6 +110,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the exchange under way as broken."""
+        self.silent = isinstance(exc, TimeoutError)
         self._close()
         if self._on_end is not None:
             detail = f"connection lost: {exc!r}" if exc else "closed by the target"
--- a/trackwheel/http1/const.py
+++ b/trackwheel/http1/const.py
@@ -8,10 +8,14 @@
 """Statuses whose answers never have a body."""
 TCP_USER_TIMEOUT_MS: Final = 4_000
 """How long sent bytes may stay unacknowledged; a silent link is then an error, not a wait."""
-KEEPALIVE_IDLE_S: Final = 2
+TARGET_UNACKNOWLEDGED_MS: Final = 1_500
+"""The same for a request to a target: on a connection that has gone silent it can be asked again
+before most clients leave. A few times the slowest way there and back, with packets sent again."""
+KEEPALIVE_IDLE_S: Final = 1
 KEEPALIVE_PERIOD_S: Final = 1
 KEEPALIVE_PROBES: Final = 3
-"""TCP keep-alive finds a peer that lost power on a connection on which nothing is sent."""
+"""TCP keep-alive finds within four seconds that a peer lost power, or that its connection has gone
+silent, where nothing is sent. Three probes: on a lossy link one or two are lost by chance."""
 CONNECT_TIMEOUT_S: Final = 1.0
 """Longest wait for a new connection; the slowest path today takes some 30 ms."""
 DEFAULT_REUSE_S: Final = 4.0
--- a/trackwheel/http1/pool.py
+++ b/trackwheel/http1/pool.py
@@ -51,6 +51,10 @@
         """Close idle connections and stop opening new ones; exchanges under way go on."""
         for task in tuple(self._connecting):
             task.cancel()
+        self._drop_idle()
+
+    def _drop_idle(self) -> None:
+        """Close idle connections; where one has gone silent, older ones mostly have too."""
         for connection in tuple(self._idle):
             connection.abandon()
 
@@ -88,6 +92,8 @@
             self._connection_by_token.pop(job.token, None)
             if connection.open:
                 self._idle.append(connection)
+            elif connection.silent:
+                self._drop_idle()
             job.on_end(result)
             self._pump()
 
--- a/trackwheel/peers/const.py
+++ b/trackwheel/peers/const.py
@@ -18,3 +18,6 @@
 CLOSE_TIMEOUT_S: Final = 0.5
 CLOSE_CODE_REFUSED: Final = 1008
 CLOSE_CODE_GARBAGE: Final = 1003
+LINK_UNACKNOWLEDGED_MS: Final = 2_000
+"""How long sent bytes may wait to be acknowledged. A link that has gone silent is then opened anew;
+without a bound both ends would count each other as dead for as long as they run."""
--- a/trackwheel/peers/hub.py
+++ b/trackwheel/peers/hub.py
@@ -14,12 +14,14 @@
 from websockets.asyncio.server import ServerConnection, serve
 from websockets.exceptions import ConnectionClosed, InvalidHandshake
 
+from trackwheel.http1.sockets import watch_for_silence
 from trackwheel.peers.certified import is_certified
 from trackwheel.peers.codec import Codec, Message
 from trackwheel.peers.const import (
     CLOSE_CODE_REFUSED,
     CLOSE_TIMEOUT_S,
     CONNECT_TIMEOUT_S,
+    LINK_UNACKNOWLEDGED_MS,
     MAX_FRAME_BYTES,
     PROTOCOL_VERSION,
     RECONNECT_DELAY_S,
@@ -193,6 +195,7 @@
 
     async def _carry(self, socket: Connection, peer: PeerIdentity, outbox: Outbox) -> None:
         address = peer.address
+        watch_for_silence(socket.transport, LINK_UNACKNOWLEDGED_MS)
         self._link_count_by_address[address] = self._link_count_by_address.get(address, 0) + 1
         try:
             await run_link(socket, peer, outbox, self._codec, self)
--- a/trackwheel/platform/store.py
+++ b/trackwheel/platform/store.py
@@ -2,9 +2,10 @@
 
 import base64
 import binascii
+import time
 from typing import Final, TypeVar
+from urllib.parse import urlencode
 
-import httpx
 import msgspec
 from returns.result import Failure, Result, Success
 
@@ -16,6 +17,8 @@
     TargetsRead,
 )
 from trackwheel.errors import Problem, TrackwheelError
+from trackwheel.http1.call import call_once
+from trackwheel.http1.models import Request
 from trackwheel.platform.decode import decode_routes, decode_target
 from trackwheel.platform.errors import store_error
 from trackwheel.platform.names import (
@@ -25,6 +28,7 @@
     PREFIX_TARGETS,
 )
 from trackwheel.routing.models import RouteTable
+from trackwheel.settings import split_address
 from trackwheel.telemetry.events import EventLog
 from trackwheel.units import MILLISECONDS
 
@@ -65,15 +69,9 @@
 
     def __init__(self, address: str, call_timeout_s: float, log: EventLog) -> None:
         self._address = address
+        self._host, self._port = split_address(address)
         self._call_timeout_s = call_timeout_s
         self._log = log
-        self._client = httpx.AsyncClient(
-            base_url=f"http://{address}", timeout=call_timeout_s, trust_env=False
-        )
-
-    async def close(self) -> None:
-        """Close all connections."""
-        await self._client.aclose()
 
     def decode_routes(self, content: bytes) -> Result[RouteTable, TrackwheelError]:
         """Return the configuration that some bytes hold."""
@@ -144,19 +142,22 @@
     async def _get(
         self, path: str, parameters: dict[str, str], wait_s: float
     ) -> Result[bytes, TrackwheelError]:
-        timeout = httpx.Timeout(self._call_timeout_s, read=self._call_timeout_s + wait_s)
-        try:
-            response = await self._client.get(path, params=parameters, timeout=timeout)
-        except httpx.HTTPError as error:
-            return Failure(store_error(UNAVAILABLE, path, self._address, error))
-        if response.status_code == STATUS_HISTORY_GONE:
+        query = f"{path}?{urlencode(parameters)}"
+        headers = ((b"host", self._address.encode()),)
+        request = Request(b"GET", query.encode(), headers, b"", time.monotonic())
+        # A connection for each call: one that went silent while idle would cost its time-out anew.
+        end = await call_once(
+            self._host, self._port, request, self._call_timeout_s, self._call_timeout_s + wait_s
+        )
+        if end.answer is None:
+            return Failure(store_error(UNAVAILABLE, path, self._address, end.detail))
+        status = end.answer.status
+        if status == STATUS_HISTORY_GONE:
             detail = "the store has forgotten the changes since then"
             return Failure(HistoryGoneError(Problem("history_gone", path, self._address, detail)))
-        if response.status_code != STATUS_OK:
-            return Failure(
-                store_error(UNAVAILABLE, path, self._address, f"status {response.status_code}")
-            )
-        return Success(response.content)
+        if status != STATUS_OK:
+            return Failure(store_error(UNAVAILABLE, path, self._address, f"status {status}"))
+        return Success(end.answer.body)
 
     def _routes_page(self, content: bytes) -> Result[RoutesRead, TrackwheelError]:
         page = self._decode(content, _Page, "read_routes")
