Hold a request for a moment at a box that is just reading its configuration

Ruled out: opening the door only when the configuration is known: the platform sends clients to all boxes of a domain while fewer than half are ready, and they would find no connection.

--- a/trackwheel/relay/service.py
+++ b/trackwheel/relay/service.py
@@ -15,6 +15,7 @@
     RETRY_AFTER_S,
     RETURN_MARGIN_S,
 )
+from trackwheel.relay.early import EarlyRequests
 from trackwheel.relay.gather import Gather
 from trackwheel.relay.gather_models import Gathered, GatherFailed, GatherPlan
 from trackwheel.relay.grouping import GroupPlanner
@@ -57,11 +58,13 @@
         self.ended_by_kind: Counter[tuple[str]] = Counter()
         self._divider = WeightedDivider()
         self._table: RouteTable | None = None
+        self._early = EarlyRequests(self.handle, self._refuse_without_routes)
         self._planner = GroupPlanner(place, address, board, groups.peer_board)
 
     def set_table(self, table: RouteTable) -> None:
         """Take a configuration; requests under way keep the one they began with."""
         self._table = table
+        self._early.release()
 
     def set_peers(self, peers: tuple[PeerBox, ...], gathers: bool) -> None:
         """Take the boxes to which shards may be handed, and whether this box asks targets."""
@@ -71,10 +74,10 @@
     def handle(self, request: Request, exchange: Exchange) -> None:
         """Serve one request of a client."""
         table = self._table
-        caller = self._wire.read_request(request)
         if table is None:
-            self._refuse_without_routes(caller, exchange)
+            self._early.take(request, exchange)
             return
+        caller = self._wire.read_request(request)
         route = find_route(table, caller.host, caller.path)
         if route is None:
             self.ended_by_kind[("no_route",)] += 1
@@ -88,8 +91,9 @@
         else:
             self._serve_single(caller, route, table.version, exchange)
 
-    def _refuse_without_routes(self, caller: CallerRequest, exchange: Exchange) -> None:
+    def _refuse_without_routes(self, request: Request, exchange: Exchange) -> None:
         """Refuse a request that came before any configuration was known here."""
+        caller = self._wire.read_request(request)
         reason = "no configuration is known yet"
         self.ended_by_kind[("no_configuration",)] += 1
         self._log.write("given_up", id=caller.request_id, ran=False, late=False, reason=reason)
