Keep taking signals until a stopping box has finished

The receiver of signals was left before the finishing began, so that SIGHUP, or a second SIGTERM, ended the process by default. Ruled out: the end of the grace time (6 s); a client that left (it was cut). Before: test_planned_stop_finishes_what_is_under_way fails with SIGHUP and with a second SIGTERM.

--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -914,6 +914,17 @@
             "",
         ),
     ),
+    Row(
+        PLATFORM,
+        STOP,
+        "a hang-up or a second signal comes after a planned stop began",
+        ENTRY + "test_planned_stop_finishes_what_is_under_way",
+        Mutant(
+            "trackwheel/entry/run.py",
+            "            await _finish(box, clients)\n",
+            "        await _finish(box, clients)\n",
+        ),
+    ),
     Row(
         PLATFORM,
         LEAVING,
--- a/tests/whole/test_entry.py
+++ b/tests/whole/test_entry.py
@@ -203,7 +203,11 @@
     assert not target.runs
 
 
-def test_planned_stop_finishes_what_is_under_way(own: EntryFleet) -> None:
+@pytest.mark.parametrize("then", [None, signal.SIGHUP, signal.SIGTERM], ids=str)
+def test_planned_stop_finishes_what_is_under_way(
+    own: EntryFleet, then: signal.Signals | None
+) -> None:
+    """A hang-up 0.2 s after the stop ended the process with a request under way."""
     place = own.boxes[0]
     own.target_by_instance["lookup-east"].delay_s = 1.0
     own.target_by_instance["lookup-west"].delay_s = 1.0
@@ -213,6 +217,8 @@
         own.signal(place, signal.SIGTERM)
         time.sleep(0.2)
         assert not own.ready(place)
+        if then is not None:
+            own.signal(place, then)
         answer = client.post(url, headers={"X-Attempt-Id": "2"}, content=b"x")
         assert answer.status_code == 200
         assert answer.headers["connection"] == "close"
--- a/trackwheel/entry/run.py
+++ b/trackwheel/entry/run.py
@@ -4,7 +4,9 @@
 import os
 import signal
 import time
+from collections.abc import AsyncIterator
 from pathlib import Path
+from typing import Final
 
 import anyio
 
@@ -23,6 +25,8 @@
 from trackwheel.platform.settings import read_settings
 from trackwheel.settings import split_address
 
+SIGNALS: Final = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
 
 async def run_entry_box(path: Path) -> None:
     """Run a box until it is told to stop and has finished what it began."""
@@ -36,8 +40,10 @@
         await _listen(box.readiness, box.settings.readiness)
         await _listen_for_metrics(box)
         box.log.write("started", boot=box.hub.identity.boot, domain=box.settings.place[1])
-        await _until_stopped(box, path)
-        await _finish(box, clients)
+        # The signals stay taken until the end: by default a hang-up would end the process.
+        with anyio.open_signal_receiver(*SIGNALS) as signals:
+            await _until_stopped(box, path, signals)
+            await _finish(box, clients)
         tasks.cancel_scope.cancel()
     box.log.write("stopped")
 
@@ -79,14 +85,13 @@
         box.log.write("no_metrics", port=port, reason=str(error))
 
 
-async def _until_stopped(box: EntryBox, path: Path) -> None:
-    """Return at the first signal to stop; a hang-up reads the settings anew."""
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-        async for received in signals:
-            if received != signal.SIGHUP:
-                box.log.write("stopping", signal=received.name)
-                return
-            box.log.write("reload", path=str(path))
+async def _until_stopped(box: EntryBox, path: Path, signals: AsyncIterator[signal.Signals]) -> None:
+    """Return at the first signal to stop; a hang-up is noted and changes nothing."""
+    async for received in signals:
+        if received != signal.SIGHUP:
+            box.log.write("stopping", signal=received.name)
+            return
+        box.log.write("reload", path=str(path))
 
 
 async def _finish(box: EntryBox, clients: asyncio.Server) -> None:
