Keep signals while a box is loaded

Cause: until the receiver of signals is open a hang-up ends the process by default; loading takes 0.3 s after each start. Seen by reading, after the hang-up that ended a stopping box. Change: the three signals are blocked first of all and taken when the receiver is open. Tried beside it and reverted: opening the clients' address before the rest is loaded, so that clients wait instead of being refused. A client that is refused comes in at a box that is up sooner than at one that loads. Test: signals that come while they are kept are delivered later.

--- a/trackwheel/entry/__main__.py
+++ b/trackwheel/entry/__main__.py
@@ -1,15 +1,14 @@
 """Run a box as `python -m trackwheel.entry`, with the settings file that the platform names."""
 
-import signal
+import os
+from pathlib import Path
 
-# A hang-up that comes while the modules are loaded would end the process by default.
-signal.signal(signal.SIGHUP, signal.SIG_IGN)
+from trackwheel.entry.signals import keep_signals
 
-import os  # noqa: E402
-from pathlib import Path  # noqa: E402
+if __name__ == "__main__":
+    keep_signals()
 
-from trackwheel.entry.run import run_entry  # noqa: E402
-from trackwheel.platform.settings import SETTINGS_VARIABLE  # noqa: E402
+    from trackwheel.entry.run import run_entry
+    from trackwheel.platform.settings import SETTINGS_VARIABLE
 
-if __name__ == "__main__":
     run_entry(Path(os.environ[SETTINGS_VARIABLE]))
--- a/trackwheel/entry/run.py
+++ b/trackwheel/entry/run.py
@@ -6,7 +6,6 @@
 import time
 from collections.abc import AsyncIterator
 from pathlib import Path
-from typing import Final
 
 import anyio
 
@@ -20,13 +19,12 @@
     STOP_MARGIN_S,
     SUMMARY_PERIOD_S,
 )
+from trackwheel.entry.signals import SIGNALS, take_signals
 from trackwheel.garbage import tune_garbage_collection
 from trackwheel.http1.server import ServerConnection, ServerState
 from trackwheel.platform.settings import read_settings
 from trackwheel.settings import split_address
 
-SIGNALS: Final = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-
 
 async def run_entry_box(path: Path) -> None:
     """Run a box until it is told to stop and has finished what it began."""
@@ -42,6 +40,7 @@
         box.log.write("started", boot=box.hub.identity.boot, domain=box.settings.place[1])
         # The signals stay taken until the end: by default a hang-up would end the process.
         with anyio.open_signal_receiver(*SIGNALS) as signals:
+            take_signals()
             await _until_stopped(box, path, signals)
             await _finish(box, clients)
         tasks.cancel_scope.cancel()
