Spend repeats first where the answer fails without them, and try again inside the aim

Change: a query knows how many shards it may lack; it shares that among itself and its peers. A quarter of the allowance is kept for shards without which an answer fails. A shard that all targets refused is asked again after a rest that doubles, one without an allowance when there is one; neither is lost. What can never be paid for is still given up at once. Tests: TestHeldBack, budget; both rows of the table of proofs fail without their mechanism.

--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -914,6 +914,28 @@
             "",
         ),
     ),
+    Row(
+        PLATFORM,
+        AT_ONCE,
+        "all targets of a shard refuse it, with time left",
+        SHARDS + "TestHeldBack::test_shard_that_all_targets_refused_is_asked_again_within_the_aim",
+        Mutant(
+            "trackwheel/relay/gather.py",
+            "elif refusal is Refusal.NOT_NOW and not self.plan.repeat:",
+            "elif False:",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        BUDGET,
+        "repeats that only add coverage meet those without which an answer fails",
+        SHARDS + "TestHeldBack::test_shards_that_may_lack_leave_a_reserve",
+        Mutant(
+            "trackwheel/relay/budget.py",
+            "            allowed *= 1.0 - RESERVE_FOR_NEEDED\n",
+            "            pass\n",
+        ),
+    ),
     Row(
         PLATFORM,
         STOP,
--- a/tests/relay/test_budget.py
+++ b/tests/relay/test_budget.py
@@ -125,3 +125,25 @@
     assert sum(budget.take("s", 11.2) for _ in range(100)) > before
     budget.set_gatherers({"a": 2}, "a", False, 12.0)
     assert not budget.take("t", 12.0)
+
+
+@pytest.mark.parametrize("needed", [True, False])
+def test_part_of_the_allowance_is_kept_for_what_is_needed(needed: bool) -> None:
+    budget = RepeatBudget(RULE, OLD)
+    budget.set_members(1, 0.0)
+    taken = 0
+    while budget.take("s", 1.0, needed):
+        taken += 1
+    rest = 0
+    while budget.take("s", 1.0):
+        rest += 1
+    assert (rest == 0) is needed
+    assert needed or taken == pytest.approx(3 * rest, abs=2)
+
+
+@pytest.mark.parametrize(
+    ("rule", "ever"),
+    [(BudgetRule(0.0, 10.0, 0.0), False), (BudgetRule(0.2, 10.0, 0.0), True), (RULE, True)],
+)
+def test_budget_says_whether_waiting_can_help(rule: BudgetRule, ever: bool) -> None:
+    assert RepeatBudget(rule, OLD).allows_any is ever
--- a/tests/relay/test_gather.py
+++ b/tests/relay/test_gather.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.relay.conftest import HERE, ROUTE, THERE, end
+from tests.relay.conftest import HERE, OLD, ROUTE, THERE, end
 from trackwheel.relay.board import Board
 from trackwheel.relay.budget import BudgetRule, RepeatBudget
 from trackwheel.relay.const import MAX_SENDS
@@ -271,6 +271,81 @@
     assert len(session.sent) == len(SHARDS)
 
 
+class TestHeldBack:
+    """Shards that may not be asked now, but soon."""
+
+    @pytest.mark.parametrize("rounds", [1, 2], ids=["refused-once", "refused-again"])
+    def test_shard_that_all_targets_refused_is_asked_again_within_the_aim(
+        self, board: Board, budget: RepeatBudget, rounds: int
+    ) -> None:
+        """Targets that shed six in ten were given up on after 3 to 42 ms of a client's 3 s."""
+        session = Session(board, budget, least=1.0)
+        now = 0.01
+        for _ in range(rounds):
+            while "s0" in {sent.shard for sent in session.open.values()}:
+                session.fail("s0", Outcome.NOT_RUN, now)
+            assert session.end is None
+            assert "s0" not in {sent.shard for sent in session.open.values()}
+            now = session.gather.next_wake()
+            session.tick(now)
+            assert session.sent[-1].reason == "held_back"
+        assert now < ANSWER_AT
+
+    def test_each_refusal_doubles_the_rest(self, board: Board, budget: RepeatBudget) -> None:
+        session = Session(board, budget, least=1.0)
+        rests, now = [], 0.0
+        session.fail("s0", Outcome.NOT_RUN, now)
+        for _ in range(3):
+            session.fail("s0", Outcome.NOT_RUN, now)
+            refused_at = now
+            while "s0" not in {sent.shard for sent in session.open.values()}:
+                now = session.gather.next_wake()
+                session.tick(now)
+            rests.append(now - refused_at)
+        assert rests[0] < rests[1] < rests[2]
+
+    def test_needed_shard_waits_for_an_allowance(self, board: Board) -> None:
+        budget = RepeatBudget(BudgetRule(0.2, 10.0, 0.0), OLD)
+        session = Session(board, budget, least=1.0)
+        session.fail("s0", Outcome.FAILED)
+        session.tick(session.gather.next_wake())
+        assert session.end is None and len(session.sent) == len(SHARDS)
+        for _ in range(20):
+            budget.first("s0", 0.05)
+        session.tick(0.1)
+        assert session.sent[-1].shard == "s0"
+
+    def test_query_that_waits_in_vain_ends_with_its_time(self, board: Board) -> None:
+        budget = RepeatBudget(BudgetRule(0.2, 10.0, 0.0), OLD)
+        session = Session(board, budget, least=1.0)
+        session.fail("s0", Outcome.FAILED)
+        for number in range(1, 10):
+            session.answer(f"s{number}")
+        session.tick(END_AT)
+        assert isinstance(session.end, GatherFailed)
+        assert session.end[:3] == (True, True, "time is up")
+        assert session.end.lacking == "s0: failed at s0-near, held back"
+
+    def test_shards_that_may_lack_leave_a_reserve(self, board: Board) -> None:
+        """Two of ten may lack; the first two that fail leave the last repeat to the third."""
+        budget = RepeatBudget(BudgetRule(0.0, 10.0, 1.25), OLD)
+        budget.set_members(1, 0.0)
+        session = Session(board, budget, least=0.8)
+        for name in ("s0", "s1", "s2"):
+            session.fail(name, Outcome.FAILED)
+        assert [sent.shard for sent in session.sent[len(SHARDS) :]] == ["s2"]
+
+    @pytest.mark.parametrize(
+        ("shards", "least"), [(3, 1.0), (5, 0.8), (10, 0.8)], ids=["few", "half", "all"]
+    )
+    def test_peer_may_leave_out_its_part_of_what_may_lack(
+        self, board: Board, budget: RepeatBudget, shards: int, least: float
+    ) -> None:
+        group = GROUP._replace(shards=SHARDS[:shards])
+        session = Session(board, budget, least=0.8, groups=(group,))
+        assert session.groups[0].least_coverage == pytest.approx(least)
+
+
 class TestGroups:
     """Shards that a peer gathers."""
 
--- a/trackwheel/relay/attempts.py
+++ b/trackwheel/relay/attempts.py
@@ -1,15 +1,28 @@
 """The sends of one request, or of one shard of a query, within its limits and its budget."""
 
+from enum import StrEnum
 from typing import Final
 
 from trackwheel.relay.board import Board, Choice, RouteKey
 from trackwheel.relay.budget import RepeatBudget
-from trackwheel.relay.const import HEDGE_EARLIEST_PACES, HEDGE_RESERVE_PACES, MAX_SENDS
+from trackwheel.relay.const import (
+    HEDGE_EARLIEST_PACES,
+    HEDGE_RESERVE_PACES,
+    MAX_SENDS,
+    REFUSED_REST_PACES,
+)
 from trackwheel.relay.models import NOTHING_RAN, Outcome, Target
 
 NEVER: Final = float("inf")
 
 
+class Refusal(StrEnum):
+    """Say why no target is asked: it may be tried again soon, or nothing is left to try."""
+
+    NOT_NOW = "not_now"
+    NO_MORE = "no_more"
+
+
 class Attempts:
     """Follow which targets were asked, how many may have run it, and what it has cost."""
 
@@ -25,6 +38,8 @@
         self._runs = 0
         self._arrivals = int(repeat)
         self._given = 0
+        self._refusals = 0
+        self._refused_at = 0.0
         self.target_by_token: dict[int, Target] = {}
         self.ran = False
         """Whether a target that has answered or broken off may have run it."""
@@ -69,13 +84,36 @@
         self._tried.clear()
 
     def choose(
-        self, board: Board, budget: RepeatBudget, route: RouteKey, now: float
-    ) -> list[Choice]:
-        """Return the target to ask now, paid for, and those after it; none when it may not be."""
+        self,
+        board: Board,
+        budget: RepeatBudget,
+        route: RouteKey,
+        now: float,
+        needed: bool = True,
+    ) -> list[Choice] | Refusal:
+        """Return the target to ask now, paid for, and those after it; or why there is none.
+
+        `needed` says that the answer fails without this.
+        """
         if not self.may_run:
-            return []
+            return Refusal.NO_MORE
         choices = self._rank(board, route, now)
-        return choices if choices and self._pay(budget, now) else []
+        if not choices:
+            return Refusal.NO_MORE
+        if self._rests(choices, now):
+            return Refusal.NOT_NOW
+        if not self._pay(budget, now, needed):
+            return Refusal.NOT_NOW if budget.allows_any else Refusal.NO_MORE
+        return choices
+
+    def _rests(self, choices: list[Choice], now: float) -> bool:
+        """Return whether all targets refused it a moment ago."""
+        if choices[0].target.instance not in self._tried or self._refusals < len(choices):
+            return False
+        rest_s = choices[0].usual_s * REFUSED_REST_PACES
+        for _ in range(len(choices), self._refusals):
+            rest_s *= 2.0
+        return now < self._refused_at + rest_s
 
     def begin(self, token: int, target: Target) -> None:
         """Take that it goes to a target."""
@@ -90,13 +128,16 @@
         del self.target_by_token[token]
         self.ran = True
 
-    def fail(self, token: int, outcome: Outcome) -> None:
+    def fail(self, token: int, outcome: Outcome, now: float) -> None:
         """Take how it failed at a target."""
         target = self.target_by_token.pop(token)
         if outcome not in NOTHING_RAN:
             self.ran = True
             return
         self._runs -= 1
+        if outcome is Outcome.NOT_RUN:
+            self._refusals += 1
+            self._refused_at = now
         if outcome is not Outcome.ELSEWHERE:
             self._not_run_at.add(target.instance)
         if outcome is Outcome.NOT_SENT:
@@ -110,13 +151,13 @@
         ran = frozenset(self._tried - self._not_run_at)
         return board.rank(self._service, route, now, ran, self._only_beside)
 
-    def _pay(self, budget: RepeatBudget, now: float) -> bool:
+    def _pay(self, budget: RepeatBudget, now: float, needed: bool) -> bool:
         if not self._counted:
             self._counted = True
             budget.first(self._service, now)
             return True
         # What could not be sent did not arrive, so that another target is not a repeat yet.
-        return self._arrivals == 0 or budget.take(self._service, now)
+        return self._arrivals == 0 or budget.take(self._service, now, needed)
 
 
 def hedge_time(choices: list[Choice], answer_at: float, now: float) -> float:
--- a/trackwheel/relay/budget.py
+++ b/trackwheel/relay/budget.py
@@ -14,6 +14,7 @@
     BUDGET_SHARE_OF_ALL,
     BUDGET_SHARE_OF_EXTRA,
     MEMBERS_MEMORY_S,
+    RESERVE_FOR_NEEDED,
 )
 
 
@@ -111,17 +112,28 @@
         """Take in which failure domains the targets of each shard are."""
         self._domains_by_shard = domains_by_shard
 
+    @property
+    def allows_any(self) -> bool:
+        """Return whether a repeat may ever be paid for, so that it can be worth waiting."""
+        return self._rule.ratio > 0.0 or self._rule.extra > 0.0
+
     def first(self, service: str, now: float) -> None:
         """Count a first request for a service."""
         self._count(self._firsts_by_service, service).add(now)
 
-    def take(self, service: str, now: float) -> bool:
-        """Pay for one repeat; return False when the budget does not allow it."""
+    def take(self, service: str, now: float, needed: bool = True) -> bool:
+        """Pay for one repeat; return False when the budget does not allow it.
+
+        `needed` says that an answer fails without it; others leave a reserve.
+        """
         # One bucket less on the side of requests and one more on that of repeats: no window,
         # wherever it begins, then holds more than the rule says.
         firsts = self._count(self._firsts_by_service, service).total(now, BUDGET_BUCKETS - 1)
         repeats = self._count(self._repeats_by_service, service).total(now, BUDGET_BUCKETS + 1)
-        if repeats + 1 > firsts * self._rule.ratio * BUDGET_SAFETY + self._extra(service, now):
+        allowed = firsts * self._rule.ratio * BUDGET_SAFETY + self._extra(service, now)
+        if not needed:
+            allowed *= 1.0 - RESERVE_FOR_NEEDED
+        if repeats + 1 > allowed:
             self.denied += 1
             return False
         self._count(self._repeats_by_service, service).add(now)
--- a/trackwheel/relay/const.py
+++ b/trackwheel/relay/const.py
@@ -54,8 +54,17 @@
 """A second target is asked no sooner than after this many usual times."""
 HEDGE_RESERVE_PACES: Final = 2.5
 """So many usual times of the second target are left before the aim when it is asked."""
-MAX_SENDS: Final = 4
+MAX_SENDS: Final = 8
 """Sends of one request, or of one shard of a query, whatever became of the earlier ones."""
+RETRY_PACES: Final = 0.5
+"""Usual times after which a shard that was held back is looked at again."""
+LATE_RETRY_PACES: Final = 2.0
+"""The same once the aim is over: nobody gains by haste then, and each look costs processor time."""
+REFUSED_REST_PACES: Final = 0.5
+"""Usual times before a shard is asked again that all its targets refused; doubles each time."""
+RESERVE_FOR_NEEDED: Final = 0.25
+"""Part of the allowance of repeats that is kept for those without which an answer fails. A needed
+shard earns its whole answer, another one the share that it adds."""
 DECLINE_PACES: Final = 2.0
 """A shard is left to others when its target here costs so many usual times: that is when a second
 target would be asked anyway."""
--- a/trackwheel/relay/gather.py
+++ b/trackwheel/relay/gather.py
@@ -4,7 +4,9 @@
 handed in groups to peers beside their targets, which answer with merged records. Shards that are
 late are asked for elsewhere while that can still answer before the aim: through a peer beside
 other targets, which has connections to them, or else directly. A shard whose target failed is
-asked again at once; the shards of a peer that shows no life are asked around it.
+asked again at once; the shards of a peer that shows no life are asked around it. A shard that all
+its targets have refused, or for which no repeat is allowed now, is held back and tried again soon;
+part of the allowance is kept for shards without which the answer fails.
 
 The query ends when every shard is in, at its aim with enough of them, or as soon as enough are
 in after that. It is given up at once when enough can no longer come.
@@ -12,10 +14,16 @@
 
 from collections.abc import Sequence
 
-from trackwheel.relay.attempts import NEVER, hedge_time
+from trackwheel.relay.attempts import NEVER, Refusal, hedge_time
 from trackwheel.relay.board import Board
 from trackwheel.relay.budget import RepeatBudget
-from trackwheel.relay.const import DECLINE_PACES, LOGGED_SHARDS, REPORT_SLACK_S
+from trackwheel.relay.const import (
+    DECLINE_PACES,
+    LATE_RETRY_PACES,
+    LOGGED_SHARDS,
+    REPORT_SLACK_S,
+    RETRY_PACES,
+)
 from trackwheel.relay.gather_models import (
     CancelGroup,
     CancelPart,
@@ -41,6 +49,13 @@
         self.plan = plan
         self.check_at = plan.accept_by
         self.accepted = False
+        self.spare = 0
+        """How many of its shards the peer may leave out."""
+
+
+def spare_shards(total: int, least_coverage: float) -> int:
+    """Return how many shards an answer may lack."""
+    return max(lack for lack in range(total + 1) if (total - lack) / total >= least_coverage)
 
 
 class Gather:
@@ -58,6 +73,7 @@
         self._budget = budget
         self._regrouping = regrouping
         self._shards = ShardBook(plan)
+        self._spare = spare_shards(len(plan.shards), plan.least_coverage)
         self._group_by_number: dict[int, _Group] = {}
         self._next_group = 0
         self.parts = PartsIn(plan.shards, plan.top_k)
@@ -76,7 +92,8 @@
         left_to_others = self._leave_to_others(own, now)
         for name in own:
             if name not in left_to_others:
-                self._ask_or_lose(name, reason, now)
+                self._ask_or_hold_back(name, reason, now)
+        self._retry(now)
         return self._finish_or_go_on(now)
 
     def _leave_to_others(self, names: Sequence[str], now: float) -> set[str]:
@@ -128,8 +145,8 @@
             return self._finish_or_go_on(now)
         where = shard.attempts.target_by_token[token].instance
         shard.last_failure = f"{end.outcome.value} at {where}"
-        shard.attempts.fail(token, end.outcome)
-        self._ask_or_lose(name, end.outcome.value, now)
+        shard.attempts.fail(token, end.outcome, now)
+        self._ask_or_hold_back(name, end.outcome.value, now)
         return self._finish_or_go_on(now)
 
     def group_accepted(self, number: int) -> None:
@@ -179,7 +196,7 @@
             if name not in handed:
                 # All others have declined too, or nobody is there: any target will do.
                 self._shards[name].attempts.forget_tried()
-                self._ask_or_lose(name, "declined", now)
+                self._ask_or_hold_back(name, "declined", now)
         return self._finish_or_go_on(now)
 
     def group_lost(self, number: int, now: float) -> list[GatherCommand]:
@@ -197,6 +214,7 @@
             if group.check_at <= now:
                 self._doubt(number, group, now)
         self._ask_elsewhere(self._shards.take_late(now), "hedge", now)
+        self._retry(now)
         return self._finish_or_go_on(now)
 
     def cancel(self) -> list[GatherCommand]:
@@ -208,7 +226,7 @@
 
     def next_wake(self) -> float:
         """Return when `tick` is next needed (monotonic seconds)."""
-        times = [self.plan.end_at, self._shards.next_hedge()]
+        times = [self.plan.end_at, self._shards.next_hedge(), self._shards.next_retry()]
         times += [group.check_at for group in self._group_by_number.values()]
         if self._enough() and not self.plan.partial:
             times.append(self.plan.answer_at)
@@ -232,12 +250,16 @@
         self._next_group += 1
         self._group_by_number[number] = _Group(group)
         floor = self.parts.floor() if group.repeat else b""
-        self._commands.append(SendGroup(number, group, floor))
+        held = len(group.shards)
+        spare = 0 if group.repeat else self._spare * held // len(self.plan.shards)
+        self._group_by_number[number].spare = spare
+        self._commands.append(SendGroup(number, group, floor, (held - spare) / held))
         if not group.repeat:
             self.parts.expect_merged(group.shards)
         for name in group.shards:
             shard = self._shards[name]
             shard.groups.add(number)
+            self._shards.asked(name)
             beside = {t.instance for t in self._board.targets(name) if t.place == group.place}
             if group.repeat:
                 shard.attempts.lend(beside)
@@ -281,7 +303,7 @@
         handed = self._hand_elsewhere(lacking, True, now)
         for name in lacking:
             if name not in handed:
-                self._ask_or_lose(name, reason, now)
+                self._ask_or_hold_back(name, reason, now)
 
     def _hand_elsewhere(self, names: Sequence[str], repeat: bool, now: float) -> set[str]:
         """Hand shards to peers beside targets that were not tried; return which were handed."""
@@ -297,19 +319,43 @@
             self._hand_over(group)
         return {name for group in groups for name in group.shards}
 
-    def _ask_or_lose(self, name: str, reason: str, now: float) -> None:
-        shard = self._shards[name]
-        if not self._ask(name, reason, now) and not shard.waits:
+    def _retry(self, now: float) -> None:
+        """Ask for the shards that were held back, if they may be asked for now."""
+        for name in self._shards.take_retries(now):
+            self._ask_or_hold_back(name, "held_back", now)
+
+    def _ask_or_hold_back(self, name: str, reason: str, now: float) -> None:
+        """Ask for a shard now, or soon, or take it as lost when nothing is left to try."""
+        if now >= self.plan.end_at:
+            return
+        refusal = self._ask(name, reason, now)
+        if refusal is None:
+            return
+        in_time = now < self.plan.answer_at
+        paces = RETRY_PACES if in_time else LATE_RETRY_PACES
+        again_at = now + paces * self._board.usual_s(self.plan.route, far=False)
+        if self._shards[name].waits:
+            if refusal is Refusal.NOT_NOW and in_time:
+                self._shards.hedge(name, again_at)
+        elif refusal is Refusal.NOT_NOW and not self.plan.repeat:
+            self._shards.hold_back(name, again_at)
+        else:
             self._shards.lose([name])
 
-    def _ask(self, name: str, reason: str, now: float) -> bool:
-        """Send a shard to one more target; return False when there is none or it may not."""
+    def _needs(self, name: str) -> bool:
+        """Return whether the answer fails without a shard, since too many others lack."""
+        spare = self._spare - sum(group.spare for group in self._group_by_number.values())
+        return self._shards.left_out_besides(name) >= spare
+
+    def _ask(self, name: str, reason: str, now: float) -> Refusal | None:
+        """Send a shard to one more target; return why not when it is not sent."""
         shard = self._shards[name]
-        if now >= self.plan.end_at:
-            return False
-        choices = shard.attempts.choose(self._board, self._budget, self.plan.route, now)
-        if not choices:
-            return False
+        choices = shard.attempts.choose(
+            self._board, self._budget, self.plan.route, now, self._needs(name)
+        )
+        if isinstance(choices, Refusal):
+            return choices
+        self._shards.asked(name)
         token = self._next_token
         self._next_token += 1
         target = choices[0].target
@@ -318,17 +364,16 @@
         if len(shard.attempts.target_by_token) == 1:
             self._shards.hedge(name, hedge_time(choices, self.plan.answer_at, now))
         self._commands.append(SendPart(token, name, target, reason))
-        return True
+        return None
 
     def _enough(self) -> bool:
         found = len(self.parts)
-        return found > 0 and found / len(self.plan.shards) >= self.plan.least_coverage
+        return found > 0 and len(self.plan.shards) - found <= self._spare
 
     def _hopeless(self) -> bool:
         """Return whether too many shards can no longer come."""
         lost = self._shards.lost
-        total = len(self.plan.shards)
-        return (total - lost) / total < self.plan.least_coverage or lost == total
+        return lost > self._spare or lost == len(self.plan.shards)
 
     def _finish_or_go_on(self, now: float) -> list[GatherCommand]:
         if not self.ended:
--- a/trackwheel/relay/gather_models.py
+++ b/trackwheel/relay/gather_models.py
@@ -25,8 +25,9 @@
     """Say what a query needs; times are monotonic seconds.
 
     `answer_at` is the last moment to answer within the aim, `end_at` that to answer at all.
-    With `partial`, the answer is a part of a peer's: whatever is in at `end_at` is given. With
-    `repeat`, others were asked before: only targets in this box's failure domain are asked now.
+    With `partial`, the answer is a part of a peer's: whatever is in at `end_at` is given, and
+    `least_coverage` is what the peer can do with. With `repeat`, others were asked before: only
+    targets in this box's failure domain are asked now.
     """
 
     route: RouteKey
@@ -74,11 +75,15 @@
 
 
 class SendGroup(NamedTuple):
-    """Command: hand a group of shards to its peer; records below `floor` are not needed."""
+    """Command: hand a group of shards to its peer; records below `floor` are not needed.
+
+    The answer can do with `least_coverage` of the group.
+    """
 
     number: int
     group: GroupPlan
     floor: bytes
+    least_coverage: float
 
 
 class CancelGroup(NamedTuple):
--- a/trackwheel/relay/groups.py
+++ b/trackwheel/relay/groups.py
@@ -125,6 +125,7 @@
             end_in_ms=max(0.0, request.deadline - now) * MILLISECONDS,
             repeat=group.repeat,
             floor=command.floor,
+            least_coverage=command.least_coverage,
         )
 
     def _take_accepted(self, sender: PeerIdentity, message: GroupAccepted) -> None:
--- a/trackwheel/relay/peers.py
+++ b/trackwheel/relay/peers.py
@@ -13,6 +13,7 @@
     The peer reports what is in at `report_in_ms`, again at `answer_in_ms`, and sends each part that
     comes later as it comes. With `repeat`, other targets were asked for the shards before: the
     peer asks those beside it and no others, and pays for that. Only records above `floor` are sent.
+    The answer can do with `least_coverage` of these shards.
     """
 
     group_id: str
@@ -33,6 +34,7 @@
     end_in_ms: float
     repeat: bool
     floor: bytes
+    least_coverage: float
 
 
 class GroupAccepted(NamedTuple):
--- a/trackwheel/relay/shards.py
+++ b/trackwheel/relay/shards.py
@@ -30,6 +30,7 @@
         self._lost: set[str] = set()
         self._hedges: list[tuple[float, str]] = []
         """A heap of times and shards; those that are in by then are passed over."""
+        self._retry_at_by_name: dict[str, float] = {}
 
     def __getitem__(self, name: str) -> Shard:
         return self._shard_by_name[name]
@@ -47,7 +48,9 @@
     @property
     def waits(self) -> bool:
         """Return whether any shard that is not in may still come."""
-        return any(shard.waits for shard in self._lacking_by_name.values())
+        return bool(self._retry_at_by_name) or any(
+            shard.waits for shard in self._lacking_by_name.values()
+        )
 
     def without_group(self) -> list[str]:
         """Return the shards that no peer has."""
@@ -61,10 +64,33 @@
         """Take that a shard is in."""
         self._lacking_by_name.pop(name, None)
         self._lost.discard(name)
+        self._retry_at_by_name.pop(name, None)
 
     def lose(self, names: Iterable[str]) -> None:
         """Take that nobody is left to ask for some shards."""
-        self._lost.update(names)
+        for name in names:
+            self._lost.add(name)
+            self._retry_at_by_name.pop(name, None)
+
+    def hold_back(self, name: str, until: float) -> None:
+        """Take that a shard may not be asked for before a time (monotonic seconds)."""
+        self._retry_at_by_name[name] = until
+
+    def asked(self, name: str) -> None:
+        """Take that somebody is asked for a shard, which may have been held back before."""
+        self._retry_at_by_name.pop(name, None)
+
+    def left_out_besides(self, name: str) -> int:
+        """Return how many other shards are lost or held back."""
+        return len((self._lost | self._retry_at_by_name.keys()) - {name})
+
+    def next_retry(self) -> float:
+        """Return when the next shard that is held back may be asked for."""
+        return min(self._retry_at_by_name.values(), default=NEVER)
+
+    def take_retries(self, now: float) -> list[str]:
+        """Return the shards that may be asked for by now."""
+        return [name for name, at in self._retry_at_by_name.items() if at <= now]
 
     def hedge(self, name: str, at: float) -> None:
         """Take when a shard is late (monotonic seconds)."""
@@ -94,6 +120,8 @@
         waited = [target.instance for target in shard.attempts.target_by_token.values()]
         waited += [f"peer {peer_address(number)}" for number in sorted(shard.groups)]
         states = [shard.last_failure] if shard.last_failure else []
+        if name in self._retry_at_by_name:
+            states.append("held back")
         if waited:
             states.append(f"awaited of {', '.join(waited)}")
         return ", ".join(states) or "no target, or no repeat, is left"
--- a/trackwheel/relay/single.py
+++ b/trackwheel/relay/single.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from trackwheel.http1.models import Response
-from trackwheel.relay.attempts import NEVER, Attempts, hedge_time
+from trackwheel.relay.attempts import NEVER, Attempts, Refusal, hedge_time
 from trackwheel.relay.board import Board, RouteKey
 from trackwheel.relay.budget import RepeatBudget
 from trackwheel.relay.models import Outcome, Target, TargetEnd
@@ -84,7 +84,7 @@
             self._attempts.succeed(token)
             self._answer(end.answer)
             return self._take_commands()
-        self._attempts.fail(token, end.outcome)
+        self._attempts.fail(token, end.outcome, now)
         if end.outcome is Outcome.FAILED:
             self._failure = end.answer
         may_repeat = self.plan.repeatable or not self._attempts.ran
@@ -120,7 +120,7 @@
         if now >= self.plan.end_at:
             return False
         choices = self._attempts.choose(self._board, self._budget, self.plan.route, now)
-        if not choices:
+        if isinstance(choices, Refusal):
             return False
         token = self._next_token
         self._next_token += 1
--- a/trackwheel/relay/taken.py
+++ b/trackwheel/relay/taken.py
@@ -156,7 +156,7 @@
             shards=tuple(message.shards),
             top_k=message.top_k,
             groups=(),
-            least_coverage=0.0,
+            least_coverage=message.least_coverage,
             max_attempts=message.max_attempts,
             answer_at=now + message.answer_in_ms / MILLISECONDS,
             end_at=deadline,
