Move the groups handed to peers out of the gather

Change: relay/handed.py keeps the groups by number, when their peers have to be checked and what they may leave out; how many shards an answer may lack stands in the book of shards. Behaviour is unchanged, tests of the relay pass as they were.

--- a/trackwheel/relay/gather.py
+++ b/trackwheel/relay/gather.py
@@ -14,14 +14,13 @@
 
 from collections.abc import Sequence
 
-from trackwheel.relay.attempts import NEVER, Refusal, hedge_time
+from trackwheel.relay.attempts import Refusal, hedge_time
 from trackwheel.relay.board import Board
 from trackwheel.relay.budget import RepeatBudget
 from trackwheel.relay.const import (
     DECLINE_PACES,
     LATE_RETRY_PACES,
     LOGGED_SHARDS,
-    REPORT_SLACK_S,
     RETRY_PACES,
 )
 from trackwheel.relay.gather_models import (
@@ -37,27 +36,12 @@
     SendGroup,
     SendPart,
 )
+from trackwheel.relay.handed import HandedGroup, HandedGroups
 from trackwheel.relay.models import Part, TargetEnd
 from trackwheel.relay.parts import PartsIn
 from trackwheel.relay.shards import Shard, ShardBook
 
 
-class _Group:
-    """Follow the shards that a peer gathers."""
-
-    def __init__(self, plan: GroupPlan) -> None:
-        self.plan = plan
-        self.check_at = plan.accept_by
-        self.accepted = False
-        self.spare = 0
-        """How many of its shards the peer may leave out."""
-
-
-def spare_shards(total: int, least_coverage: float) -> int:
-    """Return how many shards an answer may lack."""
-    return max(lack for lack in range(total + 1) if (total - lack) / total >= least_coverage)
-
-
 class Gather:
     """Decide, from events and the time, what one query sends and when it ends."""
 
@@ -73,9 +57,7 @@
         self._budget = budget
         self._regrouping = regrouping
         self._shards = ShardBook(plan)
-        self._spare = spare_shards(len(plan.shards), plan.least_coverage)
-        self._group_by_number: dict[int, _Group] = {}
-        self._next_group = 0
+        self._groups = HandedGroups()
         self.parts = PartsIn(plan.shards, plan.top_k)
         self._shard_name_by_token: dict[int, str] = {}
         self._next_token = 0
@@ -151,10 +133,9 @@
 
     def group_accepted(self, number: int) -> None:
         """Take that a peer works on its shards."""
-        group = self._group_by_number.get(number)
-        if group is not None and not group.accepted:
-            group.accepted = True
-            group.check_at = group.plan.report_by + REPORT_SLACK_S
+        group = self._groups.get(number)
+        if group is not None:
+            group.accept()
 
     def group_parts(
         self,
@@ -169,11 +150,10 @@
 
         `ran` says whether targets may have run any of its shards.
         """
-        group = self._group_by_number.get(number)
+        group = self._groups.get(number)
         if self.ended or group is None:
             return []
-        group.accepted = True
-        group.check_at = NEVER
+        group.report()
         self._peers_ran |= ran
         for name in self.parts.take_merged(group.plan.shards, signature_by_shard, records):
             self._came_in(name)
@@ -185,7 +165,7 @@
 
     def group_declined(self, number: int, shards: Sequence[str], now: float) -> list[GatherCommand]:
         """Take that a peer leaves shards to others, whose targets are better."""
-        if self.ended or number not in self._group_by_number:
+        if self.ended or number not in self._groups:
             return []
         declined = [name for name in self._shards_of(number) if name in shards]
         for name in declined:
@@ -201,7 +181,7 @@
 
     def group_lost(self, number: int, now: float) -> list[GatherCommand]:
         """Take that the link to a peer broke, or that it cannot gather."""
-        if self.ended or number not in self._group_by_number:
+        if self.ended or number not in self._groups:
             return []
         self._lose(number, "peer lost", now)
         return self._finish_or_go_on(now)
@@ -210,9 +190,8 @@
         """Do what is due: second targets, a look at peers, the end of the query."""
         if self.ended:
             return []
-        for number, group in list(self._group_by_number.items()):
-            if group.check_at <= now:
-                self._doubt(number, group, now)
+        for number in self._groups.take_silent(now):
+            self._doubt(number, now)
         self._ask_elsewhere(self._shards.take_late(now), "hedge", now)
         self._retry(now)
         return self._finish_or_go_on(now)
@@ -226,8 +205,8 @@
 
     def next_wake(self) -> float:
         """Return when `tick` is next needed (monotonic seconds)."""
-        times = [self.plan.end_at, self._shards.next_hedge(), self._shards.next_retry()]
-        times += [group.check_at for group in self._group_by_number.values()]
+        times = [self.plan.end_at, self._groups.next_check()]
+        times += [self._shards.next_hedge(), self._shards.next_retry()]
         if self._enough() and not self.plan.partial:
             times.append(self.plan.answer_at)
         return min(times)
@@ -246,14 +225,10 @@
 
     def _hand_over(self, group: GroupPlan) -> None:
         """Leave a group to a peer: a first one with all attempts but one, a repeat with one."""
-        number = self._next_group
-        self._next_group += 1
-        self._group_by_number[number] = _Group(group)
+        handed = HandedGroup(group, self._spare_of(group))
+        number = self._groups.add(handed)
         floor = self.parts.floor() if group.repeat else b""
-        held = len(group.shards)
-        spare = 0 if group.repeat else self._spare * held // len(self.plan.shards)
-        self._group_by_number[number].spare = spare
-        self._commands.append(SendGroup(number, group, floor, (held - spare) / held))
+        self._commands.append(SendGroup(number, group, floor, handed.least_coverage))
         if not group.repeat:
             self.parts.expect_merged(group.shards)
         for name in group.shards:
@@ -266,13 +241,19 @@
             else:
                 shard.attempts.give_away(self.peer_attempts, beside)
 
+    def _spare_of(self, group: GroupPlan) -> int:
+        """Return how many shards of a group its peer may leave out: a part of what may lack."""
+        if group.repeat:
+            return 0
+        return self._shards.spare * len(group.shards) // len(self.plan.shards)
+
     def _shards_of(self, number: int) -> list[str]:
         """Return the shards that are left to a peer."""
-        return self._shards.in_group(self._group_by_number[number].plan.shards, number)
+        return self._shards.in_group(self._groups[number].plan.shards, number)
 
-    def _doubt(self, number: int, group: _Group, now: float) -> None:
+    def _doubt(self, number: int, now: float) -> None:
         """Go around a peer that did not accept, or did not report in time."""
-        group.check_at = NEVER
+        group = self._groups[number]
         self._commands.append(PeerSilent(group.plan.address, group.accepted))
         if not group.accepted:
             self._commands.append(CancelGroup(number, group.plan.address))
@@ -292,7 +273,7 @@
     def _release(self, number: int, reason: str, now: float) -> None:
         """Await nothing more of a peer; ask elsewhere for what it did not bring."""
         shards = self._shards_of(number)
-        del self._group_by_number[number]
+        self._groups.pop(number)
         for name in shards:
             self._shards[name].groups.discard(number)
         self._ask_elsewhere([name for name in shards if not self._shards[name].waits], reason, now)
@@ -344,8 +325,7 @@
 
     def _needs(self, name: str) -> bool:
         """Return whether the answer fails without a shard, since too many others lack."""
-        spare = self._spare - sum(group.spare for group in self._group_by_number.values())
-        return self._shards.left_out_besides(name) >= spare
+        return self._shards.left_out_besides(name) >= self._shards.spare - self._groups.spare
 
     def _ask(self, name: str, reason: str, now: float) -> Refusal | None:
         """Send a shard to one more target; return why not when it is not sent."""
@@ -368,12 +348,12 @@
 
     def _enough(self) -> bool:
         found = len(self.parts)
-        return found > 0 and len(self.plan.shards) - found <= self._spare
+        return found > 0 and len(self.plan.shards) - found <= self._shards.spare
 
     def _hopeless(self) -> bool:
         """Return whether too many shards can no longer come."""
         lost = self._shards.lost
-        return lost > self._spare or lost == len(self.plan.shards)
+        return lost > self._shards.spare or lost == len(self.plan.shards)
 
     def _finish_or_go_on(self, now: float) -> list[GatherCommand]:
         if not self.ended:
@@ -409,18 +389,15 @@
 
     def _lacking(self) -> str:
         """Return which shards are not in and why, for the log."""
-        return self._shards.lacking(
-            LOGGED_SHARDS, lambda number: self._group_by_number[number].plan.address
-        )
+        return self._shards.lacking(LOGGED_SHARDS, self._groups.address)
 
     def _end(self) -> None:
         self.ended = True
         for shard in self._shards.all:
             self._withdraw(shard)
-        for number, group in self._group_by_number.items():
+        for number, group in self._groups.take_all().items():
             if any(name not in self.parts for name in group.plan.shards):
                 self._commands.append(CancelGroup(number, group.plan.address))
-        self._group_by_number.clear()
 
     def _came_in(self, name: str) -> None:
         """Await nothing more for a shard."""
--- a/trackwheel/relay/shards.py
+++ b/trackwheel/relay/shards.py
@@ -21,11 +21,18 @@
         return bool(self.attempts.target_by_token or self.groups)
 
 
+def spare_shards(total: int, least_coverage: float) -> int:
+    """Return how many shards an answer may lack."""
+    return max(lack for lack in range(total + 1) if (total - lack) / total >= least_coverage)
+
+
 class ShardBook:
     """Keep all shards of a query so that no event costs a look at each of them."""
 
     def __init__(self, plan: GatherPlan) -> None:
         self._shard_by_name = {name: Shard(name, plan) for name in plan.shards}
+        self.spare = spare_shards(len(plan.shards), plan.least_coverage)
+        """How many shards the answer may lack."""
         self._lacking_by_name = dict(self._shard_by_name)
         self._lost: set[str] = set()
         self._hedges: list[tuple[float, str]] = []
