Read the store anew after a failure, and do not rest while more changes wait

Traced by log of each call at front-vannes-hall-10: after 9 s of silence its watch went on from revision 284 in answers of 500 events, heartbeats for the most, with a second's rest between: 785, 1285, 1786, 2287, 2788, 3145 from 12.1 to 17.9 s. The leaving of 13.07 s came with the last. All the while the peers that were ahead were not asked: one peer as far behind as itself reset the time since which it stood still, every half second. Ruled out: a silent connection (each call was answered within 0.2 s); events that the store held back (front-lorient-hall-8 had them at 13.28 s). Change: after a failed call everything is read anew, which takes two pages; an answer behind which more waits is followed at once; peers that are no further change nothing in how long a box has stood still. Tests: a watcher that was cut off reads anew and follows without rests; another peer that is behind too. Both fail on the code before.

--- a/tests/directory/test_in_step.py
+++ b/tests/directory/test_in_step.py
@@ -35,6 +35,7 @@
         ([(5, 9, True, 0.0), (5, 12, True, 1.0)], True),
         ([(5, 9, True, 0.0), (8, 12, True, 1.0)], False),
         ([(5, 9, True, 0.0), (9, 9, True, 0.5), (9, 11, True, 1.0)], False),
+        ([(5, 9, True, 0.0), (5, 5, True, 0.5), (5, 9, True, 1.0)], True),
     ],
     ids=[
         "level",
@@ -43,6 +44,7 @@
         "stands-still-though-in-step",
         "moves-on",
         "caught-up-between",
+        "another-peer-is-behind-too",
     ],
 )
 def test_box_that_stands_still_asks(steps: list[tuple[int, int, bool, float]], asks: bool) -> None:
--- a/tests/directory/test_service.py
+++ b/tests/directory/test_service.py
@@ -21,7 +21,7 @@
 from trackwheel.directory.service import DirectoryService
 from trackwheel.directory.targets import TargetDirectory
 from trackwheel.directory.watching import Watching
-from trackwheel.errors import TrackwheelError
+from trackwheel.errors import Problem, TrackwheelError
 from trackwheel.peers.models import PeerIdentity
 from trackwheel.platform.decode import decode_routes
 from trackwheel.routing.models import RouteTable
@@ -186,3 +186,51 @@
         return [message for _, message in hub.sent if isinstance(message, DirectoryAsk)]
 
     assert DirectoryAsk(3, 5, True) in anyio.run(scenario)
+
+
+class ManyChanges(FakeSource):
+    """Fail once, then bring changes in several answers, as after an outage of the store."""
+
+    def __init__(self, answers: int) -> None:
+        self.left = answers
+        self.calls: list[str] = []
+
+    async def read_routes(self) -> Result[RoutesRead, TrackwheelError]:
+        return Success(read(3))
+
+    async def watch_routes(self, after: int, wait_s: float) -> Result[RoutesRead, TrackwheelError]:
+        await anyio.sleep_forever()
+        raise AssertionError("never answered")
+
+    async def read_targets(self) -> Result[TargetsRead, TrackwheelError]:
+        self.calls.append("read")
+        return Success(TargetsRead(None, [ENTRY], [], 6))
+
+    async def watch_targets(
+        self, after: int, wait_s: float
+    ) -> Result[TargetsRead, TrackwheelError]:
+        self.calls.append("watch")
+        if self.calls.count("watch") == 1:
+            return Failure(
+                TrackwheelError(Problem("store_unavailable", "watch", "store", "silent"))
+            )
+        self.left -= 1
+        return Success(TargetsRead(after, [], [], after + 1, self.left > 0))
+
+
+def test_watcher_that_was_cut_off_is_in_step_again_at_once() -> None:
+    """It went through the changes in pages with a second between them, for six seconds."""
+    source = ManyChanges(answers=4)
+
+    async def scenario() -> None:
+        service, _, _ = make_service(source, drain_s=5.0)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(service.run)
+            with anyio.fail_after(4.0):
+                while source.left:
+                    await anyio.sleep(0.02)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(scenario)
+    # Each reading is followed by a rest; answers behind which more waits are not.
+    assert source.calls == ["read", "watch", "read", "watch", "watch", "watch", "watch"]
--- a/trackwheel/directory/in_step.py
+++ b/trackwheel/directory/in_step.py
@@ -42,9 +42,11 @@
         self._behind_since = 0.0
 
     def asks(self, own_newest: int, peer_newest: int, in_step: bool, now: float) -> bool:
-        """Take how far a peer is; return whether to ask it now."""
+        """Take how far a peer is; return whether to ask it now.
+
+        Peers that are no further say nothing of those that are.
+        """
         if peer_newest <= own_newest:
-            self._stands_at = -1
             return False
         if self._stands_at != own_newest:
             self._stands_at = own_newest
--- a/trackwheel/directory/models.py
+++ b/trackwheel/directory/models.py
@@ -29,20 +29,28 @@
 
 
 class RoutesRead(NamedTuple):
-    """Bring a configuration as the source holds it; None when there is none yet."""
+    """Bring a configuration as the source holds it; None when there is none yet.
+
+    `more` says that further changes wait already.
+    """
 
     table: RouteTable | None
     content: bytes
     as_of: int
+    more: bool = False
 
 
 class TargetsRead(NamedTuple):
-    """Bring all entries (`since` is None) or the changes after a revision."""
+    """Bring all entries (`since` is None) or the changes after a revision.
+
+    `more` says that further changes wait already.
+    """
 
     since: int | None
     entries: list[TargetEntry]
     gone: list[EntryGone]
     as_of: int
+    more: bool = False
 
 
 class HistoryGoneError(TrackwheelError):
--- a/trackwheel/directory/service.py
+++ b/trackwheel/directory/service.py
@@ -41,7 +41,7 @@
 from trackwheel.routing.models import RouteTable
 from trackwheel.telemetry.events import EventLog
 
-T = TypeVar("T")
+T = TypeVar("T", RoutesRead, TargetsRead)
 
 
 class DirectoryService:
@@ -158,7 +158,11 @@
         wait_s: float,
         rest_s: float,
     ) -> None:
-        """Read once, then follow the changes, as long as this box is to watch."""
+        """Read once, then follow the changes, as long as this box is to watch.
+
+        After a failure all is read anew: to go through the changes since then took six seconds
+        where heartbeats of 900 targets are among them.
+        """
         after: int | None = None
         pause_s = RETRY_FIRST_S
         while True:
@@ -173,10 +177,11 @@
                     self._store_answered(flow)
                     after = take(found)
                     pause_s = RETRY_FIRST_S
-                    await anyio.sleep(rest_s)
+                    await anyio.sleep(0.0 if found.more else rest_s)
                 case Failure(HistoryGoneError()):
                     after = None
                 case Failure(error):
+                    after = None
                     self._store_failed(flow, error)
                     await anyio.sleep(pause_s)
                     pause_s = min(RETRY_LONGEST_S, pause_s * 2)
--- a/trackwheel/platform/store.py
+++ b/trackwheel/platform/store.py
@@ -35,6 +35,8 @@
 STATUS_OK: Final = 200
 STATUS_NOT_FOUND: Final = 404
 STATUS_HISTORY_GONE: Final = 410
+MANY_EVENTS: Final = 400
+"""An answer to a watch holds about 500 events; with so many of them others wait behind."""
 UNAVAILABLE: Final = "store_unavailable"
 
 T = TypeVar("T")
@@ -127,7 +129,8 @@
             if item.deleted
         ]
         entries = self._entries([item for item in events.events if not item.deleted])
-        return Success(TargetsRead(after, entries, gone, max(after, events.as_of)))
+        more = len(events.events) >= MANY_EVENTS
+        return Success(TargetsRead(after, entries, gone, max(after, events.as_of), more))
 
     async def _watch(
         self, prefix: str, after: int, wait_s: float
