Find the tests of classes in the table of proofs, and give the signals' test a process of its own

Looking at them: rows whose test stands in a class were run by the function's name alone, which pytest does not find, so that they did not hold when run, and seemed to fail without their mechanism whatever it was. The third, the signals' test, fails where threads of other tests are there to take the signal. Change: script/prove finds the class; the signals' test runs in a process of its own, for all three signals. As strict: each row is still run, and the order of load and signal is still checked.

--- a/tests/entry/test_signals.py
+++ b/tests/entry/test_signals.py
@@ -1,20 +1,26 @@
 """Signals that come while a box is loaded."""
 
-import os
-import signal
+import subprocess
+import sys
 
+import pytest
+
+# A process of its own: threads that other tests have left would take the signals instead.
+LOADING = """
+import os, signal, sys
 from trackwheel.entry.signals import keep_signals, take_signals
+number = signal.Signals[sys.argv[1]]
+signal.signal(number, lambda *_: print("taken", flush=True))
+keep_signals()
+os.kill(os.getpid(), number)
+print("loaded", flush=True)
+take_signals()
+"""
 
 
-def test_signals_wait_until_they_are_taken() -> None:
-    got: list[int] = []
-    before = signal.signal(signal.SIGHUP, lambda number, _: got.append(number))
-    try:
-        keep_signals()
-        os.kill(os.getpid(), signal.SIGHUP)
-        assert not got
-        take_signals()
-        assert got == [signal.SIGHUP]
-    finally:
-        take_signals()
-        signal.signal(signal.SIGHUP, before)
+@pytest.mark.parametrize("name", ["SIGHUP", "SIGTERM", "SIGINT"])
+def test_signals_wait_until_they_are_taken(name: str) -> None:
+    run = subprocess.run(
+        [sys.executable, "-c", LOADING, name], capture_output=True, text=True, check=True
+    )
+    assert run.stdout.split() == ["loaded", "taken"]
--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -726,9 +726,9 @@
         "a peer that does not accept, or accepts and falls silent",
         SHARDS + "test_silent_peer_is_gone_around",
         Mutant(
-            "trackwheel/relay/gather.py",
-            "            if group.check_at <= now:",
-            "            if group.check_at < 0:",
+            "trackwheel/relay/handed.py",
+            "if group.check_at <= now]",
+            "if group.check_at < 0]",
         ),
     ),
     Row(
@@ -918,7 +918,7 @@
         PLATFORM,
         AT_ONCE,
         "all targets of a shard refuse it, with time left",
-        SHARDS + "TestHeldBack::test_shard_that_all_targets_refused_is_asked_again_within_the_aim",
+        SHARDS + "test_shard_that_all_targets_refused_is_asked_again_within_the_aim",
         Mutant(
             "trackwheel/relay/gather.py",
             "elif refusal is Refusal.NOT_NOW and not self.plan.repeat:",
@@ -929,7 +929,7 @@
         PLATFORM,
         BUDGET,
         "repeats that only add coverage meet those without which an answer fails",
-        SHARDS + "TestHeldBack::test_shards_that_may_lack_leave_a_reserve",
+        SHARDS + "test_shards_that_may_lack_leave_a_reserve",
         Mutant(
             "trackwheel/relay/budget.py",
             "            allowed *= 1.0 - RESERVE_FOR_NEEDED\n",
--- a/tests/prove.py
+++ b/tests/prove.py
@@ -11,6 +11,7 @@
 PROMISE is one of truth, load, files, fleet.
 """
 
+import ast
 import shutil
 import subprocess
 import sys
@@ -29,9 +30,21 @@
 TIMEOUT_S = 300
 
 
+def node_id(test: str, folder: Path) -> str:
+    """Return what pytest calls a test: one of a class is not found by its own name alone."""
+    path, name = test.split("::")
+    for node in ast.parse((folder / path).read_text()).body:
+        if not isinstance(node, ast.ClassDef):
+            continue
+        if any(isinstance(item, ast.FunctionDef) and item.name == name for item in node.body):
+            return f"{path}::{node.name}::{name}"
+    return test
+
+
 def run_test(test: str, folder: Path) -> bool:
     """Return whether a test passes in a copy of the project."""
-    command = [sys.executable, "-m", "pytest", "-q", "-x", "-p", "no:cacheprovider", test]
+    node = node_id(test, folder)
+    command = [sys.executable, "-m", "pytest", "-q", "-x", "-p", "no:cacheprovider", node]
     try:
         result = subprocess.run(
             command, cwd=folder, capture_output=True, timeout=TIMEOUT_S, check=False
