--- a/trackwheel/relay/const.py
+++ b/trackwheel/relay/const.py
@@ -61,13 +61,13 @@
 LATE_RETRY_PACES: Final = 2.0
 """The same once the aim is over: nobody gains by haste then, and each look costs processor time."""
 REFUSED_REST_PACES: Final = 0.5
-"""Usual times before a shard is asked again that all its targets refused; doubles each time. On a
-day on which half of the targets shed six in ten requests for nine seconds, 15 answers failed and
-not 66, which had been given up after some 20 ms (one pair of plays)."""
+"""Usual times before a shard is asked again that all its targets refused; doubles each time.
+While half of the targets shed six in ten requests for nine seconds, 15 answers failed and not 66,
+which had been given up after some 20 ms (one pair of runs under the same load)."""
 RESERVE_FOR_NEEDED: Final = 0.25
 """Part of the allowance of repeats that is kept for those without which an answer fails. A needed
-shard earns its whole answer, another one the share that it adds. In the two worst seconds of the
-same day 0.93 of the credit was earned with it, 0.88 without (one pair of plays)."""
+shard brings its whole answer, another one the share that it adds. Under the same load 0.93 of all
+that could be answered in time was answered so in the two worst seconds, 0.88 without a reserve."""
 DECLINE_PACES: Final = 2.0
 """A shard is left to others when its target here costs so many usual times: that is when a second
 target would be asked anyway."""
@@ -98,8 +98,8 @@
 
 EARLY_WAIT_S: Final = 0.1
 """How long a request waits at a box that knows no configuration yet. One is read within some 50 ms
-of a start; a client that is refused comes back after its aim. So came one in a hundred requests of
-a day on which all boxes were lost once and others added."""
+of a start; a client that is refused comes back after its aim. So came 35 of 3,100 requests when all
+boxes were lost once and three were added."""
 EARLY_HELD: Final = 500
 """Requests that wait so at most; more are refused at once."""
 
