--- a/tests/directory/test_in_step.py
+++ b/tests/directory/test_in_step.py
@@ -13,7 +13,7 @@
 def test_watch_is_in_step_while_the_store_answers_it(
     answered_at: float, failed: bool, now: float, in_step: bool
 ) -> None:
-    flow = StoreFlow(2.0)
+    flow = StoreFlow("targets", 2.0)
     flow.answered(answered_at)
     if failed:
         flow.failed()
@@ -21,7 +21,7 @@
 
 
 def test_loss_and_return_are_told_once() -> None:
-    flow = StoreFlow(2.0)
+    flow = StoreFlow("targets", 2.0)
     told = [flow.failed(), flow.failed(), flow.answered(1.0), flow.answered(2.0)]
     assert told == [True, False, True, False]
 
--- a/trackwheel/directory/in_step.py
+++ b/trackwheel/directory/in_step.py
@@ -5,9 +5,11 @@
     """Follow one watch of the store; each is judged by its own answers (monotonic seconds).
 
     A watch on a connection that has gone silent hears nothing while the other one is answered.
+    `name` says in the log what it watches.
     """
 
-    def __init__(self, patience_s: float) -> None:
+    def __init__(self, name: str, patience_s: float) -> None:
+        self.name = name
         self._patience_s = patience_s
         self._answered_at = float("-inf")
         self._lost = False
--- a/trackwheel/directory/service.py
+++ b/trackwheel/directory/service.py
@@ -64,9 +64,9 @@
         self._targets_rest_s = drain_s * TARGETS_REST_SHARE
         self._targets_wait_s = drain_s * TARGETS_WAIT_SHARE
         self._packed = b""
-        self._routes_flow = StoreFlow(ROUTES_PATIENCE_S)
+        self._routes_flow = StoreFlow("routes", ROUTES_PATIENCE_S)
         patience_s = self._targets_rest_s + self._targets_wait_s + STORE_SLACK_S
-        self._targets_flow = StoreFlow(patience_s)
+        self._targets_flow = StoreFlow("targets", patience_s)
         self._lag = Lag(self._targets_rest_s)
         self._near_peers: tuple[str, ...] = ()
         self._far_watchers: tuple[str, ...] = ()
@@ -284,12 +284,9 @@
         now = time.monotonic()
         self._targets.store_back(now)
         if flow.answered(now):
-            self._log.write("store_regained", watch=self._flow_name(flow))
+            self._log.write("store_regained", watch=flow.name)
 
     def _store_failed(self, flow: StoreFlow, error: TrackwheelError) -> None:
         self._targets.store_lost()
         if flow.failed():
-            self._log.write("store_lost", watch=self._flow_name(flow), reason=str(error))
-
-    def _flow_name(self, flow: StoreFlow) -> str:
-        return "targets" if flow is self._targets_flow else "routes"
+            self._log.write("store_lost", watch=flow.name, reason=str(error))
--- a/trackwheel/relay/attempts.py
+++ b/trackwheel/relay/attempts.py
@@ -110,9 +110,8 @@
         """Return whether all targets refused it a moment ago."""
         if choices[0].target.instance not in self._tried or self._refusals < len(choices):
             return False
-        rest_s = choices[0].usual_s * REFUSED_REST_PACES
-        for _ in range(len(choices), self._refusals):
-            rest_s *= 2.0
+        doublings = self._refusals - len(choices)
+        rest_s = choices[0].usual_s * REFUSED_REST_PACES * 2.0**doublings
         return now < self._refused_at + rest_s
 
     def begin(self, token: int, target: Target) -> None:
--- a/trackwheel/relay/gather.py
+++ b/trackwheel/relay/gather.py
@@ -75,7 +75,6 @@
         for name in own:
             if name not in left_to_others:
                 self._ask_or_hold_back(name, reason, now)
-        self._retry(now)
         return self._finish_or_go_on(now)
 
     def _leave_to_others(self, names: Sequence[str], now: float) -> set[str]:
@@ -302,7 +301,7 @@
 
     def _retry(self, now: float) -> None:
         """Ask for the shards that were held back, if they may be asked for now."""
-        for name in self._shards.take_retries(now):
+        for name in self._shards.due_retries(now):
             self._ask_or_hold_back(name, "held_back", now)
 
     def _ask_or_hold_back(self, name: str, reason: str, now: float) -> None:
--- a/trackwheel/relay/shards.py
+++ b/trackwheel/relay/shards.py
@@ -95,7 +95,7 @@
         """Return when the next shard that is held back may be asked for."""
         return min(self._retry_at_by_name.values(), default=NEVER)
 
-    def take_retries(self, now: float) -> list[str]:
+    def due_retries(self, now: float) -> list[str]:
         """Return the shards that may be asked for by now."""
         return [name for name, at in self._retry_at_by_name.items() if at <= now]
 
