Tell the boxes beside dead targets, rest before they are asked again, give unpaid repeats back

(2) A peer that was handed a late shard and had no allowance left returned nothing; the sender counted that as its last attempt and gave the query up after some 150 ms of 2 s, though no target had seen it.

Change: a refused connection is told to the other boxes of the failure domain that ask targets (own observations only, aged, believed for a second, a box that an answer contradicts is passed over for ten); a target that refused rests 50 ms, doubling to 0.4 s; a shard whose targets all rest waits for them until the aim. A peer that may not pay says that it asked nobody, the attempt is free again, and the shard goes to the next peer or waits for an allowance.

--- a/tests/relay/test_gather.py
+++ b/tests/relay/test_gather.py
@@ -127,6 +127,15 @@
         self.take(self.gather.tick(now))
 
 
+def refuse_connection(board: Board, session: Session, shard: str, now: float) -> None:
+    """Let the request for a shard end as the shell does when its target refuses connections."""
+    token = session.token(shard, "")
+    target = session.open[token].target
+    board.sent(target, token, ROUTE, now)
+    board.ended(target, token, Outcome.NOT_SENT, None, now)
+    session.fail(shard, Outcome.NOT_SENT, now)
+
+
 def test_whole_answer_comes_with_the_last_shard(board: Board, budget: RepeatBudget) -> None:
     session = Session(board, budget)
     assert [sent.target.instance for sent in session.sent] == [f"{s}-near" for s in SHARDS]
@@ -304,6 +313,40 @@
             rests.append(now - refused_at)
         assert rests[0] < rests[1] < rests[2]
 
+    def test_shard_whose_targets_are_down_is_asked_seldom(
+        self, board: Board, budget: RepeatBudget
+    ) -> None:
+        """The load: all targets of a shard refuse connections, at once, to each query."""
+        session = Session(board, budget, least=1.0)
+        for number in range(1, 10):
+            session.answer(f"s{number}", 0.0)
+        now = 0.0
+        while session.end is None:
+            if session.open:
+                refuse_connection(board, session, "s0", now)
+                continue
+            now = session.gather.next_wake()
+            session.tick(now)
+        asked = [sent for sent in session.sent if sent.shard == "s0"]
+        assert 2 < len(asked) < MAX_SENDS
+        assert isinstance(session.end, GatherFailed)
+        assert ANSWER_AT <= now < END_AT
+        next_one = Session(board, budget, least=1.0)
+        assert len([sent for sent in next_one.sent if sent.shard == "s0"]) <= 1
+
+    def test_target_that_is_back_before_the_aim_serves(
+        self, board: Board, budget: RepeatBudget
+    ) -> None:
+        session = Session(board, budget, least=1.0)
+        refuse_connection(board, session, "s0", 0.0)
+        refuse_connection(board, session, "s0", 0.0)
+        for number in range(1, 10):
+            session.answer(f"s{number}", 0.01)
+        while "s0" not in {sent.shard for sent in session.open.values()}:
+            session.tick(session.gather.next_wake())
+        session.answer("s0", 0.1)
+        assert isinstance(session.end, Gathered)
+
     def test_needed_shard_waits_for_an_allowance(self, board: Board) -> None:
         budget = RepeatBudget(BudgetRule(0.2, 10.0, 0.0), OLD)
         session = Session(board, budget, least=1.0)
@@ -590,6 +633,40 @@
         session = Session(board, budget, least=0.0, partial=True, repeat=True)
         assert session.sent[0].target.instance == "s0-near"
 
+    def test_repeat_that_may_not_be_paid_is_given_back(
+        self, board: Board, no_budget: RepeatBudget
+    ) -> None:
+        """No target has seen it, so that it must not count as one of the shard's attempts."""
+        session = Session(board, no_budget, least=0.0, partial=True, repeat=True)
+        assert session.other == [Declined(SHARDS)]
+
+    def test_shard_that_peers_give_back_is_not_lost(self, board: Board) -> None:
+        """The load: the allowances of single boxes run dry while others have theirs left.
+
+        Queries were given up with most of their time left, as their last attempt was with a peer
+        that could not pay for it.
+        """
+        dry = RepeatBudget(BudgetRule(0.2, 10.0, 0.0), OLD)
+        session = Session(board, dry, least=1.0, elsewhere=Elsewhere())
+        session.fail("s0", Outcome.FAILED)
+        for number in range(1, 10):
+            session.answer(f"s{number}")
+        declined, now = 0, 0.0
+        while declined < 4:
+            if len(session.groups) > declined:
+                session.take(session.gather.group_declined(declined, ["s0"], now))
+                declined += 1
+                continue
+            now = session.gather.next_wake()
+            session.tick(now)
+        assert session.end is None
+        assert now < END_AT
+        assert {command.group.repeat for command in session.groups} == {True}
+        while len(session.groups) == declined:
+            session.tick(session.gather.next_wake())
+        session.parts(["s0"], final=True, now=0.9, number=declined)
+        assert isinstance(session.end, Gathered)
+
     def test_declined_shards_go_elsewhere_and_are_no_repeats(
         self, board: Board, no_budget: RepeatBudget
     ) -> None:
--- a/tests/relay/test_single.py
+++ b/tests/relay/test_single.py
@@ -126,3 +126,44 @@
     session.take(session.single.cancel())
     assert session.cancelled == [0]
     assert session.single.target_ended(0, end(Outcome.OK), 0.2) == []
+
+
+@pytest.mark.parametrize("repeatable", [True, False], ids=["repeatable", "once"])
+def test_request_waits_for_targets_that_refuse_connections(
+    board: Board, budget: RepeatBudget, repeatable: bool
+) -> None:
+    """It was sent eight times within milliseconds and then given up, with its aim far off."""
+    session = Session(board, budget, repeatable)
+    for token, name in enumerate(["s0-near", "s0-far"]):
+        target = session.sent[-1].target
+        assert target.instance == name
+        board.sent(target, token, ROUTE, 0.0)
+        board.ended(target, token, Outcome.NOT_SENT, None, 0.0)
+        session.ended(token, Outcome.NOT_SENT, 0.0)
+    assert session.end is None and len(session.sent) == 2
+    now = session.single.next_wake()
+    assert 0.0 < now < 0.18
+    session.take(session.single.tick(now))
+    assert session.sent[-1].reason == "not_sent"
+    session.ended(2, Outcome.OK, now)
+    assert isinstance(session.end, SingleAnswered)
+
+
+def test_request_is_given_up_when_no_target_is_back_in_time(
+    board: Board, budget: RepeatBudget
+) -> None:
+    session = Session(board, budget, True)
+    now, token = 0.0, 0
+    while session.end is None:
+        if token < len(session.sent):
+            target = session.sent[token].target
+            board.sent(target, token, ROUTE, now)
+            board.ended(target, token, Outcome.NOT_SENT, None, now)
+            session.ended(token, Outcome.NOT_SENT, now)
+            token += 1
+            continue
+        now = session.single.next_wake()
+        session.take(session.single.tick(now))
+    assert isinstance(session.end, SingleFailed)
+    assert not session.end.ran
+    assert now < 0.18
--- a/trackwheel/entry/box.py
+++ b/trackwheel/entry/box.py
@@ -35,15 +35,22 @@
 from trackwheel.relay.gatherers import choose_gatherers
 from trackwheel.relay.groups import PeerGroups
 from trackwheel.relay.models import Place, Target
+from trackwheel.relay.news import NEWS_MESSAGES, TargetNews
 from trackwheel.relay.peers import RELAY_MESSAGES, PeerBox
 from trackwheel.relay.service import RelayService
 from trackwheel.relay.taken import TakenGroups
+from trackwheel.relay.telling import TargetTelling
 from trackwheel.relay.transport import TargetTransport
 from trackwheel.routing.models import Limits, RouteTable
 from trackwheel.telemetry.events import EventLog
 from trackwheel.telemetry.figures import Figures
 
-ALL_MESSAGES: Final = (*FLEET_MESSAGES, *DIRECTORY_MESSAGES, *RELAY_MESSAGES)
+ALL_MESSAGES: Final = (
+    *FLEET_MESSAGES,
+    *DIRECTORY_MESSAGES,
+    *RELAY_MESSAGES,
+    *NEWS_MESSAGES,
+)
 
 
 class _NoTls:
@@ -91,6 +98,7 @@
         self.board = Board(place, seed=os.getpid())
         self.budget = RepeatBudget(settings.budget, now)
         self.transport = TargetTransport(wire, self.board, time.monotonic, self.log)
+        self.telling = TargetTelling(self.hub, TargetNews(self.board), self.transport, self.log)
         self.groups = PeerGroups(self.hub, wire, self.log)
         self.taken = TakenGroups(
             self.hub, self.board, self.budget, self.transport, self.groups, self.log
@@ -170,6 +178,11 @@
         others = [box for box in boxes if box.address != own.address]
         gathers = own.address in gatherers
         self.relay.set_peers(tuple(box for box in others if box.address in gatherers), gathers)
+        self.telling.set_boxes(
+            box.address
+            for box in others
+            if box.address in gatherers and box.place.failure_domain == own.failure_domain
+        )
         now = time.monotonic()
         self.budget.set_members(len(members), now)
         domains = (box.place.failure_domain for box in boxes if box.address in gatherers)
--- a/trackwheel/relay/attempts.py
+++ b/trackwheel/relay/attempts.py
@@ -17,9 +17,13 @@
 
 
 class Refusal(StrEnum):
-    """Say why no target is asked: it may be tried again soon, or nothing is left to try."""
+    """Say why no target is asked: it may be tried again soon, or nothing is left to try.
+
+    `DOWN` says that all targets have refused connections a moment ago.
+    """
 
     NOT_NOW = "not_now"
+    DOWN = "down"
     NO_MORE = "no_more"
 
 
@@ -33,6 +37,7 @@
         self._only_beside = repeat
         self._tried: set[str] = set()
         self._not_run_at: set[str] = set()
+        self._lent: set[str] = set()
         self._counted = repeat
         self._sends = 0
         self._runs = 0
@@ -40,6 +45,8 @@
         self._given = 0
         self._refusals = 0
         self._refused_at = 0.0
+        self.rests_until = 0.0
+        """When a target that rests after refused connections may be asked (monotonic seconds)."""
         self.target_by_token: dict[int, Target] = {}
         self.ran = False
         """Whether a target that has answered or broken off may have run it."""
@@ -71,10 +78,21 @@
 
     def lend(self, targets: set[str]) -> None:
         """Leave one more attempt, and the targets that it will meet, to a peer."""
+        self._lent |= targets - self._tried
         self._tried |= targets
         self._runs += 1
         self._arrivals += 1
 
+    def return_loan(self) -> None:
+        """Take that the peer that was lent an attempt has asked no target."""
+        self._runs -= 1
+        self._arrivals -= 1
+
+    def forget_lent(self) -> None:
+        """Take that the targets left to peers may be asked again: the peers asked none of them."""
+        self._tried -= self._lent
+        self._lent.clear()
+
     def pass_over(self, targets: set[str]) -> None:
         """Leave some targets out of the choice, as if they had been tried."""
         self._tried |= targets
@@ -100,6 +118,11 @@
         choices = self._rank(board, route, now)
         if not choices:
             return Refusal.NO_MORE
+        awake = [choice for choice in choices if choice.rests_until <= now]
+        if not awake:
+            self.rests_until = min(choice.rests_until for choice in choices)
+            return Refusal.DOWN
+        choices = awake
         if self._rests(choices, now):
             return Refusal.NOT_NOW
         if not self._pay(budget, now, needed):
--- a/trackwheel/relay/board.py
+++ b/trackwheel/relay/board.py
@@ -1,6 +1,8 @@
 """What this box knows of each target, judged by its answers, and the choice among them."""
 
+from collections.abc import Iterable
 from enum import StrEnum
+from itertools import chain
 from math import exp2
 from random import Random
 from typing import NamedTuple
@@ -8,6 +10,7 @@
 from trackwheel.relay.const import (
     COLD_FACTOR,
     DISCONNECT_EJECT_S,
+    DOWN_REST_S,
     EJECT_AFTER,
     EJECT_S,
     FAILURE_COST_AIMS,
@@ -17,6 +20,7 @@
     FASTER_WEIGHT,
     GONE_S,
     JITTER,
+    LONGEST_DOWN_REST_S,
     LONGEST_EJECT_S,
     MOST_SLOWNESS,
     OTHER_DOMAIN_COST_AIMS,
@@ -39,7 +43,8 @@
 class Choice(NamedTuple):
     """One target with what it is expected to take (seconds) and whether it is a last resort.
 
-    `usual_s` is what targets at such a distance take as a rule.
+    `usual_s` is what targets at such a distance take as a rule. One that refused a connection is
+    not asked before `rests_until` (monotonic seconds).
     """
 
     target: Target
@@ -47,6 +52,7 @@
     expected_s: float
     cost_s: float
     last_resort: bool
+    rests_until: float
 
 
 class TargetBelief(StrEnum):
@@ -74,9 +80,17 @@
         self.failures_in_a_row = 0
         self.ejected_until = 0.0
         self.gone_until = 0.0
+        self.refused_in_a_row = 0
+        self.rests_until = 0.0
+        self.told_down_until = 0.0
+        self.answered_at = float("-inf")
         self.load: Load | None = None
         self.load_at = 0.0
 
+    def is_out(self, now: float) -> bool:
+        """Return whether the target is a last resort, by the own failures or by another box's."""
+        return max(self.ejected_until, self.told_down_until) > now
+
 
 class Board:
     """Keep a record for each target and rank the targets of a service."""
@@ -151,6 +165,24 @@
             return None
         return TargetBelief.OUT_OF_USE if is_out else TargetBelief.IN_USE
 
+    def told_down(self, instance: str, failed_at: float, until: float) -> bool:
+        """Take that another box could not connect to a target; return whether that is news.
+
+        An answer that came here since then says more.
+        """
+        record = self._record_by_instance.get(instance)
+        if record is None:
+            if not any(t.instance == instance for t in self._all_targets()):
+                return False
+            record = self._record(instance)
+        if record.answered_at >= failed_at or record.told_down_until >= until:
+            return False
+        record.told_down_until = until
+        return True
+
+    def _all_targets(self) -> Iterable[Target]:
+        return chain.from_iterable(self._targets_by_service.values())
+
     def _learn_pace(self, target: Target, record: _Record, flight: _Flight, now: float) -> None:
         duration_s = now - flight.started
         usual_s = self._usual(target, flight.route)
@@ -187,7 +219,7 @@
             and target.instance not in tried
             and not target.leaving
             and not target.doubtful
-            and self._record(target.instance).ejected_until <= now
+            and not self._record(target.instance).is_out(now)
             and self._record(target.instance).gone_until <= now
             for target in self.targets(service)
         )
@@ -203,8 +235,9 @@
             place_cost = OTHER_DOMAIN_COST_AIMS
         cost_s = expected_s + (failure_cost + place_cost) * route.aim_s
         cost_s *= 1.0 + self._random.random() * JITTER
-        last_resort = target.doubtful or record.ejected_until > now
-        return Choice(target, self._usual(target, route), expected_s, cost_s, last_resort)
+        last_resort = target.doubtful or record.is_out(now)
+        usual_s = self._usual(target, route)
+        return Choice(target, usual_s, expected_s, cost_s, last_resort, record.rests_until)
 
     def _expected(self, target: Target, record: _Record, route: RouteKey, now: float) -> float:
         """Return how long a request sent now is expected to take (seconds)."""
@@ -251,9 +284,13 @@
         before = self._failure_rate(record, now)
         record.failure_rate = before + (failed - before) * FAILURE_WEIGHT
         record.failure_at = now
+        if outcome is not Outcome.NOT_SENT:
+            record.refused_in_a_row = 0
+            record.rests_until = 0.0
         if outcome is Outcome.OK:
             record.failures_in_a_row = 0
-            record.ejected_until = record.gone_until = 0.0
+            record.ejected_until = record.gone_until = record.told_down_until = 0.0
+            record.answered_at = now
             return
         if outcome is Outcome.NOT_RUN:
             return
@@ -262,6 +299,9 @@
             record.ejected_until = record.gone_until = now + GONE_S
         elif outcome is Outcome.NOT_SENT:
             record.ejected_until = now + DISCONNECT_EJECT_S
+            rest_s = DOWN_REST_S * 2.0**record.refused_in_a_row
+            record.rests_until = now + min(LONGEST_DOWN_REST_S, rest_s)
+            record.refused_in_a_row += 1
         elif record.failures_in_a_row >= EJECT_AFTER:
             doublings = record.failures_in_a_row - EJECT_AFTER
             record.ejected_until = now + min(LONGEST_EJECT_S, EJECT_S * 2**doublings)
--- a/trackwheel/relay/gather.py
+++ b/trackwheel/relay/gather.py
@@ -13,6 +13,7 @@
 """
 
 from collections.abc import Sequence
+from typing import Final
 
 from trackwheel.relay.attempts import Refusal, hedge_time
 from trackwheel.relay.board import Board
@@ -41,6 +42,8 @@
 from trackwheel.relay.parts import PartsIn
 from trackwheel.relay.shards import Shard, ShardBook
 
+DECLINED: Final = "declined"
+
 
 class Gather:
     """Decide, from events and the time, what one query sends and when it ends."""
@@ -75,8 +78,16 @@
         for name in own:
             if name not in left_to_others:
                 self._ask_or_hold_back(name, reason, now)
+        if self.plan.repeat:
+            self._return_unasked(own)
         return self._finish_or_go_on(now)
 
+    def _return_unasked(self, names: Sequence[str]) -> None:
+        """Give back the shards for which no target may be asked here: they are not tried yet."""
+        unasked = tuple(name for name in names if not self._shards[name].waits)
+        if unasked:
+            self._commands.append(Declined(unasked))
+
     def _leave_to_others(self, names: Sequence[str], now: float) -> set[str]:
         """Leave shards to other boxes whose best target is not beside this one; return which."""
         if self.plan.repeat:
@@ -163,21 +174,32 @@
         return self._finish_or_go_on(now)
 
     def group_declined(self, number: int, shards: Sequence[str], now: float) -> list[GatherCommand]:
-        """Take that a peer leaves shards to others, whose targets are better."""
+        """Take that a peer has asked no target for shards and leaves them to others."""
         if self.ended or number not in self._groups:
             return []
+        repeat = self._groups[number].plan.repeat
         declined = [name for name in self._shards_of(number) if name in shards]
         for name in declined:
             self._shards[name].groups.discard(number)
-            self._shards[name].attempts.take_back()
-        handed = self._hand_elsewhere(declined, False, now)
+            if repeat:
+                self._shards[name].attempts.return_loan()
+            else:
+                self._shards[name].attempts.take_back()
+        handed = self._hand_elsewhere(declined, repeat, now)
         for name in declined:
             if name not in handed:
-                # All others have declined too, or nobody is there: any target will do.
-                self._shards[name].attempts.forget_tried()
-                self._ask_or_hold_back(name, "declined", now)
+                self._ask_after_all_declined(name, repeat, now)
         return self._finish_or_go_on(now)
 
+    def _ask_after_all_declined(self, name: str, repeat: bool, now: float) -> None:
+        """Ask any target for a shard that nobody else asks for, or ask the peers again later."""
+        shard = self._shards[name]
+        if not repeat:
+            shard.attempts.forget_tried()
+        elif not shard.groups:
+            shard.attempts.forget_lent()
+        self._ask_or_hold_back(name, DECLINED, now)
+
     def group_lost(self, number: int, now: float) -> list[GatherCommand]:
         """Take that the link to a peer broke, or that it cannot gather."""
         if self.ended or number not in self._groups:
@@ -301,8 +323,12 @@
 
     def _retry(self, now: float) -> None:
         """Ask for the shards that were held back, if they may be asked for now."""
-        for name in self._shards.due_retries(now):
-            self._ask_or_hold_back(name, "held_back", now)
+        due = self._shards.due_retries(now)
+        if self.plan.partial:
+            for name in due:
+                self._ask_or_hold_back(name, "held_back", now)
+            return
+        self._ask_elsewhere(due, "held_back", now)
 
     def _ask_or_hold_back(self, name: str, reason: str, now: float) -> None:
         """Ask for a shard now, or soon, or take it as lost when nothing is left to try."""
@@ -312,13 +338,17 @@
         if refusal is None:
             return
         in_time = now < self.plan.answer_at
-        paces = RETRY_PACES if in_time else LATE_RETRY_PACES
+        # Peers that may not ask a target now may in a while; each look costs a message.
+        paces = RETRY_PACES if in_time and reason != DECLINED else LATE_RETRY_PACES
         again_at = now + paces * self._board.usual_s(self.plan.route, far=False)
         if self._shards[name].waits:
             if refusal is Refusal.NOT_NOW and in_time:
                 self._shards.hedge(name, again_at)
         elif refusal is Refusal.NOT_NOW and not self.plan.repeat:
             self._shards.hold_back(name, again_at)
+        elif refusal is Refusal.DOWN and in_time and not self.plan.repeat:
+            # A target that is back before the aim still serves in time; later nobody gains.
+            self._shards.hold_back(name, max(again_at, self._shards[name].attempts.rests_until))
         else:
             self._shards.lose([name])
 
--- a/trackwheel/relay/gather_models.py
+++ b/trackwheel/relay/gather_models.py
@@ -94,7 +94,7 @@
 
 
 class Declined(NamedTuple):
-    """Command: tell the sender of a group that others should ask for some of its shards."""
+    """Command: tell the sender of a group that no target was asked for some of its shards."""
 
     shards: tuple[str, ...]
 
--- a/trackwheel/relay/peers.py
+++ b/trackwheel/relay/peers.py
@@ -44,7 +44,7 @@
 
 
 class GroupDeclined(NamedTuple):
-    """Leave shards, by place in the request, to others whose targets are better."""
+    """Leave shards, by place in the request, to others: no target was asked for them here."""
 
     group_id: str
     shards: list[int]
--- a/trackwheel/relay/single.py
+++ b/trackwheel/relay/single.py
@@ -67,12 +67,13 @@
         self._next_token = 0
         self._failure: Response | None = None
         self._hedge_at = NEVER
+        self._retry_at = NEVER
         self._commands: list[SingleCommand] = []
         self.ended = False
 
     def start(self, now: float) -> list[SingleCommand]:
         """Send the request to the best target."""
-        if not self._ask("first", now):
+        if not self._ask("first", now) and not self._wait_for_rest(now):
             self._fail("no target is known", False)
         return self._take_commands()
 
@@ -90,7 +91,7 @@
         may_repeat = self.plan.repeatable or not self._attempts.ran
         if may_repeat and self._ask(end.outcome.value, now):
             return self._take_commands()
-        if not self._attempts.target_by_token:
+        if not self._attempts.target_by_token and not (may_repeat and self._wait_for_rest(now)):
             self._give_up(end)
         return self._take_commands()
 
@@ -103,6 +104,10 @@
         elif now >= self._hedge_at:
             self._hedge_at = NEVER
             self._ask("hedge", now)
+        elif now >= self._retry_at:
+            self._retry_at = NEVER
+            if not self._ask("not_sent", now) and not self._wait_for_rest(now):
+                self._fail("all targets refuse connections", False)
         return self._take_commands()
 
     def cancel(self) -> list[SingleCommand]:
@@ -113,7 +118,15 @@
 
     def next_wake(self) -> float:
         """Return when `tick` is next needed (monotonic seconds)."""
-        return min(self._hedge_at, self.plan.end_at)
+        return min(self._hedge_at, self._retry_at, self.plan.end_at)
+
+    def _wait_for_rest(self, now: float) -> bool:
+        """Wait for the first target that rests after refused connections, if that is in time."""
+        rests_until = self._attempts.rests_until
+        if not now < rests_until < self.plan.answer_at:
+            return False
+        self._retry_at = rests_until
+        return True
 
     def _ask(self, reason: str, now: float) -> bool:
         """Send the request to one more target; return False when it may not or there is none."""
--- a/trackwheel/relay/transport.py
+++ b/trackwheel/relay/transport.py
@@ -19,6 +19,8 @@
 """Connections that a box may have to a target in any case."""
 
 OnTargetEnd = Callable[[TargetEnd], None]
+OnAnyEnd = Callable[[Target, Outcome, float], None]
+"""Take how a request to a target ended that was sent at a time (monotonic seconds)."""
 
 
 class Clock(Protocol):
@@ -53,6 +55,11 @@
         self._members = 1
         self.sent_by_reason: Counter[tuple[str, str]] = Counter()
         self.ended_by_outcome: Counter[tuple[str]] = Counter()
+        self._on_any_end: list[OnAnyEnd] = []
+
+    def on_any_end(self, handler: OnAnyEnd) -> None:
+        """Call a handler with how each request ended that was not withdrawn."""
+        self._on_any_end.append(handler)
 
     def set_limits(self, connections_by_service: dict[str, int], members: int) -> None:
         """Take how many connections the targets of each service take from all boxes."""
@@ -70,7 +77,8 @@
     def send(self, sending: Sending, on_end: OnTargetEnd) -> None:
         """Send a request; `on_end` is called once unless it is withdrawn."""
         target, request = sending.target, sending.request
-        self._board.sent(target, sending.token, sending.route, self._clock())
+        sent_at = self._clock()
+        self._board.sent(target, sending.token, sending.route, sent_at)
         distance = "far" if self._board.is_far(target) else "near"
         self.sent_by_reason[sending.reason, distance] += 1
 
@@ -87,6 +95,8 @@
                 target, sending.token, result.outcome, result.load, self._clock()
             )
             self._write(sending, result, belief)
+            for handler in self._on_any_end:
+                handler(target, result.outcome, sent_at)
             on_end(result)
 
         self._pool(target).submit(Job(sending.token, build, check, sending.once, ended))
