Report from a fleet's logs who waited, who was refused and where work went

Cause: 200 boxes write some ten thousand lines a minute; finding what falls over took a new script each time. Change: `trackwheel report LOG... [--html=PAGE]`, tables and one self-contained page; the end of a request carries the aim and the number of shards; the two commands that read logs stand in a module of their own.

--- a/trackwheel/cli.py
+++ b/trackwheel/cli.py
@@ -9,6 +9,7 @@
   trackwheel query SERVICE [TEXT] --key-file=PATH [--callers=ADDRESS] [--json] [options]
   trackwheel explain ID FILE... [--json]
   trackwheel explain ID [--box=ADDRESS] [--json] [options]
+  trackwheel report FILE... [--html=PATH] [--json]
   trackwheel burn [--box=ADDRESS]... [--html=PATH] [--json] [options]
   trackwheel (-h | --help)
   trackwheel --version
@@ -23,6 +24,8 @@
   query    Ask a service as a group; the group's key is read from a file.
   explain  Show the steps of one query at the box that answered it, or, with log files of
            boxes on the platform, what they wrote of one request and why it ended so.
+  report   Say from the log files of a fleet's boxes on the platform who waited, who was refused
+           and where work went.
   burn     Report how fast groups use up their error budgets at services.
 
 Options:
@@ -51,12 +54,13 @@
 from docopt import DocoptExit, docopt
 
 from trackwheel import VERSION
+from trackwheel.errors import CommandError
 from trackwheel.files.parse import join_files, parse_file
 from trackwheel.ini import InvalidIniError
+from trackwheel.log_commands import explain_logs, report_logs
 from trackwheel.telemetry.burn import merge_rows
 from trackwheel.telemetry.burn_page import render_page
 from trackwheel.telemetry.models import BurnRow
-from trackwheel.telemetry.story import LogLine, read_log, render_story, tell_story
 
 EXIT_DONE: Final = 0
 EXIT_FAILED: Final = 1
@@ -66,10 +70,6 @@
 Arguments = dict[str, Any]
 
 
-class CommandError(Exception):
-    """Say in one line why a command did not do what was asked."""
-
-
 def main(argv: list[str] | None = None) -> int:
     """Run the command line and return its exit code."""
     argv = sys.argv[1:] if argv is None else argv
@@ -237,7 +237,7 @@
 
 def _explain(arguments: Arguments) -> int:
     if arguments["FILE"]:
-        return _explain_logs(arguments)
+        return explain_logs(arguments)
     report = _call(arguments, "GET", _box(arguments), f"/v1/explain/{arguments['ID']}")
     if arguments["--json"]:
         _print_json(report)
@@ -256,22 +256,6 @@
     return EXIT_DONE if "steps" in report else EXIT_FAILED
 
 
-def _explain_logs(arguments: Arguments) -> int:
-    """Tell the story of a request from the logs of several boxes."""
-    lines: list[LogLine] = []
-    for name in arguments["FILE"]:
-        try:
-            lines += read_log(Path(name).read_text(encoding="utf-8", errors="replace"))
-        except OSError as error:
-            raise CommandError(f"{name}: {error.strerror}; name a log file") from error
-    story = tell_story(lines, arguments["ID"])
-    if arguments["--json"]:
-        _print_json({"cause": story.cause, "lines": [line._asdict() for line in story.lines]})
-    else:
-        print(render_story(story))
-    return EXIT_DONE if story.lines else EXIT_FAILED
-
-
 def _burn(arguments: Arguments) -> int:
     rows: list[BurnRow] = []
     for box in arguments["--box"]:
@@ -342,6 +326,7 @@
     "show": _show,
     "query": _query,
     "explain": _explain,
+    "report": report_logs,
     "burn": _burn,
 }
 
--- a/trackwheel/errors.py
+++ b/trackwheel/errors.py
@@ -24,3 +24,7 @@
     def __init__(self, problem: Problem) -> None:
         super().__init__(problem.sentence())
         self.problem = problem
+
+
+class CommandError(Exception):
+    """Say in one line why a command did not do what was asked."""
--- a/trackwheel/relay/service.py
+++ b/trackwheel/relay/service.py
@@ -114,7 +114,7 @@
         )
 
         def done(result: SingleAnswered | SingleFailed) -> None:
-            self._log_end(caller, route.name, version, result)
+            self._log_end(caller, route, version, result)
             if isinstance(result, SingleAnswered):
                 exchange.respond(self._wire.single_answer(result.answer))
                 return
@@ -132,7 +132,7 @@
         gather = Gather(plan, self._board, self._budget, self._planner)
 
         def done(result: Gathered | GatherFailed) -> None:
-            self._log_end(caller, route.name, version, result)
+            self._log_end(caller, route, version, result)
             if isinstance(result, GatherFailed):
                 self._refuse(exchange, result)
                 return
@@ -187,18 +187,20 @@
     def _log_end(
         self,
         request: CallerRequest,
-        route: str,
+        route: Route,
         version: int,
         result: Gathered | GatherFailed | SingleAnswered | SingleFailed,
     ) -> None:
         age_s = time.monotonic() - request.http.arrived
-        self._figures.request_ended(route, age_s)
+        self._figures.request_ended(route.name, age_s)
         took_ms = round(age_s * MILLISECONDS, 1)
         common: dict[str, str | float] = {
             "id": request.request_id,
-            "route": route,
+            "route": route.name,
             "version": version,
+            "shards": len(route.shards),
             "took_ms": took_ms,
+            "aim_ms": round(route.aim_s * MILLISECONDS),
             "deadline_ms": round((request.deadline - request.http.arrived) * MILLISECONDS),
         }
         match result:
--- /dev/null
+++ b/trackwheel/telemetry/report_page.py
@@ -0,0 +1,153 @@
+"""The report over a fleet's logs, as text and as one self-contained HTML page with plots."""
+
+from collections import Counter
+from collections.abc import Sequence
+from html import escape
+from typing import Any, Final, NamedTuple
+
+from trackwheel.telemetry.report import BoxRow, FleetReport, SpanRow
+
+SHOWN_BOXES: Final = 12
+"""Busiest boxes that the text names; the page has them all."""
+SHOWN_REASONS: Final = 12
+BAR_WIDTH: Final = 6
+PLOT_HEIGHT: Final = 120
+SPAN_COLOURS: Final = (
+    ("in_time", "#393"),
+    ("late", "#d90"),
+    ("refused", "#38c"),
+    ("failed", "#c33"),
+)
+
+_PAGE: Final = """<!doctype html>
+<html lang="en"><meta charset="utf-8"><title>trackwheel: report over logs</title>
+<style>
+body {{ font: 14px/1.4 sans-serif; margin: 2em; color: #222 }}
+table {{ border-collapse: collapse; margin-bottom: 1.5em }}
+td, th {{ padding: .15em .7em; text-align: right; border-bottom: 1px solid #ddd }}
+td:first-child, th:first-child {{ text-align: left }}
+</style>
+<h1>Report over logs</h1>
+<h2>Requests by the time of their end</h2>{course}
+<p>Green in time, amber late, blue refused without having run, red failed.</p>
+{tables}
+</html>
+"""
+
+
+class Table(NamedTuple):
+    """A title, the names of the columns and the rows."""
+
+    title: str
+    columns: Sequence[str]
+    rows: Sequence[Sequence[Any]]
+
+
+def render_report(report: FleetReport) -> str:
+    """Return the report as text."""
+    texts = [_text(table) for table in _tables(report, SHOWN_BOXES)]
+    if report.left_out_lines:
+        texts.append(
+            f"{report.left_out_lines} lines were left out by the boxes to bound their logs"
+        )
+    return "\n\n".join(texts)
+
+
+def render_report_page(report: FleetReport) -> str:
+    """Return the report as a page."""
+    tables = "\n".join(_html(table) for table in _tables(report, len(report.boxes)))
+    return _PAGE.format(course=_course(report.spans), tables=tables)
+
+
+def _tables(report: FleetReport, boxes: int) -> list[Table]:
+    busiest = sorted(report.boxes, key=lambda row: row.sends, reverse=True)[:boxes]
+    return [
+        Table("requests by route", type_columns(report.routes), report.routes),
+        Table(
+            "given up, by route and reason", ("route", "reason", "times"), _counted(report.reasons)
+        ),
+        Table(
+            "failed at targets, by outcome and cause of the send",
+            ("outcome", "why sent", "times"),
+            _counted(report.failures),
+        ),
+        Table("by failure domain", _BOX_COLUMNS, _by_domain(report.boxes)),
+        Table("by box, most sends first", _BOX_COLUMNS, busiest),
+    ]
+
+
+_BOX_COLUMNS: Final = BoxRow._fields
+
+
+def type_columns(rows: Sequence[Any]) -> Sequence[str]:
+    """Return the names of the columns of some rows."""
+    return rows[0]._fields if rows else ()
+
+
+def _counted(counter: Counter[tuple[str, str]]) -> list[tuple[str, str, int]]:
+    return [(*key, times) for key, times in counter.most_common(SHOWN_REASONS)]
+
+
+def _by_domain(boxes: Sequence[BoxRow]) -> list[tuple[Any, ...]]:
+    rows_by_domain: dict[str, list[BoxRow]] = {}
+    for row in boxes:
+        rows_by_domain.setdefault(row.domain, []).append(row)
+    rows_by_domain["all"] = list(boxes)
+    return [
+        (
+            f"{len(rows)} boxes",
+            domain,
+            *(sum(column) for column in zip(*(r[2:] for r in rows), strict=True)),
+        )
+        for domain, rows in rows_by_domain.items()
+    ]
+
+
+def _shown(value: Any) -> str:
+    return (
+        f"{value:.3g}"
+        if isinstance(value, float) and value < 1.0
+        else f"{value:.0f}" if (isinstance(value, float)) else str(value)
+    )
+
+
+def _text(table: Table) -> str:
+    cells = [list(table.columns), *([_shown(value) for value in row] for row in table.rows)]
+    widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
+    lines = [
+        "  ".join(cell.rjust(width) for cell, width in zip(row, widths, strict=True))
+        for row in cells
+    ]
+    return "\n".join([table.title, *lines])
+
+
+def _html(table: Table) -> str:
+    head = "".join(f"<th>{escape(name)}" for name in table.columns)
+    body = "\n".join(
+        "<tr>" + "".join(f"<td>{escape(_shown(value))}" for value in row) for row in table.rows
+    )
+    return f"<h2>{escape(table.title)}</h2><table><tr>{head}</tr>\n{body}</table>"
+
+
+def _course(spans: Sequence[SpanRow]) -> str:
+    """Draw how requests ended over time: a stacked bar for each span."""
+    if not spans:
+        return "<p>No request ended.</p>"
+    most = max(sum(row[1:]) for row in spans)
+    bars = "".join(_bar(row, most) for row in spans)
+    width = BAR_WIDTH * (len(spans) + 1) * 2
+    return f'<svg width="{width}" height="{PLOT_HEIGHT}">{bars}</svg>'
+
+
+def _bar(row: SpanRow, most: int) -> str:
+    parts: list[str] = []
+    top = float(PLOT_HEIGHT)
+    left = row.start / 2.0 * BAR_WIDTH
+    for name, colour in SPAN_COLOURS:
+        height = getattr(row, name) / most * PLOT_HEIGHT
+        top -= height
+        parts.append(
+            f'<rect x="{left:.0f}" y="{top:.1f}" width="{BAR_WIDTH - 1}" height="{height:.1f}" '
+            f'fill="{colour}"><title>{row.start:.0f} s: {getattr(row, name)} {name}</title></rect>'
+        )
+    return "".join(parts)
--- a/trackwheel/telemetry/story.py
+++ b/trackwheel/telemetry/story.py
@@ -9,12 +9,17 @@
 
 
 class LogLine(NamedTuple):
-    """One event; `at` is steady time of its own box, not comparable with that of others."""
+    """One event; `at` is steady time of its own box, not comparable with that of others.
+
+    `collected_at` is the time that whoever collected the logs wrote before the line (seconds),
+    None where there is none.
+    """
 
     box: str
     at: float
     event: str
     fields: dict[str, Any]
+    collected_at: float | None = None
 
 
 class Story(NamedTuple):
@@ -36,10 +41,19 @@
             continue
         if isinstance(fields, dict) and {"at", "box", "event"} <= fields.keys():
             keys = (fields.pop("box"), fields.pop("at"), fields.pop("event"))
-            found.append(LogLine(*keys, fields))
+            found.append(LogLine(*keys, fields, _leading_number(line[:start])))
     return found
 
 
+def _leading_number(text: str) -> float | None:
+    """Return the number at the start of a text, None when there is none."""
+    first = text.split(maxsplit=1)[:1]
+    try:
+        return float(first[0]) if first else None
+    except ValueError:
+        return None
+
+
 def tell_story(lines: Iterable[LogLine], request_id: str) -> Story:
     """Return what boxes wrote of a request and why it ended as it did."""
     own = [line for line in lines if line.fields.get("id") == request_id]
