Choose the boxes that ask targets by the speed of their processors, and let work follow it

Cause: the boxes that gather were picked by a hash of the address, 42 of 195, most with half a core, while three boxes of each failure domain have four times that. Change: a box tells its speed in its member's record (from the share and the speed of its core in the settings); the fastest ones that have a fifth of the domain's speed together gather, and peers take turns by speed. Where all are alike the same number is chosen as before.

--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -37,6 +37,18 @@
     assert settings.drain_s == 3.0
 
 
+@pytest.mark.parametrize(
+    ("limits", "speed"),
+    [
+        pytest.param("", 1.0, id="not-told"),
+        pytest.param("limits.cpu_share=0.5\n", 0.5, id="half-a-core"),
+        pytest.param("limits.cpu_share=0.5\nlimits.cores=3\n", 1.5, id="of-a-fast-one"),
+    ],
+)
+def test_speed_comes_from_the_limits(limits: str, speed: float) -> None:
+    assert parse_settings("s.conf", GOOD + limits).speed == speed
+
+
 @pytest.mark.parametrize(
     ("before", "after", "named"),
     [
@@ -45,6 +57,12 @@
         pytest.param(
             "grace_s=6", "grace_s=six", "bounds.grace_s: `six` is not a number", id="word"
         ),
+        pytest.param(
+            "something.new=1", "limits.cores=0", "limits.cores: `0` is not above 0", id="no-core"
+        ),
+        pytest.param(
+            "something.new=1", "limits.cpu_share=x", "limits.cpu_share: `x` is not", id="no-share"
+        ),
     ],
 )
 def test_mistakes_are_named_with_file_and_key(before: str, after: str, named: str) -> None:
--- a/tests/relay/test_grouping.py
+++ b/tests/relay/test_grouping.py
@@ -1,5 +1,7 @@
 """Which shards are handed to which peer."""
 
+from itertools import groupby
+
 import pytest
 
 from tests.relay.conftest import HERE, ROUTE, THERE, target
@@ -102,6 +104,31 @@
     assert chosen == choose_gatherers([other, *reversed(domain)])
 
 
+@pytest.mark.parametrize(
+    ("speeds", "chosen"),
+    [
+        pytest.param([0.5] * 30 + [2.0] * 3, [2.0, 2.0, 2.0], id="three-fast-ones"),
+        pytest.param([0.5] * 30 + [2.0], [2.0, 0.5, 0.5, 0.5], id="one-fast-one-and-others"),
+        pytest.param([0.5] * 9 + [8.0], [8.0, 0.5], id="one-alone-would-not-do"),
+        pytest.param([0.5, 0.5, 2.0], [2.0, 0.5, 0.5], id="small-domain"),
+    ],
+)
+def test_fast_boxes_gather(speeds: list[float], chosen: list[float]) -> None:
+    """The load: three boxes of each failure domain are four times as fast as the other thirty."""
+    domain = [PeerBox(f"10.0.0.{n}:1", HERE, speed) for n, speed in enumerate(speeds)]
+    speed_by_address = {box.address: box.speed for box in domain}
+    found = sorted((speed_by_address[a] for a in choose_gatherers(domain)), reverse=True)
+    assert found == chosen
+
+
+def test_work_follows_speed() -> None:
+    peers = [PeerBox("fast:1", HERE, 2.0), PeerBox("slow:1", HERE, 0.5)]
+    board = PeerBoard()
+    picked = [board.pick(peers, 0.0) for _ in range(1000)]
+    assert 780 <= picked.count(peers[0]) <= 820
+    assert max(len(list(run)) for box, run in groupby(picked) if box == peers[0]) <= 8
+
+
 def test_lost_gatherer_moves_only_its_own_part() -> None:
     domain = [PeerBox(f"10.0.0.{number}:1", HERE) for number in range(10)]
     chosen = choose_gatherers(domain)
--- a/trackwheel/entry/box.py
+++ b/trackwheel/entry/box.py
@@ -79,7 +79,7 @@
         self.hub = Hub(identity, Codec(ALL_MESSAGES), _NoTls())
         self.fleet = FleetService(
             self.hub,
-            _own_member(identity),
+            _own_member(identity, settings.speed),
             TIMING,
             SeedList(settings.seeds),
             seed=os.getpid(),
@@ -170,7 +170,7 @@
         ]
         self.directory.set_peers(self.fleet.watchers_before(own), near, far_watchers)
         boxes = [
-            PeerBox(m.address, Place(m.region, m.failure_domain))
+            PeerBox(m.address, Place(m.region, m.failure_domain), m.speed)
             for m in members
             if m.status is Status.ALIVE
         ]
@@ -236,7 +236,7 @@
         exchange.respond(Response(200 if self.ready else 503, (), b""))
 
 
-def _own_member(identity: PeerIdentity) -> Member:
+def _own_member(identity: PeerIdentity, speed: float) -> Member:
     # Wall-clock milliseconds put a new boot before the last one of the same address.
     return Member(
         identity.address,
@@ -246,4 +246,5 @@
         identity.failure_domain,
         int(time.time() * 1000),
         Status.ALIVE,
+        speed,
     )
--- a/trackwheel/fleet/models.py
+++ b/trackwheel/fleet/models.py
@@ -14,7 +14,10 @@
 
 
 class Member(NamedTuple):
-    """Record one box at one address; a higher incarnation always wins."""
+    """Record one box at one address; a higher incarnation always wins.
+
+    `speed` is how fast its processor is, in cores.
+    """
 
     address: str
     box_id: str
@@ -23,6 +26,7 @@
     failure_domain: str
     incarnation: int
     status: Status
+    speed: float = 1.0
 
 
 class TargetNote(NamedTuple):
--- a/trackwheel/platform/settings.py
+++ b/trackwheel/platform/settings.py
@@ -29,6 +29,8 @@
     peers: str
     seeds: tuple[str, ...]
     store: str
+    speed: float
+    """How fast its processor is, in cores of which one is all that a process may use."""
     grace_s: float
     drain_s: float
     budget: BudgetRule
@@ -59,6 +61,15 @@
             self._note(key, f"`{text}` is not a number", "write a number")
             return 0.0
 
+    def positive(self, key: str, default: float) -> float:
+        """Return a number above 0 that may be missing."""
+        if not self.value_by_key.get(key):
+            return default
+        number = self.number(key)
+        if number <= 0.0 and not any(f": {key}: " in mistake for mistake in self.mistakes):
+            self._note(key, f"`{number:g}` is not above 0", "write a number above 0")
+        return number
+
     def address(self, key: str) -> str:
         """Return an address that must be there."""
         text = self.text(key)
@@ -91,6 +102,8 @@
         peers=lines.address("listen.control"),
         seeds=_words(lines.value_by_key.get("seeds", "")),
         store=lines.address("platform.address"),
+        # The platform runs a share of one core that is so many times as fast.
+        speed=lines.positive("limits.cpu_share", 1.0) * lines.positive("limits.cores", 1.0),
         grace_s=lines.number("bounds.grace_s"),
         drain_s=lines.number("bounds.drain_ms") / MILLISECONDS,
         budget=BudgetRule(
--- a/trackwheel/relay/const.py
+++ b/trackwheel/relay/const.py
@@ -138,7 +138,8 @@
 SMALL_DOMAIN: Final = 4
 """Up to so many boxes of a failure domain each ask targets themselves."""
 BOXES_PER_GATHERER: Final = 5
-"""Boxes for each one that asks targets, in larger failure domains."""
+"""Boxes for each one that asks targets, in larger failure domains; where their processors differ,
+those that ask have this part of all their speed."""
 LEAST_GATHERERS: Final = 2
 """Boxes that ask targets in a larger failure domain at least: one may fail."""
 LOGGED_SHARDS: Final = 4
--- a/trackwheel/relay/gatherers.py
+++ b/trackwheel/relay/gatherers.py
@@ -2,10 +2,12 @@
 
 Where many boxes share few queries, each would know next to nothing of each target. A few of
 them ask for all: their knowledge is fresh, and their connections are kept in use.
+
+The fastest ones do: a group of 29 shards takes some 15 ms of a core, which a box with half a core
+makes 30 ms of and one with two cores 7 ms, while the urgent queries have 112 ms in all.
 """
 
 from collections.abc import Iterable
-from math import ceil
 
 from trackwheel.fleet.members import ring_position
 from trackwheel.relay.const import BOXES_PER_GATHERER, LEAST_GATHERERS, SMALL_DOMAIN
@@ -17,14 +19,18 @@
     boxes_by_domain: dict[str, list[PeerBox]] = {}
     for box in boxes:
         boxes_by_domain.setdefault(box.place.failure_domain, []).append(box)
-    chosen: set[str] = set()
-    for found in boxes_by_domain.values():
-        ranked = sorted(found, key=lambda box: ring_position(box.address))
-        chosen.update(box.address for box in ranked[: _wanted(len(found))])
-    return frozenset(chosen)
+    return frozenset(box.address for found in boxes_by_domain.values() for box in _of_domain(found))
 
 
-def _wanted(boxes: int) -> int:
-    if boxes <= SMALL_DOMAIN:
+def _of_domain(boxes: list[PeerBox]) -> list[PeerBox]:
+    """Return the fastest boxes that have the needed part of the domain's speed together."""
+    if len(boxes) <= SMALL_DOMAIN:
         return boxes
-    return max(LEAST_GATHERERS, ceil(boxes / BOXES_PER_GATHERER))
+    ranked = sorted(boxes, key=lambda box: (-box.speed, ring_position(box.address)))
+    needed = sum(box.speed for box in boxes) / BOXES_PER_GATHERER
+    chosen: list[PeerBox] = []
+    for box in ranked:
+        if len(chosen) >= LEAST_GATHERERS and sum(b.speed for b in chosen) >= needed:
+            break
+        chosen.append(box)
+    return chosen
--- a/trackwheel/relay/peers.py
+++ b/trackwheel/relay/peers.py
@@ -1,6 +1,8 @@
 """What is known of the peers that gather shards for this box, and the messages to them."""
 
+from bisect import bisect_right
 from collections.abc import Callable, Iterable
+from itertools import accumulate
 from typing import Final, NamedTuple
 
 from trackwheel.relay.const import FIRST_ROUND_TRIP_S, PEER_AVOID_S, ROUND_TRIP_WEIGHT
@@ -73,11 +75,17 @@
 RELAY_MESSAGES: Final = (GroupForward, GroupAccepted, GroupDeclined, GroupParts, GroupCancel)
 
 
+GOLDEN_SHARE: Final = 0.6180339887
+"""Step of the turn among peers: its multiples fall evenly into parts of any size."""
+
+
 class PeerBox(NamedTuple):
     """A box to which shards may be handed."""
 
     address: str
     place: Place
+    speed: float = 1.0
+    """How fast its processor is, in cores."""
 
 
 class PeerBoard:
@@ -104,14 +112,18 @@
         self._avoid_until_by_address[address] = now + PEER_AVOID_S
 
     def pick(self, peers: list[PeerBox], now: float) -> PeerBox | None:
-        """Return the next usable peer in turn, None when there is none."""
+        """Return the next usable peer in turn, None when there is none.
+
+        Faster boxes have their turn more often: work follows capacity.
+        """
         usable = [
             peer for peer in peers if self._avoid_until_by_address.get(peer.address, 0.0) <= now
         ]
         if not usable:
             return None
         self._turn += 1
-        return usable[self._turn % len(usable)]
+        speeds = list(accumulate(peer.speed for peer in usable))
+        return usable[bisect_right(speeds, self._turn * GOLDEN_SHARE % 1.0 * speeds[-1])]
 
     def linked(self, peers: Iterable[PeerBox]) -> list[PeerBox]:
         """Return the peers to which a link stands."""
