--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -51,6 +51,8 @@
 HTTP_CLIENT = "tests/http1/test_server.py::"
 DIRECTORY = "tests/directory/test_targets.py::"
 WATCHING = "tests/directory/test_watching.py::"
+OUTAGE = "tests/directory/test_store_outage.py::"
+NEWS = "tests/relay/test_news.py::"
 WIRE = "tests/platform/test_wire.py::"
 ENTRY = "tests/whole/test_entry.py::"
 
@@ -650,7 +652,7 @@
         SHARDS + "test_declined_shards_go_elsewhere_and_are_no_repeats",
         Mutant(
             "trackwheel/relay/gather.py",
-            "handed = self._hand_elsewhere(declined, False, now)",
+            "handed = self._hand_elsewhere(declined, repeat, now)",
             "handed = self._hand_elsewhere(declined, True, now)",
         ),
     ),
@@ -862,11 +864,73 @@
         PLATFORM,
         LEAVING,
         "entries lapse while the store is away",
-        DIRECTORY + "test_entry_that_lapsed_with_the_store_may_come_back",
+        DIRECTORY + "test_entries_that_lapsed_with_the_store_are_used_until_they_are_back",
         Mutant(
             "trackwheel/directory/targets.py",
-            "max(now + GONE_HOLD_S, self._store_back_at + LAPSE_HOLD_S)",
-            "now",
+            "doubtful=held.gone_revision is not None and not held.lapsed",
+            "doubtful=held.gone_revision is not None",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        LEAVING,
+        "a box that is behind hears late of a target that lapsed for good",
+        DIRECTORY + "test_lapse_that_is_told_later_is_a_loss",
+        Mutant(
+            "trackwheel/directory/targets.py",
+            "return max(0.0, held.drop_at - now) if held is not None and held.lapsed else 0.0",
+            "return 2.0",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        MEMBERSHIP,
+        "the store goes for all boxes, at 6 to 198 of them",
+        OUTAGE + "test_boxes_that_call_a_store_that_is_away_do_not_grow_with_the_fleet",
+        Mutant("trackwheel/directory/watching.py", "UNHEARD_S * 2.0**doublings", "UNHEARD_S"),
+    ),
+    Row(
+        PLATFORM,
+        IN_FORCE,
+        "the store turns one, all or a third of the watchers away; one dies or freezes",
+        OUTAGE + "test_somebody_in_step_is_heard_again_within_seconds",
+        Mutant(
+            "trackwheel/directory/in_step.py",
+            "return self._address if now - self._level_at < BEACON_LIFETIME_S else \"\"",
+            "return \"\"",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        MEMBERSHIP,
+        "a target dies; false, old and repeated news of it",
+        NEWS + "test_news_of_others",
+        Mutant(
+            "trackwheel/relay/board.py",
+            "if record.answered_at >= failed_at or record.told_down_until >= until:",
+            "if record.told_down_until >= until:",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        AT_ONCE,
+        "a peer that may not pay for a repeat gives it back",
+        SHARDS + "test_shard_that_peers_give_back_is_not_lost",
+        Mutant(
+            "trackwheel/relay/gather.py",
+            "self._shards[name].attempts.return_loan()",
+            "pass",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        AT_ONCE,
+        "all targets of a shard refuse connections",
+        SHARDS + "test_shard_whose_targets_are_down_is_asked_seldom",
+        Mutant(
+            "trackwheel/relay/attempts.py",
+            "awake = [choice for choice in choices if choice.rests_until <= now]",
+            "awake = choices",
         ),
     ),
     Row(
@@ -981,7 +1045,7 @@
         IN_FORCE,
         "watchers fall silent, or the store turns them away",
         WATCHING + "test_few_boxes_read_the_store",
-        Mutant("trackwheel/directory/watching.py", "if synced:", "if True:"),
+        Mutant("trackwheel/directory/watching.py", "if not goes_by:", "if False:"),
     ),
     Row(
         PLATFORM,
