Hand shards to the same few peers, with links that stand before there is work

Cause: with 195 boxes each one takes a query in eight seconds and handed its groups to all gatherers of a failure domain in turn, so that nearly every group met a peer without a link: three ways there and back and a handshake, of the 112 ms of an urgent query. Change: each box has its own order of peers, faster ones first more often, keeps to the first two usable ones, takes the same place where several hold as many shards, and opens these links (own region and one other) once the fleet has been the same for 0.3 s.

--- a/trackwheel/relay/const.py
+++ b/trackwheel/relay/const.py
@@ -129,6 +129,12 @@
 """Weight of the newest round trip in a peer's usual one."""
 PEER_AVOID_S: Final = 1.5
 """How long a peer that did not accept a query is passed over."""
+PEERS_IN_TURN: Final = 2
+"""Peers of one failure domain that a box hands its shards to, one after the other: when one falls
+silent, the other one is known to live."""
+LINKS_REST_S: Final = 0.3
+"""How long the fleet must have been the same before links are opened ahead: while boxes start, each
+newcomer would change which ones are wanted."""
 REPORT_MARGIN_S: Final = 0.003
 """How much before the last moment to answer a peer's second report should be there."""
 LEAST_GROUP: Final = 2
--- a/trackwheel/relay/grouping.py
+++ b/trackwheel/relay/grouping.py
@@ -1,6 +1,7 @@
 """Which shards of a query are handed to which peers, decided without I/O."""
 
 from collections.abc import Iterable, Iterator
+from math import log
 from typing import Final, NamedTuple
 
 from trackwheel.fleet.members import ring_position
@@ -11,11 +12,13 @@
     HEDGE_RESERVE_PACES,
     LEAST_GROUP,
     LEAST_GROUP_ELSEWHERE,
+    PEERS_IN_TURN,
 )
 from trackwheel.relay.gather_models import GatherPlan, GroupPlan
 from trackwheel.relay.models import Place
 from trackwheel.relay.peers import PeerBoard, PeerBox
 
+RING_PLACES: Final = 2**64
 FARTHEST: Final = 2
 """Distance of a place in another region."""
 
@@ -40,7 +43,9 @@
 
     def set_peers(self, peers: tuple[PeerBox, ...], gathers: bool) -> None:
         """Take the boxes to which shards may be handed, and whether this box asks targets."""
-        self._peers = peers
+        self._peers = tuple(
+            sorted(peers, key=lambda p: (self._own_order(p.place.region), self._own_rank(p)))
+        )
         self._gathers = gathers
 
     def first_groups(
@@ -95,26 +100,39 @@
         return GroupPlan(address, group.peer.place, group.shards, accept_by, report_by, repeat)
 
     def links_wanted(self) -> list[str]:
-        """Return the peers to which links should stand before late shards go there.
+        """Return the peers to which links should stand before there is work for them.
 
-        One box of each failure domain of one other region: it takes three ways there and back to
-        open a link, which is more than a late shard has left. Each box has its own choice.
+        Those that this box hands its shards to, in the own region and in the one other region that
+        it prefers: it takes three ways there and back to open a link, which is more than a late
+        shard has left, and most of what an urgent query has.
         """
-        peers_by_region: dict[str, list[PeerBox]] = {}
-        for peer in self._peers:
-            if peer.place.region != self._own.region:
-                peers_by_region.setdefault(peer.place.region, []).append(peer)
-        if not peers_by_region:
-            return []
-        region = min(peers_by_region, key=self._own_order)
+        regions = {self._own.region, self._preferred_region()}
+        near = [
+            peer
+            for peer in self._peers
+            if peer.place.region in regions and not (self._gathers and peer.place == self._own)
+        ]
         return [
-            min((peer.address for peer in peers), key=self._own_order)
-            for peers in _by_place(peers_by_region[region]).values()
+            peer.address for peers in _by_place(near).values() for peer in peers[:PEERS_IN_TURN]
         ]
 
+    def _preferred_region(self) -> str:
+        """Return the other region to which this box turns first; each box has its own."""
+        others = {peer.place.region for peer in self._peers} - {self._own.region}
+        return min(others, key=self._own_order, default=self._own.region)
+
     def _own_order(self, name: str) -> int:
         return ring_position(f"{self._own_address}/{name}")
 
+    def _own_rank(self, peer: PeerBox) -> float:
+        """Return a peer's place in this box's own order; faster ones come first more often.
+
+        The first of several exponential times with the speeds as rates is each one's with a chance
+        that is its part of all speed.
+        """
+        chance = (self._own_order(peer.address) + 1) / RING_PLACES
+        return -log(chance) / peer.speed
+
     def _by_nearness(self) -> Iterator[dict[Place, list[PeerBox]]]:
         """Give the peers by place, near ones first, and those with a link before others."""
         for distance in range(FARTHEST + 1):
@@ -194,13 +212,12 @@
         most = max(len(held & left) for held in held_by_place.values())
         if most < least:
             break
-        best = [place for place, held in held_by_place.items() if len(held & left) == most]
-        chosen = peer_board.pick([peer for place in best for peer in peers_by_place[place]], now)
+        # Of places that hold as many the first one, so that the same links are used again.
+        best = next(place for place, held in held_by_place.items() if len(held & left) == most)
+        held = held_by_place.pop(best) & left
+        chosen = peer_board.pick(peers_by_place[best], now)
         if chosen is None:
-            for place in best:
-                del held_by_place[place]
             continue
-        held = held_by_place.pop(chosen.place) & left
         found.append((chosen, held))
         left -= held
     return found
--- a/trackwheel/relay/peers.py
+++ b/trackwheel/relay/peers.py
@@ -1,11 +1,16 @@
 """What is known of the peers that gather shards for this box, and the messages to them."""
 
 from bisect import bisect_right
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from itertools import accumulate
 from typing import Final, NamedTuple
 
-from trackwheel.relay.const import FIRST_ROUND_TRIP_S, PEER_AVOID_S, ROUND_TRIP_WEIGHT
+from trackwheel.relay.const import (
+    FIRST_ROUND_TRIP_S,
+    PEER_AVOID_S,
+    PEERS_IN_TURN,
+    ROUND_TRIP_WEIGHT,
+)
 from trackwheel.relay.models import Place
 
 
@@ -111,14 +116,16 @@
         """Take that a peer showed no life, or was lost."""
         self._avoid_until_by_address[address] = now + PEER_AVOID_S
 
-    def pick(self, peers: list[PeerBox], now: float) -> PeerBox | None:
-        """Return the next usable peer in turn, None when there is none.
+    def pick(self, peers: Sequence[PeerBox], now: float) -> PeerBox | None:
+        """Return one of the first usable peers in turn, None when there is none.
 
-        Faster boxes have their turn more often: work follows capacity.
+        They come in this box's own order. It keeps to a few, so that links to them stand: opening
+        one takes three ways there and back, and with all in turn nearly every query met a peer
+        without a link. Faster boxes have their turn more often.
         """
         usable = [
             peer for peer in peers if self._avoid_until_by_address.get(peer.address, 0.0) <= now
-        ]
+        ][:PEERS_IN_TURN]
         if not usable:
             return None
         self._turn += 1
--- a/trackwheel/relay/service.py
+++ b/trackwheel/relay/service.py
@@ -10,6 +10,7 @@
 from trackwheel.relay.budget import RepeatBudget
 from trackwheel.relay.const import (
     FINAL_MARGIN_S,
+    LINKS_REST_S,
     NEW_CONNECTION_MARGIN_S,
     NO_ROUTES_RETRY_AFTER_S,
     RETRY_AFTER_S,
@@ -25,6 +26,7 @@
 from trackwheel.relay.peers import PeerBox
 from trackwheel.relay.runs import GatherRun, GatherTask, SingleRun
 from trackwheel.relay.single import Single, SingleAnswered, SingleFailed, SinglePlan
+from trackwheel.relay.timer import Timer
 from trackwheel.relay.transport import TargetTransport
 from trackwheel.routing.models import Route, RouteTable
 from trackwheel.routing.table import WeightedDivider, find_route
@@ -60,6 +62,7 @@
         self._table: RouteTable | None = None
         self._early = EarlyRequests(self.handle, self._refuse_without_routes)
         self._planner = GroupPlanner(place, address, board, groups.peer_board)
+        self._links_timer = Timer(self._open_links)
 
     def set_table(self, table: RouteTable) -> None:
         """Take a configuration; requests under way keep the one they began with."""
@@ -69,6 +72,9 @@
     def set_peers(self, peers: tuple[PeerBox, ...], gathers: bool) -> None:
         """Take the boxes to which shards may be handed, and whether this box asks targets."""
         self._planner.set_peers(peers, gathers)
+        self._links_timer.set(time.monotonic() + LINKS_REST_S)
+
+    def _open_links(self) -> None:
         self._groups.open_links(self._planner.links_wanted())
 
     def handle(self, request: Request, exchange: Exchange) -> None:
