Let a box that starts serve by a copy of the store until a watcher tells it the rest

The copy serves at once but establishes no revision, so that a peer's answer brings every change once more; a box that still knows nobody then reads the store itself. Ruled out: waiting for peers (boxes would be away longer after a loss of all).

--- a/tests/directory/test_service.py
+++ b/tests/directory/test_service.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from tests.platform.test_wire import CONFIG
+from trackwheel.directory.const import LOOK_PERIOD_S, START_SETTLE_S
 from trackwheel.directory.models import (
     DirectoryAsk,
     DirectoryBeacon,
@@ -63,14 +64,14 @@
 
 
 def make_service(
-    source: FakeSource | None = None, drain_s: float = 3.0
+    source: FakeSource | None = None, drain_s: float = 3.0, first: bool = True
 ) -> tuple[DirectoryService, FakeHub, FakeLog]:
     hub, log = FakeHub(), FakeLog()
     service = DirectoryService(
         hub,  # type: ignore[arg-type]
         source or FakeSource(),  # type: ignore[arg-type]
         TargetDirectory({}),
-        Watching(time.monotonic(), OWN.address, True),
+        Watching(time.monotonic(), OWN.address, first),
         log,  # type: ignore[arg-type]
         drain_s,
     )
@@ -155,14 +156,14 @@
 class SilentTargets(FakeSource):
     """Answer the watch of the routes; that of the targets hears nothing after the first reading."""
 
-    async def read_routes(self) -> Result[RoutesRead, TrackwheelError]:
+    async def read_routes(self, copy: bool = False) -> Result[RoutesRead, TrackwheelError]:
         return Success(read(3))
 
     async def watch_routes(self, after: int, wait_s: float) -> Result[RoutesRead, TrackwheelError]:
         await anyio.sleep(0.02)
         return Success(RoutesRead(None, b"", after))
 
-    async def read_targets(self) -> Result[TargetsRead, TrackwheelError]:
+    async def read_targets(self, copy: bool = False) -> Result[TargetsRead, TrackwheelError]:
         return Success(TargetsRead(None, [ENTRY], [], 6))
 
     async def watch_targets(
@@ -197,14 +198,14 @@
         self.left = answers
         self.calls: list[str] = []
 
-    async def read_routes(self) -> Result[RoutesRead, TrackwheelError]:
+    async def read_routes(self, copy: bool = False) -> Result[RoutesRead, TrackwheelError]:
         return Success(read(3))
 
     async def watch_routes(self, after: int, wait_s: float) -> Result[RoutesRead, TrackwheelError]:
         await anyio.sleep_forever()
         raise AssertionError("never answered")
 
-    async def read_targets(self) -> Result[TargetsRead, TrackwheelError]:
+    async def read_targets(self, copy: bool = False) -> Result[TargetsRead, TrackwheelError]:
         self.calls.append("read")
         return Success(TargetsRead(None, [ENTRY], [], 6))
 
@@ -236,3 +237,57 @@
     anyio.run(scenario)
     # Each reading is followed by a rest; answers behind which more waits are not.
     assert source.calls == ["read", "watch", "read", "watch", "watch", "watch", "watch"]
+
+
+class CopyOnly(FakeSource):
+    """Note which reads were asked for; answer as a copy that is seconds old."""
+
+    def __init__(self) -> None:
+        self.reads: list[tuple[str, bool]] = []
+
+    async def read_routes(self, copy: bool = False) -> Result[RoutesRead, TrackwheelError]:
+        self.reads.append(("routes", copy))
+        return Success(read(3))
+
+    async def read_targets(self, copy: bool = False) -> Result[TargetsRead, TrackwheelError]:
+        self.reads.append(("targets", copy))
+        return Success(TargetsRead(None, [ENTRY], [], 6))
+
+    async def watch_routes(self, after: int, wait_s: float) -> Result[RoutesRead, TrackwheelError]:
+        await anyio.sleep_forever()
+        raise AssertionError("never answered")
+
+    async def watch_targets(
+        self, after: int, wait_s: float
+    ) -> Result[TargetsRead, TrackwheelError]:
+        await anyio.sleep_forever()
+        raise AssertionError("never answered")
+
+
+@pytest.mark.parametrize("alone", [False, True], ids=["watcher-is-heard", "alone"])
+def test_box_that_starts_serves_by_a_copy_and_learns_the_rest_from_a_watcher(alone: bool) -> None:
+    """The load: 195 boxes start at once, each thinks that it is alone and reads everything."""
+    source = CopyOnly()
+
+    async def scenario() -> tuple[DirectoryService, FakeHub]:
+        service, hub, _ = make_service(source, first=False)
+        if not alone:
+            service.set_peers([PEER.address], [], [])
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(service.run)
+            await anyio.sleep(0.1)
+            assert service.ready
+            assert source.reads == [("routes", True), ("targets", True)]
+            if not alone:
+                service._take_beacon(PEER, DirectoryBeacon(4, 9, PEER.address))
+            await anyio.sleep(START_SETTLE_S + LOOK_PERIOD_S)
+            tasks.cancel_scope.cancel()
+        return service, hub
+
+    service, hub = anyio.run(scenario)
+    fresh = [what for what, copy in source.reads if not copy]
+    if alone:
+        assert sorted(fresh) == ["routes", "targets"]
+        return
+    assert not fresh
+    assert (PEER.address, DirectoryAsk(3, 0, True)) in hub.sent
--- a/tests/directory/test_targets.py
+++ b/tests/directory/test_targets.py
@@ -240,3 +240,17 @@
     peer.take_push(watcher.changes(peer.newest, 0.0), 0.0)
     assert peer.newest == watcher.newest
     assert states(peer)["a"] == "leaving"
+
+
+def test_copy_serves_but_says_nothing_for_sure() -> None:
+    """Its pages may be of different ages: a change between them must still come."""
+    directory, watcher = make_directory(), make_directory()
+    for news in NEWS[:2]:
+        watcher.take(news, 0.0)
+    assert directory.take_copy([entry("a", 1), entry("b", 2)], 0.0)
+    assert directory.known
+    assert directory.newest == 0
+    assert directory.take_push(watcher.changes(directory.newest, 0.0), 0.1)
+    assert states(directory) == {"a": "leaving", "b": "ready"}
+    assert directory.newest == watcher.newest
+    assert not directory.take_copy([entry("a", 1)], 0.2)
--- a/tests/directory/test_watching.py
+++ b/tests/directory/test_watching.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from trackwheel.directory.const import SILENT_STEP_S, START_WAIT_S, UNHEARD_S
+from trackwheel.directory.const import SILENT_STEP_S, START_SETTLE_S, START_WAIT_S, UNHEARD_S
 from trackwheel.directory.watching import Watching
 
 OWN = "own"
@@ -39,6 +39,8 @@
         pytest.param(True, ["w"], [Word(0.1, "w", OWN)], 0.2, True, id="not-one-that-goes-by-it"),
         pytest.param(True, ["w"], [in_vain(0.1)], 0.2, True, id="not-one-out-of-step"),
         pytest.param(True, [], [in_step(0.1)], 0.2, True, id="watcher-reads-always"),
+        pytest.param(False, [], [], START_SETTLE_S / 2, False, id="alone-at-first-like-all"),
+        pytest.param(False, [], [], START_SETTLE_S, True, id="alone-in-truth"),
         pytest.param(
             True, ["w"], [in_step(0.1)], 0.1 + UNHEARD_S, True, id="reads-when-watchers-fall-silent"
         ),
--- a/trackwheel/directory/models.py
+++ b/trackwheel/directory/models.py
@@ -63,15 +63,18 @@
 
 
 class DirectorySource(Protocol):
-    """Read the platform's store; a failure says nothing about what is in force."""
+    """Read the platform's store; a failure says nothing about what is in force.
 
-    async def read_routes(self) -> Result[RoutesRead, TrackwheelError]:
+    With `copy`, what is read may be seconds old, and parts of it of different ages.
+    """
+
+    async def read_routes(self, copy: bool = False) -> Result[RoutesRead, TrackwheelError]:
         """Return the configuration as it stands."""
 
     async def watch_routes(self, after: int, wait_s: float) -> Result[RoutesRead, TrackwheelError]:
         """Return the configuration when it changes after a revision, or nothing after a while."""
 
-    async def read_targets(self) -> Result[TargetsRead, TrackwheelError]:
+    async def read_targets(self, copy: bool = False) -> Result[TargetsRead, TrackwheelError]:
         """Return all entries of targets."""
 
     async def watch_targets(
--- a/trackwheel/directory/service.py
+++ b/trackwheel/directory/service.py
@@ -94,7 +94,7 @@
     @property
     def ready(self) -> bool:
         """Return whether routes and targets are known."""
-        return self.table is not None and self._targets.newest > 0
+        return self.table is not None and self._targets.known
 
     @property
     def synced(self) -> bool:
@@ -139,11 +139,30 @@
     async def run(self) -> None:
         """Keep in step until cancelled."""
         async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._start_from_copy)
             tasks.start_soon(self._follow_routes)
             tasks.start_soon(self._follow_targets)
             tasks.start_soon(self._send_beacons)
             tasks.start_soon(self._expire)
 
+    async def _start_from_copy(self) -> None:
+        """Serve by a copy of the store until a watcher is heard of, or this box reads itself."""
+        if not self._watching.settles(time.monotonic()):
+            return
+        self.store_calls += 2
+        match await self._source.read_routes(copy=True):
+            case Success(RoutesRead(RouteTable() as table, content)):
+                self._adopt(table, zlib.compress(content, PACK_LEVEL), "copy")
+            case Failure(error):
+                self._log.write("no_copy", reason=str(error))
+                return
+        match await self._source.read_targets(copy=True):
+            case Success(read):
+                if self._targets.take_copy(read.entries, time.monotonic()):
+                    self._targets_changed("copy")
+            case Failure(error):
+                self._log.write("no_copy", reason=str(error))
+
     async def _follow_routes(self) -> None:
         await self._follow(
             self._source.read_routes,
--- a/trackwheel/directory/targets.py
+++ b/trackwheel/directory/targets.py
@@ -1,5 +1,6 @@
 """The directory of targets: merges news from any source in any order, without I/O."""
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from trackwheel.directory.const import GONE_HOLD_S, LAPSE_NEWS_S, LAPSE_RETURN_S
@@ -35,6 +36,11 @@
         self.newest = 0
         """The revision up to which all changes are known here."""
 
+    @property
+    def known(self) -> bool:
+        """Return whether any target is known, for sure or by a copy."""
+        return self.newest > 0 or bool(self._held_by_instance)
+
     def returns_awaited(self, now: float) -> bool:
         """Return whether entries that lapsed while the store was away may still come back."""
         return now < self._store_back_at + LAPSE_RETURN_S + LAPSE_NEWS_S
@@ -61,6 +67,14 @@
             changed += [self._note(was_there, read.as_of) for was_there in removed]
         return any(changed)
 
+    def take_copy(self, entries: Iterable[TargetEntry], now: float) -> bool:
+        """Take entries that may be old; return whether anything is another now.
+
+        The copy's pages may be of different ages, so that nothing is known for sure up to any
+        revision: a peer's answer brings all changes once more.
+        """
+        return any([self._merge(entry, now) for entry in entries])
+
     def take_push(self, push: TargetsPush, now: float) -> bool:
         """Take news of a peer; return whether anything is another now.
 
--- a/trackwheel/directory/watching.py
+++ b/trackwheel/directory/watching.py
@@ -5,6 +5,7 @@
 from trackwheel.directory.const import (
     BEACON_LIFETIME_S,
     SILENT_STEP_S,
+    START_SETTLE_S,
     START_WAIT_S,
     UNHEARD_S,
 )
@@ -25,6 +26,7 @@
 
     def __init__(self, now: float, own_address: str, first: bool) -> None:
         self._own_address = own_address
+        self._settled_at = now + (0.0 if first else START_SETTLE_S)
         self._trusted_at = now - UNHEARD_S + (0.0 if first else START_WAIT_S)
         self._before: frozenset[str] = frozenset()
         self._reads_in_vain_at_by_address: dict[str, float] = {}
@@ -39,6 +41,10 @@
             if address in self._before
         }
 
+    def settles(self, now: float) -> bool:
+        """Return whether this box has just started and goes by a copy of the store."""
+        return now < self._settled_at
+
     @property
     def boxes_before(self) -> int:
         """Return how many boxes of the failure domain come before this one."""
@@ -63,6 +69,8 @@
 
     def watches(self, now: float) -> bool:
         """Return whether this box reads the store now."""
+        if now < self._settled_at:
+            return False
         if not self._before:
             return True
         if not self._began:
--- a/trackwheel/platform/store.py
+++ b/trackwheel/platform/store.py
@@ -37,6 +37,8 @@
 STATUS_HISTORY_GONE: Final = 410
 MANY_EVENTS: Final = 400
 """An answer to a watch holds about 500 events; with so many of them others wait behind."""
+COPY_WILL_DO: Final = {"stale_ok": "1"}
+"""Such a read costs a tenth of another one and does not count against the rate."""
 UNAVAILABLE: Final = "store_unavailable"
 
 T = TypeVar("T")
@@ -84,9 +86,10 @@
         """Return the configuration that some bytes hold."""
         return decode_routes(content)
 
-    async def read_routes(self) -> Result[RoutesRead, TrackwheelError]:
+    async def read_routes(self, copy: bool = False) -> Result[RoutesRead, TrackwheelError]:
         """Return the configuration as it stands."""
-        answer = await self._get(PATH_RANGE, {"path_prefix": KEY_CONFIG}, 0.0)
+        parameters = {"path_prefix": KEY_CONFIG, **(COPY_WILL_DO if copy else {})}
+        answer = await self._get(PATH_RANGE, parameters, 0.0)
         return answer.bind(self._routes_page)
 
     async def watch_routes(self, after: int, wait_s: float) -> Result[RoutesRead, TrackwheelError]:
@@ -94,13 +97,13 @@
         answer = await self._watch(KEY_CONFIG, after, wait_s)
         return answer.bind(self._routes_events)
 
-    async def read_targets(self) -> Result[TargetsRead, TrackwheelError]:
+    async def read_targets(self, copy: bool = False) -> Result[TargetsRead, TrackwheelError]:
         """Return all entries of targets, page by page; news since the first page come by watch."""
         entries: list[TargetEntry] = []
         as_of: int | None = None
         last = ""
         while True:
-            parameters = {"path_prefix": PREFIX_TARGETS}
+            parameters = {"path_prefix": PREFIX_TARGETS, **(COPY_WILL_DO if copy else {})}
             if last:
                 # Here the field names the last key of the page before, not a revision.
                 parameters["after"] = last
