--- a/trackwheel/directory/const.py
+++ b/trackwheel/directory/const.py
@@ -29,10 +29,11 @@
 """How much later the box after it begins. Within it, the first one's word that it reads has come:
 two looks, and the way between two boxes of a failure domain."""
 START_SETTLE_S: Final = 0.6
-"""How long a box that starts goes by a copy of the store before it reads the store itself. Its peers
-are known after some 0.1 s, and a watcher's word comes within half a second. Where all boxes start
-at once, each thinks that it is alone and read everything anew: 1,180 of 1,509 calls of a day on 195
-boxes that were lost once."""
+"""How long a box that starts goes by a copy of the store before it reads the store itself.
+
+Its peers are known after some 0.1 s, and a watcher's word comes within half a second. Where all
+boxes start at once, each thinks that it is alone and read everything anew: 1,180 of 1,509 calls of
+a day on 195 boxes that were lost once."""
 START_WAIT_S: Final = 1.5
 """How long a box that starts waits for its peers before it reads the store itself."""
 GONE_HOLD_S: Final = 1.5
