--- a/tests/directory/test_service.py
+++ b/tests/directory/test_service.py
@@ -90,7 +90,7 @@
     """Ten thousand routes must fit a link of 10 Mbit/s to each of ten peers within seconds."""
     watcher, hub, _ = make_service()
     news = read(7, 4000)
-    watcher._take_routes_read(news)
+    watcher.take_routes(news)
     ((address, push),) = hub.sent
     assert address == "10.0.0.2:1"
     assert len(push.packed) < len(news.content) / 8
@@ -107,7 +107,7 @@
 def test_versions_only_rise(versions: list[int], in_force: int) -> None:
     service, _, log = make_service()
     for version in versions:
-        service._take_routes_read(read(version))
+        service.take_routes(read(version))
     assert service.version == in_force
     assert log.events.count("routes_in_force") == len(set(versions[: versions.index(in_force) + 1]))
 
@@ -146,7 +146,7 @@
 @pytest.mark.parametrize("wanted", [True, False], ids=["wanted", "not-wanted"])
 def test_targets_are_sent_to_those_who_want_them(wanted: bool) -> None:
     service, hub, _ = make_service()
-    service._take_targets_read(TargetsRead(None, [ENTRY], [], 6))
+    service.take_targets(TargetsRead(None, [ENTRY], [], 6))
     hub.sent.clear()
     service._take_ask(PEER, DirectoryAsk(0, 0, wanted))
     kinds = [type(message) for _, message in hub.sent]
--- /dev/null
+++ b/trackwheel/directory/reading.py
@@ -0,0 +1,185 @@
+"""The tasks that read the store while this box is to: a copy at the start, then two watches."""
+
+import time
+from collections.abc import Awaitable, Callable
+from typing import Protocol, TypeVar
+
+import anyio
+from returns.result import Failure, Result, Success
+
+from trackwheel.directory.const import (
+    LOOK_PERIOD_S,
+    RETRY_FIRST_S,
+    RETRY_LONGEST_S,
+    RETURN_REST_S,
+    ROUTES_PATIENCE_S,
+    ROUTES_REST_S,
+    ROUTES_WAIT_S,
+    SLOW_ANSWER_S,
+    STORE_SLACK_S,
+    TARGETS_REST_SHARE,
+    TARGETS_WAIT_SHARE,
+)
+from trackwheel.directory.in_step import StoreFlow
+from trackwheel.directory.models import (
+    DirectorySource,
+    HistoryGoneError,
+    RoutesRead,
+    TargetsRead,
+)
+from trackwheel.directory.targets import TargetDirectory
+from trackwheel.directory.watching import Watching
+from trackwheel.errors import TrackwheelError
+from trackwheel.telemetry.events import EventLog
+
+T = TypeVar("T", RoutesRead, TargetsRead)
+
+
+class StoreNews(Protocol):
+    """Take what was read of the store."""
+
+    def take_routes(self, read: RoutesRead) -> int:
+        """Take a reading or a change; return the revision from which to watch on."""
+
+    def take_targets(self, read: TargetsRead) -> int:
+        """Take a reading or changes; return the revision from which to watch on."""
+
+    def take_copy(self, routes: RoutesRead, targets: TargetsRead) -> None:
+        """Take what may be seconds old."""
+
+
+class StoreReader:
+    """Read the store as long as this box is to, and know whether its answers keep it in step."""
+
+    def __init__(
+        self,
+        source: DirectorySource,
+        targets: TargetDirectory,
+        watching: Watching,
+        news: StoreNews,
+        log: EventLog,
+        drain_s: float,
+    ) -> None:
+        self._source = source
+        self._targets = targets
+        self._watching = watching
+        self._news = news
+        self._log = log
+        self.targets_rest_s = drain_s * TARGETS_REST_SHARE
+        self._targets_wait_s = drain_s * TARGETS_WAIT_SHARE
+        self._routes_flow = StoreFlow("routes", ROUTES_PATIENCE_S)
+        patience_s = self.targets_rest_s + self._targets_wait_s + STORE_SLACK_S
+        self._targets_flow = StoreFlow("targets", patience_s)
+        self.calls = 0
+
+    def in_step(self, now: float) -> bool:
+        """Return whether the store has answered both watches of this box lately."""
+        return self._routes_flow.in_step(now) and self._targets_flow.in_step(now)
+
+    async def run(self) -> None:
+        """Read until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._start_from_copy)
+            tasks.start_soon(self._follow_routes)
+            tasks.start_soon(self._follow_targets)
+
+    async def _start_from_copy(self) -> None:
+        """Serve by a copy of the store until a watcher is heard of, or this box reads itself."""
+        if not self._watching.settles(time.monotonic()):
+            return
+        self.calls += 2
+        routes = await self._source.read_routes(copy=True)
+        targets = await self._source.read_targets(copy=True)
+        match routes, targets:
+            case Success(routes_read), Success(targets_read):
+                self._news.take_copy(routes_read, targets_read)
+            case (Failure(error), _) | (_, Failure(error)):
+                self._log.write("no_copy", reason=str(error))
+
+    async def _follow_routes(self) -> None:
+        await self._follow(
+            self._source.read_routes,
+            self._source.watch_routes,
+            self._news.take_routes,
+            self._routes_flow,
+            ROUTES_WAIT_S,
+            ROUTES_REST_S,
+        )
+
+    async def _follow_targets(self) -> None:
+        await self._follow(
+            self._source.read_targets,
+            self._source.watch_targets,
+            self._news.take_targets,
+            self._targets_flow,
+            self._targets_wait_s,
+            self.targets_rest_s,
+        )
+
+    async def _follow(
+        self,
+        read: Callable[[], Awaitable[Result[T, TrackwheelError]]],
+        watch: Callable[[int, float], Awaitable[Result[T, TrackwheelError]]],
+        take: Callable[[T], int],
+        flow: StoreFlow,
+        wait_s: float,
+        rest_s: float,
+    ) -> None:
+        """Read once, then follow the changes, as long as this box is to watch.
+
+        After a failure all is read anew: to go through the changes since then took six seconds
+        where heartbeats of 900 targets are among them.
+        """
+        after: int | None = None
+        pause_s = RETRY_FIRST_S
+        while True:
+            if not self._reads_now(flow):
+                after = None
+                await anyio.sleep(LOOK_PERIOD_S)
+                continue
+            self.calls += 1
+            asked_at = time.monotonic()
+            result = await (read() if after is None else watch(after, wait_s))
+            match result:
+                case Success(found):
+                    self._store_answered(flow, time.monotonic() - asked_at - wait_s)
+                    after = take(found)
+                    pause_s = RETRY_FIRST_S
+                    await anyio.sleep(0.0 if found.more else self._rest_s(rest_s))
+                case Failure(HistoryGoneError()):
+                    after = None
+                case Failure(error):
+                    after = None
+                    self._store_failed(flow, error)
+                    await anyio.sleep(pause_s)
+                    pause_s = min(RETRY_LONGEST_S, pause_s * 2)
+
+    def _reads_now(self, flow: StoreFlow) -> bool:
+        """Return whether a call on the store is due.
+
+        While the store answers neither watch, the routes' one alone tries: one call tells as much
+        as two.
+        """
+        if not self._watching.watches(time.monotonic()):
+            return False
+        return flow is self._routes_flow or not (flow.lost and self._routes_flow.lost)
+
+    def _rest_s(self, usual_s: float) -> float:
+        """Return the pause between two watches, short while lapsed entries come back."""
+        if self._targets.returns_awaited(time.monotonic()):
+            return min(usual_s, RETURN_REST_S)
+        return usual_s
+
+    def _store_answered(self, flow: StoreFlow, late_s: float) -> None:
+        """Take an answer; one that is late says that the store was away while it was awaited."""
+        if late_s > SLOW_ANSWER_S:
+            self._targets.store_lost()
+        now = time.monotonic()
+        self._targets.store_back(now)
+        if flow.answered(now):
+            self._log.write("store_regained", watch=flow.name)
+
+    def _store_failed(self, flow: StoreFlow, error: TrackwheelError) -> None:
+        self._targets.store_lost()
+        if flow.failed():
+            self._log.write("store_lost", watch=flow.name, reason=str(error))
--- a/trackwheel/directory/service.py
+++ b/trackwheel/directory/service.py
@@ -1,9 +1,8 @@
-"""The tasks that keep the directory: readers of the store, news to and from peers."""
+"""The service that keeps the directory: what the store and peers tell, passed on to peers."""
 
 import time
 import zlib
-from collections.abc import Awaitable, Callable, Iterable, Sequence
-from typing import TypeVar
+from collections.abc import Callable, Iterable, Sequence
 
 import anyio
 from returns.result import Failure, Result, Success
@@ -12,28 +11,18 @@
     BEACON_PERIOD_S,
     LOOK_PERIOD_S,
     PACK_LEVEL,
-    RETRY_FIRST_S,
-    RETRY_LONGEST_S,
-    RETURN_REST_S,
-    ROUTES_PATIENCE_S,
-    ROUTES_REST_S,
-    ROUTES_WAIT_S,
-    SLOW_ANSWER_S,
-    STORE_SLACK_S,
-    TARGETS_REST_SHARE,
-    TARGETS_WAIT_SHARE,
 )
-from trackwheel.directory.in_step import HowFar, Lag, PeerFlow, StoreFlow
+from trackwheel.directory.in_step import HowFar, Lag, PeerFlow
 from trackwheel.directory.models import (
     DirectoryAsk,
     DirectoryBeacon,
     DirectorySource,
-    HistoryGoneError,
     RoutesPush,
     RoutesRead,
     TargetsPush,
     TargetsRead,
 )
+from trackwheel.directory.reading import StoreReader
 from trackwheel.directory.targets import TargetDirectory
 from trackwheel.directory.watching import Watching
 from trackwheel.errors import Problem, TrackwheelError
@@ -43,8 +32,6 @@
 from trackwheel.routing.models import RouteTable
 from trackwheel.telemetry.events import EventLog
 
-T = TypeVar("T", RoutesRead, TargetsRead)
-
 
 class DirectoryService:
     """Keep routes and targets in step with the store, directly or through peers."""
@@ -64,13 +51,9 @@
         self._targets = targets
         self._watching = watching
         self._log = log
-        self._targets_rest_s = drain_s * TARGETS_REST_SHARE
-        self._targets_wait_s = drain_s * TARGETS_WAIT_SHARE
         self._packed = b""
-        self._routes_flow = StoreFlow("routes", ROUTES_PATIENCE_S)
-        patience_s = self._targets_rest_s + self._targets_wait_s + STORE_SLACK_S
-        self._targets_flow = StoreFlow("targets", patience_s)
-        self._lag = Lag(self._targets_rest_s)
+        self._reader = StoreReader(source, targets, watching, self, log, drain_s)
+        self._lag = Lag(self._reader.targets_rest_s)
         self._peer_flow = PeerFlow()
         self._watched = False
         self._beacon_at = 0.0
@@ -80,7 +63,6 @@
         self._on_routes: list[Callable[[RouteTable], None]] = []
         self._on_targets: list[Callable[[dict[str, tuple[Target, ...]]], None]] = []
         self.table: RouteTable | None = None
-        self.store_calls = 0
         hub.register(DirectoryBeacon, self._take_beacon)
         hub.register(DirectoryAsk, self._take_ask)
         hub.register(RoutesPush, self._take_routes_push)
@@ -99,8 +81,12 @@
     @property
     def synced(self) -> bool:
         """Return whether the store has answered both watches of this box lately."""
-        now = time.monotonic()
-        return self._routes_flow.in_step(now) and self._targets_flow.in_step(now)
+        return self._reader.in_step(time.monotonic())
+
+    @property
+    def store_calls(self) -> int:
+        """Return how many calls this box has made on the store."""
+        return self._reader.calls
 
     def on_routes(self, handler: Callable[[RouteTable], None]) -> None:
         """Call a handler with each new configuration."""
@@ -112,7 +98,7 @@
 
     def goes_by(self, now: float) -> str:
         """Return the box by whose reading of the store this one is in step, or nothing."""
-        if self._routes_flow.in_step(now) and self._targets_flow.in_step(now):
+        if self._reader.in_step(now):
             return self._own_address
         return self._peer_flow.goes_by(now)
 
@@ -139,116 +125,31 @@
     async def run(self) -> None:
         """Keep in step until cancelled."""
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._start_from_copy)
-            tasks.start_soon(self._follow_routes)
-            tasks.start_soon(self._follow_targets)
+            tasks.start_soon(self._reader.run)
             tasks.start_soon(self._send_beacons)
             tasks.start_soon(self._expire)
 
-    async def _start_from_copy(self) -> None:
-        """Serve by a copy of the store until a watcher is heard of, or this box reads itself."""
-        if not self._watching.settles(time.monotonic()):
-            return
-        self.store_calls += 2
-        match await self._source.read_routes(copy=True):
-            case Success(RoutesRead(RouteTable() as table, content)):
-                self._adopt(table, zlib.compress(content, PACK_LEVEL), "copy")
-            case Failure(error):
-                self._log.write("no_copy", reason=str(error))
-                return
-        match await self._source.read_targets(copy=True):
-            case Success(read):
-                if self._targets.take_copy(read.entries, time.monotonic()):
-                    self._targets_changed("copy")
-            case Failure(error):
-                self._log.write("no_copy", reason=str(error))
-
-    async def _follow_routes(self) -> None:
-        await self._follow(
-            self._source.read_routes,
-            self._source.watch_routes,
-            self._take_routes_read,
-            self._routes_flow,
-            ROUTES_WAIT_S,
-            ROUTES_REST_S,
-        )
-
-    async def _follow_targets(self) -> None:
-        await self._follow(
-            self._source.read_targets,
-            self._source.watch_targets,
-            self._take_targets_read,
-            self._targets_flow,
-            self._targets_wait_s,
-            self._targets_rest_s,
-        )
-
-    async def _follow(
-        self,
-        read: Callable[[], Awaitable[Result[T, TrackwheelError]]],
-        watch: Callable[[int, float], Awaitable[Result[T, TrackwheelError]]],
-        take: Callable[[T], int],
-        flow: StoreFlow,
-        wait_s: float,
-        rest_s: float,
-    ) -> None:
-        """Read once, then follow the changes, as long as this box is to watch.
-
-        After a failure all is read anew: to go through the changes since then took six seconds
-        where heartbeats of 900 targets are among them.
-        """
-        after: int | None = None
-        pause_s = RETRY_FIRST_S
-        while True:
-            if not self._reads_now(flow):
-                after = None
-                await anyio.sleep(LOOK_PERIOD_S)
-                continue
-            self.store_calls += 1
-            asked_at = time.monotonic()
-            result = await (read() if after is None else watch(after, wait_s))
-            match result:
-                case Success(found):
-                    self._store_answered(flow, time.monotonic() - asked_at - wait_s)
-                    after = take(found)
-                    pause_s = RETRY_FIRST_S
-                    await anyio.sleep(0.0 if found.more else self._rest_s(rest_s))
-                case Failure(HistoryGoneError()):
-                    after = None
-                case Failure(error):
-                    after = None
-                    self._store_failed(flow, error)
-                    await anyio.sleep(pause_s)
-                    pause_s = min(RETRY_LONGEST_S, pause_s * 2)
-
-    def _reads_now(self, flow: StoreFlow) -> bool:
-        """Return whether a call on the store is due.
-
-        While the store answers neither watch, the routes' one alone tries: one call tells as much
-        as two.
-        """
-        if not self._watching.watches(time.monotonic()):
-            return False
-        return flow is self._routes_flow or not (flow.lost and self._routes_flow.lost)
-
-    def _rest_s(self, usual_s: float) -> float:
-        """Return the pause between two watches, short while lapsed entries come back."""
-        if self._targets.returns_awaited(time.monotonic()):
-            return min(usual_s, RETURN_REST_S)
-        return usual_s
-
-    def _take_routes_read(self, read: RoutesRead) -> int:
+    def take_routes(self, read: RoutesRead) -> int:
+        """Take a reading or a change of the store; return the revision from which to watch on."""
         if read.table is not None:
             self._adopt(read.table, zlib.compress(read.content, PACK_LEVEL), "store")
         return read.as_of
 
-    def _take_targets_read(self, read: TargetsRead) -> int:
+    def take_targets(self, read: TargetsRead) -> int:
+        """Take a reading or changes of the store; return the revision from which to watch on."""
         since = 0 if read.since is None else self._targets.newest
         if self._targets.take(read, time.monotonic()):
             self._targets_changed("store")
             self._pass_on(self._targets.changes(since, time.monotonic()), self._near_peers)
         return read.as_of
 
+    def take_copy(self, routes: RoutesRead, targets: TargetsRead) -> None:
+        """Take a copy of the store that may be seconds old."""
+        if routes.table is not None:
+            self._adopt(routes.table, zlib.compress(routes.content, PACK_LEVEL), "copy")
+        if self._targets.take_copy(targets.entries, time.monotonic()):
+            self._targets_changed("copy")
+
     def _take_routes_push(self, sender: PeerIdentity, push: RoutesPush) -> None:
         if push.version <= self.version:
             return
@@ -363,17 +264,3 @@
             now = time.monotonic()
             if self._targets.next_expiry() <= now and self._targets.expire(now):
                 self._targets_changed("expiry")
-
-    def _store_answered(self, flow: StoreFlow, late_s: float) -> None:
-        """Take an answer; one that is late says that the store was away while it was awaited."""
-        if late_s > SLOW_ANSWER_S:
-            self._targets.store_lost()
-        now = time.monotonic()
-        self._targets.store_back(now)
-        if flow.answered(now):
-            self._log.write("store_regained", watch=flow.name)
-
-    def _store_failed(self, flow: StoreFlow, error: TrackwheelError) -> None:
-        self._targets.store_lost()
-        if flow.failed():
-            self._log.write("store_lost", watch=flow.name, reason=str(error))
