--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -28,6 +28,7 @@
     "fleet",
     "slopes",
     "batch",
+    "policy",
     "soak",
 )
 
--- /dev/null
+++ b/tests/relay/test_policy_model.py
@@ -0,0 +1,62 @@
+"""Golden figures of the policy model: what a change of a decision does to named loads.
+
+Figures that a change moves on purpose are written anew, with the reason in its commit.
+"""
+
+from typing import NamedTuple
+
+import pytest
+
+from bench.policy import SCENARIOS, VARIANTS, Scenario, Variant, play
+
+SECONDS = 3.0
+SEED = 1
+AS_IT_IS, PEERS_IN_TURN = VARIANTS[0], VARIANTS[2]
+CALM, SLOW_AND_DEAD = SCENARIOS[0], SCENARIOS[3]
+
+
+class Ended(NamedTuple):
+    """How the queries of one kind ended, and how many shards their answers lacked."""
+
+    asked: int
+    in_time: int
+    late: int
+    failed: int
+    left_out: int
+
+
+@pytest.mark.parametrize(
+    ("scenario", "variant", "sweep", "urgent"),
+    [
+        pytest.param(
+            CALM, AS_IT_IS, Ended(56, 56, 0, 0, 0), Ended(21, 21, 0, 0, 0), id="calm-as-it-is"
+        ),
+        pytest.param(
+            CALM,
+            PEERS_IN_TURN,
+            Ended(56, 56, 0, 0, 0),
+            Ended(21, 21, 0, 0, 50),
+            id="calm-without-standing-links",
+        ),
+        pytest.param(
+            SLOW_AND_DEAD,
+            AS_IT_IS,
+            Ended(56, 42, 13, 1, 43),
+            Ended(21, 20, 1, 0, 33),
+            id="slow-and-dead-as-it-is",
+        ),
+        pytest.param(
+            SLOW_AND_DEAD,
+            PEERS_IN_TURN,
+            Ended(56, 42, 7, 7, 27),
+            Ended(21, 21, 0, 0, 76),
+            id="slow-and-dead-without-standing-links",
+        ),
+    ],
+)
+def test_named_loads_end_as_before(
+    scenario: Scenario, variant: Variant, sweep: Ended, urgent: Ended
+) -> None:
+    tallies = play(scenario, variant, SEED, SECONDS)
+    found = [Ended(t.asked, t.in_time, t.late, t.failed, t.left_out) for t in tallies.values()]
+    assert found == [sweep, urgent]
