--- a/tests/relay/test_policy_model.py
+++ b/tests/relay/test_policy_model.py
@@ -11,7 +11,7 @@
 
 SECONDS = 3.0
 SEED = 1
-AS_IT_IS, PEERS_IN_TURN = VARIANTS[0], VARIANTS[2]
+AS_IT_IS, ALL_PEERS = VARIANTS[0], VARIANTS[2]
 CALM, SLOW_AND_DEAD = SCENARIOS[0], SCENARIOS[3]
 
 
@@ -33,7 +33,7 @@
         ),
         pytest.param(
             CALM,
-            PEERS_IN_TURN,
+            ALL_PEERS,
             Ended(56, 56, 0, 0, 0),
             Ended(21, 21, 0, 0, 50),
             id="calm-without-standing-links",
@@ -47,7 +47,7 @@
         ),
         pytest.param(
             SLOW_AND_DEAD,
-            PEERS_IN_TURN,
+            ALL_PEERS,
             Ended(56, 42, 7, 7, 27),
             Ended(21, 21, 0, 0, 76),
             id="slow-and-dead-without-standing-links",
