--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -900,6 +900,29 @@
             'return ""',
         ),
     ),
+    Row(
+        PLATFORM,
+        LEAVING,
+        "a box starts by a copy of the store that is older than a target's notice",
+        DIRECTORY + "test_copy_serves_but_says_nothing_for_sure",
+        Mutant(
+            "trackwheel/directory/targets.py",
+            "return any([self._merge(entry, now) for entry in entries])",
+            "return any([self._note(self._merge(entry, now), 99) for entry in entries])",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        MEMBERSHIP,
+        "all boxes start at once, each knowing no other one yet",
+        "tests/directory/test_service.py::"
+        "test_box_that_starts_serves_by_a_copy_and_learns_the_rest_from_a_watcher",
+        Mutant(
+            "trackwheel/directory/watching.py",
+            "now + (0.0 if first else START_SETTLE_S)",
+            "now",
+        ),
+    ),
     Row(
         PLATFORM,
         MEMBERSHIP,
