Derive the end of a return once, drop a counter nobody reads, and simplify the report's page

Cause: read once more, the change worked out when lapsed entries are gone in two places, counted told news that no figure showed, took the report's columns from its first row (so an empty table had none) and held the width of a span in a second place. Change: one property, the counter gone, columns by type, SPAN_S used, a nested conditional turned into an early return. Conclusion: no behaviour of a box changes; the report names its columns also when no request ended.

--- a/trackwheel/directory/targets.py
+++ b/trackwheel/directory/targets.py
@@ -43,7 +43,11 @@
 
     def returns_awaited(self, now: float) -> bool:
         """Return whether entries that lapsed while the store was away may still come back."""
-        return now < self._store_back_at + LAPSE_RETURN_S + LAPSE_NEWS_S
+        return now < self._returns_until
+
+    @property
+    def _returns_until(self) -> float:
+        return self._store_back_at + LAPSE_RETURN_S + LAPSE_NEWS_S
 
     def store_lost(self) -> None:
         """Take that the store does not answer: entries may lapse without cause."""
@@ -164,8 +168,7 @@
         """Return news of the store with how long the entry may still come back."""
         if not self.returns_awaited(now):
             return gone
-        left_s = self._store_back_at + LAPSE_RETURN_S + LAPSE_NEWS_S - now
-        return gone._replace(may_return_s=left_s)
+        return gone._replace(may_return_s=self._returns_until - now)
 
     def _may_return_s(self, instance: str, now: float) -> float:
         """Return how long an entry that is gone may still come back, as believed here."""
--- a/trackwheel/relay/telling.py
+++ b/trackwheel/relay/telling.py
@@ -22,7 +22,6 @@
         self._news = news
         self._log = log
         self._boxes: tuple[str, ...] = ()
-        self.told = 0
         hub.register(TargetDown, self._take)
         transport.on_any_end(self._ended)
 
@@ -35,7 +34,6 @@
         if news is None:
             return
         for address in self._boxes:
-            self.told += 1
             self._hub.send(address, news)
 
     def _take(self, sender: PeerIdentity, news: TargetDown) -> None:
--- a/trackwheel/telemetry/report_page.py
+++ b/trackwheel/telemetry/report_page.py
@@ -5,7 +5,7 @@
 from html import escape
 from typing import Any, Final, NamedTuple
 
-from trackwheel.telemetry.report import BoxRow, FleetReport, SpanRow
+from trackwheel.telemetry.report import SPAN_S, BoxRow, FleetReport, RouteRow, SpanRow
 
 SHOWN_BOXES: Final = 12
 """Busiest boxes that the text names; the page has them all."""
@@ -62,7 +62,7 @@
 def _tables(report: FleetReport, boxes: int) -> list[Table]:
     busiest = sorted(report.boxes, key=lambda row: row.sends, reverse=True)[:boxes]
     return [
-        Table("requests by route", type_columns(report.routes), report.routes),
+        Table("requests by route", RouteRow._fields, report.routes),
         Table(
             "given up, by route and reason", ("route", "reason", "times"), _counted(report.reasons)
         ),
@@ -71,19 +71,11 @@
             ("outcome", "why sent", "times"),
             _counted(report.failures),
         ),
-        Table("by failure domain", _BOX_COLUMNS, _by_domain(report.boxes)),
-        Table("by box, most sends first", _BOX_COLUMNS, busiest),
+        Table("by failure domain", BoxRow._fields, _by_domain(report.boxes)),
+        Table("by box, most sends first", BoxRow._fields, busiest),
     ]
 
 
-_BOX_COLUMNS: Final = BoxRow._fields
-
-
-def type_columns(rows: Sequence[Any]) -> Sequence[str]:
-    """Return the names of the columns of some rows."""
-    return rows[0]._fields if rows else ()
-
-
 def _counted(counter: Counter[tuple[str, str]]) -> list[tuple[str, str, int]]:
     return [(*key, times) for key, times in counter.most_common(SHOWN_REASONS)]
 
@@ -104,11 +96,9 @@
 
 
 def _shown(value: Any) -> str:
-    return (
-        f"{value:.3g}"
-        if isinstance(value, float) and value < 1.0
-        else f"{value:.0f}" if (isinstance(value, float)) else str(value)
-    )
+    if not isinstance(value, float):
+        return str(value)
+    return f"{value:.3g}" if value < 1.0 else f"{value:.0f}"
 
 
 def _text(table: Table) -> str:
@@ -142,7 +132,7 @@
 def _bar(row: SpanRow, most: int) -> str:
     parts: list[str] = []
     top = float(PLOT_HEIGHT)
-    left = row.start / 2.0 * BAR_WIDTH
+    left = row.start / SPAN_S * BAR_WIDTH
     for name, colour in SPAN_COLOURS:
         height = getattr(row, name) / most * PLOT_HEIGHT
         top -= height
