Keep requests of routes with homes to their regions, at targets and at peers

Ruled out: a filter in the transport alone. It would refuse what the plan had chosen, and a peer would still get the request's content.

Peers are boxes of the homes only, also not of the own region: a client may come from another one. Where no target can serve, the request is refused at once, not run, with the reason.

Tests play every way of a query over four places.

--- a/bench/policy_fleet.py
+++ b/bench/policy_fleet.py
@@ -11,7 +11,7 @@
 
 from bench.agenda import Action, Agenda, Processor
 from bench.policy_targets import ModelTarget
-from trackwheel.relay.board import Board, RouteKey
+from trackwheel.relay.board import Board
 from trackwheel.relay.budget import BudgetRule, RepeatBudget
 from trackwheel.relay.gather import Gather
 from trackwheel.relay.gather_models import (
@@ -27,7 +27,7 @@
 )
 from trackwheel.relay.gatherers import choose_gatherers
 from trackwheel.relay.grouping import GroupPlanner
-from trackwheel.relay.models import Load, Outcome, Part, Place, Target, TargetEnd
+from trackwheel.relay.models import Load, Outcome, Part, Place, RouteKey, Target, TargetEnd
 from trackwheel.relay.news import TargetDown, TargetNews
 from trackwheel.relay.peers import PeerBoard, PeerBox
 
--- a/tests/relay/conftest.py
+++ b/tests/relay/conftest.py
@@ -5,9 +5,9 @@
 import pytest
 
 from trackwheel.http1.models import Response
-from trackwheel.relay.board import Board, RouteKey
+from trackwheel.relay.board import Board
 from trackwheel.relay.budget import BudgetRule, RepeatBudget
-from trackwheel.relay.models import Load, Outcome, Place, Target, TargetEnd
+from trackwheel.relay.models import Load, Outcome, Place, RouteKey, Target, TargetEnd
 
 HERE = Place("here", "here-a")
 THERE = Place("there", "there-a")
--- /dev/null
+++ b/tests/relay/test_homes.py
@@ -0,0 +1,170 @@
+"""Routes with homes: no target and no peer outside them, whatever is late, lost or refused.
+
+The load: a fleet over three regions, shards with targets in each of them, and a route that one
+region, or two, may serve. Each way of a request is taken: the first choice, groups for peers, the
+second target, a peer that declines, and a region without a living target.
+"""
+
+import pytest
+
+from tests.relay.conftest import HERE, OLD, ROUTE, THERE, target
+from trackwheel.peers.codec import Codec
+from trackwheel.relay.board import Board, Lack
+from trackwheel.relay.budget import BudgetRule, RepeatBudget
+from trackwheel.relay.gather import Gather
+from trackwheel.relay.gather_models import GatherFailed, GatherPlan, SendGroup, SendPart
+from trackwheel.relay.grouping import GroupPlanner
+from trackwheel.relay.models import Outcome, Place, RouteKey, TargetEnd
+from trackwheel.relay.peers import RELAY_MESSAGES, GroupForward, PeerBoard, PeerBox
+from trackwheel.relay.single import SendSingle, Single, SingleFailed, SinglePlan
+
+BESIDE = Place("here", "here-b")
+YONDER = Place("yonder", "yonder-a")
+PLACES = (HERE, BESIDE, THERE, YONDER)
+PEERS = tuple(PeerBox(f"{place.failure_domain}:1", place) for place in PLACES)
+SHARDS = tuple(f"s{number}" for number in range(12))
+HOMES = [frozenset({"here"}), frozenset({"there"}), frozenset({"there", "yonder"})]
+
+
+def homed(homes: frozenset[str]) -> RouteKey:
+    return ROUTE._replace(homes=homes)
+
+
+def make_board(places: tuple[Place, ...] = PLACES) -> Board:
+    board = Board(HERE, seed=1)
+    board.set_targets(
+        {
+            shard: tuple(
+                target(f"{shard}@{place.failure_domain}", shard, place) for place in places
+            )
+            for shard in SHARDS
+        }
+    )
+    return board
+
+
+def make_planner(board: Board, gathers: bool = True) -> GroupPlanner:
+    planner = GroupPlanner(HERE, "own:1", board, PeerBoard())
+    planner.set_peers(PEERS, gathers)
+    return planner
+
+
+def make_budget() -> RepeatBudget:
+    budget = RepeatBudget(BudgetRule(10.0, 10.0, 1000.0), OLD)
+    budget.set_members(1, 0.0)
+    return budget
+
+
+@pytest.mark.parametrize("homes", HOMES, ids=sorted)
+def test_choice_is_among_the_targets_of_the_homes(homes: frozenset[str]) -> None:
+    board = make_board()
+    choices = board.rank("s0", homed(homes), 0.0)
+    assert {choice.target.place.region for choice in choices} == homes
+    assert len(board.rank("s0", ROUTE, 0.0)) == len(PLACES)
+
+
+@pytest.mark.parametrize("homes", HOMES, ids=sorted)
+@pytest.mark.parametrize("gathers", [True, False], ids=["gathers", "leaves-it-to-others"])
+def test_no_group_goes_outside_the_homes(homes: frozenset[str], gathers: bool) -> None:
+    planner = make_planner(make_board(), gathers)
+    groups = planner.first_groups(SHARDS, homed(homes), 0.19, 0.0)
+    assert all(group.place.region in homes for group in groups)
+    assert groups or homes == {"here"}
+
+
+@pytest.mark.parametrize("homes", HOMES, ids=sorted)
+@pytest.mark.parametrize("repeat", [True, False], ids=["repeat", "declined"])
+def test_no_late_shard_goes_outside_the_homes(homes: frozenset[str], repeat: bool) -> None:
+    planner = make_planner(make_board())
+    plan = GatherPlan(homed(homes), SHARDS, 3, (), 0.8, 2, 0.19, 1.0, False)
+    tried = {shard: frozenset({f"{shard}@here-a"}) for shard in SHARDS}
+    groups = planner.groups_elsewhere(tried, plan, repeat, 0.1)
+    assert all(group.place.region in homes for group in groups)
+
+
+@pytest.mark.parametrize("homes", HOMES, ids=sorted)
+@pytest.mark.parametrize(
+    "outcome", [Outcome.NOT_RUN, Outcome.FAILED, Outcome.NOT_SENT, Outcome.ELSEWHERE]
+)
+def test_whole_query_keeps_to_the_homes(homes: frozenset[str], outcome: Outcome) -> None:
+    """Every send fails, every peer is silent: nothing is left to try but what is outside."""
+    board = make_board()
+    planner = make_planner(board)
+    route = homed(homes)
+    plan = GatherPlan(
+        route,
+        SHARDS,
+        3,
+        planner.first_groups(SHARDS, route, 0.19, 0.0),
+        0.8,
+        4,
+        0.19,
+        1.0,
+        False,
+    )
+    gather = Gather(plan, board, make_budget(), planner)
+    commands = gather.start(0.0)
+    now = 0.0
+    while commands or not gather.ended:
+        sent = [command for command in commands if isinstance(command, SendPart)]
+        groups = [command.group for command in commands if isinstance(command, SendGroup)]
+        assert all(command.target.place.region in homes for command in sent)
+        assert all(group.place.region in homes for group in groups)
+        commands = []
+        for command in sent:
+            end = TargetEnd(outcome, None, b"", None, "")
+            board.sent(command.target, command.token, route, now)
+            board.ended(command.target, command.token, outcome, None, now)
+            commands += gather.part_ended(command.token, end, None, now)
+        if not sent and not gather.ended:
+            now = max(now + 0.001, gather.next_wake())
+            commands = gather.tick(now)
+    assert now <= plan.end_at
+
+
+@pytest.mark.parametrize(
+    ("places", "homes", "reason"),
+    [
+        pytest.param(PLACES, {"nowhere"}, Lack.HOMES, id="home-without-targets"),
+        pytest.param((HERE, BESIDE), {"there"}, Lack.HOMES, id="targets-elsewhere-only"),
+        pytest.param((), {"here"}, Lack.UNKNOWN, id="no-targets"),
+    ],
+)
+def test_request_without_a_home_is_refused_at_once(
+    places: tuple[Place, ...], homes: set[str], reason: Lack
+) -> None:
+    board = make_board(places)
+    route = homed(frozenset(homes))
+    single = Single(SinglePlan(route, "s0", True, 3, 0.19, 1.0), board, make_budget())
+    assert single.start(0.0) == [SingleFailed(False, False, reason.value)]
+    plan = GatherPlan(route, SHARDS, 3, (), 0.8, 2, 0.19, 1.0, False)
+    (failed,) = Gather(plan, board, make_budget(), make_planner(board)).start(0.0)
+    assert isinstance(failed, GatherFailed)
+    assert (failed.ran, failed.late) == (False, False)
+    assert reason.value in failed.lacking
+
+
+def test_evacuated_home_is_refused_and_named() -> None:
+    board = Board(HERE, seed=1)
+    barred = target("a", "s0", HERE, leaving=True)
+    board.set_targets({"s0": (barred, target("b", "s0", THERE))})
+    single = Single(SinglePlan(homed(HOMES[0]), "s0", True, 3, 0.19, 1.0), board, make_budget())
+    assert single.start(0.0) == [SingleFailed(False, False, Lack.BARRED.value)]
+
+
+def test_request_that_runs_once_keeps_to_its_home() -> None:
+    board = make_board()
+    single = Single(SinglePlan(homed(HOMES[1]), "s0", False, 3, 0.19, 1.0), board, make_budget())
+    (sent,) = single.start(0.0)
+    assert isinstance(sent, SendSingle)
+    assert sent.target.place == THERE
+
+
+def test_peer_is_told_the_homes() -> None:
+    codec = Codec(RELAY_MESSAGES)
+    forward = GroupForward(
+        "1", "id", "h", "/", b"GET", b"/", [], b"", "r", ["s0"], 3, 1, 1.0, 1.0, 1.0, 1.0, False,
+        b"", 0.8, ["there"],
+    )  # fmt: skip
+    (read,) = codec.decode(codec.encode([forward]), "peer")
+    assert read == forward
--- a/trackwheel/platform/decode.py
+++ b/trackwheel/platform/decode.py
@@ -38,6 +38,8 @@
     fanout_services: list[str] = []
     top_k: int = 0
     min_coverage: float = 0.0
+    # None or an empty list allows every region.
+    allowed_regions: list[str] | None = None
 
 
 class _Service(msgspec.Struct):
@@ -119,6 +121,7 @@
         shards=tuple(route.fanout_services),
         top_k=route.top_k,
         least_coverage=route.min_coverage,
+        homes=frozenset(route.allowed_regions or ()),
     )
 
 
--- a/trackwheel/relay/attempts.py
+++ b/trackwheel/relay/attempts.py
@@ -3,7 +3,7 @@
 from enum import StrEnum
 from typing import Final
 
-from trackwheel.relay.board import Board, Choice, RouteKey
+from trackwheel.relay.board import Board, Choice
 from trackwheel.relay.budget import RepeatBudget
 from trackwheel.relay.const import (
     HEDGE_EARLIEST_PACES,
@@ -11,7 +11,7 @@
     MAX_SENDS,
     REFUSED_REST_PACES,
 )
-from trackwheel.relay.models import NOTHING_RAN, Outcome, Target
+from trackwheel.relay.models import NOTHING_RAN, Outcome, RouteKey, Target
 
 NEVER: Final = float("inf")
 
--- a/trackwheel/relay/board.py
+++ b/trackwheel/relay/board.py
@@ -29,17 +29,10 @@
     SLOWNESS_HALF_LIFE_S,
     STALL_FACTOR,
 )
-from trackwheel.relay.models import Load, Outcome, Place, Target
+from trackwheel.relay.models import Load, Outcome, Place, RouteKey, Target
 from trackwheel.relay.pace import Paces
 
 
-class RouteKey(NamedTuple):
-    """Name a route and its aim (seconds), for the pace of its answers."""
-
-    name: str
-    aim_s: float
-
-
 class Choice(NamedTuple):
     """One target with what it is expected to take (seconds) and whether it is a last resort.
 
@@ -62,6 +55,15 @@
     IN_USE = "in_use"
 
 
+class Lack(StrEnum):
+    """Say why no target of a service may get a request."""
+
+    UNKNOWN = "no target is known"
+    HOMES = "no target is in the regions that may serve it"
+    BARRED = "every target is leaving"
+    TRIED = "no target, or no repeat, is left"
+
+
 class _Flight(NamedTuple):
     started: float
     expected_s: float
@@ -205,6 +207,7 @@
             self._choice(target, route, now)
             for target in self.targets(service)
             if not target.leaving and target.instance not in tried
+            if route.allows(target.place.region)
             if self._record(target.instance).gone_until <= now
             if not only_beside or target.place == self._place
         ]
@@ -224,6 +227,18 @@
             for target in self.targets(service)
         )
 
+    def lack(self, service: str, route: RouteKey) -> Lack:
+        """Return why no target of a service may get a request of a route that has not begun."""
+        targets = self.targets(service)
+        if not targets:
+            return Lack.UNKNOWN
+        targets = tuple(target for target in targets if route.allows(target.place.region))
+        if not targets:
+            return Lack.HOMES
+        if all(target.leaving for target in targets):
+            return Lack.BARRED
+        return Lack.TRIED
+
     def _choice(self, target: Target, route: RouteKey, now: float) -> Choice:
         record = self._record(target.instance)
         expected_s = self._expected(target, record, route, now)
--- a/trackwheel/relay/gather.py
+++ b/trackwheel/relay/gather.py
@@ -16,7 +16,7 @@
 from typing import Final
 
 from trackwheel.relay.attempts import Refusal, hedge_time
-from trackwheel.relay.board import Board
+from trackwheel.relay.board import Board, Lack
 from trackwheel.relay.budget import RepeatBudget
 from trackwheel.relay.const import (
     DECLINE_PACES,
@@ -351,6 +351,12 @@
             self._shards.hold_back(name, max(again_at, self._shards[name].attempts.rests_until))
         else:
             self._shards.lose([name])
+            shard = self._shards[name]
+            shard.last_failure = shard.last_failure or self._why_lost(name)
+
+    def _why_lost(self, name: str) -> str:
+        lack = self._board.lack(name, self.plan.route)
+        return "" if lack is Lack.TRIED else lack.value
 
     def _needs(self, name: str) -> bool:
         """Return whether the answer fails without a shard, since too many others lack."""
--- a/trackwheel/relay/gather_models.py
+++ b/trackwheel/relay/gather_models.py
@@ -2,8 +2,7 @@
 
 from typing import NamedTuple, Protocol
 
-from trackwheel.relay.board import RouteKey
-from trackwheel.relay.models import Place, Target
+from trackwheel.relay.models import Place, RouteKey, Target
 
 
 class GroupPlan(NamedTuple):
--- a/trackwheel/relay/grouping.py
+++ b/trackwheel/relay/grouping.py
@@ -5,7 +5,7 @@
 from typing import Final, NamedTuple
 
 from trackwheel.fleet.members import ring_position
-from trackwheel.relay.board import Board, RouteKey
+from trackwheel.relay.board import Board
 from trackwheel.relay.const import (
     ACCEPT_SLACK_S,
     HEDGE_EARLIEST_PACES,
@@ -15,7 +15,7 @@
     PEERS_IN_TURN,
 )
 from trackwheel.relay.gather_models import GatherPlan, GroupPlan
-from trackwheel.relay.models import Place
+from trackwheel.relay.models import Place, RouteKey
 from trackwheel.relay.peers import PeerBoard, PeerBox
 
 RING_PLACES: Final = 2**64
@@ -53,7 +53,13 @@
     ) -> tuple[GroupPlan, ...]:
         """Return the groups that peers ask for first; what is left out is asked directly."""
         groups = group_far_shards(
-            shards, self._own, self._gathers, self._peers, self._board, self._peer_board, now
+            shards,
+            self._own,
+            self._gathers and route.allows(self._own.region),
+            self._peers_for(route),
+            self._board,
+            self._peer_board,
+            now,
         )
         return tuple(self._plan(group, route, answer_at, False, now) for group in groups)
 
@@ -68,13 +74,14 @@
 
         `repeat` says whether targets were asked for the shards before.
         """
+        gathers = self._gathers and plan.route.allows(self._own.region)
         left = {
             shard
             for shard, tried in tried_by_shard.items()
-            if not (self._gathers and self._board.has_target_at(shard, self._own, now, tried))
+            if not (gathers and self._board.has_target_at(shard, self._own, now, tried))
         }
         groups: list[ShardGroup] = []
-        for peers_by_place in self._by_nearness():
+        for peers_by_place in self._by_nearness(plan.route):
             held_by_place = {
                 place: {
                     shard
@@ -133,10 +140,20 @@
         chance = (self._own_order(peer.address) + 1) / RING_PLACES
         return -log(chance) / peer.speed
 
-    def _by_nearness(self) -> Iterator[dict[Place, list[PeerBox]]]:
+    def _peers_for(self, route: RouteKey) -> tuple[PeerBox, ...]:
+        """Return the peers that may see a request: what it holds goes to no box outside its homes.
+
+        Not even to one of this box's own region: its client may have come from another one.
+        """
+        if not route.homes:
+            return self._peers
+        return tuple(peer for peer in self._peers if route.allows(peer.place.region))
+
+    def _by_nearness(self, route: RouteKey) -> Iterator[dict[Place, list[PeerBox]]]:
         """Give the peers by place, near ones first, and those with a link before others."""
+        allowed = self._peers_for(route)
         for distance in range(FARTHEST + 1):
-            near = [peer for peer in self._peers if _distance(peer.place, self._own) == distance]
+            near = [peer for peer in allowed if _distance(peer.place, self._own) == distance]
             yield _by_place(self._peer_board.linked(near))
             yield _by_place(near)
 
--- a/trackwheel/relay/groups.py
+++ b/trackwheel/relay/groups.py
@@ -126,6 +126,7 @@
             repeat=group.repeat,
             floor=command.floor,
             least_coverage=command.least_coverage,
+            homes=sorted(plan.route.homes),
         )
 
     def _take_accepted(self, sender: PeerIdentity, message: GroupAccepted) -> None:
--- a/trackwheel/relay/models.py
+++ b/trackwheel/relay/models.py
@@ -13,6 +13,22 @@
     failure_domain: str
 
 
+class RouteKey(NamedTuple):
+    """Say what the choice of a target must know of a route; its aim is in seconds.
+
+    Its answers' pace is kept by its name. `homes` are the regions that alone may serve it; none are
+    named where all may.
+    """
+
+    name: str
+    aim_s: float
+    homes: frozenset[str] = frozenset()
+
+    def allows(self, region: str) -> bool:
+        """Return whether a region may serve the route's requests."""
+        return not self.homes or region in self.homes
+
+
 class Target(NamedTuple):
     """One target as the directory knows it; `cold_until` is monotonic seconds."""
 
--- a/trackwheel/relay/peers.py
+++ b/trackwheel/relay/peers.py
@@ -20,7 +20,8 @@
     The peer reports what is in at `report_in_ms`, again at `answer_in_ms`, and sends each part that
     comes later as it comes. With `repeat`, other targets were asked for the shards before: the
     peer asks those beside it and no others, and pays for that. Only records above `floor` are sent.
-    The answer can do with `least_coverage` of these shards.
+    The answer can do with `least_coverage` of these shards. Only targets in the regions `homes` are
+    asked, any when it is empty.
     """
 
     group_id: str
@@ -42,6 +43,7 @@
     repeat: bool
     floor: bytes
     least_coverage: float
+    homes: list[str]
 
 
 class GroupAccepted(NamedTuple):
--- a/trackwheel/relay/runs.py
+++ b/trackwheel/relay/runs.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
-from trackwheel.relay.board import RouteKey
 from trackwheel.relay.gather import Gather
 from trackwheel.relay.gather_models import (
     CancelGroup,
@@ -18,7 +17,7 @@
     SendPart,
 )
 from trackwheel.relay.merge import greatest_records
-from trackwheel.relay.models import CallerRequest, Outcome, Part, Target, TargetEnd
+from trackwheel.relay.models import CallerRequest, Outcome, Part, RouteKey, Target, TargetEnd
 from trackwheel.relay.single import (
     CancelSingle,
     SendSingle,
--- a/trackwheel/relay/service.py
+++ b/trackwheel/relay/service.py
@@ -6,7 +6,7 @@
 
 from trackwheel.http1.models import Request
 from trackwheel.http1.server import Exchange
-from trackwheel.relay.board import Board, RouteKey
+from trackwheel.relay.board import Board
 from trackwheel.relay.budget import RepeatBudget
 from trackwheel.relay.const import (
     FINAL_MARGIN_S,
@@ -22,7 +22,7 @@
 from trackwheel.relay.grouping import GroupPlanner
 from trackwheel.relay.groups import PeerGroups
 from trackwheel.relay.merge import merge_records
-from trackwheel.relay.models import CallerRequest, Place, Wire
+from trackwheel.relay.models import CallerRequest, Place, RouteKey, Wire
 from trackwheel.relay.peers import PeerBox
 from trackwheel.relay.runs import GatherRun, GatherTask, SingleRun
 from trackwheel.relay.single import Single, SingleAnswered, SingleFailed, SinglePlan
@@ -111,7 +111,7 @@
         self, caller: CallerRequest, route: Route, version: int, exchange: Exchange
     ) -> None:
         plan = SinglePlan(
-            route=RouteKey(route.name, route.aim_s),
+            route=RouteKey(route.name, route.aim_s, route.homes),
             service=self._divider.pick(route),
             repeatable=route.repeatable,
             max_attempts=route.max_attempts,
@@ -166,7 +166,7 @@
         now = time.monotonic()
         end_at = _end_at(caller, route)
         answer_at = min(end_at, _answer_at(caller, route))
-        key = RouteKey(route.name, route.aim_s)
+        key = RouteKey(route.name, route.aim_s, route.homes)
         return GatherPlan(
             route=key,
             shards=route.shards,
@@ -209,6 +209,8 @@
             "aim_ms": round(route.aim_s * MILLISECONDS),
             "deadline_ms": round((request.deadline - request.http.arrived) * MILLISECONDS),
         }
+        if route.homes:
+            common["homes"] = ",".join(sorted(route.homes))
         match result:
             case Gathered(_, _, missing, reason, lacking):
                 kind = "partial" if missing else "whole"
@@ -226,6 +228,8 @@
                 kind = "given_up_ran" if ran else "given_up_not_run"
                 self._log.write("given_up", ran=ran, late=late, reason=reason, **common)
         self.ended_by_kind[(kind,)] += 1
+        if route.homes and kind == "given_up_not_run":
+            self.ended_by_kind[("without_home",)] += 1
 
 
 def _answer_at(caller: CallerRequest, route: Route) -> float:
--- a/trackwheel/relay/shards.py
+++ b/trackwheel/relay/shards.py
@@ -4,6 +4,7 @@
 from heapq import heappop, heappush
 
 from trackwheel.relay.attempts import NEVER, Attempts
+from trackwheel.relay.board import Lack
 from trackwheel.relay.gather_models import GatherPlan
 
 
@@ -131,4 +132,4 @@
             states.append("held back")
         if waited:
             states.append(f"awaited of {', '.join(waited)}")
-        return ", ".join(states) or "no target, or no repeat, is left"
+        return ", ".join(states) or Lack.TRIED.value
--- a/trackwheel/relay/single.py
+++ b/trackwheel/relay/single.py
@@ -8,9 +8,9 @@
 
 from trackwheel.http1.models import Response
 from trackwheel.relay.attempts import NEVER, Attempts, Refusal, hedge_time
-from trackwheel.relay.board import Board, RouteKey
+from trackwheel.relay.board import Board
 from trackwheel.relay.budget import RepeatBudget
-from trackwheel.relay.models import Outcome, Target, TargetEnd
+from trackwheel.relay.models import Outcome, RouteKey, Target, TargetEnd
 
 
 class SinglePlan(NamedTuple):
@@ -74,7 +74,7 @@
     def start(self, now: float) -> list[SingleCommand]:
         """Send the request to the best target."""
         if not self._ask("first", now) and not self._wait_for_rest(now):
-            self._fail("no target is known", False)
+            self._fail(self._board.lack(self.plan.service, self.plan.route).value, False)
         return self._take_commands()
 
     def target_ended(self, token: int, end: TargetEnd, now: float) -> list[SingleCommand]:
--- a/trackwheel/relay/taken.py
+++ b/trackwheel/relay/taken.py
@@ -6,12 +6,12 @@
 from trackwheel.http1.models import Request
 from trackwheel.peers.hub import Hub
 from trackwheel.peers.models import PeerIdentity
-from trackwheel.relay.board import Board, RouteKey
+from trackwheel.relay.board import Board
 from trackwheel.relay.budget import RepeatBudget
 from trackwheel.relay.gather import Gather
 from trackwheel.relay.gather_models import Declined, Gathered, GatherFailed, GatherPlan
 from trackwheel.relay.merge import merge_records
-from trackwheel.relay.models import CallerRequest
+from trackwheel.relay.models import CallerRequest, RouteKey
 from trackwheel.relay.peers import (
     GroupAccepted,
     GroupCancel,
@@ -152,7 +152,7 @@
         deadline = now + message.end_in_ms / MILLISECONDS
         request = CallerRequest(message.request_id, message.host, message.path, deadline, http)
         plan = GatherPlan(
-            route=RouteKey(message.route, message.aim_ms / MILLISECONDS),
+            route=RouteKey(message.route, message.aim_ms / MILLISECONDS, frozenset(message.homes)),
             shards=tuple(message.shards),
             top_k=message.top_k,
             groups=(),
--- a/trackwheel/relay/transport.py
+++ b/trackwheel/relay/transport.py
@@ -6,8 +6,8 @@
 
 from trackwheel.http1.models import EndKind, ExchangeEnd, Request, Response
 from trackwheel.http1.pool import Job, TargetPool
-from trackwheel.relay.board import Board, RouteKey, TargetBelief
-from trackwheel.relay.models import CallerRequest, Outcome, Target, TargetEnd, Wire
+from trackwheel.relay.board import Board, TargetBelief
+from trackwheel.relay.models import CallerRequest, Outcome, RouteKey, Target, TargetEnd, Wire
 from trackwheel.settings import split_address
 from trackwheel.telemetry.events import EventLog
 
--- a/trackwheel/routing/models.py
+++ b/trackwheel/routing/models.py
@@ -23,6 +23,7 @@
     """Say how requests below one path of one host are handled (seconds).
 
     Exactly one of `services` (one service, or a division by weight) and `shards` is filled.
+    `homes` are the regions that alone may serve its requests; none are named where all may.
     """
 
     name: str
@@ -37,6 +38,7 @@
     shards: tuple[str, ...]
     top_k: int
     least_coverage: float
+    homes: frozenset[str] = frozenset()
 
 
 class ServiceRule(NamedTuple):
