--- a/bench/policy_fleet.py
+++ b/bench/policy_fleet.py
@@ -360,7 +360,7 @@
         for box in self.box_by_address.values():
             own = box.peer.address
             others = tuple(peer for peer in asking if peer.address != own)
-            box.board.set_targets(targets)
+            box.board.set_targets(targets, 0.0)
             box.planner.set_peers(others, own in gatherers)
             box.budget.set_members(len(boxes), -50.0)
             box.budget.set_gatherers(
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -6,10 +6,23 @@
 
 from trackwheel.http1.models import Headers, Request, Response, header
 from trackwheel.platform.decode import decode_routes, decode_target
+from trackwheel.platform.load import LoadReader
 from trackwheel.platform.wire import PlatformWire
 from trackwheel.relay.models import Load, Outcome
 
-WIRE = PlatformWire()
+
+class NoLog:
+    """Note events."""
+
+    def __init__(self) -> None:
+        self.events: list[str] = []
+
+    def write(self, kind: str, **fields: object) -> None:
+        self.events.append(kind)
+
+
+LOADS = LoadReader(NoLog())  # type: ignore[arg-type]
+WIRE = PlatformWire(LOADS)
 ID = (b"x-attempt-id", b"9c41")
 STAMP = (b"x-response-stamp", b"3e1b.07")
 
--- a/tests/relay/conftest.py
+++ b/tests/relay/conftest.py
@@ -43,7 +43,8 @@
             f"s{number}": (target(f"s{number}-near", f"s{number}"),)
             + (target(f"s{number}-far", f"s{number}", THERE),)
             for number in range(10)
-        }
+        },
+        0.0,
     )
     return board
 
--- a/tests/relay/test_board.py
+++ b/tests/relay/test_board.py
@@ -13,7 +13,7 @@
 
 def make_board(*targets: Target) -> Board:
     board = Board(HERE, seed=1)
-    board.set_targets({"s": targets})
+    board.set_targets({"s": targets}, 0.0)
     return board
 
 
@@ -133,7 +133,7 @@
     """Each request there counts against the budget of the service that has the address now."""
     board = Board(HERE, 1)
     gone, other = target("gone", "s"), target("other", "s")
-    board.set_targets({"s": (gone, other)})
+    board.set_targets({"s": (gone, other)}, 0.0)
     board.sent(gone, 1, ROUTE, 0.0)
     board.ended(gone, 1, Outcome.ELSEWHERE, None, 0.01)
     for number in range(3):
@@ -141,6 +141,6 @@
         board.ended(other, number + 2, Outcome.NOT_SENT, None, 0.2)
     ranked = [choice.target.instance for choice in board.rank("s", ROUTE, 5.0)]
     assert ranked == ["other"]
-    board.set_targets({"s": (gone,)})
+    board.set_targets({"s": (gone,)}, 0.0)
     assert not board.has_target_at("s", HERE, 5.0)
     assert [choice.target for choice in board.rank("s", ROUTE, GONE_S + 0.02)] == [gone]
--- a/tests/relay/test_grouping.py
+++ b/tests/relay/test_grouping.py
@@ -35,7 +35,7 @@
         shard: tuple(target(f"{shard}-{place.region}", shard, place) for place in places)
         for shard, places in places_by_shard.items()
     }
-    board.set_targets(targets)
+    board.set_targets(targets, 0.0)
     groups = group_far_shards(
         tuple(places_by_shard), HERE, gathers, peers, board, peer_board or PeerBoard(), 0.0
     )
@@ -172,7 +172,8 @@
                 target(f"{shard}@{place.failure_domain}", shard, place) for place in places
             )
             for shard, places in places_by_shard.items()
-        }
+        },
+        0.0,
     )
     return board
 
--- a/tests/relay/test_homes.py
+++ b/tests/relay/test_homes.py
@@ -38,7 +38,8 @@
                 target(f"{shard}@{place.failure_domain}", shard, place) for place in places
             )
             for shard in SHARDS
-        }
+        },
+        0.0,
     )
     return board
 
@@ -147,7 +148,7 @@
 def test_evacuated_home_is_refused_and_named() -> None:
     board = Board(HERE, seed=1)
     barred = target("a", "s0", HERE, leaving=True)
-    board.set_targets({"s0": (barred, target("b", "s0", THERE))})
+    board.set_targets({"s0": (barred, target("b", "s0", THERE))}, 0.0)
     single = Single(SinglePlan(homed(HOMES[0]), "s0", True, 3, 0.19, 1.0), board, make_budget())
     assert single.start(0.0) == [SingleFailed(False, False, Lack.BARRED.value)]
 
--- /dev/null
+++ b/tests/relay/test_lives.py
@@ -0,0 +1,112 @@
+"""A target that starts again under its name holds and knows nothing of before.
+
+The load: targets crash and come back within seconds under the names that they had. What was
+believed of the earlier life would keep a new one out of use for up to half a minute (`GONE_S`), or
+take it for slow for seconds.
+"""
+
+import itertools
+
+import pytest
+
+from tests.relay.conftest import HERE, ROUTE, target
+from trackwheel.directory.models import EntryGone, TargetEntry, TargetsPush, TargetsRead
+from trackwheel.directory.targets import TargetDirectory
+from trackwheel.relay.board import Board
+from trackwheel.relay.models import Load, Outcome
+from trackwheel.relay.news import TargetDown, TargetNews
+
+FIRST = target("t", "s")._replace(born_ms=1_000)
+SECOND = FIRST._replace(born_ms=9_000)
+
+
+def make_board() -> Board:
+    board = Board(HERE, 1)
+    board.set_targets({"s": (FIRST,)}, 0.0)
+    return board
+
+
+def fail(board: Board, outcome: Outcome) -> None:
+    for number in range(4):
+        board.sent(FIRST, number, ROUTE, 0.0)
+        board.ended(FIRST, number, outcome, Load(2, 12, 2), 0.01)
+
+
+@pytest.mark.parametrize("outcome", [o for o in Outcome if o is not Outcome.OK])
+def test_failures_of_the_earlier_life_end_with_it(outcome: Outcome) -> None:
+    board = make_board()
+    fail(board, outcome)
+    board.set_targets({"s": (SECOND,)}, 0.02)
+    (choice,) = board.rank("s", ROUTE, 0.02)
+    assert not choice.last_resort
+    assert choice.rests_until <= 0.02
+    assert choice.expected_s == pytest.approx(choice.usual_s)
+
+
+def test_answer_of_the_earlier_life_that_comes_late_says_nothing_of_the_new_one() -> None:
+    board = make_board()
+    board.sent(FIRST, "old", ROUTE, 0.0)
+    board.set_targets({"s": (SECOND,)}, 0.02)
+    for number in range(4):
+        board.ended(FIRST, number if number else "old", Outcome.ELSEWHERE, None, 0.03)
+    (choice,) = board.rank("s", ROUTE, 0.03)
+    assert not choice.last_resort
+
+
+@pytest.mark.parametrize("known_first", [True, False], ids=["entry-first", "news-first"])
+def test_news_of_the_earlier_life_say_nothing_of_the_new_one(known_first: bool) -> None:
+    board = make_board()
+    news = TargetNews(board)
+    if known_first:
+        board.set_targets({"s": (SECOND,)}, 0.0)
+    news.told("a", TargetDown("t", 0.0, FIRST.born_ms), 0.1)
+    board.set_targets({"s": (SECOND,)}, 0.1)
+    (choice,) = board.rank("s", ROUTE, 0.2)
+    assert not choice.last_resort
+    assert news.told("a", TargetDown("t", 0.0, SECOND.born_ms), 0.2)
+    (choice,) = board.rank("s", ROUTE, 0.2)
+    assert choice.last_resort
+
+
+def entry(born_ms: int, revision: int, cold_s: float = 0.0) -> TargetEntry:
+    return TargetEntry("t", "s", "127.0.0.1:1", "a", 2, False, cold_s, revision, born_ms)
+
+
+STEPS = [
+    TargetsRead(0, [entry(1_000, 4)], [], 4),
+    TargetsRead(4, [], [EntryGone("t", 6)], 6),
+    TargetsRead(6, [entry(9_000, 8, cold_s=3.0)], [], 8),
+    TargetsRead(8, [entry(9_000, 9, cold_s=2.0)], [], 9),
+]
+
+
+@pytest.mark.parametrize("order", list(itertools.permutations(range(4))), ids=str)
+def test_newest_life_is_known_in_any_order_of_news(order: tuple[int, ...]) -> None:
+    directory = TargetDirectory({"a": "here"})
+    for place in order:
+        directory.take(STEPS[place], 0.0)
+    directory.expire(100.0)
+    (found,) = directory.targets_by_service()["s"]
+    assert (found.born_ms, found.barred, found.doubtful) == (9_000, False, False)
+    assert found.cold_until >= 2.0
+
+
+def test_life_that_follows_without_a_gap_is_news_for_peers() -> None:
+    """The store saw no lapse: only `born` says that the target started again."""
+    directory = TargetDirectory({"a": "here"})
+    directory.take(TargetsRead(None, [entry(1_000, 4)], [], 4), 0.0)
+    assert directory.take(TargetsRead(4, [entry(9_000, 5)], [], 5), 1.0)
+    assert directory.changes(4, 1.0) == TargetsPush(4, 5, [entry(9_000, 5)], [])
+
+
+@pytest.mark.parametrize(
+    ("cold_s", "is_news"),
+    [(0.0, False), (1.9, False), (2.3, False), (3.0, True)],
+    ids=["warm", "counts-down", "a-late-heartbeat", "cold-again"],
+)
+def test_target_that_turns_cold_again_is_news(cold_s: float, is_news: bool) -> None:
+    directory = TargetDirectory({"a": "here"})
+    directory.take(TargetsRead(None, [entry(1_000, 4, cold_s=3.0)], [], 4), 0.0)
+    assert directory.take(TargetsRead(4, [entry(1_000, 5, cold_s)], [], 5), 1.0) is is_news
+    (found,) = directory.targets_by_service()["s"]
+    assert found.cold_until == (4.0 if is_news else 3.0)
--- a/tests/relay/test_news.py
+++ b/tests/relay/test_news.py
@@ -20,7 +20,7 @@
     def __init__(self, name: str) -> None:
         self.name = name
         self.board = Board(HERE, seed=1)
-        self.board.set_targets({"s": (DOWN, OTHER)})
+        self.board.set_targets({"s": (DOWN, OTHER)}, 0.0)
         self.news = TargetNews(self.board)
 
     def ask(self, who: Target, outcome: Outcome, now: float) -> TargetDown | None:
--- a/tests/relay/test_service.py
+++ b/tests/relay/test_service.py
@@ -11,6 +11,7 @@
 from tests.relay.conftest import HERE
 from trackwheel.http1.models import Request, Response
 from trackwheel.platform.decode import decode_routes
+from trackwheel.platform.load import LoadReader
 from trackwheel.platform.wire import PlatformWire
 from trackwheel.relay.const import EARLY_WAIT_S
 from trackwheel.relay.service import RelayService
@@ -28,7 +29,8 @@
         log: Any = SimpleNamespace(write=lambda kind, **fields: self.events.append((kind, fields)))
         part: Any = None
         groups: Any = SimpleNamespace(peer_board=None)
-        self.relay = RelayService(PlatformWire(), part, part, part, groups, log, part, HERE, "o:1")
+        wire = PlatformWire(LoadReader(log))
+        self.relay = RelayService(wire, part, part, part, groups, log, part, HERE, "o:1")
 
     async def ask(self) -> Any:
         exchange: Any = ClientExchange(self.answers)
--- a/trackwheel/directory/const.py
+++ b/trackwheel/directory/const.py
@@ -38,6 +38,10 @@
 """How long a box that starts waits for its peers before it reads the store itself."""
 GONE_HOLD_S: Final = 1.5
 """How long a target whose entry went without notice is still used as a last resort."""
+COLD_AGAIN_S: Final = 0.5
+"""A target whose told cold time ends so much later than was known has turned cold again. Entries
+tell what was left when they were written; the way here and the rest between two watches make that
+end earlier or later by some tenths of a second."""
 LAPSE_RETURN_S: Final = 2.0
 """How long after a return of the store the entries of living targets come back to it."""
 LAPSE_NEWS_S: Final = 0.5
--- a/trackwheel/directory/targets.py
+++ b/trackwheel/directory/targets.py
@@ -3,7 +3,12 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from trackwheel.directory.const import GONE_HOLD_S, LAPSE_NEWS_S, LAPSE_RETURN_S
+from trackwheel.directory.const import (
+    COLD_AGAIN_S,
+    GONE_HOLD_S,
+    LAPSE_NEWS_S,
+    LAPSE_RETURN_S,
+)
 from trackwheel.directory.models import EntryGone, TargetEntry, TargetsPush, TargetsRead
 from trackwheel.relay.models import Place, Target
 
@@ -18,6 +23,14 @@
     drop_at: float = 0.0
     lapsed: bool = False
 
+    def tells_again(self, entry: TargetEntry) -> bool:
+        """Return whether a newer entry says the same, but for how long the target is cold."""
+        return self.entry._replace(revision=0, cold_s=0) == entry._replace(revision=0, cold_s=0)
+
+    def turns_cold(self, entry: TargetEntry, now: float) -> bool:
+        """Return whether by a newer entry the target stays cold for longer than was known."""
+        return entry.cold_s > 0.0 and now + entry.cold_s > self.cold_until + COLD_AGAIN_S
+
 
 class TargetDirectory:
     """Hold the newest news of each target; an entry's revision decides which is newer.
@@ -150,6 +163,7 @@
                 barred=entry.leaving or entry.failure_domain in self._evacuated,
                 doubtful=held.gone_revision is not None and not held.lapsed,
                 cold_until=held.cold_until,
+                born_ms=entry.born_ms,
             )
             found.setdefault(entry.service, []).append(target)
         return {service: tuple(targets) for service, targets in found.items()}
@@ -161,7 +175,7 @@
         if held is not None and held.gone_revision is None:
             if held.entry.revision >= entry.revision:
                 return False
-            if held.entry._replace(revision=0, cold_s=0) == entry._replace(revision=0, cold_s=0):
+            if held.tells_again(entry) and not held.turns_cold(entry, now):
                 self._held_by_instance[entry.instance] = held._replace(entry=entry)
                 return False
         self._gone_revision_by_instance.pop(entry.instance, None)
--- a/trackwheel/entry/box.py
+++ b/trackwheel/entry/box.py
@@ -25,6 +25,7 @@
 from trackwheel.peers.codec import Codec
 from trackwheel.peers.hub import Hub
 from trackwheel.peers.models import PeerIdentity
+from trackwheel.platform.load import LoadReader
 from trackwheel.platform.names import PATH_READY
 from trackwheel.platform.seeds import SeedList
 from trackwheel.platform.settings import BoxSettings
@@ -32,6 +33,7 @@
 from trackwheel.platform.wire import PlatformWire
 from trackwheel.relay.board import Board
 from trackwheel.relay.budget import RepeatBudget
+from trackwheel.relay.cold import ColdAllowance, ColdService
 from trackwheel.relay.gatherers import choose_gatherers
 from trackwheel.relay.groups import PeerGroups
 from trackwheel.relay.models import Place, Target
@@ -94,9 +96,11 @@
             self.log,
             settings.drain_s,
         )
-        wire = PlatformWire()
-        self.board = Board(place, seed=os.getpid())
+        self.loads = LoadReader(self.log)
+        wire = PlatformWire(self.loads)
         self.budget = RepeatBudget(settings.budget, now)
+        self.cold = ColdAllowance(settings.cold, self.budget.askers)
+        self.board = Board(place, os.getpid(), self.cold)
         self.transport = TargetTransport(wire, self.board, time.monotonic, self.log)
         self.telling = TargetTelling(self.hub, TargetNews(self.board), self.transport, self.log)
         self.groups = PeerGroups(self.hub, wire, self.log)
@@ -131,6 +135,7 @@
                 self.directory,
                 self.fleet,
                 self.budget,
+                self.loads,
                 self.hub,
                 self.clients,
                 self.log,
@@ -196,19 +201,24 @@
         self._set_shards()
 
     def _take_targets(self, targets_by_service: dict[str, tuple[Target, ...]]) -> None:
-        self.board.set_targets(targets_by_service)
-        instances = {t.instance for found in targets_by_service.values() for t in found}
-        self.transport.keep_only(instances)
+        self.board.set_targets(targets_by_service, time.monotonic())
+        lives = {t.life for found in targets_by_service.values() for t in found}
+        self.transport.keep_only(lives)
         self._set_shards()
 
     def _set_shards(self) -> None:
-        """Tell the budget which services are shards, and where their targets are."""
+        """Tell the limits which services are shards, and where their targets are."""
         table = self.directory.table
         if table is None:
             return
         routes = chain.from_iterable(table.routes_by_host.values())
-        shards = {shard for route in routes for shard in route.shards}
+        shards = frozenset(shard for route in routes for shard in route.shards)
         self.budget.set_shards({shard: self.board.domains(shard) for shard in shards})
+        cold_by_service = {
+            name: ColdService(rule.cold_per_s, rule.cold_s)
+            for name, rule in table.service_by_name.items()
+        }
+        self.cold.set_services(cold_by_service, shards)
 
     def _set_connection_limits(self) -> None:
         table = self.directory.table
--- a/trackwheel/entry/figures.py
+++ b/trackwheel/entry/figures.py
@@ -6,6 +6,7 @@
 from trackwheel.fleet.service import FleetService
 from trackwheel.http1.server import ServerState
 from trackwheel.peers.hub import Hub
+from trackwheel.platform.load import LoadReader
 from trackwheel.relay.budget import RepeatBudget
 from trackwheel.relay.service import RelayService
 from trackwheel.relay.transport import TargetTransport
@@ -21,6 +22,7 @@
     directory: DirectoryService
     fleet: FleetService
     budget: RepeatBudget
+    loads: LoadReader
     hub: Hub
     clients: ServerState
     log: EventLog
@@ -53,6 +55,11 @@
         ("store_calls", "Calls on the store", lambda: float(directory.store_calls)),
         ("members", "Boxes that are known", lambda: float(len(box.fleet.members))),
         ("repeats_denied", "Repeats without budget", lambda: float(box.budget.denied)),
+        (
+            "loads_unreadable",
+            "Answers whose told load could not be read",
+            lambda: float(box.loads.unreadable),
+        ),
         (
             "domains_evacuated",
             "Failure domains whose targets get nothing more",
--- a/trackwheel/platform/decode.py
+++ b/trackwheel/platform/decode.py
@@ -52,6 +52,9 @@
     health_path: str = ""
     # Counted over all callers together, not for one box.
     max_connections: int = 0
+    warmup_s: float = 0.0
+    # What a cold target bears; 0 says nothing of it.
+    warmup_per_s: float = 0.0
 
 
 class _Limits(msgspec.Struct):
@@ -107,7 +110,11 @@
             index_routes(_route(route) for route in config.routes),
             {
                 service.name: ServiceRule(
-                    service.name, service.health_path, service.max_connections
+                    service.name,
+                    service.health_path,
+                    service.max_connections,
+                    service.warmup_per_s,
+                    service.warmup_s,
                 )
                 for service in config.services
             },
--- a/trackwheel/platform/names.py
+++ b/trackwheel/platform/names.py
@@ -10,6 +10,8 @@
 """A target's signature of its answer; not a time stamp."""
 HEADER_EXPECTED: Final = b"x-expect-instance"
 HEADER_LOAD: Final = b"x-server-load"
+HEADER_COLD: Final = b"x-warmup-ms"
+"""How much longer the target stays cold (milliseconds)."""
 HEADER_NOT_RUN: Final = b"x-not-executed"
 HEADER_RETRY_AFTER: Final = b"retry-after"
 HEADER_PARTS: Final = b"x-part-stamps"
@@ -36,7 +38,7 @@
 SET_HEADERS: Final = frozenset({HEADER_ATTEMPT, HEADER_DEADLINE, HEADER_EXPECTED})
 """Headers that are written anew towards targets."""
 
-TARGET_HEADERS: Final = frozenset({HEADER_LOAD, HEADER_NOT_RUN})
+TARGET_HEADERS: Final = frozenset({HEADER_LOAD, HEADER_NOT_RUN, HEADER_COLD})
 """Headers of targets that clients do not get."""
 
 STATUS_ELSEWHERE: Final = 421
--- a/trackwheel/platform/settings.py
+++ b/trackwheel/platform/settings.py
@@ -5,6 +5,7 @@
 
 from trackwheel.errors import Problem, TrackwheelError
 from trackwheel.relay.budget import BudgetRule
+from trackwheel.relay.cold import ColdRule
 from trackwheel.relay.models import Place
 from trackwheel.settings import split_address
 from trackwheel.units import MILLISECONDS
@@ -34,6 +35,7 @@
     grace_s: float
     drain_s: float
     budget: BudgetRule
+    cold: ColdRule
 
 
 class _Lines:
@@ -61,6 +63,15 @@
             self._note(key, f"`{text}` is not a number", "write a number")
             return 0.0
 
+    def optional(self, key: str, default: float) -> float:
+        """Return a number of 0 or more that may be missing."""
+        if not self.value_by_key.get(key):
+            return default
+        number = self.number(key)
+        if number < 0.0:
+            self._note(key, f"`{number:g}` is below 0", "write 0 or more")
+        return number
+
     def positive(self, key: str, default: float) -> float:
         """Return a number above 0 that may be missing."""
         if not self.value_by_key.get(key):
@@ -111,6 +122,11 @@
             lines.number("bounds.retry_window_s"),
             lines.number("bounds.retry_extra"),
         ),
+        # Without a word on slack, cold targets get what they bear and no more.
+        cold=ColdRule(
+            lines.positive("bounds.warmup_overshoot", 1.0),
+            lines.optional("bounds.warmup_slack", 0.0),
+        ),
     )
     if lines.mistakes:
         raise SettingsError(Problem("bad_settings", "read", file, "; ".join(lines.mistakes)))
--- a/trackwheel/platform/wire.py
+++ b/trackwheel/platform/wire.py
@@ -1,9 +1,11 @@
 """The headers that clients and targets speak, translated into the product's terms."""
 
 from trackwheel.http1.models import Headers, Request, Response, header
+from trackwheel.platform.load import LoadReader
 from trackwheel.platform.names import (
     CONNECTION_HEADERS,
     HEADER_ATTEMPT,
+    HEADER_COLD,
     HEADER_DEADLINE,
     HEADER_ENCODING,
     HEADER_EXPECTED,
@@ -18,7 +20,7 @@
     STATUS_ELSEWHERE,
     TARGET_HEADERS,
 )
-from trackwheel.relay.models import CallerRequest, Load, Outcome, TargetEnd
+from trackwheel.relay.models import CallerRequest, Outcome, TargetEnd
 from trackwheel.units import MILLISECONDS
 
 DEFAULT_DEADLINE_S = 30.0
@@ -31,6 +33,9 @@
 class PlatformWire:
     """Speak the platform's headers."""
 
+    def __init__(self, loads: LoadReader) -> None:
+        self._loads = loads
+
     def read_request(self, request: Request) -> CallerRequest:
         """Return a client's request in the product's terms."""
         told_ms = header(request.headers, HEADER_DEADLINE) or b""
@@ -71,21 +76,22 @@
 
     def read_end(self, answer: Response, single: bool) -> TargetEnd:
         """Return how a target answered."""
-        load = _read_load(header(answer.headers, HEADER_LOAD))
+        load = self._loads.read(header(answer.headers, HEADER_LOAD))
+        cold_s = _milliseconds(header(answer.headers, HEADER_COLD)) / MILLISECONDS
         signature = header(answer.headers, HEADER_SIGNATURE) or b""
         if answer.status == STATUS_ELSEWHERE:
-            return TargetEnd(Outcome.ELSEWHERE, None, b"", load, "another target is there")
+            return TargetEnd(Outcome.ELSEWHERE, None, b"", None, "another target is there")
         if header(answer.headers, HEADER_NOT_RUN) is not None:
             detail = f"not run, status {answer.status}"
-            return TargetEnd(Outcome.NOT_RUN, None, b"", load, detail)
+            return TargetEnd(Outcome.NOT_RUN, None, b"", load, detail, cold_s)
         if not 200 <= answer.status < 300:
             detail = f"status {answer.status}"
-            return TargetEnd(Outcome.FAILED, answer, signature, load, detail)
+            return TargetEnd(Outcome.FAILED, answer, signature, load, detail, cold_s)
         if not signature:
-            return TargetEnd(Outcome.BROKEN, None, b"", load, "no signature")
+            return TargetEnd(Outcome.BROKEN, None, b"", load, "no signature", cold_s)
         if not single and header(answer.headers, HEADER_ENCODING) is not None:
-            return TargetEnd(Outcome.BROKEN, None, b"", load, "encoded body")
-        return TargetEnd(Outcome.OK, answer, signature, load, "")
+            return TargetEnd(Outcome.BROKEN, None, b"", load, "encoded body", cold_s)
+        return TargetEnd(Outcome.OK, answer, signature, load, "", cold_s)
 
     def single_answer(self, answer: Response) -> Response:
         """Return what the client gets of a target's answer."""
@@ -123,9 +129,5 @@
         return Response(status, headers, reason.encode())
 
 
-def _read_load(value: bytes | None) -> Load | None:
-    numbers = (value or b"").split(b",")
-    if len(numbers) != 3 or not all(number.strip().isdigit() for number in numbers):
-        return None
-    running, waiting, slots = (int(number) for number in numbers)
-    return Load(running, waiting, slots)
+def _milliseconds(told: bytes | None) -> int:
+    return int(told) if told is not None and told.isdigit() else 0
--- a/trackwheel/relay/attempts.py
+++ b/trackwheel/relay/attempts.py
@@ -117,7 +117,11 @@
             return Refusal.NO_MORE
         choices = self._rank(board, route, now)
         if not choices:
-            return Refusal.NO_MORE
+            return (
+                Refusal.NOT_NOW
+                if board.may_ask_soon(self._service, route, now)
+                else Refusal.NO_MORE
+            )
         awake = [choice for choice in choices if choice.rests_until <= now]
         if not awake:
             self.rests_until = min(choice.rests_until for choice in choices)
--- a/trackwheel/relay/board.py
+++ b/trackwheel/relay/board.py
@@ -3,34 +3,20 @@
 from collections.abc import Iterable
 from enum import StrEnum
 from itertools import chain
-from math import exp2
 from random import Random
 from typing import NamedTuple
 
+from trackwheel.relay.cold import ColdAllowance
 from trackwheel.relay.const import (
     COLD_FACTOR,
-    DISCONNECT_EJECT_S,
-    DOWN_REST_S,
-    EJECT_AFTER,
-    EJECT_S,
     FAILURE_COST_AIMS,
-    FAILURE_HALF_LIFE_S,
-    FAILURE_WEIGHT,
     FAR_COST_AIMS,
-    FASTER_WEIGHT,
-    GONE_S,
     JITTER,
-    LONGEST_DOWN_REST_S,
-    LONGEST_EJECT_S,
-    MOST_SLOWNESS,
     OTHER_DOMAIN_COST_AIMS,
-    REPORT_LIFETIME_S,
-    SLOWER_WEIGHT,
-    SLOWNESS_HALF_LIFE_S,
-    STALL_FACTOR,
 )
-from trackwheel.relay.models import Load, Outcome, Place, RouteKey, Target
+from trackwheel.relay.models import Life, Load, Outcome, Place, RouteKey, Target
 from trackwheel.relay.pace import Paces
+from trackwheel.relay.record import Flight, TargetRecord
 
 
 class Choice(NamedTuple):
@@ -61,58 +47,35 @@
     UNKNOWN = "no target is known"
     HOMES = "no target is in the regions that may serve it"
     BARRED = "every target is leaving or in an evacuated failure domain"
+    COLD = "every target is cold and has got as much as it bears"
     TRIED = "no target, or no repeat, is left"
 
 
-class _Flight(NamedTuple):
-    started: float
-    expected_s: float
-    route: RouteKey
-
-
-class _Record:
-    """What is known of one target."""
-
-    def __init__(self) -> None:
-        self.flight_by_token: dict[object, _Flight] = {}
-        self.slowness = 1.0
-        self.slowness_at = 0.0
-        self.failure_rate = 0.0
-        self.failure_at = 0.0
-        self.failures_in_a_row = 0
-        self.ejected_until = 0.0
-        self.gone_until = 0.0
-        self.refused_in_a_row = 0
-        self.rests_until = 0.0
-        self.told_down_until = 0.0
-        self.answered_at = float("-inf")
-        self.load: Load | None = None
-        self.load_at = 0.0
-
-    def is_out(self, now: float) -> bool:
-        """Return whether the target is a last resort, by the own failures or by another box's."""
-        return max(self.ejected_until, self.told_down_until) > now
-
-
 class Board:
     """Keep a record for each target and rank the targets of a service."""
 
-    def __init__(self, place: Place, seed: int) -> None:
+    def __init__(self, place: Place, seed: int, cold: ColdAllowance | None = None) -> None:
         self._place = place
         self._random = Random(seed)
-        self._record_by_instance: dict[str, _Record] = {}
+        self._cold = cold
+        self._record_by_life: dict[Life, TargetRecord] = {}
+        """What was believed of a target's earlier life ends with that."""
         self._paces = Paces()
         self._targets_by_service: dict[str, tuple[Target, ...]] = {}
 
-    def set_targets(self, targets_by_service: dict[str, tuple[Target, ...]]) -> None:
+    def set_targets(self, targets_by_service: dict[str, tuple[Target, ...]], now: float) -> None:
         """Take the directory of targets; records of targets that are gone are dropped."""
+        before = self._targets_by_service
         self._targets_by_service = targets_by_service
-        known = {target.instance for found in targets_by_service.values() for target in found}
-        self._record_by_instance = {
-            instance: record
-            for instance, record in self._record_by_instance.items()
-            if instance in known or record.flight_by_token
+        known = {target.life for target in self._all_targets()}
+        self._record_by_life = {
+            life: record
+            for life, record in self._record_by_life.items()
+            if life in known or record.flight_by_token
         }
+        if self._cold is not None:
+            self._cold.keep_only(known)
+            self._doubt_returned(chain.from_iterable(before.values()), now)
 
     def targets(self, service: str) -> tuple[Target, ...]:
         """Return the known targets of a service."""
@@ -136,61 +99,60 @@
 
     def sent(self, target: Target, token: object, route: RouteKey, now: float) -> None:
         """Take that a request went to a target."""
-        record = self._record(target.instance)
+        record = self._record(target)
         expected_s = self._expected(target, record, route, now)
-        record.flight_by_token[token] = _Flight(now, expected_s, route)
+        record.flight_by_token[token] = Flight(now, expected_s, route)
+        if self._cold is not None:
+            self._cold.sent(target, now)
 
     def withdrawn(self, target: Target, token: object, now: float) -> None:
         """Take that an unanswered request was taken back: it took at least so long."""
-        record = self._record(target.instance)
+        record = self._record(target)
         flight = record.flight_by_token.pop(token, None)
         if flight is None:
             return
         ratio = (now - flight.started) / max(1e-4, self._usual(target, flight.route))
-        if ratio > self._slowness(record, now):
-            self._learn_slowness(record, ratio, now)
+        if ratio > record.slowness(now):
+            record.took(ratio, now)
 
     def ended(
-        self, target: Target, token: object, outcome: Outcome, load: Load | None, now: float
+        self,
+        target: Target,
+        token: object,
+        outcome: Outcome,
+        load: Load | None,
+        now: float,
+        cold_s: float = 0.0,
     ) -> TargetBelief | None:
         """Take how a request to a target ended; return what is believed of it from now on."""
-        record = self._record(target.instance)
-        was_out = record.ejected_until > 0.0
+        record = self._record(target)
+        was_out = record.is_ejected
         flight = record.flight_by_token.pop(token, None)
         if load is not None:
-            record.load, record.load_at = load, now
-        self._learn_failure(record, outcome, now)
+            record.told(load, now)
+        if cold_s > 0.0:
+            record.cold_until = max(record.cold_until, now + cold_s)
+        record.ended(outcome, now)
         if outcome is Outcome.OK and flight is not None:
             self._learn_pace(target, record, flight, now)
-        is_out = record.ejected_until > 0.0
-        if is_out is was_out:
+        if record.is_ejected is was_out:
             return None
-        return TargetBelief.OUT_OF_USE if is_out else TargetBelief.IN_USE
+        return TargetBelief.OUT_OF_USE if record.is_ejected else TargetBelief.IN_USE
 
-    def told_down(self, instance: str, failed_at: float, until: float) -> bool:
+    def told_down(self, life: Life, failed_at: float, until: float) -> bool:
         """Take that another box could not connect to a target; return whether that is news.
 
         An answer that came here since then says more.
         """
-        record = self._record_by_instance.get(instance)
-        if record is None:
-            if not any(t.instance == instance for t in self._all_targets()):
-                return False
-            record = self._record(instance)
+        target = next((t for t in self._all_targets() if t.life == life), None)
+        if target is None:
+            return False
+        record = self._record(target)
         if record.answered_at >= failed_at or record.told_down_until >= until:
             return False
         record.told_down_until = until
         return True
 
-    def _all_targets(self) -> Iterable[Target]:
-        return chain.from_iterable(self._targets_by_service.values())
-
-    def _learn_pace(self, target: Target, record: _Record, flight: _Flight, now: float) -> None:
-        duration_s = now - flight.started
-        usual_s = self._usual(target, flight.route)
-        self._paces.get(flight.route.name, self.is_far(target), flight.route.aim_s).add(duration_s)
-        self._learn_slowness(record, duration_s / max(1e-4, usual_s), now)
-
     def rank(
         self,
         service: str,
@@ -206,28 +168,36 @@
         choices = [
             self._choice(target, route, now)
             for target in self.targets(service)
-            if not target.barred and target.instance not in tried
+            if target.instance not in tried and (not only_beside or target.place == self._place)
             if route.allows(target.place.region)
-            if self._record(target.instance).gone_until <= now
-            if not only_beside or target.place == self._place
+            if self._may_ask(target, now)
         ]
         return sorted(choices, key=lambda choice: (choice.last_resort, choice.cost_s))
 
     def has_target_at(
         self, service: str, place: Place, now: float, tried: frozenset[str] = frozenset()
     ) -> bool:
-        """Return whether a service has a target in a failure domain that is in use."""
-        return any(
-            target.place == place
+        """Return whether a service has a target in a failure domain that is in use.
+
+        A cold one that gets little counts only where all of the service's targets are such ones.
+        """
+        there = [
+            target
+            for target in self.targets(service)
+            if target.place == place
             and target.instance not in tried
             and not target.barred
             and not target.doubtful
-            and not self._record(target.instance).is_out(now)
-            and self._record(target.instance).gone_until <= now
-            for target in self.targets(service)
+            and not self._record(target).is_out(now)
+            and self._record(target).gone_until <= now
+        ]
+        if any(not self._is_held_cold(target, now) for target in there):
+            return True
+        return bool(there) and all(
+            target.barred or self._is_held_cold(target, now) for target in self.targets(service)
         )
 
-    def lack(self, service: str, route: RouteKey) -> Lack:
+    def lack(self, service: str, route: RouteKey, now: float) -> Lack:
         """Return why no target of a service may get a request of a route that has not begun."""
         targets = self.targets(service)
         if not targets:
@@ -235,14 +205,76 @@
         targets = tuple(target for target in targets if route.allows(target.place.region))
         if not targets:
             return Lack.HOMES
-        if all(target.barred for target in targets):
+        targets = tuple(target for target in targets if not target.barred)
+        if not targets:
             return Lack.BARRED
+        if all(self._is_held_cold(target, now) for target in targets):
+            return Lack.COLD
         return Lack.TRIED
 
+    def may_ask_soon(self, service: str, route: RouteKey, now: float) -> bool:
+        """Return whether a cold target may get the next request within a second."""
+        return self._cold is not None and any(
+            route.allows(target.place.region)
+            and not target.barred
+            and self._is_held_cold(target, now)
+            and self._cold.part(target, now) > 0
+            for target in self.targets(service)
+        )
+
+    def warm_in_s(self, service: str, route: RouteKey, now: float) -> float:
+        """Return in how many seconds the first target that is held as cold is warm, 0 for none."""
+        ends = [
+            self._cold_until(target) - now
+            for target in self.targets(service)
+            if route.allows(target.place.region) and not target.barred
+            if self._is_held_cold(target, now)
+        ]
+        return min(ends, default=0.0)
+
+    def _all_targets(self) -> Iterable[Target]:
+        return chain.from_iterable(self._targets_by_service.values())
+
+    def _learn_pace(self, target: Target, record: TargetRecord, flight: Flight, now: float) -> None:
+        duration_s = now - flight.started
+        usual_s = self._usual(target, flight.route)
+        self._paces.get(flight.route.name, self.is_far(target), flight.route.aim_s).add(duration_s)
+        record.took(duration_s / max(1e-4, usual_s), now)
+
+    def _doubt_returned(self, before: Iterable[Target], now: float) -> None:
+        """Take targets as cold whose evacuation was taken back: they may have started anew in it.
+
+        Their word on that comes with their next heartbeat; until then they would get the usual
+        work, many times what a cold one bears.
+        """
+        barred = {target.life for target in before if target.barred}
+        for target in self._all_targets():
+            if target.life in barred and not target.barred:
+                lasts_s = self._cold.service(target.service).lasts_s if self._cold else 0.0
+                record = self._record(target)
+                record.cold_until = max(record.cold_until, now + lasts_s)
+
+    def _may_ask(self, target: Target, now: float) -> bool:
+        """Return whether a target may get a request at all."""
+        if target.barred or self._record(target).gone_until > now:
+            return False
+        return not self._is_held_cold(target, now) or (
+            self._cold is not None and self._cold.allows(target, now)
+        )
+
+    def _is_held_cold(self, target: Target, now: float) -> bool:
+        """Return whether a target is cold and its service has a bound for that."""
+        if self._cold is None or now >= self._cold_until(target):
+            return False
+        return self._cold.service(target.service).per_s > 0.0
+
+    def _cold_until(self, target: Target) -> float:
+        return max(target.cold_until, self._record(target).cold_until)
+
     def _choice(self, target: Target, route: RouteKey, now: float) -> Choice:
-        record = self._record(target.instance)
+        record = self._record(target)
         expected_s = self._expected(target, record, route, now)
-        failure_cost = self._failure_rate(record, now) * FAILURE_COST_AIMS
+        failure_cost = record.failure_rate(now) * FAILURE_COST_AIMS
         place_cost = 0.0
         if self.is_far(target):
             place_cost = FAR_COST_AIMS
@@ -254,75 +286,26 @@
         usual_s = self._usual(target, route)
         return Choice(target, usual_s, expected_s, cost_s, last_resort, record.rests_until)
 
-    def _expected(self, target: Target, record: _Record, route: RouteKey, now: float) -> float:
+    def _expected(self, target: Target, record: TargetRecord, route: RouteKey, now: float) -> float:
         """Return how long a request sent now is expected to take (seconds)."""
         slots = max(1, target.slots)
         busy = len(record.flight_by_token)
-        if record.load is not None and now - record.load_at < REPORT_LIFETIME_S:
-            busy = max(busy, record.load.running + record.load.waiting)
-            slots = max(1, record.load.slots)
+        load = record.load(now)
+        if load is not None:
+            busy = max(busy, load.running + load.waiting)
+            slots = max(1, load.slots)
         rounds = max(1.0, (busy + 1) / slots)
         usual_s = self._usual(target, route)
-        if now < target.cold_until:
+        if now < self._cold_until(target):
             usual_s *= COLD_FACTOR
-        slowness = max(1.0, self._slowness(record, now))
-        return max(usual_s * rounds * slowness, self._stalled_s(record, now))
-
-    def _stalled_s(self, record: _Record, now: float) -> float:
-        """Return the age of the oldest answer that is awaited, if that is overdue."""
-        oldest = 0.0
-        for flight in record.flight_by_token.values():
-            age = now - flight.started
-            if age > STALL_FACTOR * flight.expected_s:
-                oldest = max(oldest, age)
-        return oldest
+        slowness = max(1.0, record.slowness(now))
+        return max(usual_s * rounds * slowness, record.stalled_s(now))
 
     def _usual(self, target: Target, route: RouteKey) -> float:
         return self.usual_s(route, self.is_far(target))
 
-    def _slowness(self, record: _Record, now: float) -> float:
-        fade = exp2((record.slowness_at - now) / SLOWNESS_HALF_LIFE_S)
-        return 1.0 + (record.slowness - 1.0) * fade
-
-    def _learn_slowness(self, record: _Record, ratio: float, now: float) -> None:
-        before = self._slowness(record, now)
-        ratio = min(MOST_SLOWNESS, ratio)
-        weight = SLOWER_WEIGHT if ratio > before else FASTER_WEIGHT
-        record.slowness = before + (ratio - before) * weight
-        record.slowness_at = now
-
-    def _failure_rate(self, record: _Record, now: float) -> float:
-        return record.failure_rate * exp2((record.failure_at - now) / FAILURE_HALF_LIFE_S)
-
-    def _learn_failure(self, record: _Record, outcome: Outcome, now: float) -> None:
-        failed = 0.0 if outcome is Outcome.OK else 1.0
-        before = self._failure_rate(record, now)
-        record.failure_rate = before + (failed - before) * FAILURE_WEIGHT
-        record.failure_at = now
-        if outcome is not Outcome.NOT_SENT:
-            record.refused_in_a_row = 0
-            record.rests_until = 0.0
-        if outcome is Outcome.OK:
-            record.failures_in_a_row = 0
-            record.ejected_until = record.gone_until = record.told_down_until = 0.0
-            record.answered_at = now
-            return
-        if outcome is Outcome.NOT_RUN:
-            return
-        record.failures_in_a_row += 1
-        if outcome is Outcome.ELSEWHERE:
-            record.ejected_until = record.gone_until = now + GONE_S
-        elif outcome is Outcome.NOT_SENT:
-            record.ejected_until = now + DISCONNECT_EJECT_S
-            rest_s = DOWN_REST_S * 2.0**record.refused_in_a_row
-            record.rests_until = now + min(LONGEST_DOWN_REST_S, rest_s)
-            record.refused_in_a_row += 1
-        elif record.failures_in_a_row >= EJECT_AFTER:
-            doublings = record.failures_in_a_row - EJECT_AFTER
-            record.ejected_until = now + min(LONGEST_EJECT_S, EJECT_S * 2**doublings)
-
-    def _record(self, instance: str) -> _Record:
-        record = self._record_by_instance.get(instance)
+    def _record(self, target: Target) -> TargetRecord:
+        record = self._record_by_life.get(target.life)
         if record is None:
-            record = self._record_by_instance[instance] = _Record()
+            record = self._record_by_life[target.life] = TargetRecord()
         return record
--- a/trackwheel/relay/budget.py
+++ b/trackwheel/relay/budget.py
@@ -8,12 +8,12 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from trackwheel.relay.askers import Askers
 from trackwheel.relay.const import (
     BUDGET_BUCKETS,
     BUDGET_SAFETY,
     BUDGET_SHARE_OF_ALL,
     BUDGET_SHARE_OF_EXTRA,
-    MEMBERS_MEMORY_S,
     RESERVE_FOR_NEEDED,
 )
 
@@ -51,62 +51,27 @@
         return self._total
 
 
-class RecentMost:
-    """Keep the largest number of a span (seconds)."""
-
-    def __init__(self, span_s: float) -> None:
-        self._span_s = span_s
-        self._falling: deque[tuple[float, int]] = deque()
-
-    def add(self, number: int, now: float) -> None:
-        """Take the number as it is from now on."""
-        while self._falling and self._falling[-1][1] <= number:
-            self._falling.pop()
-        self._falling.append((now, number))
-        while self._falling[0][0] < now - self._span_s:
-            self._falling.popleft()
-
-    @property
-    def most(self) -> int:
-        """Return the largest number of the span before the last one was taken; 0 for none."""
-        return self._falling[0][1] if self._falling else 0
-
-
 class RepeatBudget:
     """Decide whether one more request for a service may be sent than clients asked for."""
 
     def __init__(self, rule: BudgetRule, born: float) -> None:
         self._rule = rule
-        self._born = born
-        self._gathers_since: float | None = None
-        self._members = RecentMost(MEMBERS_MEMORY_S)
-        self._gatherers_by_domain: dict[str, RecentMost] = {}
-        self._own_domain = ""
+        self.askers = Askers(born, rule.window_s)
+        """The boxes that divide the fixed allowance."""
         self._domains_by_shard: dict[str, frozenset[str]] = {}
         self._firsts_by_service: dict[str, SlidingCount] = {}
         self._repeats_by_service: dict[str, SlidingCount] = {}
         self.denied = 0
 
     def set_members(self, members: int, now: float) -> None:
-        """Take how many boxes are known.
-
-        The most of the last minute count: a box that is cut off thinks that it is alone.
-        """
-        self._members.add(members, now)
+        """Take how many boxes are known."""
+        self.askers.set_members(members, now)
 
     def set_gatherers(
         self, gatherers_by_domain: Mapping[str, int], own_domain: str, gathers: bool, now: float
     ) -> None:
         """Take how many boxes of each failure domain ask targets for others, and if this does."""
-        for domain, gatherers in gatherers_by_domain.items():
-            self._gatherers_by_domain.setdefault(domain, RecentMost(MEMBERS_MEMORY_S)).add(
-                gatherers, now
-            )
-        self._own_domain = own_domain
-        if not gathers:
-            self._gathers_since = None
-        elif self._gathers_since is None:
-            self._gathers_since = now
+        self.askers.set_gatherers(gatherers_by_domain, own_domain, gathers, now)
 
     def set_shards(self, domains_by_shard: dict[str, frozenset[str]]) -> None:
         """Take in which failure domains the targets of each shard are."""
@@ -140,34 +105,19 @@
         return True
 
     def _extra(self, service: str, now: float) -> float:
-        """Return this box's part of the fixed allowance for a service.
-
-        None in the first window of its life: another box, or an earlier life of this one, may
-        have used it, and at its start a box does not know yet how many there are.
-        """
-        if self._is_new(self._born, now) or not self._members.most:
+        """Return this box's part of the fixed allowance for a service."""
+        members = self.askers.of_all(now)
+        if not members:
             return 0.0
         allowance = self._rule.extra * BUDGET_SHARE_OF_EXTRA
         domains = self._domains_by_shard.get(service)
         if domains is None:
-            return allowance / self._members.most
-        extra = allowance * BUDGET_SHARE_OF_ALL / self._members.most
-        return extra + allowance * (1.0 - BUDGET_SHARE_OF_ALL) * self._gatherer_share(domains, now)
-
-    def _gatherer_share(self, domains: frozenset[str], now: float) -> float:
-        """Return this box's share of what the boxes beside a shard's targets divide.
-
-        A box that begins to ask targets waits for a window, in which the part of the box before
-        it runs out.
-        """
-        waits = self._gathers_since is None or self._is_new(self._gathers_since, now)
-        if waits or self._own_domain not in domains:
-            return 0.0
-        known = domains & self._gatherers_by_domain.keys()
-        return 1.0 / max(1, sum(self._gatherers_by_domain[domain].most for domain in known))
-
-    def _is_new(self, since: float, now: float) -> bool:
-        return now - since < self._rule.window_s
+            return allowance / members
+        extra = allowance * BUDGET_SHARE_OF_ALL / members
+        gatherers = self.askers.beside(domains, now)
+        if gatherers:
+            extra += allowance * (1.0 - BUDGET_SHARE_OF_ALL) / gatherers
+        return extra
 
     def _count(self, count_by_service: dict[str, SlidingCount], service: str) -> SlidingCount:
         count = count_by_service.get(service)
--- a/trackwheel/relay/gather.py
+++ b/trackwheel/relay/gather.py
@@ -352,10 +352,10 @@
         else:
             self._shards.lose([name])
             shard = self._shards[name]
-            shard.last_failure = shard.last_failure or self._why_lost(name)
+            shard.last_failure = shard.last_failure or self._why_lost(name, now)
 
-    def _why_lost(self, name: str) -> str:
-        lack = self._board.lack(name, self.plan.route)
+    def _why_lost(self, name: str, now: float) -> str:
+        lack = self._board.lack(name, self.plan.route, now)
         return "" if lack is Lack.TRIED else lack.value
 
     def _needs(self, name: str) -> bool:
--- a/trackwheel/relay/models.py
+++ b/trackwheel/relay/models.py
@@ -29,10 +29,15 @@
         return not self.homes or region in self.homes
 
 
+Life = tuple[str, int]
+"""A target's name and when it started (Unix milliseconds)."""
+
+
 class Target(NamedTuple):
     """One target as the directory knows it; `cold_until` is monotonic seconds.
 
     One that is `barred` gets no new request: it is leaving, or its failure domain is evacuated.
+    `born_ms` is when it started (Unix milliseconds).
     """
 
     instance: str
@@ -43,14 +48,24 @@
     barred: bool
     doubtful: bool
     cold_until: float
+    born_ms: int = 0
+
+    @property
+    def life(self) -> Life:
+        """Return what tells this target from an earlier one of the same name."""
+        return self.instance, self.born_ms
 
 
 class Load(NamedTuple):
-    """What a target says of its load."""
+    """What a target says of its load.
+
+    `slowness` is how long work takes there now, 1 is as usual: its machine has other work too.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowness: float = 1.0
 
 
 class Outcome(StrEnum):
@@ -69,13 +84,14 @@
 
 
 class TargetEnd(NamedTuple):
-    """Tell how one request to one target ended."""
+    """Tell how one request to one target ended; `cold_s` is how long it says that it stays cold."""
 
     outcome: Outcome
     answer: Response | None
     signature: bytes
     load: Load | None
     detail: str
+    cold_s: float = 0.0
 
 
 class CallerRequest(NamedTuple):
--- a/trackwheel/relay/news.py
+++ b/trackwheel/relay/news.py
@@ -4,15 +4,24 @@
 
 from trackwheel.relay.board import Board
 from trackwheel.relay.const import NEWS_AGAIN_S, NEWS_DISTRUST_S, TOLD_DOWN_S
-from trackwheel.relay.models import Outcome, Target
+from trackwheel.relay.models import Life, Outcome, Target
 from trackwheel.units import MILLISECONDS
 
 
 class TargetDown(NamedTuple):
-    """Tell that a target could not be connected to, so long before this was sent (ms)."""
+    """Tell that a target could not be connected to, so long before this was sent (ms).
+
+    `born_ms` is when it started (Unix milliseconds); of a later start this says nothing.
+    """
 
     instance: str
     age_ms: float
+    born_ms: int = 0
+
+    @property
+    def life(self) -> Life:
+        """Return which target, and which start of it, this is about."""
+        return self.instance, self.born_ms
 
 
 NEWS_MESSAGES = (TargetDown,)
@@ -38,8 +47,8 @@
 
     def __init__(self, board: Board) -> None:
         self._board = board
-        self._told_at_by_instance: dict[str, float] = {}
-        self._teller_by_instance: dict[str, _Teller] = {}
+        self._told_at_by_life: dict[Life, float] = {}
+        self._teller_by_life: dict[Life, _Teller] = {}
         self._distrusted_until_by_box: dict[str, float] = {}
         self._next_clean_up = 0.0
 
@@ -48,16 +57,16 @@
     ) -> TargetDown | None:
         """Take how a request of this box ended; return what to tell the others, if anything."""
         if outcome is Outcome.OK:
-            self._contradict(target.instance, sent_at)
+            self._contradict(target.life, sent_at)
             return None
         if outcome is not Outcome.NOT_SENT:
             return None
-        self._teller_by_instance.pop(target.instance, None)
-        if now - self._told_at_by_instance.get(target.instance, float("-inf")) < NEWS_AGAIN_S:
+        self._teller_by_life.pop(target.life, None)
+        if now - self._told_at_by_life.get(target.life, float("-inf")) < NEWS_AGAIN_S:
             return None
         self._forget(now)
-        self._told_at_by_instance[target.instance] = now
-        return TargetDown(target.instance, 0.0)
+        self._told_at_by_life[target.life] = now
+        return TargetDown(target.instance, 0.0, target.born_ms)
 
     def told(self, box: str, news: TargetDown, now: float) -> bool:
         """Take what another box tells; return whether that changes what is believed here."""
@@ -65,19 +74,19 @@
             return False
         failed_at = now - max(0.0, news.age_ms) / MILLISECONDS
         until = failed_at + TOLD_DOWN_S
-        if until <= now or not self._board.told_down(news.instance, failed_at, until):
+        if until <= now or not self._board.told_down(news.life, failed_at, until):
             return False
         self._forget(now)
-        self._told_at_by_instance[news.instance] = now
-        self._teller_by_instance[news.instance] = _Teller(box, failed_at, until)
+        self._told_at_by_life[news.life] = now
+        self._teller_by_life[news.life] = _Teller(box, failed_at, until)
         return True
 
-    def _contradict(self, instance: str, sent_at: float) -> None:
+    def _contradict(self, life: Life, sent_at: float) -> None:
         """Doubt the box that called a target down which answers a request sent after that."""
-        teller = self._teller_by_instance.get(instance)
+        teller = self._teller_by_life.get(life)
         if teller is None or not teller.failed_at <= sent_at < teller.until:
             return
-        del self._teller_by_instance[instance]
+        del self._teller_by_life[life]
         self._distrusted_until_by_box[teller.box] = sent_at + NEWS_DISTRUST_S
 
     def _forget(self, now: float) -> None:
@@ -85,15 +94,11 @@
         if now < self._next_clean_up:
             return
         self._next_clean_up = now + 1.0
-        self._told_at_by_instance = {
-            instance: at
-            for instance, at in self._told_at_by_instance.items()
-            if now - at < NEWS_AGAIN_S
+        self._told_at_by_life = {
+            life: at for life, at in self._told_at_by_life.items() if now - at < NEWS_AGAIN_S
         }
-        self._teller_by_instance = {
-            instance: teller
-            for instance, teller in self._teller_by_instance.items()
-            if teller.until > now
+        self._teller_by_life = {
+            life: teller for life, teller in self._teller_by_life.items() if teller.until > now
         }
         self._distrusted_until_by_box = {
             box: until for box, until in self._distrusted_until_by_box.items() if until > now
--- a/trackwheel/relay/service.py
+++ b/trackwheel/relay/service.py
@@ -124,7 +124,8 @@
             if isinstance(result, SingleAnswered):
                 exchange.respond(self._wire.single_answer(result.answer))
                 return
-            self._refuse(exchange, result)
+            warm_in_s = self._board.warm_in_s(plan.service, plan.route, time.monotonic())
+            self._refuse(exchange, result, max(RETRY_AFTER_S, warm_in_s))
 
         single = Single(plan, self._board, self._budget)
         run = SingleRun(caller, single, self._transport, done)
@@ -179,11 +180,16 @@
             partial=False,
         )
 
-    def _refuse(self, exchange: Exchange, failed: GatherFailed | SingleFailed) -> None:
+    def _refuse(
+        self,
+        exchange: Exchange,
+        failed: GatherFailed | SingleFailed,
+        retry_after_s: float = RETRY_AFTER_S,
+    ) -> None:
         """Give the final answer of a request that is given up."""
         if not failed.ran:
             answer = self._wire.refusal(
-                HTTPStatus.SERVICE_UNAVAILABLE, RETRY_AFTER_S, failed.reason
+                HTTPStatus.SERVICE_UNAVAILABLE, retry_after_s, failed.reason
             )
             exchange.respond(answer)
             return
--- a/trackwheel/relay/single.py
+++ b/trackwheel/relay/single.py
@@ -74,7 +74,8 @@
     def start(self, now: float) -> list[SingleCommand]:
         """Send the request to the best target."""
         if not self._ask("first", now) and not self._wait_for_rest(now):
-            self._fail(self._board.lack(self.plan.service, self.plan.route).value, False)
+            lack = self._board.lack(self.plan.service, self.plan.route, now)
+            self._fail(lack.value, False)
         return self._take_commands()
 
     def target_ended(self, token: int, end: TargetEnd, now: float) -> list[SingleCommand]:
--- a/trackwheel/relay/transport.py
+++ b/trackwheel/relay/transport.py
@@ -7,7 +7,7 @@
 from trackwheel.http1.models import EndKind, ExchangeEnd, Request, Response
 from trackwheel.http1.pool import Job, TargetPool
 from trackwheel.relay.board import Board, TargetBelief
-from trackwheel.relay.models import CallerRequest, Outcome, RouteKey, Target, TargetEnd, Wire
+from trackwheel.relay.models import CallerRequest, Life, Outcome, RouteKey, Target, TargetEnd, Wire
 from trackwheel.settings import split_address
 from trackwheel.telemetry.events import EventLog
 
@@ -50,7 +50,7 @@
         self._board = board
         self._clock = clock
         self._log = log
-        self._pool_by_instance: dict[str, TargetPool] = {}
+        self._pool_by_life: dict[Life, TargetPool] = {}
         self._limit_by_service: dict[str, int] = {}
         self._members = 1
         self.sent_by_reason: Counter[tuple[str, str]] = Counter()
@@ -66,13 +66,13 @@
         self._limit_by_service = connections_by_service
         self._members = max(1, members)
 
-    def keep_only(self, instances: set[str]) -> None:
+    def keep_only(self, lives: set[Life]) -> None:
         """Close the idle connections of targets that are gone."""
-        for instance in [known for known in self._pool_by_instance if known not in instances]:
-            pool = self._pool_by_instance[instance]
+        for life in [known for known in self._pool_by_life if known not in lives]:
+            pool = self._pool_by_life[life]
             pool.close()
             if pool.unused:
-                del self._pool_by_instance[instance]
+                del self._pool_by_life[life]
 
     def send(self, sending: Sending, on_end: OnTargetEnd) -> None:
         """Send a request; `on_end` is called once unless it is withdrawn."""
@@ -92,7 +92,7 @@
             result = self._read(end, sending.single)
             self.ended_by_outcome[(result.outcome.value,)] += 1
             belief = self._board.ended(
-                target, sending.token, result.outcome, result.load, self._clock()
+                target, sending.token, result.outcome, result.load, self._clock(), result.cold_s
             )
             self._write(sending, result, belief)
             for handler in self._on_any_end:
@@ -104,7 +104,7 @@
     def withdraw(self, token: object, target: Target) -> None:
         """Take a request back."""
         self._board.withdrawn(target, token, self._clock())
-        pool = self._pool_by_instance.get(target.instance)
+        pool = self._pool_by_life.get(target.life)
         if pool is not None:
             pool.cancel(token)
 
@@ -137,10 +137,10 @@
         return TargetEnd(outcome, None, b"", None, end.detail)
 
     def _pool(self, target: Target) -> TargetPool:
-        pool = self._pool_by_instance.get(target.instance)
+        pool = self._pool_by_life.get(target.life)
         if pool is None:
             host, port = split_address(target.address)
-            pool = self._pool_by_instance[target.instance] = TargetPool(host, port, 0)
+            pool = self._pool_by_life[target.life] = TargetPool(host, port, 0)
         allowed = self._limit_by_service.get(target.service, DEFAULT_CONNECTIONS * self._members)
         pool.limit = max(LEAST_CONNECTIONS, int(allowed * CONNECTION_SHARE / self._members))
         return pool
--- a/trackwheel/routing/models.py
+++ b/trackwheel/routing/models.py
@@ -42,11 +42,17 @@
 
 
 class ServiceRule(NamedTuple):
-    """Hold what the configuration says of one service."""
+    """Hold what the configuration says of one service.
+
+    Its targets are cold for `cold_s` after a start (seconds) and bear `cold_per_s` requests a
+    second meanwhile, from all boxes together; 0 when no bound is given.
+    """
 
     name: str
     health_path: str
     max_connections: int
+    cold_per_s: float = 0.0
+    cold_s: float = 0.0
 
 
 class RouteTable(NamedTuple):
