--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -690,7 +690,7 @@
         BUDGET,
         "a box asks targets in the place of another one that used its part",
         REPEATS + "test_box_that_takes_the_place_of_another_waits_for_a_window",
-        Mutant("trackwheel/relay/budget.py", " or self._is_new(self._gathers_since, now)", ""),
+        Mutant("trackwheel/relay/askers.py", " or self._is_new(self._gathers_since, now)", ""),
     ),
     Row(
         PLATFORM,
@@ -812,7 +812,7 @@
         REPEATS + "test_all_boxes_together_stay_within_the_rule",
         Mutant(
             "trackwheel/relay/budget.py",
-            "return allowance / self._members.most",
+            "return allowance / members",
             "return allowance",
         ),
     ),
@@ -822,8 +822,8 @@
         "boxes are killed and come back, each thinking that it is alone",
         REPEATS + "test_members_that_come_anew_fit_under_the_rule",
         Mutant(
-            "trackwheel/relay/budget.py",
-            "self._is_new(self._born, now) or ",
+            "trackwheel/relay/askers.py",
+            "0 if self._is_new(self._born, now) else ",
             "",
         ),
     ),
@@ -833,8 +833,8 @@
         "a target's address was given to another service",
         CHOICE + "test_target_whose_address_another_one_has_is_not_even_a_last_resort",
         Mutant(
-            "trackwheel/relay/board.py",
-            "record.ejected_until = record.gone_until = now + GONE_S",
+            "trackwheel/relay/record.py",
+            "self.ejected_until = self.gone_until = now + GONE_S",
             "pass",
         ),
     ),
