Part asking targets for single shards from the decisions on a whole query

No change of behaviour: the tests of the relay and the golden figures of the policy model pass as they were.

--- /dev/null
+++ b/trackwheel/relay/asking.py
@@ -0,0 +1,105 @@
+"""Asking targets for single shards of one query: now, soon, or not at all, without I/O."""
+
+from typing import Final
+
+from trackwheel.relay.attempts import Refusal, hedge_time
+from trackwheel.relay.board import Board, Lack
+from trackwheel.relay.budget import RepeatBudget
+from trackwheel.relay.const import LATE_RETRY_PACES, RETRY_PACES
+from trackwheel.relay.gather_models import CancelPart, GatherPlan, SendPart
+from trackwheel.relay.handed import HandedGroups
+from trackwheel.relay.shards import Shard, ShardBook
+
+DECLINED: Final = "declined"
+"""Why a shard is asked for that a peer has left to others."""
+
+
+class ShardAsking:
+    """Send shards to targets, hold back those that may not be asked for now, give up the rest."""
+
+    def __init__(
+        self,
+        plan: GatherPlan,
+        board: Board,
+        budget: RepeatBudget,
+        shards: ShardBook,
+        groups: HandedGroups,
+    ) -> None:
+        self._plan = plan
+        self._board = board
+        self._budget = budget
+        self._shards = shards
+        self._groups = groups
+        self._shard_name_by_token: dict[int, str] = {}
+        self._next_token = 0
+
+    def ask_or_hold_back(self, name: str, reason: str, now: float) -> SendPart | None:
+        """Ask for a shard now, or soon, or take it as lost when nothing is left to try."""
+        if now >= self._plan.end_at:
+            return None
+        asked = self._ask(name, reason, now)
+        if isinstance(asked, SendPart):
+            return asked
+        in_time = now < self._plan.answer_at
+        # Peers that may not ask a target now may in a while; each look costs a message.
+        paces = RETRY_PACES if in_time and reason != DECLINED else LATE_RETRY_PACES
+        again_at = now + paces * self._board.usual_s(self._plan.route, far=False)
+        self._put_off(name, asked, in_time, again_at, now)
+        return None
+
+    def ended(self, token: int) -> str | None:
+        """Return the shard of a request that ended; None when it was withdrawn."""
+        return self._shard_name_by_token.pop(token, None)
+
+    def withdraw(self, shard: Shard) -> list[CancelPart]:
+        """Await no target any more for a shard."""
+        commands: list[CancelPart] = []
+        for token, target in shard.attempts.target_by_token.items():
+            self._shard_name_by_token.pop(token, None)
+            commands.append(CancelPart(token, target))
+        shard.attempts.target_by_token.clear()
+        return commands
+
+    def _put_off(
+        self, name: str, refusal: Refusal, in_time: bool, again_at: float, now: float
+    ) -> None:
+        """Look at a shard again at a time, or take it as lost."""
+        shard = self._shards[name]
+        if shard.waits:
+            if refusal is Refusal.NOT_NOW and in_time:
+                self._shards.hedge(name, again_at)
+        elif refusal is Refusal.NOT_NOW and not self._plan.repeat:
+            self._shards.hold_back(name, again_at)
+        elif refusal is Refusal.DOWN and in_time and not self._plan.repeat:
+            # A target that is back before the aim still serves in time; later nobody gains.
+            self._shards.hold_back(name, max(again_at, shard.attempts.rests_until))
+        else:
+            self._shards.lose([name])
+            shard.last_failure = shard.last_failure or self._why_lost(name, now)
+
+    def _why_lost(self, name: str, now: float) -> str:
+        """Return why no target may be asked for a shard; nothing when some were."""
+        lack = self._board.lack(name, self._plan.route, now)
+        return "" if lack is Lack.TRIED else lack.value
+
+    def _needs(self, name: str) -> bool:
+        """Return whether the answer fails without a shard, since too many others lack."""
+        return self._shards.left_out_besides(name) >= self._shards.spare - self._groups.spare
+
+    def _ask(self, name: str, reason: str, now: float) -> SendPart | Refusal:
+        """Return the request to one more target, or why there is none."""
+        shard = self._shards[name]
+        choices = shard.attempts.choose(
+            self._board, self._budget, self._plan.route, now, self._needs(name)
+        )
+        if isinstance(choices, Refusal):
+            return choices
+        self._shards.asked(name)
+        token = self._next_token
+        self._next_token += 1
+        target = choices[0].target
+        shard.attempts.begin(token, target)
+        self._shard_name_by_token[token] = name
+        if len(shard.attempts.target_by_token) == 1:
+            self._shards.hedge(name, hedge_time(choices, self._plan.answer_at, now))
+        return SendPart(token, name, target, reason)
--- a/trackwheel/relay/gather.py
+++ b/trackwheel/relay/gather.py
@@ -13,20 +13,13 @@
 """
 
 from collections.abc import Sequence
-from typing import Final
 
-from trackwheel.relay.attempts import Refusal, hedge_time
-from trackwheel.relay.board import Board, Lack
+from trackwheel.relay.asking import DECLINED, ShardAsking
+from trackwheel.relay.board import Board
 from trackwheel.relay.budget import RepeatBudget
-from trackwheel.relay.const import (
-    DECLINE_PACES,
-    LATE_RETRY_PACES,
-    LOGGED_SHARDS,
-    RETRY_PACES,
-)
+from trackwheel.relay.const import DECLINE_PACES, LOGGED_SHARDS
 from trackwheel.relay.gather_models import (
     CancelGroup,
-    CancelPart,
     Declined,
     GatherCommand,
     GatherFailed,
@@ -35,14 +28,11 @@
     PeerSilent,
     Regrouping,
     SendGroup,
-    SendPart,
 )
 from trackwheel.relay.handed import HandedGroup, HandedGroups
 from trackwheel.relay.models import Part, TargetEnd
 from trackwheel.relay.parts import PartsIn
-from trackwheel.relay.shards import Shard, ShardBook
-
-DECLINED: Final = "declined"
+from trackwheel.relay.shards import ShardBook
 
 
 class Gather:
@@ -57,13 +47,11 @@
     ) -> None:
         self.plan = plan
         self._board = board
-        self._budget = budget
         self._regrouping = regrouping
         self._shards = ShardBook(plan)
         self._groups = HandedGroups()
         self.parts = PartsIn(plan.shards, plan.top_k)
-        self._shard_name_by_token: dict[int, str] = {}
-        self._next_token = 0
+        self._asking = ShardAsking(plan, board, budget, self._shards, self._groups)
         self._peers_ran = False
         self._commands: list[GatherCommand] = []
         self.ended = False
@@ -77,7 +65,7 @@
         left_to_others = self._leave_to_others(own, now)
         for name in own:
             if name not in left_to_others:
-                self._ask_or_hold_back(name, reason, now)
+                self._ask(name, reason, now)
         if self.plan.repeat:
             self._return_unasked(own)
         return self._finish_or_go_on(now)
@@ -126,7 +114,7 @@
         self, token: int, end: TargetEnd, part: Part | None, now: float
     ) -> list[GatherCommand]:
         """Take the end of one request; `part` is there when it brought the shard's records."""
-        name = self._shard_name_by_token.pop(token, None)
+        name = self._asking.ended(token)
         if self.ended or name is None:
             return []
         shard = self._shards[name]
@@ -138,7 +126,7 @@
         where = shard.attempts.target_by_token[token].instance
         shard.last_failure = f"{end.outcome.value} at {where}"
         shard.attempts.fail(token, end.outcome, now)
-        self._ask_or_hold_back(name, end.outcome.value, now)
+        self._ask(name, end.outcome.value, now)
         return self._finish_or_go_on(now)
 
     def group_accepted(self, number: int) -> None:
@@ -198,7 +186,7 @@
             shard.attempts.forget_tried()
         elif not shard.groups:
             shard.attempts.forget_lent()
-        self._ask_or_hold_back(name, DECLINED, now)
+        self._ask(name, DECLINED, now)
 
     def group_lost(self, number: int, now: float) -> list[GatherCommand]:
         """Take that the link to a peer broke, or that it cannot gather."""
@@ -305,7 +293,7 @@
         handed = self._hand_elsewhere(lacking, True, now)
         for name in lacking:
             if name not in handed:
-                self._ask_or_hold_back(name, reason, now)
+                self._ask(name, reason, now)
 
     def _hand_elsewhere(self, names: Sequence[str], repeat: bool, now: float) -> set[str]:
         """Hand shards to peers beside targets that were not tried; return which were handed."""
@@ -326,60 +314,15 @@
         due = self._shards.due_retries(now)
         if self.plan.partial:
             for name in due:
-                self._ask_or_hold_back(name, "held_back", now)
+                self._ask(name, "held_back", now)
             return
         self._ask_elsewhere(due, "held_back", now)
 
-    def _ask_or_hold_back(self, name: str, reason: str, now: float) -> None:
-        """Ask for a shard now, or soon, or take it as lost when nothing is left to try."""
-        if now >= self.plan.end_at:
-            return
-        refusal = self._ask(name, reason, now)
-        if refusal is None:
-            return
-        in_time = now < self.plan.answer_at
-        # Peers that may not ask a target now may in a while; each look costs a message.
-        paces = RETRY_PACES if in_time and reason != DECLINED else LATE_RETRY_PACES
-        again_at = now + paces * self._board.usual_s(self.plan.route, far=False)
-        if self._shards[name].waits:
-            if refusal is Refusal.NOT_NOW and in_time:
-                self._shards.hedge(name, again_at)
-        elif refusal is Refusal.NOT_NOW and not self.plan.repeat:
-            self._shards.hold_back(name, again_at)
-        elif refusal is Refusal.DOWN and in_time and not self.plan.repeat:
-            # A target that is back before the aim still serves in time; later nobody gains.
-            self._shards.hold_back(name, max(again_at, self._shards[name].attempts.rests_until))
-        else:
-            self._shards.lose([name])
-            shard = self._shards[name]
-            shard.last_failure = shard.last_failure or self._why_lost(name, now)
-
-    def _why_lost(self, name: str, now: float) -> str:
-        lack = self._board.lack(name, self.plan.route, now)
-        return "" if lack is Lack.TRIED else lack.value
-
-    def _needs(self, name: str) -> bool:
-        """Return whether the answer fails without a shard, since too many others lack."""
-        return self._shards.left_out_besides(name) >= self._shards.spare - self._groups.spare
-
-    def _ask(self, name: str, reason: str, now: float) -> Refusal | None:
-        """Send a shard to one more target; return why not when it is not sent."""
-        shard = self._shards[name]
-        choices = shard.attempts.choose(
-            self._board, self._budget, self.plan.route, now, self._needs(name)
-        )
-        if isinstance(choices, Refusal):
-            return choices
-        self._shards.asked(name)
-        token = self._next_token
-        self._next_token += 1
-        target = choices[0].target
-        shard.attempts.begin(token, target)
-        self._shard_name_by_token[token] = name
-        if len(shard.attempts.target_by_token) == 1:
-            self._shards.hedge(name, hedge_time(choices, self.plan.answer_at, now))
-        self._commands.append(SendPart(token, name, target, reason))
-        return None
+    def _ask(self, name: str, reason: str, now: float) -> None:
+        """Ask a target for a shard, now or soon, or take it as lost."""
+        sent = self._asking.ask_or_hold_back(name, reason, now)
+        if sent is not None:
+            self._commands.append(sent)
 
     def _enough(self) -> bool:
         found = len(self.parts)
@@ -429,18 +372,12 @@
     def _end(self) -> None:
         self.ended = True
         for shard in self._shards.all:
-            self._withdraw(shard)
+            self._commands += self._asking.withdraw(shard)
         for number, group in self._groups.take_all().items():
             if any(name not in self.parts for name in group.plan.shards):
                 self._commands.append(CancelGroup(number, group.plan.address))
 
     def _came_in(self, name: str) -> None:
         """Await nothing more for a shard."""
-        self._withdraw(self._shards[name])
+        self._commands += self._asking.withdraw(self._shards[name])
         self._shards.came_in(name)
-
-    def _withdraw(self, shard: Shard) -> None:
-        for token, target in shard.attempts.target_by_token.items():
-            self._shard_name_by_token.pop(token, None)
-            self._commands.append(CancelPart(token, target))
-        shard.attempts.target_by_token.clear()
