--- a/bench/policy_fleet.py
+++ b/bench/policy_fleet.py
@@ -10,7 +10,7 @@
 from typing import Any, Final, NamedTuple
 
 from bench.agenda import Action, Agenda, Processor
-from bench.policy_targets import ModelTarget
+from bench.policy_targets import QUIET, Habits, ModelTarget
 from trackwheel.relay.board import Board
 from trackwheel.relay.budget import BudgetRule, RepeatBudget
 from trackwheel.relay.gather import Gather
@@ -54,6 +54,7 @@
     deadline_s: float
     least_coverage: float
     worth: float
+    homes: frozenset[str] = frozenset()
 
 
 class Tally:
@@ -86,7 +87,7 @@
         self.place = peer.place
         self.processor = Processor(fleet.agenda, peer.speed)
         self.board = Board(peer.place, seed)
-        self.budget = RepeatBudget(BudgetRule(0.2, 10.0, EXTRA), -100.0)
+        self.budget = RepeatBudget(BudgetRule(0.2, 10.0, fleet.extra), -100.0)
         self.links: set[str] = set()
         self.peer_board = PeerBoard(self.links.__contains__)
         self.planner = GroupPlanner(peer.place, peer.address, self.board, self.peer_board)
@@ -327,14 +328,18 @@
         tells_news: bool = True,
         open_links: bool = True,
         speeds_told: bool = True,
+        habits: Habits = QUIET,
+        extra: float = EXTRA,
     ) -> None:
         self.agenda = Agenda()
+        self.extra = extra
+        self.evacuated: frozenset[str] = frozenset()
         self.random = Random(seed)
         self.tells_news = tells_news
         self.messages = 0
         self.shards = tuple(targets)
         self.target_by_instance = {
-            target.instance: ModelTarget(self.agenda, self.random, target)
+            target.instance: ModelTarget(self.agenda, self.random, target, habits)
             for found in targets.values()
             for target in found
         }
@@ -387,7 +392,7 @@
     def _begin(self, kind: Kind, tally: Tally) -> None:
         box = self.random.choice(list(self.box_by_address.values()))
         now = self.agenda.now
-        route = RouteKey(kind.name, kind.aim_s)
+        route = RouteKey(kind.name, kind.aim_s, kind.homes)
         answer_at, end_at = now + kind.aim_s - RETURN_S, now + kind.deadline_s - 0.02
         plan = GatherPlan(
             route,
