--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -29,6 +29,7 @@
     "slopes",
     "batch",
     "policy",
+    "policy_shifted",
     "soak",
 )
 
--- a/bench/policy_fleet.py
+++ b/bench/policy_fleet.py
@@ -333,7 +333,7 @@
     ) -> None:
         self.agenda = Agenda()
         self.extra = extra
-        self.evacuated: frozenset[str] = frozenset()
+        self._targets = targets
         self.random = Random(seed)
         self.tells_news = tells_news
         self.messages = 0
@@ -378,6 +378,15 @@
                     box.links.add(address)
                     self.box_by_address[address].links.add(own)
 
+    def evacuate(self, domain: str) -> None:
+        """Let no new request go to the targets of a failure domain from any box."""
+        barred = {
+            shard: tuple(t._replace(barred=t.place.failure_domain == domain) for t in found)
+            for shard, found in self._targets.items()
+        }
+        for box in self.box_by_address.values():
+            box.board.set_targets(barred, self.agenda.now)
+
     def play(self, kinds: list[Kind], seconds: float) -> dict[str, Tally]:
         """Let callers come for some seconds and return how their queries ended."""
         tally_by_kind = {kind.name: Tally() for kind in kinds}
--- a/bench/policy_shifted.py
+++ b/bench/policy_shifted.py
@@ -17,7 +17,7 @@
 from bench.policy_fleet import Kind, ModelFleet, Tally
 from bench.policy_targets import Habits, Trouble
 from bench.report import Report, Series
-from trackwheel.relay import asking, attempts, slow_spans
+from trackwheel.relay import asking, attempts
 from trackwheel.relay.attempts import NEVER
 from trackwheel.relay.board import Choice
 from trackwheel.relay.models import Place, Target
@@ -78,12 +78,10 @@
 
     name: str
     hedge: HedgeTime = attempts.hedge_time
-    told_counts: bool = True
 
 
 VARIANTS: Final = (
     Variant("as it is"),
-    Variant("told slowness unused", told_counts=False),
     Variant("second target early", hedge=_hedge_early),
     Variant("second target half-way", hedge=_hedge_in_the_middle),
 )
@@ -93,28 +91,29 @@
 def _decided(variant: Variant) -> Iterator[None]:
     """Put one way of a decision in the place of the product's own."""
     with patch.object(asking, "hedge_time", variant.hedge):
-        if variant.told_counts:
-            yield
-            return
-        with patch.object(slow_spans.SlowSpans, "now", lambda self, told, age_s: 1.0):
-            yield
+        yield
 
 
 def play(scenario: Scenario, variant: Variant, seed: int, seconds: float) -> dict[str, Tally]:
     """Return how the queries of one play ended, by kind."""
     random = Random(seed)
+    with _decided(variant):
+        fleet = make_fleet(seed)
+        for server in fleet.target_by_instance.values():
+            if random.random() < scenario.share:
+                server.troubles.append(scenario.trouble)
+        return fleet.play([SWEEP, URGENT], seconds)
+
+
+def make_fleet(seed: int) -> ModelFleet:
+    """Return the boxes and targets of the shifted work."""
     boxes = [
         PeerBox(f"{place.failure_domain}:{n}", place, FAST if n < FAST_PER_DOMAIN else SLOW)
         for place in PLACES
         for n in range(BOXES_PER_DOMAIN)
     ]
     targets = {f"s{n}": _targets(f"s{n}") for n in range(SHARDS)}
-    with _decided(variant):
-        fleet = ModelFleet(boxes, targets, seed, habits=HABITS, extra=EXTRA)
-        for server in fleet.target_by_instance.values():
-            if random.random() < scenario.share:
-                server.troubles.append(scenario.trouble)
-        return fleet.play([SWEEP, URGENT], seconds)
+    return ModelFleet(boxes, targets, seed, habits=HABITS, extra=EXTRA)
 
 
 def _targets(shard: str) -> tuple[Target, ...]:
@@ -152,7 +151,7 @@
     legend = ", ".join(f"{n}: {scenario.name}" for n, scenario in enumerate(SCENARIOS))
     samples = {"plays": len(seeds) * len(SCENARIOS) * len(VARIANTS)}
     baseline = "the same seeds with the decisions as they are"
-    return Report("policy-shifted", 1, baseline, figures, samples, rows, series, legend, "credit")
+    return Report("policy_shifted", 1, baseline, figures, samples, rows, series, legend, "credit")
 
 
 def _row(found: list[float], base: list[float]) -> str:
--- a/trackwheel/relay/board.py
+++ b/trackwheel/relay/board.py
@@ -17,7 +17,6 @@
 from trackwheel.relay.models import Life, Load, Outcome, Place, RouteKey, Target
 from trackwheel.relay.pace import Paces
 from trackwheel.relay.record import Flight, TargetRecord
-from trackwheel.relay.slow_spans import SlowSpans
 
 
 class Choice(NamedTuple):
@@ -62,7 +61,6 @@
         self._record_by_life: dict[Life, TargetRecord] = {}
         """What was believed of a target's earlier life ends with that."""
         self._paces = Paces()
-        self._slow_spans = SlowSpans()
         self._targets_by_service: dict[str, tuple[Target, ...]] = {}
 
     def set_targets(self, targets_by_service: dict[str, tuple[Target, ...]], now: float) -> None:
@@ -131,13 +129,12 @@
         was_out = record.is_ejected
         flight = record.flight_by_token.pop(token, None)
         if load is not None:
-            record.told(load, self._slow_spans, now)
+            record.told(load, now)
         if cold_s > 0.0:
             record.cold_until = max(record.cold_until, now + cold_s)
         record.ended(outcome, now)
         if outcome is Outcome.OK and flight is not None:
-            told = load.slowness if load is not None else 1.0
-            self._learn_pace(target, record, flight, told, now)
+            self._learn_pace(target, record, flight, now)
         if record.is_ejected is was_out:
             return None
         return TargetBelief.OUT_OF_USE if record.is_ejected else TargetBelief.IN_USE
@@ -238,14 +235,11 @@
     def _all_targets(self) -> Iterable[Target]:
         return chain.from_iterable(self._targets_by_service.values())
 
-    def _learn_pace(
-        self, target: Target, record: TargetRecord, flight: Flight, told: float, now: float
-    ) -> None:
-        """Learn from an answer; what the target says that its neighbours cost is not its own."""
+    def _learn_pace(self, target: Target, record: TargetRecord, flight: Flight, now: float) -> None:
         duration_s = now - flight.started
         usual_s = self._usual(target, flight.route)
         self._paces.get(flight.route.name, self.is_far(target), flight.route.aim_s).add(duration_s)
-        record.took(duration_s / max(1e-4, usual_s) / max(1.0, told), now)
+        record.took(duration_s / max(1e-4, usual_s), now)
 
     def _doubt_returned(self, before: Iterable[Target], now: float) -> None:
         """Take targets as cold whose evacuation was taken back: they may have started anew in it.
@@ -304,7 +298,7 @@
         usual_s = self._usual(target, route)
         if now < self._cold_until(target):
             usual_s *= COLD_FACTOR
-        slowness = max(1.0, record.slowness(now)) * record.told_slowness(self._slow_spans, now)
+        slowness = max(1.0, record.slowness(now))
         return max(usual_s * rounds * slowness, record.stalled_s(now))
 
     def _usual(self, target: Target, route: RouteKey) -> float:
--- a/trackwheel/relay/record.py
+++ b/trackwheel/relay/record.py
@@ -21,7 +21,6 @@
     STALL_FACTOR,
 )
 from trackwheel.relay.models import Load, Outcome, RouteKey
-from trackwheel.relay.slow_spans import SlowSpans
 
 
 class Flight(NamedTuple):
@@ -61,18 +60,10 @@
         """Return whether the target is a last resort, by the own failures or by another box's."""
         return max(self.ejected_until, self.told_down_until) > now
 
-    def told(self, load: Load, spans: SlowSpans, now: float) -> None:
+    def told(self, load: Load, now: float) -> None:
         """Take what the target says of its load."""
-        if self._load is not None:
-            spans.told(self._load.slowness, load.slowness, now - self._load_at)
         self._load, self._load_at = load, now
 
-    def told_slowness(self, spans: SlowSpans, now: float) -> float:
-        """Return how many times as long as usual work takes there, by the target's last word."""
-        if self._load is None:
-            return 1.0
-        return spans.now(self._load.slowness, now - self._load_at)
-
     def load(self, now: float) -> Load | None:
         """Return what the target said of its load a moment ago; None when that is too old."""
         return self._load if now - self._load_at < REPORT_LIFETIME_S else None
