--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -12,7 +12,7 @@
 from trackwheel.dispatch.models import Outcome, SubAnswer, Withdraw
 from trackwheel.files.parse import parse_file
 from trackwheel.files.stored import decode_head, decode_page
-from trackwheel.gateway.http import ExecuteBody, QueryBody
+from trackwheel.gateway.bodies import ExecuteBody, QueryBody
 from trackwheel.gateway.ledger import parse_id
 from trackwheel.ini import InvalidIniError
 from trackwheel.peers.codec import Codec
--- a/trackwheel/dispatch/service.py
+++ b/trackwheel/dispatch/service.py
@@ -2,13 +2,21 @@
 
 import time
 from collections.abc import Callable
-from typing import NamedTuple
 
 import anyio
 import anyio.abc
 import msgspec
 
 from trackwheel.dispatch.const import EXECUTE_TIMEOUT_S, LEAST_RETRY_AFTER_S
+from trackwheel.dispatch.events import (
+    Event,
+    Exchanged,
+    FromGateway,
+    GatewayLost,
+    HealthRead,
+    InForceChanged,
+    NotesLearnt,
+)
 from trackwheel.dispatch.judge import judge_execute, judge_query, outcome_of_run
 from trackwheel.dispatch.models import (
     AskPermit,
@@ -54,53 +62,6 @@
 LOG = Log("dispatch")
 
 
-class _FromGateway(NamedTuple):
-    """Event: a gateway's message arrived."""
-
-    gateway: str
-    message: Scatter | ExecuteAsk | Withdraw | PermitReply
-
-
-class _GatewayLost(NamedTuple):
-    """Event: the last link to a box is gone."""
-
-    gateway: str
-
-
-class _HealthRead(NamedTuple):
-    """Event: a health page was read, or could not be."""
-
-    target: str
-    reachable: bool
-    boot: str
-    leaving: bool
-
-
-class _Exchanged(NamedTuple):
-    """Event: an exchange with a target ended; the answer for the gateway goes with it."""
-
-    ended: Ended
-    work: Work
-    body: bytes
-    holds: list[int]
-    retry_after_s: float
-
-
-class _InForceChanged(NamedTuple):
-    """Event: other files are in force."""
-
-    in_force: InForce
-
-
-class _NotesLearnt(NamedTuple):
-    """Event: targets are leaving, another box says."""
-
-    notes: tuple[TargetNote, ...]
-
-
-_Event = _FromGateway | _GatewayLost | _HealthRead | _Exchanged | _InForceChanged | _NotesLearnt
-
-
 class DispatchService:
     """Run the owner's decisions against real targets."""
 
@@ -112,13 +73,13 @@
         self._tell_leaving = tell_leaving
         self._owner = Owner()
         self._scope_by_key: dict[WorkKey, anyio.CancelScope] = {}
-        self._inbox: Inbox[_Event] = Inbox()
+        self._inbox: Inbox[Event] = Inbox()
         self.sent_by_outcome: dict[str, int] = {}
         self.refused_by_outcome: dict[str, int] = {}
         for message_type in (Scatter, ExecuteAsk, Withdraw, PermitReply):
             hub.register(message_type, self._from_gateway)
         hub.register(Ping, self._answer_ping)
-        hub.on_link_lost(lambda address: self._inbox.put(_GatewayLost(address)))
+        hub.on_link_lost(lambda address: self._inbox.put(GatewayLost(address)))
 
     @property
     def busy(self) -> bool:
@@ -131,11 +92,11 @@
 
     def set_in_force(self, in_force: InForce) -> None:
         """Take the files in force."""
-        self._inbox.put(_InForceChanged(in_force))
+        self._inbox.put(InForceChanged(in_force))
 
     def told_leaving(self, notes: tuple[TargetNote, ...]) -> None:
         """Take other boxes' word that targets are leaving."""
-        self._inbox.put(_NotesLearnt(notes))
+        self._inbox.put(NotesLearnt(notes))
 
     async def run(self) -> None:
         """Decide and act until cancelled."""
@@ -151,9 +112,9 @@
     def _from_gateway(
         self, sender: PeerIdentity, message: Scatter | ExecuteAsk | Withdraw | PermitReply
     ) -> None:
-        self._inbox.put(_FromGateway(sender.address, message))
+        self._inbox.put(FromGateway(sender.address, message))
 
-    def _decide(self, events: list[_Event]) -> list[DispatchCommand]:
+    def _decide(self, events: list[Event]) -> list[DispatchCommand]:
         now = time.monotonic()
         commands: list[DispatchCommand] = []
         # All events are handled before any command is performed, so that a box that wakes
@@ -162,21 +123,21 @@
             commands += self._handle(event, now)
         return commands + self._owner.tick(now)
 
-    def _handle(self, event: _Event, now: float) -> list[DispatchCommand]:
+    def _handle(self, event: Event, now: float) -> list[DispatchCommand]:
         match event:
-            case _FromGateway(gateway, message):
+            case FromGateway(gateway, message):
                 return self._handle_gateway(gateway, message, now)
-            case _Exchanged():
+            case Exchanged():
                 commands = self._owner.ended(event.ended, now)
                 self._answer(event, now)
                 return commands
-            case _HealthRead():
+            case HealthRead():
                 return self._owner.health(*event, now)
-            case _GatewayLost(gateway):
+            case GatewayLost(gateway):
                 return self._owner.gateway_lost(gateway, now)
-            case _InForceChanged(in_force):
+            case InForceChanged(in_force):
                 return self._owner.set_in_force(in_force)
-            case _NotesLearnt(notes):
+            case NotesLearnt(notes):
                 return self._owner.told_leaving(notes)
 
     def _handle_gateway(
@@ -250,7 +211,7 @@
             answer = SubAnswer(query_id, nonce, outcome, b"", [], delay_ms, 0.0, retry_ms)
         self._hub.send(work.key.gateway, answer)
 
-    def _answer(self, event: _Exchanged, now: float) -> None:
+    def _answer(self, event: Exchanged, now: float) -> None:
         """Send the end of a sub-request to its gateway."""
         work = event.work
         if work.once:
@@ -328,13 +289,13 @@
         self._hub.send(work.key.gateway, answer)
 
     async def _check_health(self, target: str) -> None:
-        read = _HealthRead(target, False, "", False)
+        read = HealthRead(target, False, "", False)
         with anyio.move_on_after(HEALTH_TIMEOUT_S):
             try:
                 reply = await self._client.get(target, PATH_HEALTH)
                 page = msgspec.json.decode(reply.body, type=HealthPage)
                 leaving = page.draining or reply.draining
-                read = _HealthRead(target, True, page.boot or reply.boot, leaving)
+                read = HealthRead(target, True, page.boot or reply.boot, leaving)
             except (TargetUnreachableError, TargetBrokenError, msgspec.DecodeError):
                 pass
         self._inbox.put(read)
@@ -350,10 +311,10 @@
 
 def _exchanged(
     work: Work, outcome: Outcome, service_s: float, reply: TargetReply | None, holds: list[int]
-) -> _Exchanged:
+) -> Exchanged:
     boot = reply.boot if reply is not None else ""
     leaving = reply is not None and reply.draining
     ended = Ended(work.key, outcome, service_s, boot, leaving)
     body = reply.body if reply is not None and outcome is Outcome.OK else b""
     retry_s = max(LEAST_RETRY_AFTER_S, reply.retry_after_s if reply is not None else 0.0)
-    return _Exchanged(ended, work, body, holds, retry_s)
+    return Exchanged(ended, work, body, holds, retry_s)
--- /dev/null
+++ b/trackwheel/gateway/responses.py
@@ -0,0 +1,107 @@
+"""What callers get: answers with length and digest, refusals with when to come back."""
+
+import hashlib
+import math
+from typing import Any, Final
+
+import msgspec
+from starlette.responses import Response
+
+from trackwheel.dispatch.models import RunOutcome
+from trackwheel.errors import Problem
+from trackwheel.gateway.const import HEADER_DIGEST, HEADER_RETRY_AFTER_MS
+from trackwheel.gateway.errors import CallerError, Code
+from trackwheel.gateway.models import Answer
+from trackwheel.gateway.once import OnceResult, error_of
+from trackwheel.gateway.queries import QueryResult
+
+STATUS_BY_CODE: Final = {
+    Code.BAD_REQUEST: 400,
+    Code.ID_MISSING: 400,
+    Code.ID_INVALID: 400,
+    Code.UNAUTHENTICATED: 401,
+    Code.FORBIDDEN: 403,
+    Code.UNKNOWN_SERVICE: 404,
+    Code.ID_REUSED: 409,
+    Code.TOO_LARGE: 413,
+    Code.INTERNAL: 500,
+    Code.NOT_READY: 503,
+    Code.OVERLOADED: 503,
+    Code.COVERAGE_TOO_LOW: 503,
+    Code.NOT_RUN: 503,
+    Code.OUTCOME_UNKNOWN: 504,
+}
+
+
+def shards_of(result: QueryResult) -> dict[str, Any]:
+    """Return what an answer covers and lacks."""
+    answer = result.answer
+    return {
+        "id": result.query_id,
+        "version": answer.snapshot.version if answer.snapshot else None,
+        "map_size": answer.snapshot.map_size if answer.snapshot else None,
+        "whole": answer.whole,
+        "coverage": answer.coverage,
+        "covered": sorted(answer.items_by_shard),
+        "lacking": [lack._asdict() for lack in answer.lacking],
+    }
+
+
+def items_of(answer: Answer) -> list[dict[str, Any]]:
+    """Return the items of an answer, shard by shard."""
+    return [
+        {"shard": shard, "items": items} for shard, items in sorted(answer.items_by_shard.items())
+    ]
+
+
+def once_response(result: OnceResult) -> Response:
+    """Return the response for a request that may run only once."""
+    if result.outcome is not RunOutcome.DONE:
+        extra = {"id": result.request_id, "outcome": result.outcome}
+        return error_response(error_of(result), extra)
+    body = msgspec.json.encode(
+        {
+            "id": result.request_id,
+            "outcome": result.outcome,
+            "repeated": result.reason == "repeated",
+            "answer": msgspec.Raw(result.body),
+            "end": True,
+        }
+    )
+    return sealed(body, {})
+
+
+def sealed(payload: bytes, headers: dict[str, str], status: int = 200) -> Response:
+    """Return a response with its length and digest, so that half of it is seen as half."""
+    digest = hashlib.sha256(payload).hexdigest()
+    return Response(
+        payload,
+        status_code=status,
+        media_type="application/json",
+        headers={**headers, HEADER_DIGEST: f"sha256={digest}"},
+    )
+
+
+def retry_headers(retry_after_s: float) -> dict[str, str]:
+    """Return the headers that say when to come back (seconds); none where that is not known."""
+    if retry_after_s <= 0:
+        return {}
+    return {
+        "Retry-After": str(max(1, math.ceil(retry_after_s))),
+        HEADER_RETRY_AFTER_MS: str(math.ceil(retry_after_s * 1000)),
+    }
+
+
+def problem_body(problem: Problem) -> dict[str, str]:
+    """Return a failure as callers and operators see it."""
+    return dict(problem._asdict())
+
+
+def error_response(error: CallerError, extra: dict[str, Any] | None = None) -> Response:
+    """Return the response for a refusal, with when to come back."""
+    status = STATUS_BY_CODE.get(Code(error.problem.code), 500)
+    body: dict[str, Any] = {"error": problem_body(error.problem), **(extra or {}), "end": True}
+    if error.retry_after_s > 0:
+        body["retry_after_ms"] = math.ceil(error.retry_after_s * 1000)
+    headers = retry_headers(error.retry_after_s)
+    return sealed(msgspec.json.encode(body), headers, status)
