--- a/tests/relay/test_cold.py
+++ b/tests/relay/test_cold.py
@@ -198,6 +198,12 @@
     assert board.warm_in_s(SERVICE, ROUTE, 1.0) == pytest.approx(1.5)
 
 
+def test_cold_target_beside_a_warm_one_lets_nobody_wait_for_it() -> None:
+    """A refusal for another reason, as a warm target that sheds, is over sooner."""
+    board = make_board(make_allowance(2.0), cold_target("c", until=2.5), target("w", SERVICE))
+    assert board.warm_in_s(SERVICE, ROUTE, 1.0) == 0.0
+
+
 def test_request_goes_to_the_cold_target_while_it_bears_it() -> None:
     board = make_board(make_allowance(2.0, shard=False), cold_target())
     (sent,) = Single(SinglePlan(ROUTE, SERVICE, True, 2, 0.19, 3.0), board, budget()).start(1.0)
--- a/trackwheel/relay/board.py
+++ b/trackwheel/relay/board.py
@@ -223,14 +223,14 @@
         )
 
     def warm_in_s(self, service: str, route: RouteKey, now: float) -> float:
-        """Return in how many seconds the first target that is held as cold is warm, 0 for none."""
-        ends = [
+        """Return in how many seconds the first target is warm where all are held as cold, else 0."""
+        if self.lack(service, route, now) is not Lack.COLD:
+            return 0.0
+        return min(
             self._cold_until(target) - now
             for target in self.targets(service)
             if route.allows(target.place.region) and not target.barred
-            if self._is_held_cold(target, now)
-        ]
-        return min(ends, default=0.0)
+        )
 
     def _all_targets(self) -> Iterable[Target]:
         return chain.from_iterable(self._targets_by_service.values())
