--- a/trackwheel/relay/board.py
+++ b/trackwheel/relay/board.py
@@ -223,7 +223,7 @@
         )
 
     def warm_in_s(self, service: str, route: RouteKey, now: float) -> float:
-        """Return in how many seconds the first target is warm where all are held as cold, else 0."""
+        """Return in how many seconds the first target is warm if all are held as cold, else 0."""
         if self.lack(service, route, now) is not Lack.COLD:
             return 0.0
         return min(
