Keep the evacuated domains in one place, and pass news on in one

Cause: the directory of targets held a copy of what Evacuations knows, set before each use; three places asked whether this box watches before they told the boxes nearby; taking words was written twice in take_orders.

Change: targets_by_service takes the domains; _tell_near is the one place that passes news on.

--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -1170,7 +1170,7 @@
         ENTRY + "test_evacuated_domain_gets_nothing_until_that_is_taken_back",
         Mutant(
             "trackwheel/directory/targets.py",
-            "entry.leaving or entry.failure_domain in self._evacuated",
+            "entry.leaving or entry.failure_domain in evacuated",
             "entry.leaving",
         ),
     ),
--- a/trackwheel/directory/service.py
+++ b/trackwheel/directory/service.py
@@ -143,11 +143,9 @@
         """Take a reading or a change of the store; return the revision from which to watch on."""
         if read.table is not None:
             self._adopt(read.table, zlib.compress(read.content, PACK_LEVEL), "store")
-        if read.whole:
-            changed = self._evacuations.take_whole(read.evacuations, read.as_of)
-        else:
-            changed = self._evacuations.take(read.evacuations)
-        if changed:
+        if not read.whole:
+            self._take_evacuations(read.evacuations, "store")
+        elif self._evacuations.take_whole(read.evacuations, read.as_of):
             self._evacuations_changed("store")
         return read.as_of
 
@@ -198,8 +196,7 @@
         if not changed:
             return
         self._targets_changed(sender.box_id)
-        if self._watching.watches(time.monotonic()):
-            self._pass_on(push, self._near_peers)
+        self._tell_near(push)
 
     def _take_beacon(self, sender: PeerIdentity, beacon: DirectoryBeacon) -> None:
         self._take_evacuations(beacon.evacuations, sender.box_id)
@@ -242,25 +239,26 @@
         self._log.write("routes_in_force", version=table.version, before=before, source=source)
         for handler in self._on_routes:
             handler(table)
-        if self._watching.watches(time.monotonic()):
-            self._pass_on(RoutesPush(table.version, packed), self._near_peers)
+        self._tell_near(RoutesPush(table.version, packed))
 
     def _evacuations_changed(self, source: str) -> None:
         """Let no new work go to the domains that are evacuated now, and tell the boxes nearby."""
-        domains = self._evacuations.domains
-        self._log.write("evacuations", domains=",".join(sorted(domains)), source=source)
-        self._targets.evacuate(domains)
+        self._log.write("evacuations", domains=",".join(sorted(self.evacuated)), source=source)
         self._targets_changed(source)
-        if self._watching.watches(time.monotonic()):
-            self._pass_on(EvacuationsPush(self._evacuations.words), self._near_peers)
+        self._tell_near(EvacuationsPush(self._evacuations.words))
 
     def _targets_changed(self, source: str) -> None:
-        targets_by_service = self._targets.targets_by_service()
+        targets_by_service = self._targets.targets_by_service(self.evacuated)
         count = sum(len(targets) for targets in targets_by_service.values())
         self._log.write("targets", source=source, newest=self._targets.newest, count=count)
         for handler in self._on_targets:
             handler(targets_by_service)
 
+    def _tell_near(self, news: RoutesPush | EvacuationsPush | TargetsPush) -> None:
+        """Pass news on to the boxes nearby, as long as this one reads the store for them."""
+        if self._watching.watches(time.monotonic()):
+            self._pass_on(news, self._near_peers)
+
     def _pass_on(
         self,
         message: RoutesPush | EvacuationsPush | TargetsPush | DirectoryBeacon,
--- a/trackwheel/directory/targets.py
+++ b/trackwheel/directory/targets.py
@@ -44,7 +44,6 @@
         self._region_by_failure_domain = region_by_failure_domain
         self._held_by_instance: dict[str, _Held] = {}
         self._gone_revision_by_instance: dict[str, int] = {}
-        self._evacuated: frozenset[str] = frozenset()
         self._store_away = False
         self._store_back_at = float("-inf")
         self.newest = 0
@@ -73,10 +72,6 @@
             self._store_away = False
             self._store_back_at = now
 
-    def evacuate(self, failure_domains: frozenset[str]) -> None:
-        """Take the failure domains whose targets get nothing more."""
-        self._evacuated = failure_domains
-
     def take(self, read: TargetsRead, now: float) -> bool:
         """Take news; return whether anything is another now."""
         changed = [self._note(self._merge(entry, now), entry.revision) for entry in read.entries]
@@ -148,8 +143,13 @@
         )
         return min(times, default=float("inf"))
 
-    def targets_by_service(self) -> dict[str, tuple[Target, ...]]:
-        """Return the targets of each service as the choice takes them."""
+    def targets_by_service(
+        self, evacuated: frozenset[str] = frozenset()
+    ) -> dict[str, tuple[Target, ...]]:
+        """Return the targets of each service as the choice takes them.
+
+        Those in the failure domains that are evacuated get nothing more.
+        """
         found: dict[str, list[Target]] = {}
         for held in self._held_by_instance.values():
             entry = held.entry
@@ -160,7 +160,7 @@
                 address=entry.address,
                 place=Place(region, entry.failure_domain),
                 slots=entry.slots,
-                barred=entry.leaving or entry.failure_domain in self._evacuated,
+                barred=entry.leaving or entry.failure_domain in evacuated,
                 doubtful=held.gone_revision is not None and not held.lapsed,
                 cold_until=held.cold_until,
                 born_ms=entry.born_ms,
