Say once which targets are open to a route, and which are in use

Cause: the board filtered a service's targets by homes and barring in three methods, and looked a target's record up twice for each shard and place of a plan.

Change: _open_targets and _is_in_use; one look-up each; the refusal of a cold choice without a conditional expression. No change of behaviour: tests/relay with its golden figures and the table of proofs pass.

--- a/trackwheel/relay/attempts.py
+++ b/trackwheel/relay/attempts.py
@@ -116,12 +116,10 @@
         if not self.may_run:
             return Refusal.NO_MORE
         choices = self._rank(board, route, now)
+        if not choices and board.may_ask_soon(self._service, route, now):
+            return Refusal.NOT_NOW
         if not choices:
-            return (
-                Refusal.NOT_NOW
-                if board.may_ask_soon(self._service, route, now)
-                else Refusal.NO_MORE
-            )
+            return Refusal.NO_MORE
         awake = [choice for choice in choices if choice.rests_until <= now]
         if not awake:
             self.rests_until = min(choice.rests_until for choice in choices)
--- a/trackwheel/relay/board.py
+++ b/trackwheel/relay/board.py
@@ -186,10 +186,7 @@
             for target in self.targets(service)
             if target.place == place
             and target.instance not in tried
-            and not target.barred
-            and not target.doubtful
-            and not self._record(target).is_out(now)
-            and self._record(target).gone_until <= now
+            and self._is_in_use(target, now)
         ]
         if any(not self._is_held_cold(target, now) for target in there):
             return True
@@ -202,35 +199,36 @@
         targets = self.targets(service)
         if not targets:
             return Lack.UNKNOWN
-        targets = tuple(target for target in targets if route.allows(target.place.region))
-        if not targets:
+        if not any(route.allows(target.place.region) for target in targets):
             return Lack.HOMES
-        targets = tuple(target for target in targets if not target.barred)
-        if not targets:
+        open_targets = self._open_targets(service, route)
+        if not open_targets:
             return Lack.BARRED
-        if all(self._is_held_cold(target, now) for target in targets):
+        if all(self._is_held_cold(target, now) for target in open_targets):
             return Lack.COLD
         return Lack.TRIED
 
     def may_ask_soon(self, service: str, route: RouteKey, now: float) -> bool:
         """Return whether a cold target may get the next request within a second."""
         return self._cold is not None and any(
-            route.allows(target.place.region)
-            and not target.barred
-            and self._is_held_cold(target, now)
-            and self._cold.part(target, now) > 0
-            for target in self.targets(service)
+            self._is_held_cold(target, now) and self._cold.part(target, now) > 0
+            for target in self._open_targets(service, route)
         )
 
     def warm_in_s(self, service: str, route: RouteKey, now: float) -> float:
         """Return in how many seconds the first target is warm if all are held as cold, else 0."""
         if self.lack(service, route, now) is not Lack.COLD:
             return 0.0
-        return min(
-            self._cold_until(target) - now
+        open_targets = self._open_targets(service, route)
+        return min(self._cold_until(target) - now for target in open_targets)
+
+    def _open_targets(self, service: str, route: RouteKey) -> list[Target]:
+        """Return the targets that a route's homes allow and that may get new requests."""
+        return [
+            target
             for target in self.targets(service)
             if route.allows(target.place.region) and not target.barred
-        )
+        ]
 
     def _all_targets(self) -> Iterable[Target]:
         return chain.from_iterable(self._targets_by_service.values())
@@ -254,6 +252,13 @@
                 record = self._record(target)
                 record.cold_until = max(record.cold_until, now + lasts_s)
 
+    def _is_in_use(self, target: Target, now: float) -> bool:
+        """Return whether a target may get new requests and is no last resort."""
+        if target.barred or target.doubtful:
+            return False
+        record = self._record(target)
+        return not record.is_out(now) and record.gone_until <= now
+
     def _may_ask(self, target: Target, now: float) -> bool:
         """Return whether a target may get a request at all."""
         if target.barred or self._record(target).gone_until > now:
