Share the credit of the policy models and name their kinds once

credit_share stood in bench/policy.py and bench/policy_shifted.py; a context manager only wrapped one patch.

--- a/bench/policy.py
+++ b/bench/policy.py
@@ -8,7 +8,7 @@
 from typing import Final, NamedTuple
 from unittest.mock import patch
 
-from bench.policy_fleet import Kind, ModelFleet, Tally
+from bench.policy_fleet import Kind, ModelFleet, Tally, credit_share
 from bench.policy_targets import Trouble
 from bench.report import Report, Series
 from trackwheel.relay import peers
@@ -24,6 +24,7 @@
 SHARDS: Final = 60
 SWEEP: Final = Kind("sweep", 18.0, 0.03, 0.335, 2.0, 0.95, 2.0)
 URGENT: Final = Kind("urgent", 6.0, 0.01, 0.112, 1.0, 0.85, 1.0)
+KINDS: Final = [SWEEP, URGENT]
 SECONDS: Final = 8.0
 TROUBLE: Final = (2.0, 6.0)
 SEEDS: Final = (1,)
@@ -85,7 +86,7 @@
                 server.troubles.append(Trouble(*TROUBLE, scenario.factor))
             elif drawn < scenario.slow_share + scenario.dead_share:
                 server.troubles.append(Trouble(*TROUBLE, 0.0))
-        return fleet.play([SWEEP, URGENT], seconds)
+        return fleet.play(KINDS, seconds)
 
 
 def _targets(shard: str, number: int) -> tuple[Target, ...]:
@@ -97,14 +98,6 @@
     )
 
 
-def credit_share(tally_by_kind: dict[str, Tally]) -> float:
-    """Return the part of the credit earned over all kinds, each by its worth."""
-    kinds = (SWEEP, URGENT)
-    owed = sum(tally_by_kind[kind.name].asked * kind.worth for kind in kinds)
-    earned = sum(tally_by_kind[kind.name].credit * kind.worth for kind in kinds)
-    return earned / owed
-
-
 def measure(long: bool) -> Report:
     """Play each scenario with each variant, paired by seed."""
     seeds = MORE_SEEDS if long else SEEDS
@@ -115,7 +108,7 @@
         shares: list[float] = []
         for scenario in SCENARIOS:
             plays = [play(scenario, variant, seed, SECONDS) for seed in seeds]
-            found = [credit_share(tallies) for tallies in plays]
+            found = [credit_share(KINDS, tallies) for tallies in plays]
             shares.append(sum(found) / len(found))
             rows.append((f"{scenario.name}, {variant.name}", _row(found, plays)))
             figures[f"{scenario.name}/{variant.name}".replace(" ", "_")] = shares[-1]
--- a/bench/policy_fleet.py
+++ b/bench/policy_fleet.py
@@ -71,6 +71,13 @@
         return self.credit / max(1, self.asked)
 
 
+def credit_share(kinds: list[Kind], tally_by_kind: dict[str, Tally]) -> float:
+    """Return the part of the credit earned over all kinds, each by its worth."""
+    owed = sum(tally_by_kind[kind.name].asked * kind.worth for kind in kinds)
+    earned = sum(tally_by_kind[kind.name].credit * kind.worth for kind in kinds)
+    return earned / owed
+
+
 def delay_s(one: Place, other: Place) -> float:
     """Return the time of one way between two places."""
     if one == other:
--- a/bench/policy_shifted.py
+++ b/bench/policy_shifted.py
@@ -8,13 +8,12 @@
 that are lost, targets that fall silent, a failure domain that is evacuated.
 """
 
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable
 from random import Random
 from typing import Final, NamedTuple
 from unittest.mock import patch
 
-from bench.policy_fleet import Kind, ModelFleet, Tally
+from bench.policy_fleet import Kind, ModelFleet, Tally, credit_share
 from bench.policy_targets import Habits, Trouble
 from bench.report import Report, Series
 from trackwheel.relay import asking, attempts
@@ -31,6 +30,7 @@
 SHARDS: Final = 90
 SWEEP: Final = Kind("sweep", 14.5, 0.0112, 0.115, 1.02, 0.95, 2.0)
 URGENT: Final = Kind("urgent", 8.4, 0.00375, 0.0857, 0.81, 0.85, 1.0)
+KINDS: Final = [SWEEP, URGENT]
 HABITS: Final = Habits(0.12, 3.0, 0.03, 4.0, 0.5)
 EXTRA: Final = 160.0
 SECONDS: Final = 8.0
@@ -87,22 +87,15 @@
 )
 
 
-@contextmanager
-def _decided(variant: Variant) -> Iterator[None]:
-    """Put one way of a decision in the place of the product's own."""
-    with patch.object(asking, "hedge_time", variant.hedge):
-        yield
-
-
 def play(scenario: Scenario, variant: Variant, seed: int, seconds: float) -> dict[str, Tally]:
     """Return how the queries of one play ended, by kind."""
     random = Random(seed)
-    with _decided(variant):
+    with patch.object(asking, "hedge_time", variant.hedge):
         fleet = make_fleet(seed)
         for server in fleet.target_by_instance.values():
             if random.random() < scenario.share:
                 server.troubles.append(scenario.trouble)
-        return fleet.play([SWEEP, URGENT], seconds)
+        return fleet.play(KINDS, seconds)
 
 
 def make_fleet(seed: int) -> ModelFleet:
@@ -124,14 +117,6 @@
     )
 
 
-def credit_share(tally_by_kind: dict[str, Tally]) -> float:
-    """Return the part of the credit earned over both kinds, each by its worth."""
-    kinds = (SWEEP, URGENT)
-    owed = sum(tally_by_kind[kind.name].asked * kind.worth for kind in kinds)
-    earned = sum(tally_by_kind[kind.name].credit * kind.worth for kind in kinds)
-    return earned / owed
-
-
 def measure(long: bool) -> Report:
     """Play each scenario with each variant, paired by seed; figures are differences too."""
     seeds = MORE_SEEDS if long else SEEDS
@@ -142,7 +127,7 @@
     for variant in VARIANTS:
         shares: list[float] = []
         for scenario in SCENARIOS:
-            found = [credit_share(play(scenario, variant, seed, SECONDS)) for seed in seeds]
+            found = [credit_share(KINDS, play(scenario, variant, seed, SECONDS)) for seed in seeds]
             base = base_by_scenario.setdefault(scenario.name, found)
             shares.append(sum(found) / len(found))
             rows.append((f"{scenario.name}, {variant.name}", _row(found, base)))
--- a/tests/relay/test_policy_shifted.py
+++ b/tests/relay/test_policy_shifted.py
@@ -6,14 +6,13 @@
 
 import pytest
 
+from bench.policy_fleet import credit_share
 from bench.policy_shifted import (
+    KINDS,
     PLACES,
     SCENARIOS,
-    SWEEP,
-    URGENT,
     VARIANTS,
     Scenario,
-    credit_share,
     make_fleet,
     play,
 )
@@ -27,14 +26,14 @@
     ("scenario", "least"), list(zip(SCENARIOS, LEASTS, strict=True)), ids=lambda v: str(v)[:40]
 )
 def test_named_loads_earn_what_they_did(scenario: Scenario, least: float) -> None:
-    assert credit_share(play(scenario, VARIANTS[0], 1, SECONDS)) >= least
+    assert credit_share(KINDS, play(scenario, VARIANTS[0], 1, SECONDS)) >= least
 
 
 @pytest.mark.parametrize("homes", [{"r1"}, {"r2", "r3"}], ids=sorted)
 def test_whole_fleet_keeps_to_the_homes(homes: set[str]) -> None:
     """Sixty boxes hand shards to each other, ask again what pauses, and never leave the homes."""
     fleet = make_fleet(1)
-    kinds = [kind._replace(homes=frozenset(homes)) for kind in (SWEEP, URGENT)]
+    kinds = [kind._replace(homes=frozenset(homes)) for kind in KINDS]
     tallies = fleet.play(kinds, SECONDS)
     asked = {t.target.place.region for t in fleet.target_by_instance.values() if t.arrivals}
     assert asked == homes
@@ -54,6 +53,6 @@
     arrived: list[int] = []
     # The longest deadline and a way later, nothing that was under way can arrive any more.
     fleet.agenda.at(1.2, lambda: arrived.append(sum(target.arrivals for target in there)))
-    tallies = fleet.play([SWEEP, URGENT], SECONDS)
+    tallies = fleet.play(KINDS, SECONDS)
     assert sum(target.arrivals for target in there) == arrived[0] > 0
     assert all(tally.failed <= tally.asked / 20 for tally in tallies.values())
