Tell the content of requests under which targets close connections

Ruled out: logging paths (they may hold what callers search for). Change: an end without any byte of an answer is an outcome of its own (closed, was broken); target_closed tells the fingerprint of the content, the target, how long it ran, what else was there; failed requests that ran tell it too. Two tests that expected broken for such an end expect closed, and broken still for silence.

--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -92,7 +92,8 @@
         pytest.param(plays(UNFRAMED, then="reset"), EndKind.BROKEN, 2, id="reset-is-not-an-end"),
         pytest.param(plays(OK[:-1], then="end"), EndKind.BROKEN, 2, id="cut-short"),
         pytest.param(plays(OK[:20], then="reset"), EndKind.BROKEN, 2, id="cut-in-the-headers"),
-        pytest.param(plays(b"", then="end"), EndKind.BROKEN, 2, id="closed-without-answer"),
+        pytest.param(plays(b"", then="end"), EndKind.CLOSED, 2, id="closed-without-answer"),
+        pytest.param(plays(b"", then="reset"), EndKind.CLOSED, 2, id="reset-without-answer"),
         pytest.param(plays(b"rubbish\r\n\r\n"), EndKind.BROKEN, 2, id="not-http"),
         pytest.param(plays(FOREIGN), EndKind.BROKEN, 2, id="answer-to-another-request"),
         pytest.param(plays(OK + OK), EndKind.ANSWERED, 2, id="surplus-answer"),
@@ -230,11 +231,13 @@
 
 
 @pytest.mark.parametrize(
-    ("error", "kept"),
-    [(TimeoutError(), 0), (ConnectionResetError(), 1)],
+    ("error", "kind", "kept"),
+    [(TimeoutError(), EndKind.BROKEN, 0), (ConnectionResetError(), EndKind.CLOSED, 1)],
     ids=["silent", "reset"],
 )
-def test_idle_connections_go_with_one_that_went_silent(run: Run, error: OSError, kept: int) -> None:
+def test_idle_connections_go_with_one_that_went_silent(
+    run: Run, error: OSError, kind: EndKind, kept: int
+) -> None:
     """Connections to one target mostly go silent together; each would cost its time-out."""
 
     async def scenario() -> None:
@@ -245,7 +248,7 @@
             await asyncio.sleep(0)
             (connection,) = pool._connection_by_token.values()
             connection.connection_lost(error)
-            assert (await asked).kind is EndKind.BROKEN
+            assert (await asked).kind is kind
             assert len(pool._idle) == kept
             pool.close()
 
--- a/trackwheel/http1/client.py
+++ b/trackwheel/http1/client.py
@@ -56,6 +56,7 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
         self._ended_by_close = False
+        self._answer_began = False
         self.idle_since = 0.0
         self.reuse_s = DEFAULT_REUSE_S
         self.silent = False
@@ -80,6 +81,7 @@
         self._on_end = on_end
         self._check = check
         self._head_only = request.method == b"HEAD"
+        self._answer_began = False
         self._transport.write(encode_request(request))
 
     def abandon(self) -> None:
@@ -92,6 +94,7 @@
         if self._on_end is None or self._parser is None:
             self._close()
             return
+        self._answer_began = True
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -114,7 +117,10 @@
         self._close()
         if self._on_end is not None:
             detail = f"connection lost: {exc!r}" if exc else "closed by the target"
-            self._result = ExchangeEnd(EndKind.BROKEN, None, detail)
+            # Silence says nothing of the target; what began to answer is no sudden end.
+            closed = not self.silent and not self._answer_began
+            kind = EndKind.CLOSED if closed else EndKind.BROKEN
+            self._result = ExchangeEnd(kind, None, detail)
             self._deliver()
 
     def on_message_begin(self) -> None:
--- a/trackwheel/http1/models.py
+++ b/trackwheel/http1/models.py
@@ -37,10 +37,14 @@
 
 
 class EndKind(StrEnum):
-    """Say how an exchange with a target ended."""
+    """Say how an exchange with a target ended.
+
+    `CLOSED` says that the target ended the connection before a byte of an answer came.
+    """
 
     ANSWERED = "answered"
     NOT_SENT = "not_sent"
+    CLOSED = "closed"
     BROKEN = "broken"
 
 
--- a/trackwheel/relay/board.py
+++ b/trackwheel/relay/board.py
@@ -97,6 +97,10 @@
         """Return the usual time of a route's answers (seconds)."""
         return self._paces.get(route.name, far, route.aim_s).usual_s
 
+    def in_flight(self, target: Target) -> int:
+        """Return how many requests of this box the target has not answered yet."""
+        return len(self._record(target).flight_by_token)
+
     def sent(self, target: Target, token: object, route: RouteKey, now: float) -> None:
         """Take that a request went to a target."""
         record = self._record(target)
--- a/trackwheel/relay/models.py
+++ b/trackwheel/relay/models.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple, Protocol
 
 from trackwheel.http1.models import Headers, Request, Response
+from trackwheel.relay.fingerprint import fingerprint
 
 
 class Place(NamedTuple):
@@ -69,13 +70,18 @@
 
 
 class Outcome(StrEnum):
-    """Say how one request to one target ended."""
+    """Say how one request to one target ended.
+
+    `CLOSED` says that the target ended the connection under the request, without any answer: it may
+    have ended itself.
+    """
 
     OK = "ok"
     FAILED = "failed"
     NOT_RUN = "not_run"
     ELSEWHERE = "elsewhere"
     NOT_SENT = "not_sent"
+    CLOSED = "closed"
     BROKEN = "broken"
 
 
@@ -103,6 +109,11 @@
     deadline: float
     http: Request
 
+    @property
+    def fingerprint(self) -> bytes:
+        """Return what is the same in each attempt at this request, at every box."""
+        return fingerprint(self.host, self.http.method, self.http.target, self.http.body)
+
 
 class Part(NamedTuple):
     """The answer of one shard: its signature and its greatest records."""
--- a/trackwheel/relay/service.py
+++ b/trackwheel/relay/service.py
@@ -215,6 +215,8 @@
             "aim_ms": round(route.aim_s * MILLISECONDS),
             "deadline_ms": round((request.deadline - request.http.arrived) * MILLISECONDS),
         }
+        if isinstance(result, GatherFailed | SingleFailed) and result.ran:
+            common["fingerprint"] = request.fingerprint.hex()
         if route.homes:
             common["homes"] = ",".join(sorted(route.homes))
         match result:
--- a/trackwheel/relay/transport.py
+++ b/trackwheel/relay/transport.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable
-from typing import NamedTuple, Protocol
+from typing import Final, NamedTuple, Protocol
 
 from trackwheel.http1.models import EndKind, ExchangeEnd, Request, Response
 from trackwheel.http1.pool import Job, TargetPool
@@ -10,6 +10,7 @@
 from trackwheel.relay.models import CallerRequest, Life, Outcome, RouteKey, Target, TargetEnd, Wire
 from trackwheel.settings import split_address
 from trackwheel.telemetry.events import EventLog
+from trackwheel.units import MILLISECONDS
 
 DEFAULT_CONNECTIONS = 8
 """Connections to a target of a service that the configuration does not name."""
@@ -18,6 +19,13 @@
 LEAST_CONNECTIONS = 2
 """Connections that a box may have to a target in any case."""
 
+_OUTCOME_BY_KIND: Final = {
+    EndKind.NOT_SENT: Outcome.NOT_SENT,
+    EndKind.CLOSED: Outcome.CLOSED,
+    EndKind.BROKEN: Outcome.BROKEN,
+}
+"""How a request ended without an answer."""
+
 OnTargetEnd = Callable[[TargetEnd], None]
 OnAnyEnd = Callable[[Target, Outcome, float], None]
 """Take how a request to a target ended that was sent at a time (monotonic seconds)."""
@@ -99,7 +107,7 @@
             belief = self._board.ended(
                 target, sending.token, result.outcome, result.load, self._clock(), result.cold_s
             )
-            self._write(sending, result, belief)
+            self._write(sending, result, belief, sent_at)
             for handler in self._on_any_end:
                 handler(target, result.outcome, sent_at)
             on_end(result)
@@ -113,7 +121,9 @@
         if pool is not None:
             pool.cancel(token)
 
-    def _write(self, sending: Sending, end: TargetEnd, belief: TargetBelief | None) -> None:
+    def _write(
+        self, sending: Sending, end: TargetEnd, belief: TargetBelief | None, sent_at: float
+    ) -> None:
         """Write what failed at a target, and what is believed of the target from now on."""
         target = sending.target
         if end.outcome is not Outcome.OK:
@@ -126,6 +136,17 @@
                 detail=end.detail,
                 why_sent=sending.reason,
             )
+        if end.outcome is Outcome.CLOSED:
+            # A kind of its own: refused connections in their hundreds would use up its lines.
+            self._log.write(
+                "target_closed",
+                id=sending.request.request_id,
+                fingerprint=sending.request.fingerprint.hex(),
+                target=target.instance,
+                service=target.service,
+                ran_ms=round((self._clock() - sent_at) * MILLISECONDS, 1),
+                others_here=self._board.in_flight(target),
+            )
         if belief is not None:
             self._log.write(
                 "target_belief",
@@ -138,8 +159,7 @@
     def _read(self, end: ExchangeEnd, single: bool) -> TargetEnd:
         if end.answer is not None:
             return self._wire.read_end(end.answer, single)
-        outcome = Outcome.NOT_SENT if end.kind is EndKind.NOT_SENT else Outcome.BROKEN
-        return TargetEnd(outcome, None, b"", None, end.detail)
+        return TargetEnd(_OUTCOME_BY_KIND[end.kind], None, b"", None, end.detail)
 
     def _pool(self, target: Target) -> TargetPool:
         pool = self._pool_by_life.get(target.life)
