Hold requests that end the targets which run them, at all boxes together

Cause: the end of a target was booked to the target alone. The request went on to the second target of each shard, through peers, by its client to another box, and came back as a new request; budgets of repeats count it as new each time. Its class: what is learnt of an outcome is kept by target and by attempt, never by the content of the request. Ruled out: targets that end for a reason of their own (no order; only targets that run one content end; none of them answered it); budgets as the limit (the first sends alone are enough). Held requests are refused at once (503, not run, Retry-After). A query under which targets end asks no second target before anything has answered.

--- a/tests/relay/test_gather.py
+++ b/tests/relay/test_gather.py
@@ -22,7 +22,7 @@
     SendPart,
 )
 from trackwheel.relay.grouping import GroupPlanner
-from trackwheel.relay.models import Outcome, Part
+from trackwheel.relay.models import OPEN_GATE, Outcome, Part, SendGate
 from trackwheel.relay.peers import PeerBoard, PeerBox
 
 SHARDS = tuple(f"s{number}" for number in range(10))
@@ -65,9 +65,20 @@
         partial: bool = False,
         repeat: bool = False,
         elsewhere: Regrouping | None = None,
+        gate: SendGate = OPEN_GATE,
     ) -> None:
         plan = GatherPlan(
-            ROUTE, SHARDS, TOP_K, groups, least, max_attempts, ANSWER_AT, END_AT, partial, repeat
+            ROUTE,
+            SHARDS,
+            TOP_K,
+            groups,
+            least,
+            max_attempts,
+            ANSWER_AT,
+            END_AT,
+            partial,
+            repeat,
+            gate,
         )
         self.gather = Gather(plan, board, budget, elsewhere)
         self.open: dict[int, SendPart] = {}
@@ -199,6 +210,7 @@
         pytest.param(Outcome.ELSEWHERE, False, id="elsewhere"),
         pytest.param(Outcome.NOT_SENT, False, id="no-connection"),
         pytest.param(Outcome.FAILED, True, id="failed"),
+        pytest.param(Outcome.CLOSED, True, id="closed"),
         pytest.param(Outcome.BROKEN, True, id="broken"),
     ],
 )
--- a/tests/relay/test_service.py
+++ b/tests/relay/test_service.py
@@ -30,7 +30,7 @@
         part: Any = None
         groups: Any = SimpleNamespace(peer_board=None)
         wire = PlatformWire(LoadReader(log))
-        self.relay = RelayService(wire, part, part, part, groups, log, part, HERE, "o:1")
+        self.relay = RelayService(wire, part, part, part, groups, part, log, part, HERE, "o:1")
 
     async def ask(self) -> Any:
         exchange: Any = ClientExchange(self.answers)
--- a/tests/relay/test_single.py
+++ b/tests/relay/test_single.py
@@ -17,7 +17,7 @@
 )
 
 NOT_RUN = [Outcome.NOT_RUN, Outcome.ELSEWHERE, Outcome.NOT_SENT]
-MAY_HAVE_RUN = [Outcome.FAILED, Outcome.BROKEN]
+MAY_HAVE_RUN = [Outcome.FAILED, Outcome.CLOSED, Outcome.BROKEN]
 
 
 class Session:
--- a/trackwheel/entry/box.py
+++ b/trackwheel/entry/box.py
@@ -31,6 +31,8 @@
 from trackwheel.platform.settings import BoxSettings
 from trackwheel.platform.store import StoreClient
 from trackwheel.platform.wire import PlatformWire
+from trackwheel.quarantine.models import QUARANTINE_MESSAGES
+from trackwheel.quarantine.service import Quarantine
 from trackwheel.relay.board import Board
 from trackwheel.relay.budget import RepeatBudget
 from trackwheel.relay.cold import ColdAllowance, ColdService
@@ -52,6 +54,7 @@
     *DIRECTORY_MESSAGES,
     *RELAY_MESSAGES,
     *NEWS_MESSAGES,
+    *QUARANTINE_MESSAGES,
 )
 
 
@@ -104,8 +107,16 @@
         self.transport = TargetTransport(wire, self.board, time.monotonic, self.log)
         self.telling = TargetTelling(self.hub, TargetNews(self.board), self.transport, self.log)
         self.groups = PeerGroups(self.hub, wire, self.log)
+        self.quarantine = Quarantine(self.hub, self.log)
+        self.transport.on_any_end(self.quarantine.ended)
         self.taken = TakenGroups(
-            self.hub, self.board, self.budget, self.transport, self.groups, self.log
+            self.hub,
+            self.board,
+            self.budget,
+            self.transport,
+            self.groups,
+            self.quarantine,
+            self.log,
         )
         self.relay = RelayService(
             wire,
@@ -113,6 +124,7 @@
             self.budget,
             self.transport,
             self.groups,
+            self.quarantine,
             self.log,
             self.figures,
             place,
@@ -137,6 +149,7 @@
                 self.budget,
                 self.loads,
                 self.hub,
+                self.quarantine,
                 self.clients,
                 self.log,
             ),
@@ -173,7 +186,9 @@
             for m in self.fleet.watchers()
             if m.failure_domain != own.failure_domain and m.address != own.address
         ]
-        self.directory.set_peers(self.fleet.watchers_before(own), near, far_watchers)
+        before = self.fleet.watchers_before(own)
+        self.directory.set_peers(before, near, far_watchers)
+        self.quarantine.set_boxes(near, far_watchers, tells_again=not before)
         boxes = [
             PeerBox(m.address, Place(m.region, m.failure_domain), m.speed)
             for m in members
--- a/trackwheel/entry/figures.py
+++ b/trackwheel/entry/figures.py
@@ -7,6 +7,7 @@
 from trackwheel.http1.server import ServerState
 from trackwheel.peers.hub import Hub
 from trackwheel.platform.load import LoadReader
+from trackwheel.quarantine.service import Quarantine
 from trackwheel.relay.budget import RepeatBudget
 from trackwheel.relay.service import RelayService
 from trackwheel.relay.transport import TargetTransport
@@ -24,6 +25,7 @@
     budget: RepeatBudget
     loads: LoadReader
     hub: Hub
+    quarantine: Quarantine
     clients: ServerState
     log: EventLog
 
@@ -65,6 +67,11 @@
             "Failure domains whose targets get nothing more",
             lambda: float(len(directory.evacuated)),
         ),
+        (
+            "requests_held",
+            "Requests that are kept from targets since targets end under them",
+            lambda: float(box.quarantine.held),
+        ),
         ("peer_bytes", "Bytes sent to boxes", lambda: float(box.hub.bytes_sent)),
         ("under_way", "Requests under way", lambda: float(box.clients.busy)),
         ("lines_dropped", "Log lines dropped", lambda: float(box.log.dropped)),
--- a/trackwheel/entry/run.py
+++ b/trackwheel/entry/run.py
@@ -33,6 +33,7 @@
         await tasks.start(box.hub.run)
         tasks.start_soon(box.fleet.run)
         tasks.start_soon(box.directory.run)
+        tasks.start_soon(box.quarantine.run)
         tasks.start_soon(_write_summaries, box)
         clients = await _listen(box.clients, box.settings.clients)
         await _listen(box.readiness, box.settings.readiness)
--- /dev/null
+++ b/trackwheel/quarantine/models.py
@@ -0,0 +1,65 @@
+"""What boxes tell each other of requests under which targets ended, and what is decided."""
+
+from typing import NamedTuple
+
+from trackwheel.relay.models import Life
+
+
+class EndsUnder(NamedTuple):
+    """Name the targets that ended under a request at the sender."""
+
+    fingerprint: bytes
+    lives: list[Life]
+
+
+class CrashReport(NamedTuple):
+    """Tell under which requests targets ended, none of which was answered at the sender."""
+
+    rows: list[EndsUnder]
+
+
+class RequestsAnswered(NamedTuple):
+    """Tell that targets have answered requests, which therefore end none."""
+
+    fingerprints: list[bytes]
+
+
+class HeldRequest(NamedTuple):
+    """Say how much longer a request is held (milliseconds)."""
+
+    fingerprint: bytes
+    left_ms: float
+
+
+class RequestsHeld(NamedTuple):
+    """Tell which requests are held."""
+
+    rows: list[HeldRequest]
+
+
+QUARANTINE_MESSAGES = (CrashReport, RequestsAnswered, RequestsHeld)
+
+Message = CrashReport | RequestsAnswered | RequestsHeld
+
+
+class TellAll(NamedTuple):
+    """Command: tell every box."""
+
+    message: Message
+
+
+class Held(NamedTuple):
+    """Command: write down that a request is held, after how many ends, for how long (seconds)."""
+
+    fingerprint: bytes
+    ends: int
+    for_s: float
+
+
+class Cleared(NamedTuple):
+    """Command: write down that a request that was held goes to targets again."""
+
+    fingerprint: bytes
+
+
+Command = TellAll | Held | Cleared
--- /dev/null
+++ b/trackwheel/quarantine/service.py
@@ -0,0 +1,153 @@
+"""The shell of the quarantine: what ends at this box goes in, what is decided goes to all boxes."""
+
+import time
+from collections.abc import Iterable
+from typing import Final
+
+import anyio
+
+from trackwheel.peers.hub import Hub
+from trackwheel.peers.models import PeerIdentity
+from trackwheel.quarantine.const import TELL_AGAIN_S
+from trackwheel.quarantine.models import (
+    Cleared,
+    CrashReport,
+    Held,
+    Message,
+    RequestsAnswered,
+    RequestsHeld,
+    TellAll,
+)
+from trackwheel.quarantine.suspects import Suspects
+from trackwheel.relay.models import Outcome, Passage
+from trackwheel.relay.timer import Timer
+from trackwheel.relay.transport import Sending
+from trackwheel.telemetry.events import EventLog
+
+LIVED: Final = frozenset({Outcome.OK, Outcome.FAILED})
+"""Outcomes that a target wrote itself after it had run the request, so that it lives on."""
+
+
+class RequestGate:
+    """Know whether one request may go to targets."""
+
+    def __init__(self, suspects: Suspects, request: bytes) -> None:
+        self._suspects = suspects
+        self._request = request
+
+    def passage(self, now: float) -> Passage:
+        """Return whether it may be sent at a time (monotonic seconds)."""
+        return self._suspects.passage(self._request, now)
+
+
+class Quarantine:
+    """Keep requests that end targets from them, together with the other boxes."""
+
+    def __init__(self, hub: Hub, log: EventLog) -> None:
+        self._hub = hub
+        self._log = log
+        self._suspects = Suspects()
+        self._timer = Timer(self._act)
+        self._near: tuple[str, ...] = ()
+        self._far: tuple[str, ...] = ()
+        self._tells_again = False
+        hub.register(CrashReport, self._take_report)
+        hub.register(RequestsAnswered, self._take_answered)
+        hub.register(RequestsHeld, self._take_held)
+
+    @property
+    def held(self) -> int:
+        """Return how many requests are held."""
+        return self._suspects.held
+
+    def set_boxes(self, near: Iterable[str], far: Iterable[str], tells_again: bool) -> None:
+        """Take the boxes of the own failure domain, those of others that pass news on to theirs.
+
+        `tells_again` says that this box is one of the few that make up for lost news.
+        """
+        self._near, self._far = tuple(near), tuple(far)
+        self._tells_again = tells_again
+
+    def gate(self, request: bytes) -> RequestGate:
+        """Return what knows whether a request may go to targets."""
+        return RequestGate(self._suspects, request)
+
+    def holds(self, request: bytes) -> bool:
+        """Return whether a request may go to no target for the time being."""
+        return self._suspects.passage(request, time.monotonic()) is Passage.SHUT
+
+    def waits_s(self, request: bytes) -> float:
+        """Return in how many seconds a request may be tried again, 0 for now."""
+        return self._suspects.waits_s(request, time.monotonic())
+
+    def ended(self, sending: Sending, outcome: Outcome, sent_at: float) -> None:
+        """Take how a request ended at a target."""
+        now = time.monotonic()
+        if outcome in LIVED:
+            self._suspects.answered(sending.fingerprint, now)
+        elif outcome is Outcome.CLOSED:
+            self._suspects.closed(sending.fingerprint, sending.target.life, now)
+        else:
+            return
+        self._wake()
+
+    def tell(self, address: str) -> None:
+        """Tell one box which requests are held."""
+        self._hub.send(address, self._suspects.held_requests(time.monotonic()))
+
+    async def run(self) -> None:
+        """Make up for lost news, and forget what is over, until cancelled."""
+        while True:
+            await anyio.sleep(TELL_AGAIN_S)
+            now = time.monotonic()
+            self._suspects.forget_answers(now)
+            self._act()
+            if self._tells_again and self.held:
+                self._tell_all(self._suspects.held_requests(now))
+
+    def _wake(self) -> None:
+        """Act when something is due; mostly nothing is."""
+        wake_at = self._suspects.next_wake()
+        if wake_at < float("inf"):
+            self._timer.set(wake_at)
+
+    def _act(self) -> None:
+        for command in self._suspects.tick(time.monotonic()):
+            match command:
+                case TellAll(message):
+                    self._tell_all(message)
+                case Held(request, ends, for_s):
+                    self._log.write(
+                        "request_held",
+                        fingerprint=request.hex(),
+                        ends=ends,
+                        for_s=round(for_s, 1),
+                    )
+                case Cleared(request):
+                    self._log.write("request_cleared", fingerprint=request.hex())
+        self._wake()
+
+    def _tell_all(self, message: Message) -> None:
+        for address in self._near + self._far:
+            self._hub.send(address, message)
+
+    def _pass_on(self, sender: PeerIdentity, message: Message) -> None:
+        """Pass news from another failure domain on to the boxes of the own one."""
+        if sender.failure_domain != self._hub.identity.failure_domain:
+            for address in self._near:
+                self._hub.send(address, message)
+
+    def _take_report(self, sender: PeerIdentity, report: CrashReport) -> None:
+        self._suspects.take_report(report, time.monotonic())
+        self._pass_on(sender, report)
+        self._wake()
+
+    def _take_answered(self, sender: PeerIdentity, news: RequestsAnswered) -> None:
+        self._suspects.take_answered(news, time.monotonic())
+        self._pass_on(sender, news)
+        self._wake()
+
+    def _take_held(self, sender: PeerIdentity, news: RequestsHeld) -> None:
+        self._suspects.take_held(news, time.monotonic())
+        self._pass_on(sender, news)
+        self._wake()
--- a/trackwheel/relay/asking.py
+++ b/trackwheel/relay/asking.py
@@ -42,11 +42,19 @@
             return asked
         in_time = now < self._plan.answer_at
         # Peers that may not ask a target now may in a while; each look costs a message.
-        paces = RETRY_PACES if in_time and reason != DECLINED else LATE_RETRY_PACES
-        again_at = now + paces * self._board.usual_s(self._plan.route, far=False)
+        again_at = self._again_at(in_time and reason != DECLINED, now)
         self._put_off(name, asked, in_time, again_at, now)
         return None
 
+    def hold_back(self, name: str, now: float) -> None:
+        """Ask nobody for a shard now, and look at it again soon."""
+        self._shards.hold_back(name, self._again_at(now < self._plan.answer_at, now))
+
+    def _again_at(self, soon: bool, now: float) -> float:
+        """Return when a shard that may not be asked for now is looked at again."""
+        paces = RETRY_PACES if soon else LATE_RETRY_PACES
+        return now + paces * self._board.usual_s(self._plan.route, far=False)
+
     def ended(self, token: int) -> str | None:
         """Return the shard of a request that ended; None when it was withdrawn."""
         return self._shard_name_by_token.pop(token, None)
--- a/trackwheel/relay/attempts.py
+++ b/trackwheel/relay/attempts.py
@@ -11,7 +11,15 @@
     MAX_SENDS,
     REFUSED_REST_PACES,
 )
-from trackwheel.relay.models import NOTHING_RAN, Outcome, RouteKey, Target
+from trackwheel.relay.models import (
+    NOTHING_RAN,
+    OPEN_GATE,
+    Outcome,
+    Passage,
+    RouteKey,
+    SendGate,
+    Target,
+)
 
 NEVER: Final = float("inf")
 
@@ -30,9 +38,19 @@
 class Attempts:
     """Follow which targets were asked, how many may have run it, and what it has cost."""
 
-    def __init__(self, service: str, max_attempts: int, repeat: bool = False) -> None:
-        """Begin; with `repeat`, it was asked before and only targets beside this box are asked."""
+    def __init__(
+        self,
+        service: str,
+        max_attempts: int,
+        repeat: bool = False,
+        gate: SendGate = OPEN_GATE,
+    ) -> None:
+        """Begin; with `repeat`, it was asked before and only targets beside this box are asked.
+
+        `gate` knows whether the request may go to targets at all.
+        """
         self._service = service
+        self._gate = gate
         self._max_attempts = max_attempts
         self._only_beside = repeat
         self._tried: set[str] = set()
@@ -113,8 +131,11 @@
 
         `needed` says that the answer fails without this.
         """
-        if not self.may_run:
+        passage = self._gate.passage(now)
+        if passage is Passage.SHUT or not self.may_run:
             return Refusal.NO_MORE
+        if passage is Passage.WAIT:
+            return Refusal.NOT_NOW
         choices = self._rank(board, route, now)
         if not choices and board.may_ask_soon(self._service, route, now):
             return Refusal.NOT_NOW
--- a/trackwheel/relay/gather.py
+++ b/trackwheel/relay/gather.py
@@ -13,10 +13,12 @@
 """
 
 from collections.abc import Sequence
+from typing import Final
 
 from trackwheel.relay.asking import DECLINED, ShardAsking
 from trackwheel.relay.board import Board
 from trackwheel.relay.budget import RepeatBudget
+from trackwheel.relay.closings import Closings
 from trackwheel.relay.const import DECLINE_PACES, LOGGED_SHARDS
 from trackwheel.relay.gather_models import (
     CancelGroup,
@@ -30,10 +32,13 @@
     SendGroup,
 )
 from trackwheel.relay.handed import HandedGroup, HandedGroups
-from trackwheel.relay.models import Part, TargetEnd
+from trackwheel.relay.models import Outcome, Part, Passage, TargetEnd
 from trackwheel.relay.parts import PartsIn
 from trackwheel.relay.shards import ShardBook
 
+ENDS_TARGETS: Final = "targets end under it"
+"""Why a query is given up that is held."""
+
 
 class Gather:
     """Decide, from events and the time, what one query sends and when it ends."""
@@ -53,6 +58,7 @@
         self.parts = PartsIn(plan.shards, plan.top_k)
         self._asking = ShardAsking(plan, board, budget, self._shards, self._groups)
         self._peers_ran = False
+        self._closings = Closings()
         self._commands: list[GatherCommand] = []
         self.ended = False
 
@@ -126,7 +132,12 @@
         where = shard.attempts.target_by_token[token].instance
         shard.last_failure = f"{end.outcome.value} at {where}"
         shard.attempts.fail(token, end.outcome, now)
-        self._ask(name, end.outcome.value, now)
+        if end.outcome is Outcome.CLOSED:
+            self._closings.own += 1
+        if self._is_doubtful():
+            self._asking.hold_back(name, now)
+        else:
+            self._ask(name, end.outcome.value, now)
         return self._finish_or_go_on(now)
 
     def group_accepted(self, number: int) -> None:
@@ -143,15 +154,18 @@
         final: bool,
         ran: bool,
         now: float,
+        closed: int = 0,
     ) -> list[GatherCommand]:
         """Take parts that a peer merged; after the final ones it sends no more.
 
-        `ran` says whether targets may have run any of its shards.
+        `ran` says whether targets may have run any of its shards, `closed` how many targets ended
+        the connection under one so far.
         """
         group = self._groups.get(number)
         if self.ended or group is None:
             return []
         group.report()
+        self._closings.by_group[number] = closed
         self._peers_ran |= ran
         for name in self.parts.take_merged(group.plan.shards, signature_by_shard, records):
             self._came_in(name)
@@ -290,6 +304,10 @@
     def _ask_elsewhere(self, names: Sequence[str], reason: str, now: float) -> None:
         """Ask once more for shards that are not in: through peers beside other targets, or not."""
         lacking = [name for name in names if name not in self.parts]
+        if self._is_doubtful():
+            for name in lacking:
+                self._asking.hold_back(name, now)
+            return
         handed = self._hand_elsewhere(lacking, True, now)
         for name in lacking:
             if name not in handed:
@@ -304,15 +322,31 @@
         }
         if self._regrouping is None or not tried_by_shard or now >= self.plan.end_at:
             return set()
+        if self.plan.gate.passage(now) is not Passage.OPEN:
+            return set()
         groups = self._regrouping.groups_elsewhere(tried_by_shard, self.plan, repeat, now)
         for group in groups:
             self._hand_over(group)
         return {name for group in groups for name in group.shards}
 
+    def _is_doubtful(self) -> bool:
+        """Return whether this query may be what ends targets, and more will be known soon.
+
+        Targets have ended the connection under it, none has answered yet, and answers are still
+        awaited. Asking the second target of each shard meanwhile would lose those too: 40 targets
+        and not 20 in an incident. Where others fail it costs half of the usual time of an answer.
+        """
+        return self._closings.any and not len(self.parts) and self._shards.awaits_answers
+
+    @property
+    def closed(self) -> int:
+        """Return how many targets ended the connection under the query, here or at peers."""
+        return self._closings.total
+
     def _retry(self, now: float) -> None:
         """Ask for the shards that were held back, if they may be asked for now."""
         due = self._shards.due_retries(now)
-        if self.plan.partial:
+        if self.plan.partial and not self._is_doubtful():
             for name in due:
                 self._ask(name, "held_back", now)
             return
@@ -340,12 +374,15 @@
         return commands
 
     def _finish(self, now: float) -> None:
-        waits = self._shards.waits
+        shut = self.plan.gate.passage(now) is Passage.SHUT
+        waits = self._shards.waits and not shut
         if len(self.parts) == len(self.plan.shards):
             self._answer("whole")
         elif self.plan.partial:
             if now >= self.plan.end_at or not waits:
                 self._answer("time is up" if waits else "nothing more can come")
+        elif shut:
+            self._fail(ENDS_TARGETS, False)
         elif self._hopeless():
             self._fail("too few shards can answer", False)
         elif self._enough() and (now >= self.plan.answer_at or not waits):
--- a/trackwheel/relay/gather_models.py
+++ b/trackwheel/relay/gather_models.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple, Protocol
 
-from trackwheel.relay.models import Place, RouteKey, Target
+from trackwheel.relay.models import OPEN_GATE, Place, RouteKey, SendGate, Target
 
 
 class GroupPlan(NamedTuple):
@@ -26,7 +26,8 @@
     `answer_at` is the last moment to answer within the aim, `end_at` that to answer at all.
     With `partial`, the answer is a part of a peer's: whatever is in at `end_at` is given, and
     `least_coverage` is what the peer can do with. With `repeat`, others were asked before: only
-    targets in this box's failure domain are asked now.
+    targets in this box's failure domain are asked now. `gate` knows whether the query may go to
+    targets at all.
     """
 
     route: RouteKey
@@ -39,6 +40,7 @@
     end_at: float
     partial: bool
     repeat: bool = False
+    gate: SendGate = OPEN_GATE
 
 
 class Regrouping(Protocol):
--- a/trackwheel/relay/groups.py
+++ b/trackwheel/relay/groups.py
@@ -169,7 +169,13 @@
         now = time.monotonic()
         handed.run.perform(
             gather.group_parts(
-                handed.number, signature_by_shard, records, message.final, message.ran, now
+                handed.number,
+                signature_by_shard,
+                records,
+                message.final,
+                message.ran,
+                now,
+                message.closed,
             )
         )
 
--- a/trackwheel/relay/models.py
+++ b/trackwheel/relay/models.py
@@ -1,7 +1,7 @@
 """What the decisions about one request take and give."""
 
 from enum import StrEnum
-from typing import NamedTuple, Protocol
+from typing import Final, NamedTuple, Protocol
 
 from trackwheel.http1.models import Headers, Request, Response
 from trackwheel.relay.fingerprint import fingerprint
@@ -89,6 +89,31 @@
 """Outcomes after which the target certainly has not run the request and never will."""
 
 
+class Passage(StrEnum):
+    """Say whether a request may go to targets: now, perhaps soon, or not at all."""
+
+    OPEN = "open"
+    WAIT = "wait"
+    SHUT = "shut"
+
+
+class SendGate(Protocol):
+    """Know whether one request may go to targets."""
+
+    def passage(self, now: float) -> Passage:
+        """Return whether it may be sent at a time (monotonic seconds)."""
+
+
+class _OpenGate:
+    """Let everything pass."""
+
+    def passage(self, now: float) -> Passage:
+        return Passage.OPEN
+
+
+OPEN_GATE: Final[SendGate] = _OpenGate()
+
+
 class TargetEnd(NamedTuple):
     """Tell how one request to one target ended; `cold_s` is how long it says that it stays cold."""
 
--- a/trackwheel/relay/peers.py
+++ b/trackwheel/relay/peers.py
@@ -62,7 +62,8 @@
 class GroupParts(NamedTuple):
     """Bring parts: shards by place in the request, their signatures, their greatest records.
 
-    `ran` says whether targets may have run any of the shards.
+    `ran` says whether targets may have run any of the shards, `closed` how many targets ended the
+    connection under one so far.
     """
 
     group_id: str
@@ -71,6 +72,7 @@
     records: bytes
     final: bool
     ran: bool
+    closed: int = 0
 
 
 class GroupCancel(NamedTuple):
--- a/trackwheel/relay/runs.py
+++ b/trackwheel/relay/runs.py
@@ -65,6 +65,7 @@
     ) -> None:
         self._transport = transport
         self._request = request
+        self._fingerprint = request.fingerprint
         self._route = route
         self._on_end = on_end
         self._token_by_number: dict[int, object] = {}
@@ -74,7 +75,9 @@
     ) -> None:
         """Send the request to a target; its end is told unless it is withdrawn."""
         token = self._token_by_number[number] = object()
-        sending = Sending(token, self._request, target, self._route, reason, single, once)
+        sending = Sending(
+            token, self._request, target, self._route, reason, single, once, self._fingerprint
+        )
         self._transport.send(sending, lambda end: self._ended(number, end))
 
     def withdraw(self, number: int, target: Target) -> None:
--- a/trackwheel/relay/service.py
+++ b/trackwheel/relay/service.py
@@ -6,6 +6,7 @@
 
 from trackwheel.http1.models import Request
 from trackwheel.http1.server import Exchange
+from trackwheel.quarantine.service import Quarantine
 from trackwheel.relay.board import Board
 from trackwheel.relay.budget import RepeatBudget
 from trackwheel.relay.const import (
@@ -17,7 +18,7 @@
     RETURN_MARGIN_S,
 )
 from trackwheel.relay.early import EarlyRequests
-from trackwheel.relay.gather import Gather
+from trackwheel.relay.gather import ENDS_TARGETS, Gather
 from trackwheel.relay.gather_models import Gathered, GatherFailed, GatherPlan
 from trackwheel.relay.grouping import GroupPlanner
 from trackwheel.relay.groups import PeerGroups
@@ -45,6 +46,7 @@
         budget: RepeatBudget,
         transport: TargetTransport,
         groups: PeerGroups,
+        quarantine: Quarantine,
         log: EventLog,
         figures: Figures,
         place: Place,
@@ -55,6 +57,7 @@
         self._budget = budget
         self._transport = transport
         self._groups = groups
+        self._quarantine = quarantine
         self._log = log
         self._figures = figures
         self.ended_by_kind: Counter[tuple[str]] = Counter()
@@ -92,11 +95,30 @@
             )
             exchange.respond(self._wire.refusal(HTTPStatus.NOT_FOUND, None, "no route"))
             return
+        if self._refuse_held(caller, route, exchange):
+            return
         if route.shards:
             self._serve_query(caller, route, table.version, exchange)
         else:
             self._serve_single(caller, route, table.version, exchange)
 
+    def _refuse_held(self, caller: CallerRequest, route: Route, exchange: Exchange) -> bool:
+        """Refuse a request at once that is kept from targets; return whether it is."""
+        waits_s = self._quarantine.waits_s(caller.fingerprint)
+        if waits_s <= 0.0:
+            return False
+        self.ended_by_kind[("held",)] += 1
+        self._log.write(
+            "held_request",
+            id=caller.request_id,
+            route=route.name,
+            fingerprint=caller.fingerprint.hex(),
+            left_s=round(waits_s, 1),
+        )
+        answer = self._wire.refusal(HTTPStatus.SERVICE_UNAVAILABLE, waits_s, ENDS_TARGETS)
+        exchange.respond(answer)
+        return True
+
     def _refuse_without_routes(self, request: Request, exchange: Exchange) -> None:
         """Refuse a request that came before any configuration was known here."""
         caller = self._wire.read_request(request)
@@ -117,6 +139,7 @@
             max_attempts=route.max_attempts,
             answer_at=_answer_at(caller, route),
             end_at=_end_at(caller, route),
+            gate=self._quarantine.gate(caller.fingerprint),
         )
 
         def done(result: SingleAnswered | SingleFailed) -> None:
@@ -178,6 +201,7 @@
             answer_at=answer_at,
             end_at=end_at,
             partial=False,
+            gate=self._quarantine.gate(caller.fingerprint),
         )
 
     def _refuse(
--- a/trackwheel/relay/shards.py
+++ b/trackwheel/relay/shards.py
@@ -12,7 +12,7 @@
     """Follow one shard: its attempts at targets and the groups of peers that have it."""
 
     def __init__(self, name: str, plan: GatherPlan) -> None:
-        self.attempts = Attempts(name, plan.max_attempts, plan.repeat)
+        self.attempts = Attempts(name, plan.max_attempts, plan.repeat, plan.gate)
         self.groups: set[int] = set()
         self.last_failure = ""
 
@@ -56,9 +56,12 @@
     @property
     def waits(self) -> bool:
         """Return whether any shard that is not in may still come."""
-        return bool(self._retry_at_by_name) or any(
-            shard.waits for shard in self._lacking_by_name.values()
-        )
+        return bool(self._retry_at_by_name) or self.awaits_answers
+
+    @property
+    def awaits_answers(self) -> bool:
+        """Return whether a target or a peer is asked for a shard that is not in."""
+        return any(shard.waits for shard in self._lacking_by_name.values())
 
     def without_group(self) -> list[str]:
         """Return the shards that no peer has."""
--- a/trackwheel/relay/single.py
+++ b/trackwheel/relay/single.py
@@ -10,11 +10,14 @@
 from trackwheel.relay.attempts import NEVER, Attempts, Refusal, hedge_time
 from trackwheel.relay.board import Board
 from trackwheel.relay.budget import RepeatBudget
-from trackwheel.relay.models import Outcome, RouteKey, Target, TargetEnd
+from trackwheel.relay.models import OPEN_GATE, Outcome, RouteKey, SendGate, Target, TargetEnd
 
 
 class SinglePlan(NamedTuple):
-    """Say what a request needs; times are monotonic seconds."""
+    """Say what a request needs; times are monotonic seconds.
+
+    `gate` knows whether it may go to targets at all.
+    """
 
     route: RouteKey
     service: str
@@ -22,6 +25,7 @@
     max_attempts: int
     answer_at: float
     end_at: float
+    gate: SendGate = OPEN_GATE
 
 
 class SendSingle(NamedTuple):
@@ -63,7 +67,7 @@
         self.plan = plan
         self._board = board
         self._budget = budget
-        self._attempts = Attempts(plan.service, plan.max_attempts)
+        self._attempts = Attempts(plan.service, plan.max_attempts, gate=plan.gate)
         self._next_token = 0
         self._failure: Response | None = None
         self._hedge_at = NEVER
--- a/trackwheel/relay/taken.py
+++ b/trackwheel/relay/taken.py
@@ -6,6 +6,7 @@
 from trackwheel.http1.models import Request
 from trackwheel.peers.hub import Hub
 from trackwheel.peers.models import PeerIdentity
+from trackwheel.quarantine.service import Quarantine
 from trackwheel.relay.board import Board
 from trackwheel.relay.budget import RepeatBudget
 from trackwheel.relay.gather import Gather
@@ -98,8 +99,16 @@
         places = [place for place, name in enumerate(forward.shards) if name in signature_by_shard]
         signatures = [signature_by_shard[forward.shards[place]] for place in places]
         merged = merge_records(records, forward.top_k, forward.floor)
-        ran = self._run.task.gather.may_have_run
-        message = GroupParts(forward.group_id, places, signatures, merged, final, ran)
+        gather = self._run.task.gather
+        message = GroupParts(
+            forward.group_id,
+            places,
+            signatures,
+            merged,
+            final,
+            gather.may_have_run,
+            gather.closed,
+        )
         self._hub.send(self.sender.address, message)
 
 
@@ -113,9 +122,11 @@
         budget: RepeatBudget,
         transport: TargetTransport,
         groups: GroupSender,
+        quarantine: Quarantine,
         log: EventLog,
     ) -> None:
         self._hub = hub
+        self._quarantine = quarantine
         self._board = board
         self._budget = budget
         self._transport = transport
@@ -136,9 +147,13 @@
         if key in self._taken_by_key:
             return
         self._hub.send(sender.address, GroupAccepted(message.group_id))
+        task = self._task(message, now)
+        if self._quarantine.holds(task.request.fingerprint):
+            self._refuse(sender, message)
+            return
         taken = self._taken_by_key[key] = _TakenGroup(sender, message, self._hub, now)
         run = GatherRun(
-            self._task(message, now),
+            task,
             self._transport,
             self._groups,
             lambda result: self._finished(key, result),
@@ -147,6 +162,11 @@
         )
         taken.start(run)
 
+    def _refuse(self, sender: PeerIdentity, message: GroupForward) -> None:
+        """Ask nobody for a request that is held, and let its sender know."""
+        self._quarantine.tell(sender.address)
+        self._hub.send(sender.address, GroupParts(message.group_id, [], [], b"", True, False))
+
     def _task(self, message: GroupForward, now: float) -> GatherTask:
         http = Request(message.method, message.target, tuple(message.headers), message.body, now)
         deadline = now + message.end_in_ms / MILLISECONDS
@@ -162,6 +182,7 @@
             end_at=deadline,
             partial=True,
             repeat=message.repeat,
+            gate=self._quarantine.gate(request.fingerprint),
         )
         return GatherTask(request, Gather(plan, self._board, self._budget))
 
--- a/trackwheel/relay/telling.py
+++ b/trackwheel/relay/telling.py
@@ -6,9 +6,9 @@
 from trackwheel.peers.hub import Hub
 from trackwheel.peers.models import PeerIdentity
 from trackwheel.relay.const import NEWS_BOXES
-from trackwheel.relay.models import Outcome, Target
+from trackwheel.relay.models import Outcome
 from trackwheel.relay.news import TargetDown, TargetNews
-from trackwheel.relay.transport import TargetTransport
+from trackwheel.relay.transport import Sending, TargetTransport
 from trackwheel.telemetry.events import EventLog
 
 
@@ -29,8 +29,8 @@
         """Take the other boxes of the failure domain that ask targets."""
         self._boxes = tuple(sorted(addresses))[:NEWS_BOXES]
 
-    def _ended(self, target: Target, outcome: Outcome, sent_at: float) -> None:
-        news = self._news.ended(target, outcome, sent_at, time.monotonic())
+    def _ended(self, sending: Sending, outcome: Outcome, sent_at: float) -> None:
+        news = self._news.ended(sending.target, outcome, sent_at, time.monotonic())
         if news is None:
             return
         for address in self._boxes:
--- a/trackwheel/relay/transport.py
+++ b/trackwheel/relay/transport.py
@@ -27,8 +27,6 @@
 """How a request ended without an answer."""
 
 OnTargetEnd = Callable[[TargetEnd], None]
-OnAnyEnd = Callable[[Target, Outcome, float], None]
-"""Take how a request to a target ended that was sent at a time (monotonic seconds)."""
 
 
 class Clock(Protocol):
@@ -48,6 +46,11 @@
     reason: str
     single: bool
     once: bool
+    fingerprint: bytes
+
+
+OnAnyEnd = Callable[[Sending, Outcome, float], None]
+"""Take how a request to a target ended that was sent at a time (monotonic seconds)."""
 
 
 class TargetTransport:
@@ -109,7 +112,7 @@
             )
             self._write(sending, result, belief, sent_at)
             for handler in self._on_any_end:
-                handler(target, result.outcome, sent_at)
+                handler(sending, result.outcome, sent_at)
             on_end(result)
 
         self._pool(target).submit(Job(sending.token, build, check, sending.once, ended))
@@ -141,7 +144,7 @@
             self._log.write(
                 "target_closed",
                 id=sending.request.request_id,
-                fingerprint=sending.request.fingerprint.hex(),
+                fingerprint=sending.fingerprint.hex(),
                 target=target.instance,
                 service=target.service,
                 ran_ms=round((self._clock() - sent_at) * MILLISECONDS, 1),
