--- a/tests/relay/test_crashing_query.py
+++ b/tests/relay/test_crashing_query.py
@@ -58,6 +58,19 @@
     assert session.sent[-1].target.instance == f"{SHARDS[-1]}-far"
 
 
+def test_query_whose_every_target_ended_is_given_up_with_the_next_look(
+    board: Board, no_budget: RepeatBudget
+) -> None:
+    session = Session(board, no_budget)
+    for shard in SHARDS:
+        session.fail(shard, Outcome.CLOSED)
+    looked_at = session.gather.next_wake()
+    assert looked_at < ANSWER_AT
+    session.tick(looked_at)
+    assert isinstance(session.end, GatherFailed)
+    assert session.end[:3] == (True, False, "too few shards can answer")
+
+
 def test_peer_under_which_targets_ended_makes_the_query_wait(
     board: Board, budget: RepeatBudget
 ) -> None:
--- a/tests/relay/test_gather.py
+++ b/tests/relay/test_gather.py
@@ -210,7 +210,6 @@
         pytest.param(Outcome.ELSEWHERE, False, id="elsewhere"),
         pytest.param(Outcome.NOT_SENT, False, id="no-connection"),
         pytest.param(Outcome.FAILED, True, id="failed"),
-        pytest.param(Outcome.CLOSED, True, id="closed"),
         pytest.param(Outcome.BROKEN, True, id="broken"),
     ],
 )
