Go by a clock that counts the time in which a box was suspended

Cause: every part went by the monotonic clock, which stands still while a machine is suspended. A box that woke would have taken what it knew for fresh, handed targets deadlines that were over, and not noticed that it was away; the event loop's timers would have held requests on for as long. Ruled out: a watch that compares both clocks (each use would still have to ask it). Change: one clock (clock.py), used everywhere; timers look at it twice a second at least.

--- a/tests/directory/memory_fleet.py
+++ b/tests/directory/memory_fleet.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import random
-import time
 from typing import Any
 
 import anyio
 import anyio.abc
 from returns.result import Failure, Result, Success
 
+from trackwheel.clock import steady_now
 from trackwheel.directory.models import (
     Evacuation,
     OrdersRead,
@@ -151,7 +151,7 @@
             self.hub,  # type: ignore[arg-type]
             MemorySource(fleet.store, self.address),
             TargetDirectory(dict.fromkeys(DOMAINS, "r")),
-            Watching(time.monotonic(), self.address, first=place == 0),
+            Watching(steady_now(), self.address, first=place == 0),
             NoLog(),  # type: ignore[arg-type]
             3.0,
         )
@@ -163,7 +163,7 @@
         return set(self.barred_since)
 
     def _take_targets(self, targets_by_service: dict[str, tuple[Target, ...]]) -> None:
-        now = time.monotonic()
+        now = steady_now()
         barred = {t.place.failure_domain for t in targets_by_service.get("s", ()) if t.barred}
         self.barred_since = {domain: self.barred_since.get(domain, now) for domain in barred}
 
@@ -215,8 +215,8 @@
 
     async def until_barred(self, domains: set[str], limit_s: float) -> float:
         """Wait until every box bars just these domains; return how long that took (seconds)."""
-        began = time.monotonic()
+        began = steady_now()
         with anyio.fail_after(limit_s):
             while any(box.barred != domains for box in self.box_by_address.values()):
                 await anyio.sleep(0.005)
-        return time.monotonic() - began
+        return steady_now() - began
--- a/tests/directory/test_service.py
+++ b/tests/directory/test_service.py
@@ -1,7 +1,6 @@
 """What watchers pass on to their peers."""
 
 import json
-import time
 from typing import Any
 
 import anyio
@@ -9,6 +8,7 @@
 from returns.result import Failure, Result, Success
 
 from tests.platform.test_wire import CONFIG
+from trackwheel.clock import steady_now
 from trackwheel.directory.const import LOOK_PERIOD_S, START_SETTLE_S
 from trackwheel.directory.models import (
     DirectoryAsk,
@@ -71,7 +71,7 @@
         hub,  # type: ignore[arg-type]
         source or FakeSource(),  # type: ignore[arg-type]
         TargetDirectory({}),
-        Watching(time.monotonic(), OWN.address, first),
+        Watching(steady_now(), OWN.address, first),
         log,  # type: ignore[arg-type]
         drain_s,
     )
--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -1086,7 +1086,7 @@
         STOP,
         "requests under way and on a kept connection at a planned stop",
         ENTRY + "test_planned_stop_finishes_what_is_under_way",
-        Mutant("trackwheel/entry/run.py", "while time.monotonic() < end:", "while False:"),
+        Mutant("trackwheel/entry/run.py", "while steady_now() < end:", "while False:"),
     ),
     Row(
         PLATFORM,
--- a/trackwheel/app.py
+++ b/trackwheel/app.py
@@ -9,6 +9,7 @@
 import anyio
 import hypercorn.asyncio
 
+from trackwheel.clock import steady_now
 from trackwheel.dispatch.models import DISPATCH_MESSAGES
 from trackwheel.dispatch.service import DispatchService
 from trackwheel.files.confirm import Confirmations
@@ -172,12 +173,12 @@
     def _take_notes(self, notes: tuple[TargetNote, ...]) -> None:
         self.dispatch.told_leaving(notes)
         for note in notes:
-            self.board.learn_leaving(note.address, time.monotonic())
+            self.board.learn_leaving(note.address, steady_now())
 
     def _take_in_force(self, in_force: InForce) -> None:
         self.fleet.set_files_revision(in_force.revision)
         self.dispatch.set_in_force(in_force)
-        self.board.forget_old(time.monotonic())
+        self.board.forget_old(steady_now())
 
 
 async def run_box(settings: Settings) -> None:
@@ -235,9 +236,9 @@
     LOG.info("The box is leaving. It finishes what is in flight.")
     box.leaving = True
     box.fleet.leave()
-    end = time.monotonic() + box.settings.drain_s
+    end = steady_now() + box.settings.drain_s
     await anyio.sleep(min(LEAVE_GRACE_S, box.settings.drain_s))
-    while box.busy() and time.monotonic() < end:
+    while box.busy() and steady_now() < end:
         await anyio.sleep(IDLE_CHECK_S)
 
 
--- a/trackwheel/directory/reading.py
+++ b/trackwheel/directory/reading.py
@@ -1,12 +1,12 @@
 """The tasks that read the store while this box is to: a copy at the start, then two watches."""
 
-import time
 from collections.abc import Awaitable, Callable
 from typing import Protocol, TypeVar
 
 import anyio
 from returns.result import Failure, Result, Success
 
+from trackwheel.clock import steady_now
 from trackwheel.directory.const import (
     LOOK_PERIOD_S,
     ORDERS_PATIENCE_S,
@@ -85,7 +85,7 @@
 
     async def _start_from_copy(self) -> None:
         """Serve by a copy of the store until a watcher is heard of, or this box reads itself."""
-        if not self._watching.settles(time.monotonic()):
+        if not self._watching.settles(steady_now()):
             return
         self.calls += 2
         orders = await self._source.read_orders(copy=True)
@@ -138,11 +138,11 @@
                 await anyio.sleep(LOOK_PERIOD_S)
                 continue
             self.calls += 1
-            asked_at = time.monotonic()
+            asked_at = steady_now()
             result = await (read() if after is None else watch(after, wait_s))
             match result:
                 case Success(found):
-                    self._store_answered(flow, time.monotonic() - asked_at - wait_s)
+                    self._store_answered(flow, steady_now() - asked_at - wait_s)
                     after = take(found)
                     pause_s = RETRY_FIRST_S
                     await anyio.sleep(0.0 if found.more else self._rest_s(rest_s))
@@ -160,13 +160,13 @@
         While the store answers neither watch, the orders' one alone tries: one call tells as much
         as two.
         """
-        if not self._watching.watches(time.monotonic()):
+        if not self._watching.watches(steady_now()):
             return False
         return flow is self._orders_flow or not (flow.lost and self._orders_flow.lost)
 
     def _rest_s(self, usual_s: float) -> float:
         """Return the pause between two watches, short while lapsed entries come back."""
-        if self._targets.returns_awaited(time.monotonic()):
+        if self._targets.returns_awaited(steady_now()):
             return min(usual_s, RETURN_REST_S)
         return usual_s
 
@@ -174,7 +174,7 @@
         """Take an answer; one that is late says that the store was away while it was awaited."""
         if late_s > SLOW_ANSWER_S:
             self._targets.store_lost()
-        now = time.monotonic()
+        now = steady_now()
         self._targets.store_back(now)
         if flow.answered(now):
             self._log.write("store_regained", watch=flow.name)
--- a/trackwheel/directory/service.py
+++ b/trackwheel/directory/service.py
@@ -1,12 +1,12 @@
 """The service that keeps the directory: what the store and peers tell, passed on to peers."""
 
-import time
 import zlib
 from collections.abc import Callable, Iterable, Sequence
 
 import anyio
 from returns.result import Failure, Result, Success
 
+from trackwheel.clock import steady_now
 from trackwheel.directory.const import (
     BEACON_PERIOD_S,
     LOOK_PERIOD_S,
@@ -91,7 +91,7 @@
     @property
     def synced(self) -> bool:
         """Return whether the store has answered both watches of this box lately."""
-        return self._reader.in_step(time.monotonic())
+        return self._reader.in_step(steady_now())
 
     @property
     def store_calls(self) -> int:
@@ -129,7 +129,7 @@
         Its targets are asked for only while no watcher is heard from: one near sends them too.
         """
         if version > self.version:
-            unheard = self._watching.watches(time.monotonic()) and not self.synced
+            unheard = self._watching.watches(steady_now()) and not self.synced
             self._ask(address, targets_wanted=unheard)
 
     async def run(self) -> None:
@@ -152,9 +152,9 @@
     def take_targets(self, read: TargetsRead) -> int:
         """Take a reading or changes of the store; return the revision from which to watch on."""
         since = 0 if read.since is None else self._targets.newest
-        if self._targets.take(read, time.monotonic()):
+        if self._targets.take(read, steady_now()):
             self._targets_changed("store")
-            self._pass_on(self._targets.changes(since, time.monotonic()), self._near_peers)
+            self._pass_on(self._targets.changes(since, steady_now()), self._near_peers)
         return read.as_of
 
     def take_copy(self, orders: OrdersRead, targets: TargetsRead) -> None:
@@ -163,7 +163,7 @@
             self._adopt(orders.table, zlib.compress(orders.content, PACK_LEVEL), "copy")
         # What a copy lacks may have been asked for since, so that it takes nothing back.
         self._take_evacuations(orders.evacuations, "copy")
-        if self._targets.take_copy(targets.entries, time.monotonic()):
+        if self._targets.take_copy(targets.entries, steady_now()):
             self._targets_changed("copy")
 
     def _take_routes_push(self, sender: PeerIdentity, push: RoutesPush) -> None:
@@ -191,7 +191,7 @@
             self._evacuations_changed(source)
 
     def _take_targets_push(self, sender: PeerIdentity, push: TargetsPush) -> None:
-        changed = self._targets.take_push(push, time.monotonic())
+        changed = self._targets.take_push(push, steady_now())
         self._peer_flow.moved(self._how_far)
         if not changed:
             return
@@ -200,7 +200,7 @@
 
     def _take_beacon(self, sender: PeerIdentity, beacon: DirectoryBeacon) -> None:
         self._take_evacuations(beacon.evacuations, sender.box_id)
-        now = time.monotonic()
+        now = steady_now()
         if sender.failure_domain == self._hub.identity.failure_domain:
             self._watching.heard(sender.address, beacon.goes_by, now)
         if beacon.goes_by == sender.address:
@@ -221,9 +221,7 @@
         if self.table is not None and ask.routes_version < self.version:
             self._hub.send(sender.address, RoutesPush(self.version, self._packed))
         if ask.targets_wanted and ask.targets_newest < self._targets.newest:
-            self._hub.send(
-                sender.address, self._targets.changes(ask.targets_newest, time.monotonic())
-            )
+            self._hub.send(sender.address, self._targets.changes(ask.targets_newest, steady_now()))
 
     def _ask(self, address: str, targets_wanted: bool) -> None:
         ask = DirectoryAsk(self.version, self._targets.newest, targets_wanted)
@@ -256,7 +254,7 @@
 
     def _tell_near(self, news: RoutesPush | EvacuationsPush | TargetsPush) -> None:
         """Pass news on to the boxes nearby, as long as this one reads the store for them."""
-        if self._watching.watches(time.monotonic()):
+        if self._watching.watches(steady_now()):
             self._pass_on(news, self._near_peers)
 
     def _pass_on(
@@ -275,7 +273,7 @@
         """
         while True:
             await anyio.sleep(LOOK_PERIOD_S)
-            now = time.monotonic()
+            now = steady_now()
             self._note_watching(self._watching.watches(now))
             if not self._watched:
                 continue
@@ -300,6 +298,6 @@
     async def _expire(self) -> None:
         while True:
             await anyio.sleep(LOOK_PERIOD_S)
-            now = time.monotonic()
+            now = steady_now()
             if self._targets.next_expiry() <= now and self._targets.expire(now):
                 self._targets_changed("expiry")
--- a/trackwheel/dispatch/service.py
+++ b/trackwheel/dispatch/service.py
@@ -1,12 +1,12 @@
 """The task that owns the dispatch decisions: it sends to targets and answers gateways."""
 
-import time
 from collections.abc import Callable
 
 import anyio
 import anyio.abc
 import msgspec
 
+from trackwheel.clock import steady_now
 from trackwheel.dispatch.const import EXECUTE_TIMEOUT_S, LEAST_RETRY_AFTER_S
 from trackwheel.dispatch.events import (
     Event,
@@ -88,7 +88,7 @@
 
     def states(self) -> list[LineState]:
         """Return the state of every target that is in use."""
-        return self._owner.states(time.monotonic())
+        return self._owner.states(steady_now())
 
     def set_in_force(self, in_force: InForce) -> None:
         """Take the files in force."""
@@ -115,7 +115,7 @@
         self._inbox.put(FromGateway(sender.address, message))
 
     def _decide(self, events: list[Event]) -> list[DispatchCommand]:
-        now = time.monotonic()
+        now = steady_now()
         commands: list[DispatchCommand] = []
         # All events are handled before any command is performed, so that a box that wakes
         # from a freeze does not send what its gateway took back meanwhile.
@@ -232,7 +232,7 @@
         """Exchange one sub-request with its target."""
         if scope.cancel_called:
             return
-        started = time.monotonic()
+        started = steady_now()
         body = msgspec.json.encode(
             {
                 "nonce": work.key.wire(),
@@ -255,12 +255,12 @@
         if self._scope_by_key.pop(work.key, None) is None:
             return
         self.sent_by_outcome[outcome] = self.sent_by_outcome.get(outcome, 0) + 1
-        service_s = time.monotonic() - started
+        service_s = steady_now() - started
         self._inbox.put(_exchanged(work, outcome, service_s, reply, holds))
 
     async def _execute(self, work: Work) -> None:
         """Run permitted work once; whatever is not certain is told as unknown."""
-        started = time.monotonic()
+        started = steady_now()
         body = msgspec.json.encode(
             {
                 "nonce": work.key.wire(),
@@ -281,7 +281,7 @@
             except TargetBrokenError:
                 run, reason = RunOutcome.UNKNOWN, "connection_broke"
         outcome = outcome_of_run(run, reply)
-        service_s = time.monotonic() - started
+        service_s = steady_now() - started
         self._inbox.put(_exchanged(work, outcome, service_s, reply, []))
         retry_ms = 1000 * max(LEAST_RETRY_AFTER_S, reply.retry_after_s if reply else 0.0)
         done = reply.body if reply is not None and run is RunOutcome.DONE else b""
--- a/trackwheel/entry/box.py
+++ b/trackwheel/entry/box.py
@@ -6,6 +6,7 @@
 from itertools import chain
 from typing import Final
 
+from trackwheel.clock import steady_now
 from trackwheel.directory.const import STORE_SLACK_S
 from trackwheel.directory.models import DIRECTORY_MESSAGES
 from trackwheel.directory.service import DirectoryService
@@ -70,7 +71,7 @@
 
     def __init__(self, settings: BoxSettings) -> None:
         self.settings = settings
-        now = time.monotonic()
+        now = steady_now()
         place = settings.place
         identity = PeerIdentity(
             settings.box_id,
@@ -104,7 +105,7 @@
         self.budget = RepeatBudget(settings.budget, now)
         self.cold = ColdAllowance(settings.cold, self.budget.askers)
         self.board = Board(place, os.getpid(), self.cold)
-        self.transport = TargetTransport(wire, self.board, time.monotonic, self.log)
+        self.transport = TargetTransport(wire, self.board, steady_now, self.log)
         self.telling = TargetTelling(self.hub, TargetNews(self.board), self.transport, self.log)
         self.groups = PeerGroups(self.hub, wire, self.log)
         self.quarantine = Quarantine(self.hub, self.log)
@@ -203,7 +204,7 @@
             for box in others
             if box.address in gatherers and box.place.failure_domain == own.failure_domain
         )
-        now = time.monotonic()
+        now = steady_now()
         self.budget.set_members(len(members), now)
         domains = (box.place.failure_domain for box in boxes if box.address in gatherers)
         self.budget.set_gatherers(Counter(domains), own.failure_domain, gathers, now)
@@ -216,7 +217,7 @@
         self._set_shards()
 
     def _take_targets(self, targets_by_service: dict[str, tuple[Target, ...]]) -> None:
-        self.board.set_targets(targets_by_service, time.monotonic())
+        self.board.set_targets(targets_by_service, steady_now())
         targets = tuple(chain.from_iterable(targets_by_service.values()))
         self.transport.keep_only({target.life for target in targets})
         self.transport.bar({target.life for target in targets if target.barred})
--- a/trackwheel/entry/run.py
+++ b/trackwheel/entry/run.py
@@ -3,12 +3,12 @@
 import asyncio
 import os
 import signal
-import time
 from collections.abc import AsyncIterator
 from pathlib import Path
 
 import anyio
 
+from trackwheel.clock import steady_now
 from trackwheel.entry.box import EntryBox
 from trackwheel.entry.const import (
     BACKLOG,
@@ -100,12 +100,12 @@
     New clients are let in until nobody is here; then the door is closed, and whoever came in just
     before is served as well.
     """
-    began = time.monotonic()
+    began = steady_now()
     end = began + box.settings.grace_s - STOP_MARGIN_S
     box.stop()
-    while time.monotonic() < end:
+    while steady_now() < end:
         await anyio.sleep(STOP_LOOK_S)
-        if time.monotonic() - began <= LEAST_LINGER_S:
+        if steady_now() - began <= LEAST_LINGER_S:
             continue
         # A request that came on a kept connection from now on could outlast the grace.
         box.clients.close_idle()
--- a/trackwheel/files/confirm.py
+++ b/trackwheel/files/confirm.py
@@ -1,11 +1,11 @@
 """Asking boxes which revision they have in force, for operators who wait for it."""
 
 import itertools
-import time
 from collections.abc import Callable
 
 import anyio
 
+from trackwheel.clock import steady_now
 from trackwheel.files.const import ASK_PERIOD_S, ASK_WAIT_S, CONFIRM_WAIT_S
 from trackwheel.files.models import AskRevision, TellRevision
 from trackwheel.peers.hub import Hub
@@ -38,9 +38,9 @@
     async def _collect(self, revision: int, wait_s: float) -> dict[str, int]:
         exchange_id = f"{self._hub.identity.boot}-r{next(self._numbers)}"
         found = self._revision_by_address_by_exchange[exchange_id] = {}
-        end = time.monotonic() + wait_s
+        end = steady_now() + wait_s
         try:
-            while time.monotonic() < end:
+            while steady_now() < end:
                 missing = [a for a in self._addresses() if found.get(a, -1) < revision]
                 if not missing:
                     break
--- a/trackwheel/fleet/service.py
+++ b/trackwheel/fleet/service.py
@@ -1,6 +1,5 @@
 """The task that owns the membership, and what the other duties ask of it."""
 
-import time
 from collections.abc import Callable
 from functools import partial
 from heapq import nsmallest
@@ -9,6 +8,7 @@
 import anyio
 from returns.result import Success
 
+from trackwheel.clock import steady_now
 from trackwheel.files.models import ServiceSpec
 from trackwheel.fleet.const import (
     ALONE_PERIOD_S,
@@ -112,7 +112,7 @@
 
     def owner(self, service: ServiceSpec, target: str) -> Member | None:
         """Return the box that owns a target, None when nobody does."""
-        if time.monotonic() >= self._reachable_until:
+        if steady_now() >= self._reachable_until:
             self._owners.set_members(self._reachable())
         return self._owners.owner(service, target)
 
@@ -120,7 +120,7 @@
         """Give an unreachable box's targets to others for a while, as seen from here."""
         if address == self.own.address:
             return
-        self._unreachable_until_by_address[address] = time.monotonic() + UNREACHABLE_S
+        self._unreachable_until_by_address[address] = steady_now() + UNREACHABLE_S
         self._owners.set_members(self._reachable())
 
     def is_watcher(self) -> bool:
@@ -168,7 +168,7 @@
             tasks.start_soon(self._read_box_list)
             while True:
                 events = await self._inbox.take(self._membership.next_wake())
-                now = time.monotonic()
+                now = steady_now()
                 commands = [command for decide in events for command in decide(now)]
                 commands += self._membership.tick(now)
                 self._perform(commands)
@@ -183,7 +183,7 @@
 
     def _reachable(self) -> tuple[Member, ...]:
         """Return the members without those to which links broke, unless none is left."""
-        now = time.monotonic()
+        now = steady_now()
         until = self._unreachable_until_by_address
         for address in [address for address, end in until.items() if end <= now]:
             del until[address]
--- a/trackwheel/gateway/http.py
+++ b/trackwheel/gateway/http.py
@@ -1,7 +1,6 @@
 """The callers' HTTP interface, as docs/CALLERS.md describes it."""
 
 import hashlib
-import time
 from collections.abc import Awaitable, Callable
 from typing import Final
 
@@ -11,6 +10,7 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
+from trackwheel.clock import steady_now
 from trackwheel.dispatch.models import RunOutcome
 from trackwheel.files.models import GroupSpec, InForce, Policy, ServiceSpec
 from trackwheel.gateway.bodies import ExecuteBody, IdsBody, QueryBody, read_body
@@ -124,7 +124,7 @@
         service = self._service(group, body.service)
         policy = self._in_force().policy(group.name, service)
         policy = _shortened(policy, body.deadline_ms)
-        started = time.monotonic()
+        started = steady_now()
         outcome = "internal"
         try:
             result = await self._queries.run(group.name, service, policy, body.query)
@@ -133,7 +133,7 @@
             outcome = error.problem.code
             raise
         finally:
-            took_s = time.monotonic() - started
+            took_s = steady_now() - started
             self._burn.count(group.name, service, policy, outcome, took_s)
         answer = {**shards_of(result), "items": items_of(result.answer), "end": True}
         return sealed(msgspec.json.encode(answer), {HEADER_QUERY_ID: result.query_id})
--- a/trackwheel/gateway/once.py
+++ b/trackwheel/gateway/once.py
@@ -2,13 +2,13 @@
 
 import itertools
 import secrets
-import time
 from typing import NamedTuple
 
 import anyio
 import msgspec
 import xxhash
 
+from trackwheel.clock import steady_now
 from trackwheel.dispatch.const import EXECUTE_TIMEOUT_S
 from trackwheel.dispatch.models import (
     Ask,
@@ -113,12 +113,12 @@
 
     def issue(self, group: str, count: int) -> list[str]:
         """Return fresh ids for a group."""
-        return self._ledger.issue(group, count, time.monotonic())
+        return self._ledger.issue(group, count, steady_now())
 
     async def run(self, request: OnceRequest) -> OnceResult:
         """Return the outcome of a request whose id this box issued; raise `CallerError`."""
         content = msgspec.json.encode([request.service.name, request.routing_key, request.body])
-        now = time.monotonic()
+        now = steady_now()
         decision = self._ledger.begin(request.request_id, request.group, content, now)
         match decision.verdict:
             case Verdict.START:
@@ -150,7 +150,7 @@
     async def _follow(self, attempt: _Attempt) -> OnceResult:
         """Drive an attempt until it is settled; a caller that goes away does not end it."""
         with anyio.CancelScope(shield=True):
-            self._perform(attempt, attempt.execution.start(time.monotonic()))
+            self._perform(attempt, attempt.execution.start(steady_now()))
             while attempt.settled is None:
                 events = await attempt.inbox.take(attempt.execution.plan.deadline)
                 for event in events:
@@ -203,7 +203,7 @@
             service=request.service.name,
             group=request.group,
             target=target,
-            deadline_ms=(plan.deadline - time.monotonic()) * 1000,
+            deadline_ms=(plan.deadline - steady_now()) * 1000,
             body=request.body,
         )
         if not owner or not self._hub.send(owner, message):
@@ -222,7 +222,7 @@
         )
         del self._attempt_by_request_id[request.request_id]
         query_id = attempt.execution.plan.query_id
-        self._late_until_by_query_id[query_id] = time.monotonic() + LATE_ANSWERS_S
+        self._late_until_by_query_id[query_id] = steady_now() + LATE_ANSWERS_S
         attempt.changed.set()
         attempt.inbox.put(_WasSettled())
 
@@ -251,7 +251,7 @@
         if attempt is None or attempt.owner_by_nonce.get(answer.nonce) != sender.address:
             return
         attempt.trace.note("end", -1, "", sender.address, f"{answer.outcome} {answer.reason}")
-        self._perform(attempt, attempt.execution.answered(answer, time.monotonic()))
+        self._perform(attempt, attempt.execution.answered(answer, steady_now()))
 
     def _link_lost(self, address: str) -> None:
         for attempt in self._attempt_by_request_id.values():
@@ -262,7 +262,7 @@
         nonces = attempt.owner_by_nonce
         current = nonces[max(nonces)] if nonces else ""
         if attempt.settled is None and owner == current:
-            self._perform(attempt, execution.owner_lost(time.monotonic()))
+            self._perform(attempt, execution.owner_lost(steady_now()))
 
 
 def _answer_verdict(verdict: Verdict, request_id: str) -> OnceResult:
--- a/trackwheel/gateway/queries.py
+++ b/trackwheel/gateway/queries.py
@@ -1,13 +1,13 @@
 """The task of each query: it carries the gather's commands to owners and brings back answers."""
 
 import itertools
-import time
 from collections import defaultdict
 from typing import NamedTuple, Protocol
 
 import anyio
 import msgspec
 
+from trackwheel.clock import steady_now
 from trackwheel.dispatch.models import Ask, Outcome, Ping, Pong, Scatter, SubAnswer, Withdraw
 from trackwheel.files.models import Policy, ServiceSpec
 from trackwheel.fleet.models import Member
@@ -106,13 +106,13 @@
     async def watch_owners(self) -> None:
         """Ping owners that owe answers and pass over silent ones, until cancelled."""
         while True:
-            wait_s = self._watch.next_wake() - time.monotonic()
+            wait_s = self._watch.next_wake() - steady_now()
             if wait_s > 0:
                 with anyio.move_on_after(wait_s):
                     self._watch_changed = anyio.Event()
                     await self._watch_changed.wait()
                 continue
-            for command in self._watch.tick(time.monotonic()):
+            for command in self._watch.tick(steady_now()):
                 match command:
                     case PingOwner(owner):
                         self._hub.send(owner, Ping(0))
@@ -138,7 +138,7 @@
         self, group: str, service: ServiceSpec, policy: Policy, query: str
     ) -> QueryResult:
         """Return the answer of one query; raise `CallerError` when there is none."""
-        now = time.monotonic()
+        now = steady_now()
         query_id = f"{self._hub.identity.boot}-q{next(self._numbers)}"
         trace = self._traces.open(query_id, service.name, group)
         window = self._admission.window(group, service.name)
@@ -156,7 +156,7 @@
                 self._withdraw_all(running)
             deadline_s = policy.deadline_s
             how = QueryEnd(now, running.longest_delay_s, running.shed, deadline_s)
-            window.leave(how, time.monotonic())
+            window.leave(how, steady_now())
         return self._conclude(running, end)
 
     def _begin(
@@ -187,13 +187,13 @@
     async def _follow(self, running: _Running, query: str) -> Answered | GivenUp:
         """Let the gather decide until it ends."""
         gather = running.gather
-        commands = gather.start(time.monotonic())
+        commands = gather.start(steady_now())
         while True:
             end = self._perform(running, commands, query)
             if end is not None:
                 return end
             events = await running.inbox.take(gather.next_wake())
-            now = time.monotonic()
+            now = steady_now()
             commands = []
             for event in events:
                 commands += gather.answered(event, now)
@@ -240,13 +240,13 @@
     ) -> None:
         """Send all of a query's asks for one owner in one message."""
         plan = running.gather.plan
-        deadline_ms = (running.gather.limit - time.monotonic()) * 1000
+        deadline_ms = (running.gather.limit - steady_now()) * 1000
         message = Scatter(
             plan.query_id, plan.service, plan.group, deadline_ms, version, query, asks
         )
         if owner and self._hub.send(owner, message):
             if owner != self._hub.identity.address:
-                self._watch.asked(owner, time.monotonic())
+                self._watch.asked(owner, steady_now())
                 self._watch_changed.set()
             return
         for ask in asks:
@@ -262,7 +262,7 @@
             return
         event = self._read(answer)
         self._board.learn_queue(
-            asked.target, answer.delay_ms / 1000, answer.service_ms / 1000, time.monotonic()
+            asked.target, answer.delay_ms / 1000, answer.service_ms / 1000, steady_now()
         )
         running.longest_delay_s = max(running.longest_delay_s, answer.delay_ms / 1000)
         running.shed = running.shed or event.outcome in (Outcome.SHED, Outcome.LATE)
--- a/trackwheel/http1/client.py
+++ b/trackwheel/http1/client.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import re
-import time
 from collections.abc import Callable
 from typing import Final, cast
 
 import httptools
 
+from trackwheel.clock import steady_now
 from trackwheel.http1.const import (
     CLOSE_DELIMITED_STATUSES,
     DEFAULT_REUSE_S,
@@ -173,7 +173,7 @@
             self._close()
             self._result = ExchangeEnd(EndKind.BROKEN, None, foreign)
             return
-        self.idle_since = time.monotonic()
+        self.idle_since = steady_now()
         self.reuse_s = _reuse_time(answer)
         if not reusable:
             self._close()
--- a/trackwheel/http1/pool.py
+++ b/trackwheel/http1/pool.py
@@ -1,11 +1,11 @@
 """Connections to one target: reused while fresh, opened on demand, never more than a limit."""
 
 import asyncio
-import time
 from collections import deque
 from collections.abc import Callable
 from typing import NamedTuple
 
+from trackwheel.clock import steady_now
 from trackwheel.http1.client import Check, ClientConnection, OnEnd
 from trackwheel.http1.const import CONNECT_TIMEOUT_S, ONCE_REUSE_S
 from trackwheel.http1.models import EndKind, ExchangeEnd, Request
@@ -88,7 +88,7 @@
             task.add_done_callback(self._connecting.discard)
 
     def _take_idle(self, once: bool) -> ClientConnection | None:
-        now = time.monotonic()
+        now = steady_now()
         while self._idle:
             connection = self._idle.pop()
             rested = now - connection.idle_since
@@ -121,7 +121,7 @@
             self._connect_failed(error)
             return
         self._open.add(connection)
-        connection.idle_since = time.monotonic()
+        connection.idle_since = steady_now()
         self._idle.append(connection)
         self._connecting.discard(_current_task())
         self._pump()
--- a/trackwheel/http1/server.py
+++ b/trackwheel/http1/server.py
@@ -1,7 +1,6 @@
 """The server side: connections from clients, one request at a time on each."""
 
 import asyncio
-import time
 from collections import deque
 from collections.abc import Callable
 from http import HTTPStatus
@@ -9,6 +8,7 @@
 
 import httptools
 
+from trackwheel.clock import steady_now
 from trackwheel.http1.const import FIRST_REQUEST_WAIT_S, MAX_WAITING_REQUESTS
 from trackwheel.http1.models import Headers, Request, Response
 from trackwheel.http1.sockets import watch_for_silence
@@ -56,7 +56,7 @@
 
     def close_idle(self) -> None:
         """Close the connections on which nothing is under way; new ones may still begin."""
-        newest = time.monotonic() - FIRST_REQUEST_WAIT_S
+        newest = steady_now() - FIRST_REQUEST_WAIT_S
         for connection in tuple(self.connections):
             if not connection.busy and connection.opened_at < newest:
                 connection.close()
@@ -100,7 +100,7 @@
         self._current: _ServerExchange | None = None
         self._refusing = False
         self._opening = True
-        self.opened_at = time.monotonic()
+        self.opened_at = steady_now()
         self._in_message = False
         self._headers_done = False
         self._header_bytes = 0
@@ -197,7 +197,7 @@
             self._url,
             tuple(self._headers),
             b"".join(self._body),
-            time.monotonic(),
+            steady_now(),
             self._opening,
         )
         self._opening = False
--- a/trackwheel/inbox.py
+++ b/trackwheel/inbox.py
@@ -1,12 +1,13 @@
 """The inbox of a task: events from other tasks, taken several at a time."""
 
 import math
-import time
 from collections import deque
 from typing import Generic, TypeVar
 
 import anyio
 
+from trackwheel.clock import steady_now
+
 T = TypeVar("T")
 
 
@@ -35,5 +36,5 @@
         if math.isinf(wake_at):
             await self._filled.wait()
             return
-        with anyio.move_on_after(max(0.0, wake_at - time.monotonic())):
+        with anyio.move_on_after(max(0.0, wake_at - steady_now())):
             await self._filled.wait()
--- a/trackwheel/peers/hub.py
+++ b/trackwheel/peers/hub.py
@@ -1,7 +1,6 @@
 """All links of one box: it takes links from peers and opens its own when there is work."""
 
 import ssl
-import time
 from collections.abc import Callable
 from typing import Any, Protocol
 
@@ -14,6 +13,7 @@
 from websockets.asyncio.server import ServerConnection, serve
 from websockets.exceptions import ConnectionClosed, InvalidHandshake
 
+from trackwheel.clock import steady_now
 from trackwheel.http1.sockets import watch_for_silence
 from trackwheel.peers.certified import is_certified
 from trackwheel.peers.codec import Codec, Message
@@ -111,7 +111,7 @@
         outbox = self._outbox_by_address.get(address)
         if outbox is not None:
             return outbox
-        if self._closed_until_by_address.get(address, 0.0) > time.monotonic():
+        if self._closed_until_by_address.get(address, 0.0) > steady_now():
             return None
         outbox = self._outbox_by_address[address] = Outbox()
         assert self._tasks is not None, "the hub is not running"
@@ -214,6 +214,6 @@
         outbox.bytes_sent = 0
         if self._outbox_by_address.get(address) is outbox:
             del self._outbox_by_address[address]
-        self._closed_until_by_address[address] = time.monotonic() + RECONNECT_DELAY_S
+        self._closed_until_by_address[address] = steady_now() + RECONNECT_DELAY_S
         for handler in self._on_link_lost:
             handler(address)
--- a/trackwheel/platform/store.py
+++ b/trackwheel/platform/store.py
@@ -1,7 +1,6 @@
 """The one client of the platform's metadata store, giving the directory its source."""
 
 import base64
-import time
 from functools import partial
 from typing import Final, TypeVar
 from urllib.parse import urlencode
@@ -9,6 +8,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from trackwheel.clock import steady_now
 from trackwheel.directory.models import (
     EntryGone,
     Evacuation,
@@ -166,7 +166,7 @@
     ) -> Result[bytes, TrackwheelError]:
         query = f"{path}?{urlencode(parameters)}"
         headers = ((b"host", self._address.encode()),)
-        request = Request(b"GET", query.encode(), headers, b"", time.monotonic())
+        request = Request(b"GET", query.encode(), headers, b"", steady_now())
         # A connection for each call: one that went silent while idle would cost its time-out anew.
         end = await call_once(
             self._host, self._port, request, self._call_timeout_s, self._call_timeout_s + wait_s
--- a/trackwheel/quarantine/service.py
+++ b/trackwheel/quarantine/service.py
@@ -1,11 +1,11 @@
 """The shell of the quarantine: what ends at this box goes in, what is decided goes to all boxes."""
 
-import time
 from collections.abc import Iterable
 from typing import Final
 
 import anyio
 
+from trackwheel.clock import steady_now
 from trackwheel.peers.hub import Hub
 from trackwheel.peers.models import PeerIdentity
 from trackwheel.quarantine.const import TELL_AGAIN_S
@@ -74,15 +74,15 @@
 
     def holds(self, request: bytes) -> bool:
         """Return whether a request may go to no target for the time being."""
-        return self._suspects.passage(request, time.monotonic()) is Passage.SHUT
+        return self._suspects.passage(request, steady_now()) is Passage.SHUT
 
     def waits_s(self, request: bytes) -> float:
         """Return in how many seconds a request may be tried again, 0 for now."""
-        return self._suspects.waits_s(request, time.monotonic())
+        return self._suspects.waits_s(request, steady_now())
 
     def ended(self, sending: Sending, outcome: Outcome, sent_at: float) -> None:
         """Take how a request ended at a target."""
-        now = time.monotonic()
+        now = steady_now()
         if outcome in LIVED:
             self._suspects.answered(sending.fingerprint, now)
         elif outcome is Outcome.CLOSED:
@@ -93,13 +93,13 @@
 
     def tell(self, address: str) -> None:
         """Tell one box which requests are held."""
-        self._hub.send(address, self._suspects.held_requests(time.monotonic()))
+        self._hub.send(address, self._suspects.held_requests(steady_now()))
 
     async def run(self) -> None:
         """Make up for lost news, and forget what is over, until cancelled."""
         while True:
             await anyio.sleep(TELL_AGAIN_S)
-            now = time.monotonic()
+            now = steady_now()
             self._suspects.forget_answers(now)
             self._act()
             if self._tells_again and self.held:
@@ -112,7 +112,7 @@
             self._timer.set(wake_at)
 
     def _act(self) -> None:
-        for command in self._suspects.tick(time.monotonic()):
+        for command in self._suspects.tick(steady_now()):
             match command:
                 case TellAll(message):
                     self._tell_all(message)
@@ -138,16 +138,16 @@
                 self._hub.send(address, message)
 
     def _take_report(self, sender: PeerIdentity, report: CrashReport) -> None:
-        self._suspects.take_report(report, time.monotonic())
+        self._suspects.take_report(report, steady_now())
         self._pass_on(sender, report)
         self._wake()
 
     def _take_answered(self, sender: PeerIdentity, news: RequestsAnswered) -> None:
-        self._suspects.take_answered(news, time.monotonic())
+        self._suspects.take_answered(news, steady_now())
         self._pass_on(sender, news)
         self._wake()
 
     def _take_held(self, sender: PeerIdentity, news: RequestsHeld) -> None:
-        self._suspects.take_held(news, time.monotonic())
+        self._suspects.take_held(news, steady_now())
         self._pass_on(sender, news)
         self._wake()
--- a/trackwheel/relay/groups.py
+++ b/trackwheel/relay/groups.py
@@ -1,9 +1,9 @@
 """The shell that hands groups of shards to peers and takes what they tell."""
 
-import time
 from collections.abc import Iterable
 from itertools import count
 
+from trackwheel.clock import steady_now
 from trackwheel.peers.hub import Hub
 from trackwheel.peers.models import PeerIdentity
 from trackwheel.relay.const import LOGGED_SHARDS, REPORT_MARGIN_S
@@ -72,7 +72,7 @@
 
     def send_group(self, run: GatherRun, command: SendGroup) -> None:
         """Hand a group to its peer."""
-        now = time.monotonic()
+        now = steady_now()
         group_id = str(next(self._numbers))
         self._handed_by_id[group_id] = _Handed(run, command, now)
         self._hub.send(
@@ -89,7 +89,7 @@
     def peer_silent(self, command: PeerSilent) -> None:
         """Note a peer that showed no life."""
         if not command.accepted:
-            self.peer_board.failed(command.address, time.monotonic())
+            self.peer_board.failed(command.address, steady_now())
         self._log.write("peer_silent", peer=command.address, accepted=command.accepted)
 
     def forget(self, run: GatherRun) -> None:
@@ -134,7 +134,7 @@
         if handed is None or handed.address != sender.address or handed.accepted:
             return
         handed.accepted = True
-        self.peer_board.accepted(handed.address, time.monotonic() - handed.asked_at)
+        self.peer_board.accepted(handed.address, steady_now() - handed.asked_at)
         handed.run.task.gather.group_accepted(handed.number)
         handed.run.perform([])
 
@@ -151,7 +151,7 @@
             "group_declined", id=task.request.request_id, peer=sender.box_id, shards=len(names)
         )
         gather = task.gather
-        handed.run.perform(gather.group_declined(handed.number, names, time.monotonic()))
+        handed.run.perform(gather.group_declined(handed.number, names, steady_now()))
 
     def _take_parts(self, sender: PeerIdentity, message: GroupParts) -> None:
         handed = self._handed_by_id.get(message.group_id)
@@ -166,7 +166,7 @@
         gather = handed.run.task.gather
         signature_by_shard = dict(zip(names, message.signatures, strict=True))
         records = split_records(message.records)
-        now = time.monotonic()
+        now = steady_now()
         handed.run.perform(
             gather.group_parts(
                 handed.number,
@@ -189,7 +189,7 @@
         )
 
     def _link_lost(self, address: str) -> None:
-        now = time.monotonic()
+        now = steady_now()
         self.peer_board.failed(address, now)
         for group_id, handed in list(self._handed_by_id.items()):
             if handed.address == address and self._handed_by_id.pop(group_id, None) is not None:
--- a/trackwheel/relay/runs.py
+++ b/trackwheel/relay/runs.py
@@ -1,9 +1,9 @@
 """Shells that carry out the decisions about one request."""
 
-import time
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
+from trackwheel.clock import steady_now
 from trackwheel.relay.gather import Gather
 from trackwheel.relay.gather_models import (
     CancelGroup,
@@ -112,7 +112,7 @@
 
     def start(self) -> None:
         """Begin."""
-        self.perform(self._gather.start(time.monotonic()))
+        self.perform(self._gather.start(steady_now()))
 
     def cancel(self) -> None:
         """Stop since nobody waits any more."""
@@ -148,13 +148,13 @@
             self._timer.set(self._gather.next_wake())
 
     def _tick(self) -> None:
-        self.perform(self._gather.tick(time.monotonic()))
+        self.perform(self._gather.tick(steady_now()))
 
     def _ended(self, number: int, end: TargetEnd) -> None:
         part = None
         if end.outcome is Outcome.OK and end.answer is not None:
             part = Part(end.signature, greatest_records(end.answer.body, self._gather.plan.top_k))
-        self.perform(self._gather.part_ended(number, end, part, time.monotonic()))
+        self.perform(self._gather.part_ended(number, end, part, steady_now()))
         if part is not None and self._on_part is not None:
             self._on_part()
 
@@ -176,7 +176,7 @@
 
     def start(self) -> None:
         """Begin."""
-        self._perform(self._single.start(time.monotonic()))
+        self._perform(self._single.start(steady_now()))
 
     def cancel(self) -> None:
         """Stop since nobody waits any more."""
@@ -184,10 +184,10 @@
         self._timer.stop()
 
     def _tick(self) -> None:
-        self._perform(self._single.tick(time.monotonic()))
+        self._perform(self._single.tick(steady_now()))
 
     def _ended(self, number: int, end: TargetEnd) -> None:
-        self._perform(self._single.target_ended(number, end, time.monotonic()))
+        self._perform(self._single.target_ended(number, end, steady_now()))
 
     def _perform(self, commands: list[SingleCommand]) -> None:
         done: SingleAnswered | SingleFailed | None = None
--- a/trackwheel/relay/service.py
+++ b/trackwheel/relay/service.py
@@ -1,9 +1,9 @@
 """The shell of the relay: takes clients' requests and answers them."""
 
-import time
 from collections import Counter
 from http import HTTPStatus
 
+from trackwheel.clock import steady_now
 from trackwheel.http1.models import Request
 from trackwheel.http1.server import Exchange
 from trackwheel.quarantine.service import Quarantine
@@ -75,7 +75,7 @@
     def set_peers(self, peers: tuple[PeerBox, ...], gathers: bool) -> None:
         """Take the boxes to which shards may be handed, and whether this box asks targets."""
         self._planner.set_peers(peers, gathers)
-        self._links_timer.set(time.monotonic() + LINKS_REST_S)
+        self._links_timer.set(steady_now() + LINKS_REST_S)
 
     def _open_links(self) -> None:
         self._groups.open_links(self._planner.links_wanted())
@@ -147,7 +147,7 @@
             if isinstance(result, SingleAnswered):
                 exchange.respond(self._wire.single_answer(result.answer))
                 return
-            warm_in_s = self._board.warm_in_s(plan.service, plan.route, time.monotonic())
+            warm_in_s = self._board.warm_in_s(plan.service, plan.route, steady_now())
             self._refuse(exchange, result, max(RETRY_AFTER_S, warm_in_s))
 
         single = Single(plan, self._board, self._budget)
@@ -183,11 +183,11 @@
         """Take that a client left before its answer."""
         run.cancel()
         self.ended_by_kind[("client_left",)] += 1
-        age_ms = (time.monotonic() - caller.http.arrived) * MILLISECONDS
+        age_ms = (steady_now() - caller.http.arrived) * MILLISECONDS
         self._log.write("client_left", id=caller.request_id, route=route, took_ms=round(age_ms, 1))
 
     def _plan_query(self, caller: CallerRequest, route: Route) -> GatherPlan:
-        now = time.monotonic()
+        now = steady_now()
         end_at = _end_at(caller, route)
         answer_at = min(end_at, _answer_at(caller, route))
         key = RouteKey(route.name, route.aim_s, route.homes)
@@ -227,7 +227,7 @@
         version: int,
         result: Gathered | GatherFailed | SingleAnswered | SingleFailed,
     ) -> None:
-        age_s = time.monotonic() - request.http.arrived
+        age_s = steady_now() - request.http.arrived
         self._figures.request_ended(route.name, age_s)
         took_ms = round(age_s * MILLISECONDS, 1)
         common: dict[str, str | float] = {
--- a/trackwheel/relay/taken.py
+++ b/trackwheel/relay/taken.py
@@ -1,8 +1,8 @@
 """The shell that gathers groups of shards for peers and tells them what is in."""
 
-import time
 from collections import deque
 
+from trackwheel.clock import steady_now
 from trackwheel.http1.models import Request
 from trackwheel.peers.hub import Hub
 from trackwheel.peers.models import PeerIdentity
@@ -142,7 +142,7 @@
 
     def _take(self, sender: PeerIdentity, message: GroupForward) -> None:
         """Gather a group for a peer."""
-        now = time.monotonic()
+        now = steady_now()
         key = (sender.boot, message.group_id)
         if key in self._taken_by_key:
             return
--- a/trackwheel/relay/telling.py
+++ b/trackwheel/relay/telling.py
@@ -1,8 +1,8 @@
 """The shell that tells the boxes beside the same targets which of them are down."""
 
-import time
 from collections.abc import Iterable
 
+from trackwheel.clock import steady_now
 from trackwheel.peers.hub import Hub
 from trackwheel.peers.models import PeerIdentity
 from trackwheel.relay.const import NEWS_BOXES
@@ -30,14 +30,14 @@
         self._boxes = tuple(sorted(addresses))[:NEWS_BOXES]
 
     def _ended(self, sending: Sending, outcome: Outcome, sent_at: float) -> None:
-        news = self._news.ended(sending.target, outcome, sent_at, time.monotonic())
+        news = self._news.ended(sending.target, outcome, sent_at, steady_now())
         if news is None:
             return
         for address in self._boxes:
             self._hub.send(address, news)
 
     def _take(self, sender: PeerIdentity, news: TargetDown) -> None:
-        if self._news.told(sender.box_id, news, time.monotonic()):
+        if self._news.told(sender.box_id, news, steady_now()):
             self._log.write(
                 "target_told_down",
                 target=news.instance,
--- a/trackwheel/relay/timer.py
+++ b/trackwheel/relay/timer.py
@@ -1,8 +1,14 @@
 """A timer that may be moved."""
 
 import asyncio
-import time
 from collections.abc import Callable
+from typing import Final
+
+from trackwheel.clock import steady_now
+
+LONGEST_SLEEP_S: Final = 0.5
+"""A timer looks at the time at least so often. Those of the event loop stand still while the box is
+suspended: without a look a request would be held on for as long as the box was away."""
 
 
 class Timer:
@@ -13,10 +19,14 @@
         self._handle: asyncio.TimerHandle | None = None
 
     def set(self, at: float) -> None:
-        """Call the action at a time (monotonic seconds), instead of any earlier setting."""
+        """Call the action at a time (steady seconds), instead of any earlier setting."""
         self.stop()
-        delay_s = max(0.0, at - time.monotonic())
-        self._handle = asyncio.get_running_loop().call_later(delay_s, self._action)
+        delay_s = max(0.0, at - steady_now())
+        loop = asyncio.get_running_loop()
+        if delay_s > LONGEST_SLEEP_S:
+            self._handle = loop.call_later(LONGEST_SLEEP_S, self.set, at)
+        else:
+            self._handle = loop.call_later(delay_s, self._action)
 
     def stop(self) -> None:
         """Call the action no more."""
--- a/trackwheel/telemetry/events.py
+++ b/trackwheel/telemetry/events.py
@@ -2,11 +2,12 @@
 
 import os
 import sys
-import time
 from typing import Final
 
 import msgspec
 
+from trackwheel.clock import steady_now
+
 LINES_PER_KIND_S: Final = 20.0
 """Lines of one kind that are written each second; more are counted, not written."""
 BURST_LINES: Final = 40.0
@@ -49,7 +50,7 @@
 
     def write(self, kind: str, **fields: Field) -> None:
         """Write one event unless its kind has had its share of lines."""
-        now = time.monotonic()
+        now = steady_now()
         allowance = self._allowance_by_kind.get(kind)
         if allowance is None:
             allowance = self._allowance_by_kind[kind] = _Allowance(now)
--- a/trackwheel/telemetry/explain.py
+++ b/trackwheel/telemetry/explain.py
@@ -1,8 +1,8 @@
 """Why answers came out as they did: a bounded record of each query's steps."""
 
-import time
 from collections import OrderedDict
 
+from trackwheel.clock import steady_now
 from trackwheel.telemetry.const import MAX_STEPS, MAX_STEPS_OF_ALL, MAX_TRACES
 from trackwheel.telemetry.models import Step, StepRow, TraceReport
 
@@ -27,7 +27,7 @@
         self.query_id = query_id
         self.service = service
         self.group = group
-        self.started = time.monotonic()
+        self.started = steady_now()
         self.steps: list[Step] = []
         self.outcome = "under way"
         self.kept = True
@@ -38,14 +38,14 @@
     ) -> None:
         """Note a step."""
         if self.kept and len(self.steps) < MAX_STEPS:
-            at_ms = (time.monotonic() - self.started) * 1000
+            at_ms = (steady_now() - self.started) * 1000
             self.steps.append(Step(at_ms, what, instance, target, owner, detail))
             self._traces.steps += 1
 
     def end(self, outcome: str) -> None:
         """Note how the query ended."""
         self.outcome = outcome
-        self.took_ms = (time.monotonic() - self.started) * 1000
+        self.took_ms = (steady_now() - self.started) * 1000
 
     def report(self, box: str) -> TraceReport:
         """Return the trace for an operator."""
