Keep held requests in the platform's store, so that they outlast all boxes

Cause: boxes keep nothing; after the loss of all of them a held request would end every target once more, and be sent on for half a second by boxes in touch. Ruled out: the peers' word alone (nobody is left to give it). Change: the one box of each failure domain that watches the store writes held/ID once, under a lease of the time that is left; each box reads them at its start (one stale read, priced a tenth). Two calls a held request and domain. Store stand-in: leases and changes. Figures: tests/whole: 0 runs after the loss of one box, of all boxes, and of one while the store is down.

--- a/standins/entry_fleet.py
+++ b/standins/entry_fleet.py
@@ -137,6 +137,10 @@
 
         self.call(write())
 
+    def keys(self, prefix: str) -> list[str]:
+        """Return the keys of the store that begin so."""
+        return [key for key in self.store.written_keys() if key.startswith(prefix)]
+
     def evacuate(self, zone: str, asked: bool = True) -> None:
         """Ask for nothing more to be sent to a zone's targets, or take that back."""
         if asked:
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -23,12 +23,19 @@
         self._item_by_key: dict[str, dict[str, Any]] = {}
         self._history: list[dict[str, Any]] = []
         self._oldest = 0
+        self._leases = 0
         self._changed = asyncio.Event()
 
     async def start(self, address: str) -> Running:
         """Listen on `IP:PORT`."""
         return await listen(
-            [web.get("/kv-range", self._range), web.get("/kv-watch", self._watch)], address
+            [
+                web.get("/kv-range", self._range),
+                web.get("/kv-watch", self._watch),
+                web.post("/kv-lease", self._lease),
+                web.post("/kv-txn", self._change),
+            ],
+            address,
         )
 
     def put(self, key: str, value: bytes) -> int:
@@ -45,6 +52,10 @@
         self._note(item)
         return self.revision
 
+    def written_keys(self) -> list[str]:
+        """Return the keys of all items."""
+        return sorted(self._item_by_key)
+
     def remove(self, key: str) -> None:
         """Remove an item."""
         self.revision += 1
@@ -76,6 +87,25 @@
         more = len(keys) > PAGE_ITEMS
         return web.json_response({"items": items, "has_more": more, "as_of": self.revision})
 
+    async def _lease(self, request: web.Request) -> web.StreamResponse:
+        """Give a lease; it never runs out here."""
+        await self._enter(request)
+        self._leases += 1
+        return web.json_response({"lease": self._leases, **await request.json()})
+
+    async def _change(self, request: web.Request) -> web.StreamResponse:
+        await self._enter(request)
+        change = await request.json()
+        for row in change["expected_revision"]:
+            item = self._item_by_key.get(row["tls_key"], {"revision": 0})
+            if item["revision"] != row["revision"]:
+                return web.json_response({"items": [item]}, status=412)
+        for row in change["puts"]:
+            self.put(row["tls_key"], base64.b64decode(row["value"]))
+        for key in change["remove"]:
+            self.remove(key)
+        return web.json_response({"revision": self.revision})
+
     async def _watch(self, request: web.Request) -> web.StreamResponse:
         await self._enter(request)
         prefix, after = request.query["path_prefix"], int(request.query["after"])
--- a/tests/whole/test_crashing_request.py
+++ b/tests/whole/test_crashing_request.py
@@ -11,6 +11,7 @@
 and this test, which loses every target it has where requests are not remembered.
 """
 
+import signal
 import time
 from collections.abc import Iterator
 from pathlib import Path
@@ -19,6 +20,7 @@
 import pytest
 
 from standins.entry_fleet import EntryFleet, EntryPlace
+from standins.fleet import wait_until
 from tests.whole.test_entry import SHARDS, check_whole, running
 
 CRASHES_BEFORE = 3
@@ -98,3 +100,48 @@
     assert ask(fleet, fleet.boxes[0], CASES["query"]) != 200
     ended = sum(target.ended for target in fleet.target_by_instance.values())
     assert CRASHES_BEFORE <= ended <= len(SHARDS)
+
+
+def hold_query(fleet: EntryFleet) -> None:
+    """Let a query end targets, wait until boxes and store know it, and give the targets back."""
+    let_it_end_three(fleet, CASES["query"])
+    wait_until(lambda: bool(fleet.keys("held/")), 5.0, "the word in the store")
+    fleet.replace_ended()
+    time.sleep(KNOWN_AFTER_S)
+
+
+def start_again(fleet: EntryFleet, places: list[EntryPlace]) -> None:
+    for place in places:
+        fleet.signal(place, signal.SIGKILL)
+        fleet.wait_exit(place, 5.0)
+    for place in places:
+        fleet.start(place)
+    for place in places:
+        fleet.wait_ready(place)
+    time.sleep(KNOWN_AFTER_S)
+
+
+@pytest.mark.parametrize("lost", [1, 3], ids=["one-box", "all-boxes"])
+def test_boxes_that_start_know_what_is_held(fleet: EntryFleet, lost: int) -> None:
+    hold_query(fleet)
+    before = runs(fleet)
+    start_again(fleet, fleet.boxes[:lost])
+    assert [ask(fleet, place, CASES["query"]) for place in fleet.boxes] == [503] * 3
+    assert runs(fleet) == before
+
+
+def test_box_that_starts_while_the_store_is_down_is_told_by_its_peers(fleet: EntryFleet) -> None:
+    hold_query(fleet)
+    before = runs(fleet)
+    fleet.store.down = True
+    start_again(fleet, fleet.boxes[1:2])
+    assert ask(fleet, fleet.boxes[1], CASES["query"]) == 503
+    assert runs(fleet) == before
+
+
+def test_words_of_another_writer_hold_nothing(fleet: EntryFleet) -> None:
+    fleet.put("held/not-hexadecimal", b"9")
+    fleet.put("held/00", b"no number")
+    start_again(fleet, fleet.boxes)
+    for place in fleet.boxes:
+        check_whole(fleet, fleet.ask(place, "/q/other"))
--- a/trackwheel/entry/box.py
+++ b/trackwheel/entry/box.py
@@ -26,6 +26,7 @@
 from trackwheel.peers.codec import Codec
 from trackwheel.peers.hub import Hub
 from trackwheel.peers.models import PeerIdentity
+from trackwheel.platform.held import PlatformHeldStore
 from trackwheel.platform.load import LoadReader
 from trackwheel.platform.names import PATH_READY
 from trackwheel.platform.seeds import SeedList
@@ -108,7 +109,7 @@
         self.transport = TargetTransport(wire, self.board, steady_now, self.log)
         self.telling = TargetTelling(self.hub, TargetNews(self.board), self.transport, self.log)
         self.groups = PeerGroups(self.hub, wire, self.log)
-        self.quarantine = Quarantine(self.hub, self.log)
+        self.quarantine = Quarantine(self.hub, PlatformHeldStore(self.store), self.log)
         self.transport.on_any_end(self.quarantine.ended)
         self.taken = TakenGroups(
             self.hub,
--- a/trackwheel/entry/figures.py
+++ b/trackwheel/entry/figures.py
@@ -54,7 +54,11 @@
     for name, text, reading in (
         ("routes_version", "Version in force", lambda: float(directory.version)),
         ("store_in_step", "1 if the store answered lately", lambda: float(directory.synced)),
-        ("store_calls", "Calls on the store", lambda: float(directory.store_calls)),
+        (
+            "store_calls",
+            "Calls on the store",
+            lambda: float(directory.store_calls + box.quarantine.store_calls),
+        ),
         ("members", "Boxes that are known", lambda: float(len(box.fleet.members))),
         ("repeats_denied", "Repeats without budget", lambda: float(box.budget.denied)),
         (
--- a/trackwheel/platform/store.py
+++ b/trackwheel/platform/store.py
@@ -1,6 +1,7 @@
 """The one client of the platform's metadata store, giving the directory its source."""
 
 import base64
+from collections.abc import Collection
 from functools import partial
 from typing import Final, TypeVar
 from urllib.parse import urlencode
@@ -24,6 +25,8 @@
 from trackwheel.platform.errors import store_error
 from trackwheel.platform.names import (
     KEY_CONFIG,
+    PATH_CHANGE,
+    PATH_LEASE,
     PATH_RANGE,
     PATH_WATCH,
     PREFIX_EVACUATIONS,
@@ -38,12 +41,17 @@
 STATUS_OK: Final = 200
 STATUS_NOT_FOUND: Final = 404
 STATUS_HISTORY_GONE: Final = 410
+STATUS_OTHERWISE: Final = 412
+"""Nothing was written, since what a change expected is not so."""
 MANY_EVENTS: Final = 400
 """An answer to a watch holds about 500 events; with so many of them others wait behind."""
 COPY_WILL_DO: Final = {"stale_ok": "1"}
 """Such a read costs a tenth of another one and does not count against the rate."""
 MOST_UNUSABLE_KEYS: Final = 1_000
 """Keys that are remembered as named in the log; whoever writes more of them fills no memory."""
+LEAST_TTL_MS: Final = 1_000
+LONGEST_TTL_MS: Final = 600_000
+"""How long leases last, as the platform has it (milliseconds)."""
 UNAVAILABLE: Final = "store_unavailable"
 
 T = TypeVar("T")
@@ -65,6 +73,31 @@
             return Failure(store_error("bad_value", "decode", self.tls_key, error))
 
 
+class _LeaseAsk(msgspec.Struct):
+    ttl_ms: int
+
+
+class _Lease(msgspec.Struct):
+    lease: int
+
+
+class _Expected(msgspec.Struct):
+    tls_key: str
+    revision: int
+
+
+class _Put(msgspec.Struct):
+    tls_key: str
+    value: str
+    lease: int
+
+
+class _Change(msgspec.Struct):
+    expected_revision: list[_Expected] = []
+    puts: list[_Put] = []
+    remove: list[str] = []
+
+
 class _Page(msgspec.Struct):
     items: list[_Item]
     has_more: bool
@@ -129,6 +162,35 @@
         more = len(found.events) >= MANY_EVENTS
         return TargetsRead(after, entries, gone + unusable, max(after, found.as_of), more)
 
+    async def read_items(self, prefix: str) -> Result[dict[str, bytes], TrackwheelError]:
+        """Return the values of all items below a prefix, seconds old, by their keys without it."""
+        reading = await self._read_all(prefix, copy=True)
+        return reading.map(
+            lambda found: {
+                item.tls_key.removeprefix(prefix): item.content().value_or(b"")
+                for item in found.items
+            }
+        )
+
+    async def put_once(
+        self, key: str, value: bytes, lasts_s: float
+    ) -> Result[None, TrackwheelError]:
+        """Write an item for some time (seconds), unless it is there already."""
+        ttl_ms = round(min(LONGEST_TTL_MS, max(LEAST_TTL_MS, lasts_s * MILLISECONDS)))
+        leased = await self._post(PATH_LEASE, _LeaseAsk(ttl_ms))
+        match leased.bind(lambda content: self._decode(content, _Lease, f"lease for {key}")):
+            case Success(granted):
+                put = _Put(key, base64.b64encode(value).decode(), granted.lease)
+                change = _Change(expected_revision=[_Expected(key, 0)], puts=[put])
+                written = await self._post(PATH_CHANGE, change, (STATUS_OK, STATUS_OTHERWISE))
+                return written.map(lambda _: None)
+            case failure:
+                return failure.map(lambda _: None)
+
+    async def remove_item(self, key: str) -> Result[None, TrackwheelError]:
+        """Remove an item, if it is there."""
+        return (await self._post(PATH_CHANGE, _Change(remove=[key]))).map(lambda _: None)
+
     async def _read_all(self, prefix: str, copy: bool) -> Result[_Page, TrackwheelError]:
         """Return all items below a prefix, page by page, with the revision of the first page."""
         items: list[_Item] = []
@@ -164,21 +226,37 @@
     async def _get(
         self, path: str, parameters: dict[str, str], wait_s: float
     ) -> Result[bytes, TrackwheelError]:
-        query = f"{path}?{urlencode(parameters)}"
-        headers = ((b"host", self._address.encode()),)
-        request = Request(b"GET", query.encode(), headers, b"", steady_now())
+        return await self._call(b"GET", path, f"{path}?{urlencode(parameters)}", b"", wait_s)
+
+    async def _post(
+        self, path: str, change: _LeaseAsk | _Change, good: Collection[int] = (STATUS_OK,)
+    ) -> Result[bytes, TrackwheelError]:
+        return await self._call(b"POST", path, path, msgspec.json.encode(change), 0.0, good)
+
+    async def _call(
+        self,
+        method: bytes,
+        step: str,
+        query: str,
+        body: bytes,
+        wait_s: float,
+        good: Collection[int] = (STATUS_OK,),
+    ) -> Result[bytes, TrackwheelError]:
+        """Make one call; `good` are the statuses of answers that are of use."""
+        headers = ((b"host", self._address.encode()), (b"content-type", b"application/json"))
+        request = Request(method, query.encode(), headers, body, steady_now())
         # A connection for each call: one that went silent while idle would cost its time-out anew.
         end = await call_once(
             self._host, self._port, request, self._call_timeout_s, self._call_timeout_s + wait_s
         )
         if end.answer is None:
-            return Failure(store_error(UNAVAILABLE, path, self._address, end.detail))
+            return Failure(store_error(UNAVAILABLE, step, self._address, end.detail))
         status = end.answer.status
         if status == STATUS_HISTORY_GONE:
             detail = "the store has forgotten the changes since then"
-            return Failure(HistoryGoneError(Problem("history_gone", path, self._address, detail)))
-        if status != STATUS_OK:
-            return Failure(store_error(UNAVAILABLE, path, self._address, f"status {status}"))
+            return Failure(HistoryGoneError(Problem("history_gone", step, self._address, detail)))
+        if status not in good:
+            return Failure(store_error(UNAVAILABLE, step, self._address, f"status {status}"))
         return Success(end.answer.body)
 
     def _orders(self, items: list[_Item], as_of: int, whole: bool) -> OrdersRead:
--- a/trackwheel/quarantine/models.py
+++ b/trackwheel/quarantine/models.py
@@ -1,7 +1,10 @@
 """What boxes tell each other of requests under which targets ended, and what is decided."""
 
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
+from returns.result import Result
+
+from trackwheel.errors import TrackwheelError
 from trackwheel.relay.models import Life
 
 
@@ -42,6 +45,19 @@
 Message = CrashReport | RequestsAnswered | RequestsHeld
 
 
+class HeldStore(Protocol):
+    """Keep held requests where they outlast all boxes."""
+
+    async def read(self) -> Result[list[HeldRequest], TrackwheelError]:
+        """Return the requests that are held, as they stood some seconds ago."""
+
+    async def keep(self, held: HeldRequest) -> Result[None, TrackwheelError]:
+        """Write that a request is held, unless another box has; it is forgotten in time."""
+
+    async def forget(self, fingerprint: bytes) -> Result[None, TrackwheelError]:
+        """Remove what is written of a request."""
+
+
 class TellAll(NamedTuple):
     """Command: tell every box."""
 
--- a/trackwheel/quarantine/service.py
+++ b/trackwheel/quarantine/service.py
@@ -1,11 +1,13 @@
 """The shell of the quarantine: what ends at this box goes in, what is decided goes to all boxes."""
 
-from collections.abc import Iterable
+from collections.abc import Awaitable, Iterable
 from typing import Final
 
 import anyio
+from returns.result import Failure, Result, Success
 
 from trackwheel.clock import steady_now
+from trackwheel.errors import TrackwheelError
 from trackwheel.peers.hub import Hub
 from trackwheel.peers.models import PeerIdentity
 from trackwheel.quarantine.const import TELL_AGAIN_S
@@ -13,6 +15,7 @@
     Cleared,
     CrashReport,
     Held,
+    HeldStore,
     Message,
     RequestsAnswered,
     RequestsHeld,
@@ -43,14 +46,18 @@
 class Quarantine:
     """Keep requests that end targets from them, together with the other boxes."""
 
-    def __init__(self, hub: Hub, log: EventLog) -> None:
+    def __init__(self, hub: Hub, store: HeldStore, log: EventLog) -> None:
         self._hub = hub
+        self._store = store
         self._log = log
         self._suspects = Suspects()
         self._timer = Timer(self._act)
         self._near: tuple[str, ...] = ()
         self._far: tuple[str, ...] = ()
         self._tells_again = False
+        self._has_read = False
+        self._stored: set[bytes] = set()
+        self.store_calls = 0
         hub.register(CrashReport, self._take_report)
         hub.register(RequestsAnswered, self._take_answered)
         hub.register(RequestsHeld, self._take_held)
@@ -96,7 +103,12 @@
         self._hub.send(address, self._suspects.held_requests(steady_now()))
 
     async def run(self) -> None:
-        """Make up for lost news, and forget what is over, until cancelled."""
+        """Make up for lost news, keep the store in step, forget what is over, until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._tell_again)
+            tasks.start_soon(self._follow_store)
+
+    async def _tell_again(self) -> None:
         while True:
             await anyio.sleep(TELL_AGAIN_S)
             now = steady_now()
@@ -105,6 +117,50 @@
             if self._tells_again and self.held:
                 self._tell_all(self._suspects.held_requests(now))
 
+    async def _follow_store(self) -> None:
+        """Read once what is held, then write what changes, where this box does that for others."""
+        await self._read_store()
+        while True:
+            await anyio.sleep(TELL_AGAIN_S)
+            if not self._tells_again:
+                continue
+            if not self._has_read:
+                await self._read_store()
+            await self._write_store()
+
+    async def _read_store(self) -> None:
+        self.store_calls += 1
+        match await self._store.read():
+            case Success(rows):
+                self._has_read = True
+                self._stored = {row.fingerprint for row in rows}
+                self._suspects.take_held(RequestsHeld(rows), steady_now())
+                self._wake()
+            case Failure(error):
+                self._log.write("held_unread", reason=str(error))
+
+    async def _write_store(self) -> None:
+        """Write which requests are held and not in the store yet; remove those that were cleared.
+
+        What another box has written costs one call too many; what is over goes by itself.
+        """
+        rows = self._suspects.held_requests(steady_now()).rows
+        for row in rows:
+            if row.fingerprint not in self._stored and await self._done(self._store.keep(row)):
+                self._stored.add(row.fingerprint)
+        for request in self._stored - {row.fingerprint for row in rows}:
+            if await self._done(self._store.forget(request)):
+                self._stored.discard(request)
+
+    async def _done(self, call: Awaitable[Result[None, TrackwheelError]]) -> bool:
+        """Make a call that changes the store; return whether it has worked."""
+        self.store_calls += 1
+        match await call:
+            case Failure(error):
+                self._log.write("held_unwritten", reason=str(error))
+                return False
+        return True
+
     def _wake(self) -> None:
         """Act when something is due; mostly nothing is."""
         wake_at = self._suspects.next_wake()
