Try one target first where nobody knows which request ended the others

Cause: a request that is at the same targets as one that ends them has the same ends. Held with it, a bystander would be refused for ten minutes; passed over, a second request that ends targets would end each shard's once more, seconds after its third end. Also: a request taken back from a target may end it all the same, and a held one would end twenty targets again after its time. Change: such requests go to one target first: answered, to all; ended, they are held. Queries under way ask no further target meanwhile. Ends within a second of a request's taking back count against it. Only a success clears a request: a failing target may not have begun to run it. Failed on the way: holding all with the same ends (innocent ones got 503 for 600 s); then trials that queries under way used up (four more ends at once) - both shown by the test of the bystanders.

--- a/tests/quarantine/test_suspects.py
+++ b/tests/quarantine/test_suspects.py
@@ -9,14 +9,17 @@
     ENDS_TO_HOLD,
     EVIDENCE_MEMORY_S,
     HOLD_S,
+    LEFT_S,
     LONGEST_SETTLE_S,
     MOST_ANSWERED,
     MOST_HELD,
+    MOST_LEFT,
     MOST_LIVES_TOLD,
     MOST_ROWS_TOLD,
     MOST_SUSPECTS,
     REPORT_AFTER_S,
     SETTLE_S,
+    TRIAL_S,
 )
 from trackwheel.quarantine.models import (
     Cleared,
@@ -69,6 +72,26 @@
     return lambda suspects: suspects.take_held(news, at)
 
 
+def taken_back(request: bytes, *numbers: int, at: float = 1.0) -> Step:
+    """Take a request back from targets of this box."""
+
+    def step(suspects: Suspects) -> None:
+        for number in numbers:
+            suspects.taken_back(request, life(number), at)
+
+    return step
+
+
+def refused(*numbers: int, at: float = 1.0) -> Step:
+    """Let targets refuse connections."""
+
+    def step(suspects: Suspects) -> None:
+        for number in numbers:
+            suspects.refused(life(number), at)
+
+    return step
+
+
 def ticks(at: float) -> Step:
     return lambda suspects: (suspects.tick(at), None)[1]
 
@@ -156,9 +179,69 @@
         pytest.param(
             [closed(ENDS, 1, 2, 3), closed(OTHER, 1, 2, 3)],
             SETTLED,
-            {ENDS, OTHER},
+            set(),
             id="two-that-cannot-be-told-apart",
         ),
+        pytest.param(
+            [
+                closed(ENDS, 1, 2, 3),
+                closed(OTHER, 1, 2, 3),
+                ticks(SETTLED),
+                closed(ENDS, 4, at=5.0),
+                answered(OTHER, 5.0),
+            ],
+            5.0 + SETTLE_S,
+            {ENDS},
+            id="two-that-one-target-told-apart",
+        ),
+        pytest.param(
+            [
+                closed(ENDS, 1, 2, 3),
+                closed(OTHER, 1, 2, 3),
+                ticks(SETTLED),
+                closed(ENDS, 4, at=5.0),
+                closed(OTHER, 4, at=5.0),
+            ],
+            5.0 + SETTLE_S,
+            {ENDS, OTHER},
+            id="two-that-nothing-tells-apart",
+        ),
+        pytest.param(
+            [
+                closed(ENDS, 1, 2, 3, 4),
+                closed(OTHER, 1, 2, 3),
+                ticks(SETTLED),
+                closed(OTHER, 9, at=20.0),
+                ticks(20.0 + SETTLE_S),
+            ],
+            21.0,
+            {ENDS, OTHER},
+            id="two-at-the-same-targets-one-after-the-other",
+        ),
+        pytest.param(
+            [closed(ENDS, 1, 2, 3), ticks(SETTLED), ticks(2.0 + HOLD_S), closed(ENDS, 4, at=700.0)],
+            701.0,
+            {ENDS},
+            id="again-after-it-was-held",
+        ),
+        pytest.param(
+            [taken_back(ENDS, 1, 2, 3, at=0.5), refused(1, 2, 3)],
+            SETTLED,
+            {ENDS},
+            id="taken-back-from-targets-that-end-all-the-same",
+        ),
+        pytest.param(
+            [taken_back(ENDS, 1, 2, 3, 4), closed(OTHER, 1, 2, 3)],
+            SETTLED,
+            set(),
+            id="taken-back-from-where-another-one-is-closed",
+        ),
+        pytest.param(
+            [taken_back(ENDS, 1, 2, 3, at=1.0 - LEFT_S), refused(1, 2, 3)],
+            SETTLED,
+            set(),
+            id="taken-back-long-before",
+        ),
         pytest.param([told_held(ENDS)], 1.1, {ENDS}, id="held-elsewhere"),
         pytest.param([told_held(ENDS, left_s=2.0)], 3.1, set(), id="held-elsewhere-until-then"),
         pytest.param([told_held(ENDS, left_s=-5.0)], 1.1, set(), id="word-that-is-over"),
@@ -200,15 +283,50 @@
     assert suspects.next_wake() == NEVER
 
 
-def test_bystander_that_waits_goes_on_once_its_ends_are_explained() -> None:
+def test_bystander_of_many_ends_goes_to_one_target_first() -> None:
     suspects = Suspects()
     closed(ENDS, 1, 2, 3, 4)(suspects)
     closed(OTHER, 1, 2, 3)(suspects)
     assert suspects.passage(OTHER, 1.0) is Passage.WAIT
     suspects.tick(SETTLED)
+    assert suspects.passage(OTHER, SETTLED) is Passage.ONE
+    assert suspects.waits_s(OTHER, SETTLED) == 0.0
+    suspects.begin_trial(OTHER, SETTLED)
+    assert suspects.passage(OTHER, SETTLED) is Passage.WAIT
+    assert suspects.passage(OTHER, SETTLED + TRIAL_S) is Passage.ONE
+    answered(OTHER, SETTLED + 0.1)(suspects)
+    assert suspects.passage(OTHER, SETTLED + 0.1) is Passage.OPEN
+    assert messages(suspects.tick(SETTLED + 0.1))[-1] == RequestsAnswered([OTHER])
+
+
+def test_bystander_of_few_ends_goes_on_as_before() -> None:
+    suspects = Suspects()
+    closed(ENDS, 1, 2, 3, 4)(suspects)
+    closed(OTHER, 1, 2)(suspects)
+    suspects.tick(SETTLED)
     assert suspects.passage(OTHER, SETTLED) is Passage.OPEN
 
 
+def test_requests_with_the_same_ends_go_to_one_target_each() -> None:
+    suspects = Suspects()
+    closed(ENDS, 1, 2, 3)(suspects)
+    closed(OTHER, 1, 2, 3)(suspects)
+    suspects.tick(SETTLED)
+    assert {suspects.passage(one, SETTLED) for one in (ENDS, OTHER)} == {Passage.ONE}
+
+
+def test_request_that_was_held_goes_to_one_target_first() -> None:
+    suspects = Suspects()
+    closed(ENDS, 1, 2, 3)(suspects)
+    suspects.tick(SETTLED)
+    suspects.tick(SETTLED + HOLD_S)
+    assert suspects.passage(ENDS, SETTLED + HOLD_S) is Passage.ONE
+    closed(ENDS, 4, at=SETTLED + HOLD_S)(suspects)
+    assert suspects.passage(ENDS, SETTLED + HOLD_S) is Passage.WAIT
+    suspects.tick(SETTLED + HOLD_S + SETTLE_S)
+    assert suspects.passage(ENDS, SETTLED + HOLD_S + SETTLE_S) is Passage.SHUT
+
+
 def test_verdict_does_not_wait_for_ever_for_newer_suspects() -> None:
     suspects = Suspects()
     closed(ENDS, 1, 2, 3)(suspects)
@@ -281,9 +399,13 @@
     for number in range(MOST_HELD + 100):
         told_held(b"%d" % number)(suspects)
     assert suspects.held == MOST_HELD
+    for number in range(MOST_LEFT + 100):
+        suspects.taken_back(ENDS, life(number), 2.0)
+    assert len(suspects._left_by_life) == MOST_LEFT
     for number in range(MOST_ANSWERED + 100):
         suspects.answered(b"a%d" % number, 2.0)
-    suspects.forget_answers(2.0)
+    suspects.forget_old(2.0)
     assert len(suspects._answered_at_by_request) == MOST_ANSWERED
-    suspects.forget_answers(2.0 + ANSWER_MEMORY_S)
+    suspects.forget_old(2.0 + ANSWER_MEMORY_S)
     assert not suspects._answered_at_by_request
+    assert not suspects._left_by_life
--- a/tests/relay/test_crashing_query.py
+++ b/tests/relay/test_crashing_query.py
@@ -118,7 +118,7 @@
 
 @pytest.mark.parametrize(
     ("passage", "sends"),
-    [(Passage.OPEN, 2), (Passage.WAIT, 1), (Passage.SHUT, 1)],
+    [(Passage.OPEN, 2), (Passage.ONE, 1), (Passage.WAIT, 1), (Passage.SHUT, 1)],
 )
 def test_request_to_one_target_is_not_sent_again(
     board: Board, budget: RepeatBudget, passage: Passage, sends: int
--- a/tests/whole/test_crashing_request.py
+++ b/tests/whole/test_crashing_request.py
@@ -14,6 +14,7 @@
 import signal
 import time
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -145,3 +146,37 @@
     start_again(fleet, fleet.boxes)
     for place in fleet.boxes:
         check_whole(fleet, fleet.ask(place, "/q/other"))
+
+
+def ask_together(fleet: EntryFleet, paths: list[str]) -> None:
+    """Send requests to one box at once, so that they are at the same targets."""
+    with ThreadPoolExecutor(len(paths)) as pool:
+        list(pool.map(lambda path: fleet.ask(fleet.boxes[0], path), paths))
+
+
+def test_two_requests_at_the_same_targets_are_both_found(fleet: EntryFleet) -> None:
+    paths = ["/q/crash-1", "/q/crash-2"]
+    ask_together(fleet, paths)
+    time.sleep(KNOWN_AFTER_S)
+    fleet.replace_ended()
+    time.sleep(KNOWN_AFTER_S)
+    before = runs(fleet)
+    for place in [*fleet.boxes, *fleet.boxes]:
+        for path in paths:
+            assert fleet.ask(place, path).status_code in (502, 503)
+        fleet.replace_ended()
+    assert runs(fleet) - before <= REPEATS_AFTER
+
+
+def test_bystanders_are_served_once_targets_are_back(fleet: EntryFleet) -> None:
+    """They were at every target that ended, and nobody has answered them yet."""
+    bystanders = [f"/q/other-{number}" for number in range(4)]
+    for target in fleet.target_by_instance.values():
+        target.delay_s = 0.2
+    ask_together(fleet, ["/q/crash", *bystanders])
+    time.sleep(KNOWN_AFTER_S)
+    fleet.replace_ended()
+    time.sleep(KNOWN_AFTER_S)
+    for place in fleet.boxes:
+        for path in bystanders:
+            check_whole(fleet, fleet.ask(place, path))
--- a/trackwheel/entry/box.py
+++ b/trackwheel/entry/box.py
@@ -111,6 +111,7 @@
         self.groups = PeerGroups(self.hub, wire, self.log)
         self.quarantine = Quarantine(self.hub, PlatformHeldStore(self.store), self.log)
         self.transport.on_any_end(self.quarantine.ended)
+        self.transport.on_taken_back(self.quarantine.taken_back)
         self.taken = TakenGroups(
             self.hub,
             self.board,
--- a/trackwheel/http1/pool.py
+++ b/trackwheel/http1/pool.py
@@ -39,13 +39,14 @@
         self._waiting.append(job)
         self._pump()
 
-    def cancel(self, token: object) -> None:
-        """Take an exchange back; one that was sent has its connection closed."""
+    def cancel(self, token: object) -> bool:
+        """Take an exchange back; return whether it was sent, so that its connection is closed."""
         connection = self._connection_by_token.pop(token, None)
         if connection is not None:
             connection.abandon()
-            return
+            return True
         self._waiting = deque(job for job in self._waiting if job.token is not token)
+        return False
 
     def refuse_waiting(self) -> None:
         """Tell the exchanges that wait for a connection that nothing is sent any more.
--- a/trackwheel/quarantine/const.py
+++ b/trackwheel/quarantine/const.py
@@ -19,9 +19,16 @@
 REPORT_AFTER_S: Final = 0.15
 """Time between an end and its report to the other boxes (seconds). Most bystanders are answered by
 another target within it, and need no report."""
+TRIAL_S: Final = 2.0
+"""How long a request that may go to one target waits for its end, before another one may."""
+LEFT_S: Final = 1.0
+"""How long a target may still run a request that was taken back from it (seconds). Most targets
+drop such a request; one that ends within this time may have ended under it."""
+MOST_LEFT: Final = 5_000
+"""Requests taken back that are remembered, some 200 bytes each."""
 HOLD_S: Final = 600.0
-"""How long a request is held (seconds). Whoever mends targets needs minutes; a request that is
-harmless by then waits no longer."""
+"""How long a request is held (seconds). Whoever mends targets needs minutes. After it the request
+may go to one target, and to others once that has answered."""
 ANSWER_MEMORY_S: Final = 10.0
 """How long an answer by a target clears its request: as long as the longest requests last."""
 EVIDENCE_MEMORY_S: Final = 600.0
--- a/trackwheel/quarantine/models.py
+++ b/trackwheel/quarantine/models.py
@@ -72,10 +72,17 @@
     for_s: float
 
 
+class OnTrial(NamedTuple):
+    """Command: write down that a request goes to one target first, after so many ends."""
+
+    fingerprint: bytes
+    ends: int
+
+
 class Cleared(NamedTuple):
     """Command: write down that a request that was held goes to targets again."""
 
     fingerprint: bytes
 
 
-Command = TellAll | Held | Cleared
+Command = TellAll | Held | OnTrial | Cleared
--- a/trackwheel/quarantine/service.py
+++ b/trackwheel/quarantine/service.py
@@ -1,7 +1,6 @@
 """The shell of the quarantine: what ends at this box goes in, what is decided goes to all boxes."""
 
 from collections.abc import Awaitable, Iterable
-from typing import Final
 
 import anyio
 from returns.result import Failure, Result, Success
@@ -17,30 +16,36 @@
     Held,
     HeldStore,
     Message,
+    OnTrial,
     RequestsAnswered,
     RequestsHeld,
     TellAll,
 )
-from trackwheel.quarantine.suspects import Suspects
-from trackwheel.relay.models import Outcome, Passage
+from trackwheel.quarantine.suspects import NEVER, Suspects
+from trackwheel.relay.models import Outcome, Passage, Target
 from trackwheel.relay.timer import Timer
 from trackwheel.relay.transport import Sending
 from trackwheel.telemetry.events import EventLog
 
-LIVED: Final = frozenset({Outcome.OK, Outcome.FAILED})
-"""Outcomes that a target wrote itself after it had run the request, so that it lives on."""
-
 
 class RequestGate:
-    """Know whether one request may go to targets."""
+    """Know whether one request may go to targets.
+
+    With `for_peer`, the box that hands it over has seen to it that one target was tried first; the
+    news that this one has answered may come after the request.
+    """
 
-    def __init__(self, suspects: Suspects, request: bytes) -> None:
+    def __init__(self, suspects: Suspects, request: bytes, for_peer: bool) -> None:
         self._suspects = suspects
         self._request = request
+        self._for_peer = for_peer
 
     def passage(self, now: float) -> Passage:
         """Return whether it may be sent at a time (monotonic seconds)."""
-        return self._suspects.passage(self._request, now)
+        passage = self._suspects.passage(self._request, now)
+        if self._for_peer and passage is Passage.ONE:
+            return Passage.OPEN
+        return passage
 
 
 class Quarantine:
@@ -75,14 +80,22 @@
         self._near, self._far = tuple(near), tuple(far)
         self._tells_again = tells_again
 
-    def gate(self, request: bytes) -> RequestGate:
-        """Return what knows whether a request may go to targets."""
-        return RequestGate(self._suspects, request)
+    def gate(self, request: bytes, for_peer: bool = False) -> RequestGate:
+        """Return what knows whether a request, or a peer's, may go to targets."""
+        return RequestGate(self._suspects, request, for_peer)
 
     def holds(self, request: bytes) -> bool:
         """Return whether a request may go to no target for the time being."""
         return self._suspects.passage(request, steady_now()) is Passage.SHUT
 
+    def goes_to_one(self, request: bytes) -> bool:
+        """Return whether a request goes to one target now, and to others only if that answers."""
+        now = steady_now()
+        if self._suspects.passage(request, now) is not Passage.ONE:
+            return False
+        self._suspects.begin_trial(request, now)
+        return True
+
     def waits_s(self, request: bytes) -> float:
         """Return in how many seconds a request may be tried again, 0 for now."""
         return self._suspects.waits_s(request, steady_now())
@@ -90,14 +103,22 @@
     def ended(self, sending: Sending, outcome: Outcome, sent_at: float) -> None:
         """Take how a request ended at a target."""
         now = steady_now()
-        if outcome in LIVED:
-            self._suspects.answered(sending.fingerprint, now)
-        elif outcome is Outcome.CLOSED:
-            self._suspects.closed(sending.fingerprint, sending.target.life, now)
-        else:
-            return
+        match outcome:
+            case Outcome.OK:
+                # No other answer clears a request: a failing target may not have begun to run it.
+                self._suspects.answered(sending.fingerprint, now)
+            case Outcome.CLOSED:
+                self._suspects.closed(sending.fingerprint, sending.target.life, now)
+            case Outcome.NOT_SENT:
+                self._suspects.refused(sending.target.life, now)
+            case _:
+                return
         self._wake()
 
+    def taken_back(self, request: bytes, target: Target) -> None:
+        """Take that a request was taken back from a target that has not answered it."""
+        self._suspects.taken_back(request, target.life, steady_now())
+
     def tell(self, address: str) -> None:
         """Tell one box which requests are held."""
         self._hub.send(address, self._suspects.held_requests(steady_now()))
@@ -112,7 +133,7 @@
         while True:
             await anyio.sleep(TELL_AGAIN_S)
             now = steady_now()
-            self._suspects.forget_answers(now)
+            self._suspects.forget_old(now)
             self._act()
             if self._tells_again and self.held:
                 self._tell_all(self._suspects.held_requests(now))
@@ -164,7 +185,10 @@
     def _wake(self) -> None:
         """Act when something is due; mostly nothing is."""
         wake_at = self._suspects.next_wake()
-        if wake_at < float("inf"):
+        if wake_at == 0.0:
+            # News of an answer go out before what the answer lets go out.
+            self._act()
+        elif wake_at < NEVER:
             self._timer.set(wake_at)
 
     def _act(self) -> None:
@@ -179,6 +203,8 @@
                         ends=ends,
                         for_s=round(for_s, 1),
                     )
+                case OnTrial(request, ends):
+                    self._log.write("request_on_trial", fingerprint=request.hex(), ends=ends)
                 case Cleared(request):
                     self._log.write("request_cleared", fingerprint=request.hex())
         self._wake()
--- a/trackwheel/quarantine/suspects.py
+++ b/trackwheel/quarantine/suspects.py
@@ -6,24 +6,29 @@
 with another id, and took each service that came back down again.
 
 Others are at the same targets when those end. Whichever request has the most ends explains them,
-so that they no longer count against the others.
+so that they no longer count against the others. Those with three ends themselves may have been to
+blame too, as may requests that were held for long: they may go to one target, and if that answers
+to all, and if it ends they are held.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 
 from trackwheel.quarantine.const import (
     ANSWER_MEMORY_S,
     ENDS_TO_HOLD,
     EVIDENCE_MEMORY_S,
     HOLD_S,
+    LEFT_S,
     LONGEST_SETTLE_S,
     MOST_ANSWERED,
     MOST_HELD,
+    MOST_LEFT,
     MOST_LIVES_TOLD,
     MOST_ROWS_TOLD,
     MOST_SUSPECTS,
     REPORT_AFTER_S,
     SETTLE_S,
+    TRIAL_S,
 )
 from trackwheel.quarantine.models import (
     Cleared,
@@ -32,6 +37,7 @@
     EndsUnder,
     Held,
     HeldRequest,
+    OnTrial,
     RequestsAnswered,
     RequestsHeld,
     TellAll,
@@ -55,14 +61,19 @@
         """Whether other boxes know of it too."""
         self.suspect_since = NEVER
 
-    def add(self, lives: Iterable[Life], now: float) -> None:
-        """Take ends of targets."""
+    @property
+    def due_at(self) -> float:
+        """Return when it is to be reported or judged."""
+        return min(self.report_at, self.suspect_since + SETTLE_S)
+
+    def add(self, lives: Iterable[Life], enough: int, now: float) -> None:
+        """Take ends of targets; so many are enough to be a suspect."""
         self.lives.update(lives)
         self.last_at = now
-        if len(self.lives) >= ENDS_TO_HOLD and self.suspect_since == NEVER:
+        if len(self.lives) >= enough and self.suspect_since == NEVER:
             self.suspect_since = now
 
-    def take_out(self, explained: set[Life]) -> None:
+    def take_out(self, explained: Set[Life]) -> None:
         """Take that another request ended some of the targets."""
         self.lives -= explained
         self.own -= explained
@@ -70,6 +81,14 @@
             self.suspect_since = NEVER
 
 
+class _Trial:
+    """A request that may go to one target, until when, and since when it is at one."""
+
+    def __init__(self, until: float) -> None:
+        self.until = until
+        self.began_at = -NEVER
+
+
 class Suspects:
     """Decide, from how requests end here and at other boxes, which ones are held."""
 
@@ -77,9 +96,13 @@
         self._evidence_by_request: dict[bytes, _Evidence] = {}
         self._held_until_by_request: dict[bytes, float] = {}
         self._answered_at_by_request: dict[bytes, float] = {}
+        self._trial_by_request: dict[bytes, _Trial] = {}
+        self._left_by_life: dict[Life, list[tuple[bytes, float]]] = {}
+        """Requests that were taken back from a target, and when."""
         self._cause_by_life: dict[Life, bytes] = {}
         """Which held request ended a target."""
         self._commands: list[Command] = []
+        self._due_at = NEVER
 
     @property
     def held(self) -> int:
@@ -93,7 +116,14 @@
         evidence = self._evidence_by_request.get(request)
         if evidence is not None and evidence.suspect_since < NEVER:
             return Passage.WAIT
-        return Passage.OPEN
+        trial = self._trial_by_request.get(request)
+        if trial is None or trial.until <= now:
+            return Passage.OPEN
+        return Passage.ONE if now - trial.began_at >= TRIAL_S else Passage.WAIT
+
+    def begin_trial(self, request: bytes, now: float) -> None:
+        """Take that a request goes to one target now: others of its content wait for its end."""
+        self._trial_by_request[request].began_at = now
 
     def waits_s(self, request: bytes, now: float) -> float:
         """Return in how many seconds a request may be tried again, 0 for now."""
@@ -101,25 +131,32 @@
             case Passage.SHUT:
                 return self._held_until_by_request[request] - now
             case Passage.WAIT:
-                evidence = self._evidence_by_request[request]
-                return max(REPORT_AFTER_S, evidence.suspect_since + SETTLE_S - now)
-            case Passage.OPEN:
+                return SETTLE_S
+            case Passage.OPEN | Passage.ONE:
                 return 0.0
 
     def closed(self, request: bytes, life: Life, now: float) -> None:
         """Take that a target ended the connection under a request, without an answer."""
-        evidence = self._add(request, [life], now)
-        if evidence is None:
-            return
-        evidence.own.add(life)
-        if evidence.report_at == NEVER:
-            evidence.report_at = now + REPORT_AFTER_S
+        self._note_own(request, life, now)
+        self.refused(life, now)
+
+    def refused(self, life: Life, now: float) -> None:
+        """Take that a target has ended: requests taken back a moment ago may have ended it."""
+        for request, left_at in self._left_by_life.pop(life, ()):
+            if now - left_at < LEFT_S:
+                self._note_own(request, life, now)
+
+    def taken_back(self, request: bytes, life: Life, now: float) -> None:
+        """Take that a request was taken back from a target, which may run it all the same."""
+        if len(self._left_by_life) < MOST_LEFT:
+            self._left_by_life.setdefault(life, []).append((request, now))
 
     def answered(self, request: bytes, now: float) -> None:
         """Take that a target answered a request: it lives on, so that the request ends none."""
         self._answered_at_by_request[request] = now
         evidence = self._evidence_by_request.get(request)
-        if request in self._held_until_by_request or (evidence is not None and evidence.is_told):
+        known = request in self._held_until_by_request or request in self._trial_by_request
+        if known or (evidence is not None and evidence.is_told):
             self._commands.append(TellAll(RequestsAnswered([request])))
         self._clear(request)
 
@@ -162,17 +199,24 @@
         self._report(now)
         self._judge(now)
         self._forget(now)
+        evidence = self._evidence_by_request.values()
+        self._due_at = min((one.due_at for one in evidence), default=NEVER)
         commands, self._commands = self._commands, []
         return commands
 
     def next_wake(self) -> float:
         """Return when `tick` is next needed (monotonic seconds)."""
-        if self._commands:
-            return 0.0
-        evidence = self._evidence_by_request.values()
-        report_at = min((one.report_at for one in evidence), default=NEVER)
-        suspect_since = min((one.suspect_since for one in evidence), default=NEVER)
-        return min(report_at, suspect_since + SETTLE_S)
+        return 0.0 if self._commands else self._due_at
+
+    def _note_own(self, request: bytes, life: Life, now: float) -> None:
+        """Count the end of a target at this box against a request, and report it soon."""
+        evidence = self._add(request, [life], now)
+        if evidence is None:
+            return
+        evidence.own.add(life)
+        if evidence.report_at == NEVER:
+            evidence.report_at = now + REPORT_AFTER_S
+        self._due_at = min(self._due_at, evidence.due_at)
 
     def _add(self, request: bytes, lives: Iterable[Life], now: float) -> _Evidence | None:
         """Count ends of targets against a request; return nothing where none of them counts."""
@@ -185,9 +229,14 @@
         if not counting:
             return None
         evidence = self._evidence(request)
-        evidence.add(counting, now)
+        evidence.add(counting, 1 if self._is_on_trial(request, now) else ENDS_TO_HOLD, now)
+        self._due_at = min(self._due_at, evidence.due_at)
         return evidence
 
+    def _is_on_trial(self, request: bytes, now: float) -> bool:
+        trial = self._trial_by_request.get(request)
+        return trial is not None and trial.until > now
+
     def _evidence(self, request: bytes) -> _Evidence:
         evidence = self._evidence_by_request.get(request)
         if evidence is None:
@@ -205,6 +254,7 @@
     def _clear(self, request: bytes) -> None:
         """Drop what is held against a request."""
         self._evidence_by_request.pop(request, None)
+        self._trial_by_request.pop(request, None)
         if self._held_until_by_request.pop(request, None) is None:
             return
         self._drop_causes({request})
@@ -237,29 +287,42 @@
             longest_s = now - min(evidence.suspect_since for evidence in suspects.values())
             if now - worst.suspect_since < SETTLE_S and longest_s < LONGEST_SETTLE_S:
                 return
-            # Those with the very same ends cannot be told apart; one of them is to blame.
             lives = frozenset(worst.lives)
-            for request in [request for request in suspects if suspects[request].lives == lives]:
+            tied = [request for request in suspects if suspects[request].lives == lives]
+            # Those with the very same ends are told apart by one target each.
+            blamed = [one for one in tied if len(tied) == 1 or self._is_on_trial(one, now)]
+            for request in blamed:
                 self._hold(request, now + HOLD_S, now)
+            if not blamed:
+                self._explain(lives, tied[0], now)
 
     def _hold(self, request: bytes, until: float, now: float) -> None:
         """Keep a request from targets, and count its ends against no other one."""
         evidence = self._evidence_by_request.pop(request, _Evidence())
+        self._trial_by_request.pop(request, None)
         self._held_until_by_request.pop(request, None)
         self._held_until_by_request[request] = until
         if len(self._held_until_by_request) > MOST_HELD:
             self._release({next(iter(self._held_until_by_request))})
-        self._cause_by_life.update(dict.fromkeys(evidence.lives, request))
-        for other in list(self._evidence_by_request):
-            self._evidence_by_request[other].take_out(evidence.lives)
-            if not self._evidence_by_request[other].lives:
-                del self._evidence_by_request[other]
+        self._explain(evidence.lives, request, now)
         self._commands.append(Held(request, len(evidence.lives), until - now))
         if evidence.own:
             # Only boxes that met it tell, so that a fleet does not tell itself a thousand times.
             row = HeldRequest(request, (until - now) * MILLISECONDS)
             self._commands.append(TellAll(RequestsHeld([row])))
 
+    def _explain(self, lives: Set[Life], cause: bytes, now: float) -> None:
+        """Count ends of targets no more; requests that had many of them go to one target first."""
+        self._cause_by_life.update(dict.fromkeys(lives, cause))
+        for request, evidence in list(self._evidence_by_request.items()):
+            had = len(evidence.lives)
+            evidence.take_out(lives)
+            if had >= ENDS_TO_HOLD > len(evidence.lives):
+                self._trial_by_request[request] = _Trial(now + EVIDENCE_MEMORY_S)
+                self._commands.append(OnTrial(request, had))
+            if not evidence.lives:
+                del self._evidence_by_request[request]
+
     def _release(self, requests: set[bytes]) -> None:
         for request in requests:
             del self._held_until_by_request[request]
@@ -275,12 +338,21 @@
         over = {request for request, until in self._held_until_by_request.items() if until <= now}
         if over:
             self._release(over)
+            self._trial_by_request.update(
+                {request: _Trial(now + EVIDENCE_MEMORY_S) for request in over}
+            )
         for request, evidence in list(self._evidence_by_request.items()):
             if now - evidence.last_at >= EVIDENCE_MEMORY_S:
                 del self._evidence_by_request[request]
 
-    def forget_answers(self, now: float) -> None:
-        """Drop answers that clear nothing any more, and the oldest ones beyond a number."""
+    def forget_old(self, now: float) -> None:
+        """Drop what is over of the memories that grow with the load, the oldest first."""
+        self._left_by_life = {
+            life: left for life, left in self._left_by_life.items() if now - left[-1][1] < LEFT_S
+        }
+        self._trial_by_request = {
+            request: trial for request, trial in self._trial_by_request.items() if trial.until > now
+        }
         kept = {
             request: at
             for request, at in self._answered_at_by_request.items()
--- a/trackwheel/relay/attempts.py
+++ b/trackwheel/relay/attempts.py
@@ -132,10 +132,11 @@
         `needed` says that the answer fails without this.
         """
         passage = self._gate.passage(now)
-        if passage is Passage.SHUT or not self.may_run:
-            return Refusal.NO_MORE
         if passage is Passage.WAIT:
             return Refusal.NOT_NOW
+        # What may go to one target first has been to some already: the next attempt tries it.
+        if passage is not Passage.OPEN or not self.may_run:
+            return Refusal.NO_MORE
         choices = self._rank(board, route, now)
         if not choices and board.may_ask_soon(self._service, route, now):
             return Refusal.NOT_NOW
--- a/trackwheel/relay/models.py
+++ b/trackwheel/relay/models.py
@@ -90,9 +90,10 @@
 
 
 class Passage(StrEnum):
-    """Say whether a request may go to targets: now, perhaps soon, or not at all."""
+    """Say whether a request may go to targets: to any, to one first, perhaps soon, or to none."""
 
     OPEN = "open"
+    ONE = "one"
     WAIT = "wait"
     SHUT = "shut"
 
--- a/trackwheel/relay/runs.py
+++ b/trackwheel/relay/runs.py
@@ -82,7 +82,8 @@
 
     def withdraw(self, number: int, target: Target) -> None:
         """Take a request back."""
-        self._transport.withdraw(self._token_by_number.pop(number), target)
+        token = self._token_by_number.pop(number)
+        self._transport.withdraw(token, target, self._fingerprint)
 
     def _ended(self, number: int, end: TargetEnd) -> None:
         self._token_by_number.pop(number, None)
--- a/trackwheel/relay/service.py
+++ b/trackwheel/relay/service.py
@@ -23,7 +23,7 @@
 from trackwheel.relay.grouping import GroupPlanner
 from trackwheel.relay.groups import PeerGroups
 from trackwheel.relay.merge import merge_records
-from trackwheel.relay.models import CallerRequest, Place, RouteKey, Wire
+from trackwheel.relay.models import OPEN_GATE, CallerRequest, Passage, Place, RouteKey, Wire
 from trackwheel.relay.peers import PeerBox
 from trackwheel.relay.runs import GatherRun, GatherTask, SingleRun
 from trackwheel.relay.single import Single, SingleAnswered, SingleFailed, SinglePlan
@@ -97,10 +97,13 @@
             return
         if self._refuse_held(caller, route, exchange):
             return
-        if route.shards:
-            self._serve_query(caller, route, table.version, exchange)
+        one_target = self._quarantine.goes_to_one(caller.fingerprint)
+        if not route.shards:
+            self._serve_single(caller, route, table.version, exchange, one_target)
+        elif one_target:
+            self._serve_if_one_answers(caller, route, table.version, exchange)
         else:
-            self._serve_single(caller, route, table.version, exchange)
+            self._serve_query(caller, route, table.version, exchange)
 
     def _refuse_held(self, caller: CallerRequest, route: Route, exchange: Exchange) -> bool:
         """Refuse a request at once that is kept from targets; return whether it is."""
@@ -129,19 +132,29 @@
             self._wire.refusal(HTTPStatus.SERVICE_UNAVAILABLE, NO_ROUTES_RETRY_AFTER_S, reason)
         )
 
-    def _serve_single(
-        self, caller: CallerRequest, route: Route, version: int, exchange: Exchange
-    ) -> None:
-        plan = SinglePlan(
+    def _plan_single(self, caller: CallerRequest, route: Route, one_target: bool) -> SinglePlan:
+        """Return the plan for one target, or for one at a time."""
+        return SinglePlan(
             route=RouteKey(route.name, route.aim_s, route.homes),
-            service=self._divider.pick(route),
+            service=route.shards[0] if route.shards else self._divider.pick(route),
             repeatable=route.repeatable,
-            max_attempts=route.max_attempts,
+            max_attempts=1 if one_target else route.max_attempts,
             answer_at=_answer_at(caller, route),
             end_at=_end_at(caller, route),
-            gate=self._quarantine.gate(caller.fingerprint),
+            # The one send of a trial passes the gate that keeps others of its content waiting.
+            gate=OPEN_GATE if one_target else self._quarantine.gate(caller.fingerprint),
         )
 
+    def _serve_single(
+        self,
+        caller: CallerRequest,
+        route: Route,
+        version: int,
+        exchange: Exchange,
+        one_target: bool,
+    ) -> None:
+        plan = self._plan_single(caller, route, one_target)
+
         def done(result: SingleAnswered | SingleFailed) -> None:
             self._log_end(caller, route, version, result)
             if isinstance(result, SingleAnswered):
@@ -155,6 +168,26 @@
         exchange.on_gone = lambda: self._leave(caller, route.name, run)
         run.start()
 
+    def _serve_if_one_answers(
+        self, caller: CallerRequest, route: Route, version: int, exchange: Exchange
+    ) -> None:
+        """Send a query that may end targets to one of them, and serve it once that has answered."""
+
+        def done(result: SingleAnswered | SingleFailed) -> None:
+            if self._quarantine.gate(caller.fingerprint).passage(steady_now()) is Passage.OPEN:
+                self._serve_query(caller, route, version, exchange)
+                return
+            failed = result
+            if isinstance(failed, SingleAnswered):
+                failed = SingleFailed(True, False, ENDS_TARGETS)
+            self._log_end(caller, route, version, failed)
+            self._refuse(exchange, failed)
+
+        single = Single(self._plan_single(caller, route, True), self._board, self._budget)
+        run = SingleRun(caller, single, self._transport, done)
+        exchange.on_gone = lambda: self._leave(caller, route.name, run)
+        run.start()
+
     def _serve_query(
         self, caller: CallerRequest, route: Route, version: int, exchange: Exchange
     ) -> None:
--- a/trackwheel/relay/taken.py
+++ b/trackwheel/relay/taken.py
@@ -182,7 +182,7 @@
             end_at=deadline,
             partial=True,
             repeat=message.repeat,
-            gate=self._quarantine.gate(request.fingerprint),
+            gate=self._quarantine.gate(request.fingerprint, for_peer=True),
         )
         return GatherTask(request, Gather(plan, self._board, self._budget))
 
--- a/trackwheel/relay/transport.py
+++ b/trackwheel/relay/transport.py
@@ -28,6 +28,9 @@
 
 OnTargetEnd = Callable[[TargetEnd], None]
 
+OnTakenBack = Callable[[bytes, Target], None]
+"""Take the fingerprint of a request that was taken back from a target."""
+
 
 class Clock(Protocol):
     """Give the steady time."""
@@ -67,11 +70,16 @@
         self.sent_by_reason: Counter[tuple[str, str]] = Counter()
         self.ended_by_outcome: Counter[tuple[str]] = Counter()
         self._on_any_end: list[OnAnyEnd] = []
+        self._on_taken_back: list[OnTakenBack] = []
 
     def on_any_end(self, handler: OnAnyEnd) -> None:
         """Call a handler with how each request ended that was not withdrawn."""
         self._on_any_end.append(handler)
 
+    def on_taken_back(self, handler: OnTakenBack) -> None:
+        """Call a handler with each request that was sent and taken back before its answer."""
+        self._on_taken_back.append(handler)
+
     def set_limits(self, connections_by_service: dict[str, int], members: int) -> None:
         """Take how many connections the targets of each service take from all boxes."""
         self._limit_by_service = connections_by_service
@@ -117,12 +125,13 @@
 
         self._pool(target).submit(Job(sending.token, build, check, sending.once, ended))
 
-    def withdraw(self, token: object, target: Target) -> None:
+    def withdraw(self, token: object, target: Target, fingerprint: bytes) -> None:
         """Take a request back."""
         self._board.withdrawn(target, token, self._clock())
         pool = self._pool_by_life.get(target.life)
-        if pool is not None:
-            pool.cancel(token)
+        if pool is not None and pool.cancel(token):
+            for handler in self._on_taken_back:
+                handler(fingerprint, target)
 
     def _write(
         self, sending: Sending, end: TargetEnd, belief: TargetBelief | None, sent_at: float
