--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -58,6 +58,11 @@
 WATCHING = "tests/directory/test_watching.py::"
 OUTAGE = "tests/directory/test_store_outage.py::"
 NEWS = "tests/relay/test_news.py::"
+CRASHING = "tests/whole/test_crashing_request.py::"
+CRASHING_QUERY = "tests/relay/test_crashing_query.py::"
+SUSPECTS = "tests/quarantine/test_suspects.py::"
+HOLDING = "tests/quarantine/test_fleet.py::"
+CLOCK = "tests/test_clock.py::"
 WIRE = "tests/platform/test_wire.py::"
 ENTRY = "tests/whole/test_entry.py::"
 
@@ -76,6 +81,8 @@
 EVACUATION = "an evacuated failure domain gets nothing more"
 COLD_BOUND = "a cold target gets no more than it bears, from all boxes together"
 TOLD = "a told load is used, or its loss is told"
+HELD = "a request that ends its targets goes to no more"
+SUSPENDED = "a box that was suspended knows it"
 ONE_LIFE = "what is believed of a target ends with its life"
 FOREIGN = "an entry of another writer names no target, and the others hold"
 BUDGET = "repeats stay within the budget of all boxes together"
@@ -1298,4 +1305,122 @@
             "TargetsRead(after, entries, gone,",
         ),
     ),
+    Row(
+        PLATFORM,
+        HELD,
+        "a query, a look-up, one that may run only once, sent again at each box",
+        CRASHING + "test_request_under_which_three_targets_ended_goes_to_no_more",
+        Mutant("trackwheel/relay/service.py", "if waits_s <= 0.0:", "if True:"),
+    ),
+    Row(
+        PLATFORM,
+        HELD,
+        "one query over all shards: how many targets it ends",
+        CRASHING + "test_query_that_ends_targets_leaves_each_shard_one",
+        Mutant(
+            "trackwheel/relay/gather.py",
+            "return self._closings.any and not len(self.parts)",
+            "return False and not len(self.parts)",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        HELD,
+        "one box or all boxes are lost",
+        CRASHING + "test_boxes_that_start_know_what_is_held",
+        Mutant(
+            "trackwheel/quarantine/service.py",
+            "self._suspects.take_held(RequestsHeld(rows), steady_now())",
+            "pass",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        HELD,
+        "a box starts while the store is down",
+        CRASHING + "test_box_that_starts_while_the_store_is_down_is_told_by_its_peers",
+        Mutant(
+            "trackwheel/quarantine/service.py",
+            "self._tell_all(self._suspects.held_requests(now))",
+            "pass",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        HELD,
+        "two such requests at the same targets",
+        CRASHING + "test_two_requests_at_the_same_targets_are_both_found",
+    ),
+    Row(
+        PLATFORM,
+        HELD,
+        "four others at every target that ended are served once targets are back",
+        CRASHING + "test_bystanders_are_served_once_targets_are_back",
+        Mutant(
+            "trackwheel/quarantine/suspects.py",
+            "if len(tied) == 1 or self._is_on_trial(one, now)",
+            "if True",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        HELD,
+        "any order of ends, answers, news, of one request and of those beside it",
+        SUSPECTS + "test_held",
+        Mutant(
+            "trackwheel/quarantine/suspects.py",
+            "            evidence.take_out(lives)\n",
+            "",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        HELD,
+        "fleets of 6, 60 and 195 boxes, a tenth of the messages lost",
+        HOLDING + "test_every_box_holds_it_in_time",
+        Mutant(
+            "trackwheel/quarantine/suspects.py",
+            "self._commands.append(TellAll(CrashReport(rows)))",
+            "pass",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        HELD,
+        "an answer at one box, before and after its ends are told",
+        HOLDING + "test_answer_at_one_box_clears_it_at_all",
+        Mutant(
+            "trackwheel/quarantine/suspects.py",
+            "self._commands.append(TellAll(RequestsAnswered(answered)))",
+            "pass",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        HELD,
+        "second targets of a query under which the first ones ended",
+        CRASHING_QUERY + "test_second_targets_are_spared_while_nothing_has_answered",
+        Mutant("trackwheel/relay/gather.py", "self._closings.own += 1", "pass"),
+    ),
+    Row(
+        PLATFORM,
+        SUSPENDED,
+        "the clock by which each part decides",
+        CLOCK + "test_clock_counts_the_time_in_which_the_machine_was_suspended",
+        Mutant("trackwheel/clock.py", '"CLOCK_BOOTTIME"', '"CLOCK_MONOTONIC"'),
+    ),
+    Row(
+        PLATFORM,
+        SUSPENDED,
+        "a timer that was due meanwhile",
+        CLOCK + "test_timer_that_was_due_while_suspended_fires_soon_after",
+        Mutant("trackwheel/relay/timer.py", "if delay_s > LONGEST_SLEEP_S:", "if False:"),
+    ),
+    Row(
+        PLATFORM,
+        SUSPENDED,
+        "the fleet has buried it meanwhile",
+        CLOCK + "test_box_that_was_suspended_joins_again",
+        Mutant("trackwheel/clock.py", '"CLOCK_BOOTTIME"', '"CLOCK_MONOTONIC"'),
+    ),
 )
