--- a/standins/target.py
+++ b/standins/target.py
@@ -40,6 +40,8 @@
     new_connection_s: float = 0.0
     max_queue: int = 50
     ignore_deadline: bool = False
+    ends_under: str = ""
+    """Text of queries and bodies under which the target ends as soon as it runs them."""
 
 
 @dataclass
@@ -77,7 +79,7 @@
         self._running = 0
         self._waiters: list[asyncio.Future[None]] = []
         self._sequence = itertools.count()
-        self._seen_connections: set[object] = set()
+        self._seen_connections: set[asyncio.Transport] = set()
 
     async def start(self, address: str) -> Running:
         """Listen on `IP:PORT`."""
@@ -105,7 +107,7 @@
 
     async def _note_connection(self, request: web.Request) -> None:
         transport = request.transport
-        if transport in self._seen_connections:
+        if not isinstance(transport, asyncio.Transport) or transport in self._seen_connections:
             return
         self._seen_connections.add(transport)
         self.counts.connections += 1
@@ -138,6 +140,16 @@
                 if not first.done():
                     first.set_result(None)
 
+    async def _end_if_told(self, request: web.Request, text: str) -> None:
+        """End under a request: every connection is cut, and another boot listens at once."""
+        if not self.faults.ends_under or self.faults.ends_under not in text:
+            return
+        await asyncio.sleep(self.faults.service_s)
+        self.boot = os.urandom(4).hex()
+        for transport in self._seen_connections:
+            transport.abort()
+        self._seen_connections.clear()
+
     def _service_time(self) -> float:
         number = next(self._sequence)
         share = self.faults.slow_share
@@ -164,6 +176,7 @@
             return self._refuse(409, "version", nonce, holds=sorted(held))
         self.counts.queries += 1
         self.counts.last_new_work = time.time()
+        await self._end_if_told(request, str(body.get("query", "")))
         if version is None:
             version = max(held)
         items_by_shard = held[version]
@@ -215,6 +228,7 @@
         runs = self.counts.runs_by_request_id
         runs[request_id] = runs.get(request_id, 0) + 1
         self.counts.last_new_work = time.time()
+        await self._end_if_told(request, str(body.get("body", "")))
         await asyncio.shield(self._work(body.get("group", "")))
         if self.faults.reply_lost:
             if request.transport is not None:
