Hold queries that end targets on the product's own path too

Change: owners tell the quarantine how work ends (a target's life is its address and boot), refuse what is held before a permit is asked for; gateways refuse it at once with code held; held requests are one value of the key-value service. The quarantine no longer knows the relay's transport (relay/ends.py tells it). Left: what nothing tells apart goes to all targets again here, not to one first.

--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -1402,6 +1402,13 @@
         CRASHING_QUERY + "test_second_targets_are_spared_while_nothing_has_answered",
         Mutant("trackwheel/relay/gather.py", "self._closings.own += 1", "pass"),
     ),
+    Row(
+        LOAD,
+        HELD,
+        "queries and requests that may run only once, at boxes of the product's own path",
+        "tests/whole/test_crashing_query.py::test_what_three_targets_ended_under_goes_to_no_more",
+        Mutant("trackwheel/dispatch/guard.py", "case TargetClosedError():", "case MemoryError():"),
+    ),
     Row(
         PLATFORM,
         SUSPENDED,
--- /dev/null
+++ b/tests/storage/test_held.py
@@ -0,0 +1,92 @@
+"""Held requests in one value of the key-value service, with other writers and with rubbish."""
+
+import asyncio
+import time
+
+import pytest
+from returns.result import Failure, Result, Success
+
+from trackwheel.quarantine.models import HeldRequest
+from trackwheel.storage.errors import PlatformError, platform_error
+from trackwheel.storage.held import KeyValueHeldStore
+from trackwheel.storage.models import Stored, Written
+
+ONE, OTHER = b"\x01", b"\x02"
+
+
+class Store:
+    """Hold one value; `races` writers come in between a read and a write."""
+
+    def __init__(self, value: bytes = b"", races: int = 0) -> None:
+        self.stored = Stored(value, 1 if value else 0)
+        self.races = races
+        self.down = False
+
+    async def get(self, key: str) -> Result[Stored, PlatformError]:
+        if self.down:
+            return Failure(platform_error("get", key, "down"))
+        return Success(self.stored)
+
+    async def compare_and_swap(
+        self, key: str, value: bytes, revision: int
+    ) -> Result[Written, PlatformError]:
+        if self.races:
+            self.races -= 1
+            self.stored = self.stored._replace(revision=self.stored.revision + 1)
+        if revision != self.stored.revision:
+            return Success(Written(False, self.stored.revision))
+        self.stored = Stored(value, revision + 1)
+        return Success(Written(True, revision + 1))
+
+    async def watch(self, key: str, after: int) -> Result[Stored, PlatformError]:
+        raise NotImplementedError
+
+
+def held(store: Store) -> dict[bytes, float]:
+    rows = asyncio.run(KeyValueHeldStore(store).read()).unwrap()
+    return {row.fingerprint: row.left_ms for row in rows}
+
+
+def keep(store: Store, request: bytes, left_ms: float = 5_000.0) -> bool:
+    return isinstance(
+        asyncio.run(KeyValueHeldStore(store).keep(HeldRequest(request, left_ms))), Success
+    )
+
+
+def test_what_is_kept_is_read_with_the_time_that_is_left() -> None:
+    store = Store()
+    assert keep(store, ONE)
+    assert keep(store, OTHER)
+    assert held(store).keys() == {ONE, OTHER}
+    assert 4_000.0 < held(store)[ONE] <= 5_000.0
+    asyncio.run(KeyValueHeldStore(store).forget(ONE))
+    assert held(store).keys() == {OTHER}
+
+
+def test_what_is_over_goes_with_the_next_change() -> None:
+    over = b'{"01": %d}' % (time.time() * 1000 - 1)
+    store = Store(over)
+    assert keep(store, OTHER)
+    assert held(store).keys() == {OTHER}
+
+
+def test_writer_that_was_too_late_says_so_and_loses_nothing() -> None:
+    store = Store(b'{"02": 9e15}', races=1)
+    assert not keep(store, ONE)
+    assert keep(store, ONE)
+    assert held(store).keys() == {ONE, OTHER}
+
+
+@pytest.mark.parametrize("value", [b"rubbish", b"[]", b'{"zz": 9e15}', b'{"01": "x"}'])
+def test_rubbish_holds_nothing_and_is_written_over(value: bytes) -> None:
+    store = Store(value)
+    assert held(store) == {}
+    assert keep(store, ONE)
+    assert held(store).keys() == {ONE}
+
+
+def test_store_that_is_away_is_told() -> None:
+    store = Store()
+    store.down = True
+    assert not keep(store, ONE)
+    assert isinstance(asyncio.run(KeyValueHeldStore(store).read()), Failure)
--- a/trackwheel/app.py
+++ b/trackwheel/app.py
@@ -10,6 +10,7 @@
 import hypercorn.asyncio
 
 from trackwheel.clock import steady_now
+from trackwheel.dispatch.guard import SendGuard
 from trackwheel.dispatch.models import DISPATCH_MESSAGES
 from trackwheel.dispatch.service import DispatchService
 from trackwheel.files.confirm import Confirmations
@@ -29,8 +30,11 @@
 from trackwheel.peers.codec import Codec
 from trackwheel.peers.hub import Hub
 from trackwheel.peers.models import PeerIdentity
+from trackwheel.quarantine.models import QUARANTINE_MESSAGES
+from trackwheel.quarantine.service import Quarantine
 from trackwheel.settings import Settings
 from trackwheel.storage.clients import HttpBoxList, HttpKeyValue
+from trackwheel.storage.held import KeyValueHeldStore
 from trackwheel.targets.client import AiohttpTargetClient
 from trackwheel.telemetry.burn import Burn
 from trackwheel.telemetry.explain import Traces
@@ -46,7 +50,9 @@
     *FLEET_MESSAGES,
     *FILES_MESSAGES,
     *GATEWAY_MESSAGES,
+    *QUARANTINE_MESSAGES,
 )
+QUARANTINE_LOG: Final = Log("quarantine")
 LEAVE_GRACE_S: Final = 2.0
 """How long a leaving box still serves callers whom the balancer sends to it."""
 IDLE_CHECK_S: Final = 0.05
@@ -54,6 +60,15 @@
 """How long connections on which nothing is under way may take to close at the end."""
 
 
+class _QuarantineLog:
+    """Write the quarantine's events as sentences."""
+
+    def write(self, kind: str, **fields: str | int | float | bool | None) -> None:
+        """Write one event."""
+        said = ", ".join(f"{name} {value}" for name, value in fields.items())
+        QUARANTINE_LOG.warning(f"{kind.replace('_', ' ').capitalize()}: {said}.")
+
+
 class Box:
     """Hold the parts of one box."""
 
@@ -75,8 +90,10 @@
             self.hub, self._own_member(), self._timing(), self.box_list, seed=os.getpid()
         )
         self.files = FilesService(self.hub, self.store)
-        self.dispatch = DispatchService(self.hub, self.client, self.fleet.tell_leaving)
-        self.queries = QueryRunner(self.hub, self.fleet, self.board, self.traces)
+        self.quarantine = Quarantine(self.hub, KeyValueHeldStore(self.store), _QuarantineLog())
+        guard = SendGuard(self.quarantine)
+        self.dispatch = DispatchService(self.hub, self.client, self.fleet.tell_leaving, guard)
+        self.queries = QueryRunner(self.hub, self.fleet, self.board, self.traces, self.quarantine)
         self.once = OnceRunner(self.hub, self.fleet, self.board, self.traces)
         self.forwarder = Forwarder(self.hub, self.fleet)
         self.confirmations = Confirmations(
@@ -169,6 +186,22 @@
     def _take_members(self, members: tuple[Member, ...]) -> None:
         self.files.set_watching(self.fleet.is_watcher())
         self.files.set_neighbours(self.fleet.monitored)
+        self._set_quarantine_boxes(members)
+
+    def _set_quarantine_boxes(self, members: tuple[Member, ...]) -> None:
+        """Tell the boxes of the own failure domain, and those of others that watch the store."""
+        own = self.fleet.own
+        near = [
+            member.address
+            for member in members
+            if member.failure_domain == own.failure_domain and member.address != own.address
+        ]
+        far = [
+            member.address
+            for member in self.fleet.watchers()
+            if member.failure_domain != own.failure_domain
+        ]
+        self.quarantine.set_boxes(near, far, tells_again=self.fleet.is_watcher())
 
     def _take_notes(self, notes: tuple[TargetNote, ...]) -> None:
         self.dispatch.told_leaving(notes)
@@ -190,6 +223,7 @@
             tasks.start_soon(box.fleet.run)
             tasks.start_soon(box.files.run)
             tasks.start_soon(box.dispatch.run)
+            tasks.start_soon(box.quarantine.run)
             tasks.start_soon(box.queries.watch_owners)
             callers = box.callers_app()
             tasks.start_soon(box.forwarder.run, callers.serve_forward)
--- a/trackwheel/dispatch/models.py
+++ b/trackwheel/dispatch/models.py
@@ -16,6 +16,7 @@
     FAILED = "failed"
     UNKNOWN_TARGET = "unknown_target"
     NO_OWNER = "no_owner"
+    HELD = "held"
 
 
 class RunOutcome(StrEnum):
--- a/trackwheel/dispatch/service.py
+++ b/trackwheel/dispatch/service.py
@@ -17,6 +17,7 @@
     InForceChanged,
     NotesLearnt,
 )
+from trackwheel.dispatch.guard import SendGuard, execute_fingerprint, query_fingerprint
 from trackwheel.dispatch.judge import judge_execute, judge_query, outcome_of_run
 from trackwheel.dispatch.models import (
     AskPermit,
@@ -66,9 +67,14 @@
     """Run the owner's decisions against real targets."""
 
     def __init__(
-        self, hub: Hub, client: TargetClient, tell_leaving: Callable[[TargetNote], None]
+        self,
+        hub: Hub,
+        client: TargetClient,
+        tell_leaving: Callable[[TargetNote], None],
+        guard: SendGuard,
     ) -> None:
         self._hub = hub
+        self._guard = guard
         self._client = client
         self._tell_leaving = tell_leaving
         self._owner = Owner()
@@ -148,8 +154,12 @@
     ) -> list[DispatchCommand]:
         match message:
             case Scatter():
+                if self._refuse_held_scatter(gateway, message):
+                    return []
                 return self._owner.scatter(gateway, message, now)
             case ExecuteAsk():
+                if self._refuse_held_execute(gateway, message):
+                    return []
                 return self._owner.execute(gateway, message, now)
             case Withdraw():
                 return self._owner.withdraw(gateway, message, now)
@@ -157,6 +167,34 @@
                 key = WorkKey(gateway, message.query_id, message.nonce, message.target)
                 return self._owner.permit(key, message.granted, now)
 
+    def _refuse_held_scatter(self, gateway: str, message: Scatter) -> bool:
+        """Answer a query at once that is kept from targets; return whether it is."""
+        wait_s = self._guard.retry_after_s(query_fingerprint(message.service, message.query))
+        if wait_s <= 0.0:
+            return False
+        for ask in message.asks:
+            answer = SubAnswer(
+                message.query_id, ask.nonce, Outcome.HELD, b"", [], 0.0, 0.0, wait_s * 1000
+            )
+            self._hub.send(gateway, answer)
+        return True
+
+    def _refuse_held_execute(self, gateway: str, message: ExecuteAsk) -> bool:
+        """The same for a request that may run only once, before it asks for its permit."""
+        wait_s = self._guard.retry_after_s(execute_fingerprint(message.service, message.body))
+        if wait_s <= 0.0:
+            return False
+        answer = ExecuteAnswer(
+            message.query_id,
+            message.nonce,
+            RunOutcome.NOT_RUN,
+            Outcome.HELD,
+            b"",
+            wait_s * 1000,
+        )
+        self._hub.send(gateway, answer)
+        return True
+
     def _perform(self, commands: list[DispatchCommand], tasks: anyio.abc.TaskGroup) -> None:
         for command in commands:
             match command:
@@ -250,8 +288,10 @@
             try:
                 reply = await self._client.post(work.target, PATH_QUERY, body, left_ms)
                 outcome, holds = judge_query(work, reply)
-            except (TargetUnreachableError, TargetBrokenError):
+                self._guard.replied(work, outcome, reply)
+            except (TargetUnreachableError, TargetBrokenError) as error:
                 outcome = Outcome.FAILED
+                self._guard.failed(work, error)
         if self._scope_by_key.pop(work.key, None) is None:
             return
         self.sent_by_outcome[outcome] = self.sent_by_outcome.get(outcome, 0) + 1
@@ -276,10 +316,13 @@
                 left_ms = EXECUTE_TIMEOUT_S * 1000
                 reply = await self._client.post(work.target, PATH_EXECUTE, body, left_ms)
                 run, reason = judge_execute(work, reply)
-            except TargetUnreachableError:
+                self._guard.replied(work, outcome_of_run(run, reply), reply)
+            except TargetUnreachableError as error:
                 run, reason = RunOutcome.NOT_RUN, Outcome.FAILED
-            except TargetBrokenError:
+                self._guard.failed(work, error)
+            except TargetBrokenError as error:
                 run, reason = RunOutcome.UNKNOWN, "connection_broke"
+                self._guard.failed(work, error)
         outcome = outcome_of_run(run, reply)
         service_s = steady_now() - started
         self._inbox.put(_exchanged(work, outcome, service_s, reply, []))
@@ -296,6 +339,7 @@
                 page = msgspec.json.decode(reply.body, type=HealthPage)
                 leaving = page.draining or reply.draining
                 read = HealthRead(target, True, page.boot or reply.boot, leaving)
+                self._guard.heard(target, read.boot)
             except (TargetUnreachableError, TargetBrokenError, msgspec.DecodeError):
                 pass
         self._inbox.put(read)
--- a/trackwheel/entry/box.py
+++ b/trackwheel/entry/box.py
@@ -38,6 +38,7 @@
 from trackwheel.relay.board import Board
 from trackwheel.relay.budget import RepeatBudget
 from trackwheel.relay.cold import ColdAllowance, ColdService
+from trackwheel.relay.ends import tell_ends
 from trackwheel.relay.gatherers import choose_gatherers
 from trackwheel.relay.groups import PeerGroups
 from trackwheel.relay.models import Place, Target
@@ -110,8 +111,7 @@
         self.telling = TargetTelling(self.hub, TargetNews(self.board), self.transport, self.log)
         self.groups = PeerGroups(self.hub, wire, self.log)
         self.quarantine = Quarantine(self.hub, PlatformHeldStore(self.store), self.log)
-        self.transport.on_any_end(self.quarantine.ended)
-        self.transport.on_taken_back(self.quarantine.taken_back)
+        tell_ends(self.transport, self.quarantine)
         self.taken = TakenGroups(
             self.hub,
             self.board,
--- a/trackwheel/gateway/errors.py
+++ b/trackwheel/gateway/errors.py
@@ -15,6 +15,7 @@
     UNKNOWN_SERVICE = "unknown_service"
     NOT_READY = "not_ready"
     OVERLOADED = "overloaded"
+    HELD = "held"
     COVERAGE_TOO_LOW = "coverage_too_low"
     NOT_RUN = "not_run"
     OUTCOME_UNKNOWN = "outcome_unknown"
--- a/trackwheel/gateway/queries.py
+++ b/trackwheel/gateway/queries.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from trackwheel.clock import steady_now
+from trackwheel.dispatch.guard import query_fingerprint
 from trackwheel.dispatch.models import Ask, Outcome, Ping, Pong, Scatter, SubAnswer, Withdraw
 from trackwheel.files.models import Policy, ServiceSpec
 from trackwheel.fleet.models import Member
@@ -31,6 +32,7 @@
 from trackwheel.inbox import Inbox
 from trackwheel.peers.hub import Hub
 from trackwheel.peers.models import PeerIdentity
+from trackwheel.quarantine.service import Quarantine
 from trackwheel.targets.models import TargetAnswer
 from trackwheel.telemetry.explain import Trace, Traces
 from trackwheel.telemetry.logs import Log
@@ -87,8 +89,11 @@
 class QueryRunner:
     """Run queries from admission to answer."""
 
-    def __init__(self, hub: Hub, owners: Owners, board: Board, traces: Traces) -> None:
+    def __init__(
+        self, hub: Hub, owners: Owners, board: Board, traces: Traces, quarantine: Quarantine
+    ) -> None:
         self._hub = hub
+        self._quarantine = quarantine
         self._owners = owners
         self._board = board
         self._traces = traces
@@ -138,6 +143,10 @@
         self, group: str, service: ServiceSpec, policy: Policy, query: str
     ) -> QueryResult:
         """Return the answer of one query; raise `CallerError` when there is none."""
+        wait_s = self._quarantine.waits_s(query_fingerprint(service.name, query))
+        if wait_s > 0.0:
+            detail = "targets end under this query"
+            raise refuse(Code.HELD, "admit", detail, "Come back later", wait_s)
         now = steady_now()
         query_id = f"{self._hub.identity.boot}-q{next(self._numbers)}"
         trace = self._traces.open(query_id, service.name, group)
--- a/trackwheel/gateway/responses.py
+++ b/trackwheel/gateway/responses.py
@@ -27,6 +27,7 @@
     Code.INTERNAL: 500,
     Code.NOT_READY: 503,
     Code.OVERLOADED: 503,
+    Code.HELD: 503,
     Code.COVERAGE_TOO_LOW: 503,
     Code.NOT_RUN: 503,
     Code.OUTCOME_UNKNOWN: 504,
--- a/trackwheel/quarantine/models.py
+++ b/trackwheel/quarantine/models.py
@@ -45,6 +45,13 @@
 Message = CrashReport | RequestsAnswered | RequestsHeld
 
 
+class EventWriter(Protocol):
+    """Write what is decided for operators."""
+
+    def write(self, kind: str, **fields: str | int | float | bool | None) -> None:
+        """Write one event."""
+
+
 class HeldStore(Protocol):
     """Keep held requests where they outlast all boxes."""
 
--- a/trackwheel/quarantine/service.py
+++ b/trackwheel/quarantine/service.py
@@ -13,6 +13,7 @@
 from trackwheel.quarantine.models import (
     Cleared,
     CrashReport,
+    EventWriter,
     Held,
     HeldStore,
     Message,
@@ -22,10 +23,8 @@
     TellAll,
 )
 from trackwheel.quarantine.suspects import NEVER, Suspects
-from trackwheel.relay.models import Outcome, Passage, Target
+from trackwheel.relay.models import Life, Passage
 from trackwheel.relay.timer import Timer
-from trackwheel.relay.transport import Sending
-from trackwheel.telemetry.events import EventLog
 
 
 class RequestGate:
@@ -51,7 +50,7 @@
 class Quarantine:
     """Keep requests that end targets from them, together with the other boxes."""
 
-    def __init__(self, hub: Hub, store: HeldStore, log: EventLog) -> None:
+    def __init__(self, hub: Hub, store: HeldStore, log: EventWriter) -> None:
         self._hub = hub
         self._store = store
         self._log = log
@@ -100,24 +99,24 @@
         """Return in how many seconds a request may be tried again, 0 for now."""
         return self._suspects.waits_s(request, steady_now())
 
-    def ended(self, sending: Sending, outcome: Outcome, sent_at: float) -> None:
-        """Take how a request ended at a target."""
-        now = steady_now()
-        match outcome:
-            case Outcome.OK:
-                # No other answer clears a request: a failing target may not have begun to run it.
-                self._suspects.answered(sending.fingerprint, now)
-            case Outcome.CLOSED:
-                self._suspects.closed(sending.fingerprint, sending.target.life, now)
-            case Outcome.NOT_SENT:
-                self._suspects.refused(sending.target.life, now)
-            case _:
-                return
+    def closed(self, request: bytes, life: Life) -> None:
+        """Take that a target ended the connection under a request, without an answer."""
+        self._suspects.closed(request, life, steady_now())
+        self._wake()
+
+    def answered(self, request: bytes) -> None:
+        """Take that a target answered a request with success."""
+        self._suspects.answered(request, steady_now())
+        self._wake()
+
+    def refused(self, life: Life) -> None:
+        """Take that a target takes no connections."""
+        self._suspects.refused(life, steady_now())
         self._wake()
 
-    def taken_back(self, request: bytes, target: Target) -> None:
+    def taken_back(self, request: bytes, life: Life) -> None:
         """Take that a request was taken back from a target that has not answered it."""
-        self._suspects.taken_back(request, target.life, steady_now())
+        self._suspects.taken_back(request, life, steady_now())
 
     def tell(self, address: str) -> None:
         """Tell one box which requests are held."""
--- a/trackwheel/targets/client.py
+++ b/trackwheel/targets/client.py
@@ -14,7 +14,7 @@
     MAX_ANSWER_BYTES,
     RUN_NO,
 )
-from trackwheel.targets.errors import broken, unreachable
+from trackwheel.targets.errors import broken, closed, unreachable
 from trackwheel.targets.models import TargetReply
 
 _SKIPPED_HEADERS: Final = ("User-Agent", "Accept-Encoding", "Accept")
@@ -59,6 +59,8 @@
                 content = await self._read(response)
         except aiohttp.ClientConnectorError as error:
             raise unreachable(target, error) from error
+        except (aiohttp.ServerDisconnectedError, ConnectionResetError) as error:
+            raise closed(target, error) from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise broken(target, error) from error
         return _reply(response, content)
