Part what counts against a request, its memories, and the handing of shards to peers

One leak found while reading: ends that a tie explains were remembered for ever; they go with the trial (test). Mutant of the moved line points at its place and fails.

--- a/bench/policy_fleet.py
+++ b/bench/policy_fleet.py
@@ -252,7 +252,7 @@
             plan.top_k,
             (),
             self._command.least_coverage,
-            1 if group.repeat else self._sender.gather.peer_attempts,
+            1 if group.repeat else self._sender.gather.plan.peer_attempts,
             plan.answer_at - way_s,
             plan.end_at,
             True,
--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -862,9 +862,9 @@
         "a peer and this box ask for the same shard",
         SHARDS + "test_peer_and_this_box_keep_to_the_attempts_together",
         Mutant(
-            "trackwheel/relay/gather.py",
-            "return max(1, self.plan.max_attempts - 1)",
-            "return self.plan.max_attempts",
+            "trackwheel/relay/gather_models.py",
+            "return max(1, self.max_attempts - 1)",
+            "return self.max_attempts",
         ),
     ),
     Row(
--- a/tests/quarantine/test_suspects.py
+++ b/tests/quarantine/test_suspects.py
@@ -17,6 +17,7 @@
     MOST_LIVES_TOLD,
     MOST_ROWS_TOLD,
     MOST_SUSPECTS,
+    NEVER,
     REPORT_AFTER_S,
     SETTLE_S,
     TRIAL_S,
@@ -32,7 +33,7 @@
     RequestsHeld,
     TellAll,
 )
-from trackwheel.quarantine.suspects import NEVER, Suspects
+from trackwheel.quarantine.suspects import Suspects
 from trackwheel.relay.models import Life, Passage
 
 ENDS, OTHER = b"ends", b"other"
@@ -386,6 +387,16 @@
     assert Cleared(ENDS) in suspects.tick(2.0)
 
 
+def test_ends_that_nothing_explains_any_more_are_forgotten() -> None:
+    suspects = Suspects()
+    closed(ENDS, 1, 2, 3)(suspects)
+    closed(OTHER, 1, 2, 3)(suspects)
+    suspects.tick(SETTLED)
+    assert suspects._cause_by_life
+    suspects.forget_old(SETTLED + EVIDENCE_MEMORY_S)
+    assert not suspects._cause_by_life
+
+
 def test_memory_and_messages_are_bounded() -> None:
     suspects = Suspects()
     for number in range(MOST_SUSPECTS + 100):
@@ -401,11 +412,11 @@
     assert suspects.held == MOST_HELD
     for number in range(MOST_LEFT + 100):
         suspects.taken_back(ENDS, life(number), 2.0)
-    assert len(suspects._left_by_life) == MOST_LEFT
+    assert len(suspects._taken_back) == MOST_LEFT
     for number in range(MOST_ANSWERED + 100):
         suspects.answered(b"a%d" % number, 2.0)
     suspects.forget_old(2.0)
-    assert len(suspects._answered_at_by_request) == MOST_ANSWERED
+    assert len(suspects._answered) == MOST_ANSWERED
     suspects.forget_old(2.0 + ANSWER_MEMORY_S)
-    assert not suspects._answered_at_by_request
-    assert not suspects._left_by_life
+    assert not suspects._answered
+    assert not suspects._taken_back
--- a/tests/relay/test_gather.py
+++ b/tests/relay/test_gather.py
@@ -419,7 +419,7 @@
     ) -> None:
         """Of two attempts the peer has one; the other goes to a target elsewhere, once."""
         session = Session(board, budget, groups=(GROUP,))
-        assert session.gather.peer_attempts == 1
+        assert session.gather.plan.peer_attempts == 1
         session.parts(["s0", "s1"], final=False)
         session.parts([], final=True)
         session.tick(ANSWER_AT)
--- a/trackwheel/quarantine/const.py
+++ b/trackwheel/quarantine/const.py
@@ -2,6 +2,9 @@
 
 from typing import Final
 
+NEVER: Final = float("inf")
+"""A time that does not come."""
+
 ENDS_TO_HOLD: Final = 3
 """So many targets have ended under a request, and none has answered it, when it is held.
 
--- a/trackwheel/quarantine/service.py
+++ b/trackwheel/quarantine/service.py
@@ -9,7 +9,7 @@
 from trackwheel.errors import TrackwheelError
 from trackwheel.peers.hub import Hub
 from trackwheel.peers.models import PeerIdentity
-from trackwheel.quarantine.const import TELL_AGAIN_S
+from trackwheel.quarantine.const import NEVER, TELL_AGAIN_S
 from trackwheel.quarantine.models import (
     Cleared,
     CrashReport,
@@ -22,7 +22,7 @@
     RequestsHeld,
     TellAll,
 )
-from trackwheel.quarantine.suspects import NEVER, Suspects
+from trackwheel.quarantine.suspects import Suspects
 from trackwheel.relay.models import Life, Passage
 from trackwheel.relay.timer import Timer
 
--- a/trackwheel/quarantine/suspects.py
+++ b/trackwheel/quarantine/suspects.py
@@ -14,22 +14,19 @@
 from collections.abc import Iterable, Set
 
 from trackwheel.quarantine.const import (
-    ANSWER_MEMORY_S,
     ENDS_TO_HOLD,
     EVIDENCE_MEMORY_S,
     HOLD_S,
-    LEFT_S,
     LONGEST_SETTLE_S,
-    MOST_ANSWERED,
     MOST_HELD,
-    MOST_LEFT,
     MOST_LIVES_TOLD,
     MOST_ROWS_TOLD,
     MOST_SUSPECTS,
-    REPORT_AFTER_S,
+    NEVER,
     SETTLE_S,
-    TRIAL_S,
 )
+from trackwheel.quarantine.evidence import Evidence, Trial
+from trackwheel.quarantine.memory import AnsweredRequests, TakenBackRequests
 from trackwheel.quarantine.models import (
     Cleared,
     Command,
@@ -45,62 +42,18 @@
 from trackwheel.relay.models import Life, Passage
 from trackwheel.units import MILLISECONDS
 
-NEVER = float("inf")
-
-
-class _Evidence:
-    """The targets that ended under one request, none of which was answered (monotonic seconds)."""
-
-    def __init__(self) -> None:
-        self.lives: set[Life] = set()
-        self.own: set[Life] = set()
-        """Those that ended under it at this box."""
-        self.last_at = 0.0
-        self.report_at = NEVER
-        self.is_told = False
-        """Whether other boxes know of it too."""
-        self.suspect_since = NEVER
-
-    @property
-    def due_at(self) -> float:
-        """Return when it is to be reported or judged."""
-        return min(self.report_at, self.suspect_since + SETTLE_S)
-
-    def add(self, lives: Iterable[Life], enough: int, now: float) -> None:
-        """Take ends of targets; so many are enough to be a suspect."""
-        self.lives.update(lives)
-        self.last_at = now
-        if len(self.lives) >= enough and self.suspect_since == NEVER:
-            self.suspect_since = now
-
-    def take_out(self, explained: Set[Life]) -> None:
-        """Take that another request ended some of the targets."""
-        self.lives -= explained
-        self.own -= explained
-        if len(self.lives) < ENDS_TO_HOLD:
-            self.suspect_since = NEVER
-
-
-class _Trial:
-    """A request that may go to one target, until when, and since when it is at one."""
-
-    def __init__(self, until: float) -> None:
-        self.until = until
-        self.began_at = -NEVER
-
 
 class Suspects:
     """Decide, from how requests end here and at other boxes, which ones are held."""
 
     def __init__(self) -> None:
-        self._evidence_by_request: dict[bytes, _Evidence] = {}
+        self._evidence_by_request: dict[bytes, Evidence] = {}
         self._held_until_by_request: dict[bytes, float] = {}
-        self._answered_at_by_request: dict[bytes, float] = {}
-        self._trial_by_request: dict[bytes, _Trial] = {}
-        self._left_by_life: dict[Life, list[tuple[bytes, float]]] = {}
-        """Requests that were taken back from a target, and when."""
+        self._answered = AnsweredRequests()
+        self._taken_back = TakenBackRequests()
+        self._trial_by_request: dict[bytes, Trial] = {}
         self._cause_by_life: dict[Life, bytes] = {}
-        """Which held request ended a target."""
+        """Which request ended a target, or one of those that may have."""
         self._commands: list[Command] = []
         self._due_at = NEVER
 
@@ -116,10 +69,10 @@
         evidence = self._evidence_by_request.get(request)
         if evidence is not None and evidence.suspect_since < NEVER:
             return Passage.WAIT
-        trial = self._trial_by_request.get(request)
-        if trial is None or trial.until <= now:
+        if not self._is_on_trial(request, now):
             return Passage.OPEN
-        return Passage.ONE if now - trial.began_at >= TRIAL_S else Passage.WAIT
+        at_target = self._trial_by_request[request].is_at_target(now)
+        return Passage.WAIT if at_target else Passage.ONE
 
     def begin_trial(self, request: bytes, now: float) -> None:
         """Take that a request goes to one target now: others of its content wait for its end."""
@@ -142,18 +95,16 @@
 
     def refused(self, life: Life, now: float) -> None:
         """Take that a target has ended: requests taken back a moment ago may have ended it."""
-        for request, left_at in self._left_by_life.pop(life, ()):
-            if now - left_at < LEFT_S:
-                self._note_own(request, life, now)
+        for request in self._taken_back.take(life, now):
+            self._note_own(request, life, now)
 
     def taken_back(self, request: bytes, life: Life, now: float) -> None:
         """Take that a request was taken back from a target, which may run it all the same."""
-        if len(self._left_by_life) < MOST_LEFT:
-            self._left_by_life.setdefault(life, []).append((request, now))
+        self._taken_back.add(request, life, now)
 
     def answered(self, request: bytes, now: float) -> None:
         """Take that a target answered a request: it lives on, so that the request ends none."""
-        self._answered_at_by_request[request] = now
+        self._answered.add(request, now)
         evidence = self._evidence_by_request.get(request)
         known = request in self._held_until_by_request or request in self._trial_by_request
         if known or (evidence is not None and evidence.is_told):
@@ -162,7 +113,8 @@
 
     def take_report(self, report: CrashReport, now: float) -> None:
         """Take under which requests targets ended at another box."""
-        answered = [row.fingerprint for row in report.rows if self._was_answered(row, now)]
+        told = [row.fingerprint for row in report.rows]
+        answered = [request for request in told if self._answered.lately(request, now)]
         if answered:
             self._commands.append(TellAll(RequestsAnswered(answered)))
         for request, lives in report.rows:
@@ -173,14 +125,14 @@
     def take_answered(self, news: RequestsAnswered, now: float) -> None:
         """Take which requests targets have answered at another box."""
         for request in news.fingerprints:
-            self._answered_at_by_request[request] = now
+            self._answered.add(request, now)
             self._clear(request)
 
     def take_held(self, news: RequestsHeld, now: float) -> None:
         """Take which requests another box holds."""
         for request, left_ms in news.rows:
             until = now + min(HOLD_S, max(0.0, left_ms / MILLISECONDS))
-            if self._answered_lately(request, now):
+            if self._answered.lately(request, now):
                 continue
             if self._held_until_by_request.get(request, 0.0) <= now < until:
                 self._hold(request, until, now)
@@ -213,14 +165,12 @@
         evidence = self._add(request, [life], now)
         if evidence is None:
             return
-        evidence.own.add(life)
-        if evidence.report_at == NEVER:
-            evidence.report_at = now + REPORT_AFTER_S
+        evidence.add_own(life, now)
         self._due_at = min(self._due_at, evidence.due_at)
 
-    def _add(self, request: bytes, lives: Iterable[Life], now: float) -> _Evidence | None:
+    def _add(self, request: bytes, lives: Iterable[Life], now: float) -> Evidence | None:
         """Count ends of targets against a request; return nothing where none of them counts."""
-        if self._answered_lately(request, now):
+        if self._answered.lately(request, now):
             return None
         if request in self._held_until_by_request:
             self._cause_by_life.update(dict.fromkeys(lives, request))
@@ -235,22 +185,16 @@
 
     def _is_on_trial(self, request: bytes, now: float) -> bool:
         trial = self._trial_by_request.get(request)
-        return trial is not None and trial.until > now
+        return trial is not None and trial.is_on(now)
 
-    def _evidence(self, request: bytes) -> _Evidence:
+    def _evidence(self, request: bytes) -> Evidence:
         evidence = self._evidence_by_request.get(request)
         if evidence is None:
-            evidence = self._evidence_by_request[request] = _Evidence()
+            evidence = self._evidence_by_request[request] = Evidence()
             if len(self._evidence_by_request) > MOST_SUSPECTS:
                 del self._evidence_by_request[next(iter(self._evidence_by_request))]
         return evidence
 
-    def _answered_lately(self, request: bytes, now: float) -> bool:
-        return now - self._answered_at_by_request.get(request, -NEVER) < ANSWER_MEMORY_S
-
-    def _was_answered(self, row: EndsUnder, now: float) -> bool:
-        return self._answered_lately(row.fingerprint, now)
-
     def _clear(self, request: bytes) -> None:
         """Drop what is held against a request."""
         self._evidence_by_request.pop(request, None)
@@ -270,8 +214,7 @@
         due.sort(key=lambda one: len(one[1].own), reverse=True)
         rows = []
         for request, evidence in due[:MOST_ROWS_TOLD]:
-            evidence.report_at = NEVER
-            evidence.is_told = True
+            evidence.told()
             rows.append(EndsUnder(request, sorted(evidence.own)[:MOST_LIVES_TOLD]))
         if rows:
             self._commands.append(TellAll(CrashReport(rows)))
@@ -298,7 +241,7 @@
 
     def _hold(self, request: bytes, until: float, now: float) -> None:
         """Keep a request from targets, and count its ends against no other one."""
-        evidence = self._evidence_by_request.pop(request, _Evidence())
+        evidence = self._evidence_by_request.pop(request, Evidence())
         self._trial_by_request.pop(request, None)
         self._held_until_by_request.pop(request, None)
         self._held_until_by_request[request] = until
@@ -318,7 +261,7 @@
             had = len(evidence.lives)
             evidence.take_out(lives)
             if had >= ENDS_TO_HOLD > len(evidence.lives):
-                self._trial_by_request[request] = _Trial(now + EVIDENCE_MEMORY_S)
+                self._trial_by_request[request] = Trial(now + EVIDENCE_MEMORY_S)
                 self._commands.append(OnTrial(request, had))
             if not evidence.lives:
                 del self._evidence_by_request[request]
@@ -339,24 +282,18 @@
         if over:
             self._release(over)
             self._trial_by_request.update(
-                {request: _Trial(now + EVIDENCE_MEMORY_S) for request in over}
+                {request: Trial(now + EVIDENCE_MEMORY_S) for request in over}
             )
         for request, evidence in list(self._evidence_by_request.items()):
             if now - evidence.last_at >= EVIDENCE_MEMORY_S:
                 del self._evidence_by_request[request]
 
     def forget_old(self, now: float) -> None:
-        """Drop what is over of the memories that grow with the load, the oldest first."""
-        self._left_by_life = {
-            life: left for life, left in self._left_by_life.items() if now - left[-1][1] < LEFT_S
-        }
+        """Drop what is over of the memories that grow with the load."""
+        self._answered.forget_old(now)
+        self._taken_back.forget_old(now)
         self._trial_by_request = {
-            request: trial for request, trial in self._trial_by_request.items() if trial.until > now
-        }
-        kept = {
-            request: at
-            for request, at in self._answered_at_by_request.items()
-            if now - at < ANSWER_MEMORY_S
+            request: trial for request, trial in self._trial_by_request.items() if trial.is_on(now)
         }
-        surplus = max(0, len(kept) - MOST_ANSWERED)
-        self._answered_at_by_request = dict(list(kept.items())[surplus:])
+        known = self._held_until_by_request.keys() | self._trial_by_request.keys()
+        self._drop_causes(set(self._cause_by_life.values()) - known)
--- a/trackwheel/relay/gather.py
+++ b/trackwheel/relay/gather.py
@@ -26,12 +26,11 @@
     GatherCommand,
     GatherFailed,
     GatherPlan,
-    GroupPlan,
     PeerSilent,
     Regrouping,
-    SendGroup,
 )
-from trackwheel.relay.handed import HandedGroup, HandedGroups
+from trackwheel.relay.handed import HandedGroups
+from trackwheel.relay.handing import GroupHanding
 from trackwheel.relay.models import Outcome, Part, Passage, TargetEnd
 from trackwheel.relay.parts import PartsIn
 from trackwheel.relay.shards import ShardBook
@@ -52,10 +51,12 @@
     ) -> None:
         self.plan = plan
         self._board = board
-        self._regrouping = regrouping
         self._shards = ShardBook(plan)
         self._groups = HandedGroups()
         self.parts = PartsIn(plan.shards, plan.top_k)
+        self._handing = GroupHanding(
+            plan, board, self._shards, self._groups, self.parts, regrouping
+        )
         self._asking = ShardAsking(plan, board, budget, self._shards, self._groups)
         self._peers_ran = False
         self._closings = Closings()
@@ -65,7 +66,7 @@
     def start(self, now: float) -> list[GatherCommand]:
         """Hand the groups to their peers and ask the best target of each other shard."""
         for group in self.plan.groups:
-            self._hand_over(group)
+            self._commands.append(self._handing.hand_over(group))
         own = self._shards.without_group()
         reason = "repeat" if self.plan.repeat else "first"
         left_to_others = self._leave_to_others(own, now)
@@ -172,7 +173,7 @@
         if final:
             self._release(number, "lacking", now)
         elif not group.plan.repeat:
-            self._ask_elsewhere(self._shards_of(number), "hedge", now)
+            self._ask_elsewhere(self._handing.shards_of(number), "hedge", now)
         return self._finish_or_go_on(now)
 
     def group_declined(self, number: int, shards: Sequence[str], now: float) -> list[GatherCommand]:
@@ -180,7 +181,7 @@
         if self.ended or number not in self._groups:
             return []
         repeat = self._groups[number].plan.repeat
-        declined = [name for name in self._shards_of(number) if name in shards]
+        declined = [name for name in self._handing.shards_of(number) if name in shards]
         for name in declined:
             self._shards[name].groups.discard(number)
             if repeat:
@@ -234,11 +235,6 @@
             times.append(self.plan.answer_at)
         return min(times)
 
-    @property
-    def peer_attempts(self) -> int:
-        """Return how many targets a peer may run a shard on; what is left is this box's own."""
-        return max(1, self.plan.max_attempts - 1)
-
     @property
     def may_have_run(self) -> bool:
         """Return whether a target may have run any shard, here or at a peer."""
@@ -246,34 +242,6 @@
             shard.waits or shard.attempts.ran for shard in self._shards.all
         )
 
-    def _hand_over(self, group: GroupPlan) -> None:
-        """Leave a group to a peer: a first one with all attempts but one, a repeat with one."""
-        handed = HandedGroup(group, self._spare_of(group))
-        number = self._groups.add(handed)
-        floor = self.parts.floor() if group.repeat else b""
-        self._commands.append(SendGroup(number, group, floor, handed.least_coverage))
-        if not group.repeat:
-            self.parts.expect_merged(group.shards)
-        for name in group.shards:
-            shard = self._shards[name]
-            shard.groups.add(number)
-            self._shards.asked(name)
-            beside = {t.instance for t in self._board.targets(name) if t.place == group.place}
-            if group.repeat:
-                shard.attempts.lend(beside)
-            else:
-                shard.attempts.give_away(self.peer_attempts, beside)
-
-    def _spare_of(self, group: GroupPlan) -> int:
-        """Return how many shards of a group its peer may leave out: a part of what may lack."""
-        if group.repeat:
-            return 0
-        return self._shards.spare * len(group.shards) // len(self.plan.shards)
-
-    def _shards_of(self, number: int) -> list[str]:
-        """Return the shards that are left to a peer."""
-        return self._shards.in_group(self._groups[number].plan.shards, number)
-
     def _doubt(self, number: int, now: float) -> None:
         """Go around a peer that did not accept, or did not report in time."""
         group = self._groups[number]
@@ -283,19 +251,19 @@
             self._lose(number, "peer silent", now)
             return
         # Its parts still count when they come.
-        self._ask_elsewhere(self._shards_of(number), "peer late", now)
+        self._ask_elsewhere(self._handing.shards_of(number), "peer late", now)
 
     def _lose(self, number: int, reason: str, now: float) -> None:
         """Await nothing more of a peer that told nothing; its targets may be asked again."""
         # It may have asked them all the same.
         self._peers_ran = True
-        for name in self._shards_of(number):
+        for name in self._handing.shards_of(number):
             self._shards[name].attempts.forget_tried()
         self._release(number, reason, now)
 
     def _release(self, number: int, reason: str, now: float) -> None:
         """Await nothing more of a peer; ask elsewhere for what it did not bring."""
-        shards = self._shards_of(number)
+        shards = self._handing.shards_of(number)
         self._groups.pop(number)
         for name in shards:
             self._shards[name].groups.discard(number)
@@ -315,19 +283,9 @@
 
     def _hand_elsewhere(self, names: Sequence[str], repeat: bool, now: float) -> set[str]:
         """Hand shards to peers beside targets that were not tried; return which were handed."""
-        tried_by_shard = {
-            name: self._shards[name].attempts.tried
-            for name in names
-            if self._shards[name].attempts.may_run
-        }
-        if self._regrouping is None or not tried_by_shard or now >= self.plan.end_at:
-            return set()
-        if self.plan.gate.passage(now) is not Passage.OPEN:
-            return set()
-        groups = self._regrouping.groups_elsewhere(tried_by_shard, self.plan, repeat, now)
-        for group in groups:
-            self._hand_over(group)
-        return {name for group in groups for name in group.shards}
+        sent = self._handing.hand_elsewhere(names, repeat, now)
+        self._commands += sent
+        return {name for command in sent for name in command.group.shards}
 
     def _is_doubtful(self) -> bool:
         """Return whether this query may be what ends targets, and more will be known soon.
--- a/trackwheel/relay/gather_models.py
+++ b/trackwheel/relay/gather_models.py
@@ -42,6 +42,11 @@
     repeat: bool = False
     gate: SendGate = OPEN_GATE
 
+    @property
+    def peer_attempts(self) -> int:
+        """Return how many targets a peer may run a shard on; what is left is this box's own."""
+        return max(1, self.max_attempts - 1)
+
 
 class Regrouping(Protocol):
     """Find peers beside other targets for shards that are late or failed."""
--- a/trackwheel/relay/groups.py
+++ b/trackwheel/relay/groups.py
@@ -118,7 +118,7 @@
             route=plan.route.name,
             shards=list(group.shards),
             top_k=plan.top_k,
-            max_attempts=1 if group.repeat else task.gather.peer_attempts,
+            max_attempts=1 if group.repeat else task.gather.plan.peer_attempts,
             aim_ms=plan.route.aim_s * MILLISECONDS,
             report_in_ms=left_ms(group.report_by),
             answer_in_ms=left_ms(plan.answer_at - REPORT_MARGIN_S),
--- /dev/null
+++ b/trackwheel/relay/handing.py
@@ -0,0 +1,72 @@
+"""Handing shards of one query to peers: which ones, with how many attempts, without I/O."""
+
+from collections.abc import Sequence
+
+from trackwheel.relay.board import Board
+from trackwheel.relay.gather_models import GatherPlan, GroupPlan, Regrouping, SendGroup
+from trackwheel.relay.handed import HandedGroup, HandedGroups
+from trackwheel.relay.models import Passage
+from trackwheel.relay.parts import PartsIn
+from trackwheel.relay.shards import ShardBook
+
+
+class GroupHanding:
+    """Hand groups of shards over, and know which shards are left to which peer."""
+
+    def __init__(
+        self,
+        plan: GatherPlan,
+        board: Board,
+        shards: ShardBook,
+        groups: HandedGroups,
+        parts: PartsIn,
+        regrouping: Regrouping | None,
+    ) -> None:
+        self._plan = plan
+        self._board = board
+        self._shards = shards
+        self._groups = groups
+        self._parts = parts
+        self._regrouping = regrouping
+
+    def hand_over(self, group: GroupPlan) -> SendGroup:
+        """Leave a group to a peer: a first one with all attempts but one, a repeat with one."""
+        handed = HandedGroup(group, self._spare_of(group))
+        number = self._groups.add(handed)
+        if not group.repeat:
+            self._parts.expect_merged(group.shards)
+        for name in group.shards:
+            shard = self._shards[name]
+            shard.groups.add(number)
+            self._shards.asked(name)
+            beside = {t.instance for t in self._board.targets(name) if t.place == group.place}
+            if group.repeat:
+                shard.attempts.lend(beside)
+            else:
+                shard.attempts.give_away(self._plan.peer_attempts, beside)
+        floor = self._parts.floor() if group.repeat else b""
+        return SendGroup(number, group, floor, handed.least_coverage)
+
+    def hand_elsewhere(self, names: Sequence[str], repeat: bool, now: float) -> list[SendGroup]:
+        """Hand shards to peers beside targets that were not tried, where the query may go there."""
+        tried_by_shard = {
+            name: self._shards[name].attempts.tried
+            for name in names
+            if self._shards[name].attempts.may_run
+        }
+        if self._regrouping is None or not tried_by_shard or now >= self._plan.end_at:
+            return []
+        if self._plan.gate.passage(now) is not Passage.OPEN:
+            return []
+        groups = self._regrouping.groups_elsewhere(tried_by_shard, self._plan, repeat, now)
+        return [self.hand_over(group) for group in groups]
+
+    def shards_of(self, number: int) -> list[str]:
+        """Return the shards that are left to a peer."""
+        return self._shards.in_group(self._groups[number].plan.shards, number)
+
+    def _spare_of(self, group: GroupPlan) -> int:
+        """Return how many shards of a group its peer may leave out: a part of what may lack."""
+        if group.repeat:
+            return 0
+        return self._shards.spare * len(group.shards) // len(self._plan.shards)
