--- a/soak/checks.py
+++ b/soak/checks.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Iterable, Iterator, Mapping
+from math import inf
 
 from soak.clients import Told
 from soak.const import (
@@ -9,8 +10,10 @@
     CUT_SLACK_S,
     DEADLINE_S,
     DRAIN_S,
+    ENDS_TO_KNOW,
     LATE_S,
     LEAST_COVERAGE,
+    REPEATS_AFTER,
     SHARDS,
     TOP_K,
 )
@@ -31,6 +34,7 @@
         *_check_stops(fleet, told),
         *_check_versions(fleet, told),
         *_check_drains(fleet),
+        *_check_endings(fleet),
     ]
 
 
@@ -128,3 +132,27 @@
         trouble = (*BOX_TROUBLE, Kind.BOX_STOP, *OF_STORE, *OF_LINK)
         if last > left_at + DRAIN_S and not fleet.disturbed(left_at - CONTACT_S, last, *trouble):
             yield f"drain: {instance} got work {last - left_at:.2f} s after its notice"
+
+
+def _check_endings(fleet: SoakFleet) -> Iterator[str]:
+    """Requests that end targets go to few more once boxes in touch can know them."""
+    trouble = (*BOX_TROUBLE, Kind.BOX_STOP, *OF_STORE, *OF_LINK)
+    for path, ran_at in _ran_ending_by_path(fleet).items():
+        enough = ran_at[:ENDS_TO_KNOW]
+        known_at = enough[-1] + CONTACT_S if len(enough) == ENDS_TO_KNOW else inf
+        later = [
+            at
+            for at in ran_at
+            if at > known_at and not fleet.disturbed(at - CONTACT_S, at, *trouble)
+        ]
+        if len(later) > REPEATS_AFTER:
+            yield f"endings: {path} ran {len(later)} times more, {len(ran_at)} in all"
+
+
+def _ran_ending_by_path(fleet: SoakFleet) -> dict[str, list[float]]:
+    """Return when requests that end targets began to run, in order of time."""
+    ran_at_by_path: dict[str, list[float]] = {}
+    for target in fleet.target_by_instance.values():
+        for path, ran_at in target.ran_ending_by_path.items():
+            ran_at_by_path.setdefault(path, []).extend(ran_at)
+    return {path: sorted(ran_at) for path, ran_at in ran_at_by_path.items()}
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -3,12 +3,20 @@
 import asyncio
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from random import Random
 from typing import NamedTuple
 
 import aiohttp
 
-from soak.const import CLIENT_PAUSE_S, DEADLINE_S, MISSES_UNTIL_OUT, READY_PERIOD_S
+from soak.const import (
+    CLIENT_PAUSE_S,
+    DEADLINE_S,
+    ENDING_FIRST_S,
+    ENDING_PAUSE_S,
+    MISSES_UNTIL_OUT,
+    READY_PERIOD_S,
+)
 from standins.entry_fleet import HOST, EntryPlace
 from trackwheel.units import MILLISECONDS
 
@@ -110,9 +118,22 @@
         "X-Deadline-Ms": str(int(DEADLINE_S * MILLISECONDS)),
     }
     url = f"http://{place.front}/{kind}/x"
-    method, data = ("POST", b"promise") if kind == "o" else ("GET", None)
+    method, data = ("POST", b"promise") if kind[0] == "o" else ("GET", None)
     limit = aiohttp.ClientTimeout(total=2 * DEADLINE_S)
     async with session.request(method, url, headers=headers, data=data, timeout=limit) as answer:
         body = await answer.read()
         named = {name.lower(): value for name, value in answer.headers.items()}
         return answer.status, named, body
+
+
+async def send_ending(seed: int, path: str, balancer: Balancer, until: float) -> None:
+    """Send a request that ends targets again and again, each time at any box."""
+    random = Random(f"{seed} {path}")
+    await asyncio.sleep(ENDING_FIRST_S)
+    number = 0
+    async with aiohttp.ClientSession() as session:
+        while time.monotonic() < until:
+            number += 1
+            with suppress(aiohttp.ClientError, TimeoutError, OSError):
+                await _exchange(session, balancer.pick(), path, f"{path[0]}{number:015x}")
+            await asyncio.sleep(random.expovariate(1.0 / ENDING_PAUSE_S))
--- a/soak/const.py
+++ b/soak/const.py
@@ -30,3 +30,11 @@
 """Time that a box has to finish after SIGTERM, as the settings say."""
 CUT_SLACK_S: Final = 0.3
 """How long after its cause a disturbance may still show at a client."""
+ENDING_PATHS: Final = ("q/ends-targets", "l/ends-targets", "o/ends-targets")
+"""Requests that end each target which runs them: a query, a look-up, one that may run only once."""
+ENDING_FIRST_S: Final = 1.0
+ENDING_PAUSE_S: Final = 0.9
+"""Mean rest between two of them: each kind comes some five times in a run, at any box."""
+ENDS_TO_KNOW: Final = 3
+REPEATS_AFTER: Final = 3
+"""So many ends nobody can prevent; so many more, `CONTACT_S` later, are borne."""
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 import time
+from functools import partial
 from pathlib import Path
 from typing import NamedTuple
 
@@ -10,6 +11,7 @@
 from soak.plan import OF_LINK, Fault, Kind
 from soak.proxy import Proxy
 from standins.entry_fleet import EntryFleet, EntryPlace
+from standins.shard_target import ShardTarget
 
 QUERY = {
     "name": "q",
@@ -62,6 +64,18 @@
         self.change_routes()
         self.start_all()
 
+    def let_end(self, part: str) -> None:
+        """Let every target end under requests with a part of a path, and come back at once."""
+        for target in self.target_by_instance.values():
+            target.ends_under = part
+            target.comes_back = partial(self._write_again, target)
+
+    def _write_again(self, target: ShardTarget) -> None:
+        """Let a target that is back write its entry, unless it is leaving."""
+        if target.instance not in self.left_at_by_instance:
+            entry = target.entry(zone=self._zone_by_instance[target.instance])
+            self.store.put(f"servers/{target.instance}", entry)
+
     def change_routes(self) -> None:
         """Put a configuration in force whose version a path tells."""
         probe = {**LOOKUP, "name": "v", "path_prefix": f"/v{self.version + 1}/"}
--- a/soak/run.py
+++ b/soak/run.py
@@ -8,8 +8,8 @@
 from typing import NamedTuple
 
 from soak.checks import check_all
-from soak.clients import Balancer, Client, Told
-from soak.const import CLIENTS, SHARDS
+from soak.clients import Balancer, Client, Told, send_ending
+from soak.const import CLIENTS, ENDING_PATHS, SHARDS
 from soak.fleet import SoakFleet
 from soak.plan import draw_faults
 from standins.entry_fleet import EntryPlace
@@ -48,7 +48,12 @@
     until = time.monotonic() + seconds
     balancer = Balancer(seed, fleet.boxes)
     clients = [Client(seed, number, balancer, told) for number in range(CLIENTS)]
+    endings = ENDING_PATHS if seed % 2 == 0 else ()
+    if endings:
+        fleet.let_end("ends-targets")
     async with asyncio.TaskGroup() as tasks:
+        for path in endings:
+            tasks.create_task(send_ending(seed, path, balancer, until))
         tasks.create_task(fleet.run(faults))
         tasks.create_task(balancer.run(until))
         for client in clients:
--- a/standins/shard_target.py
+++ b/standins/shard_target.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import time
+from collections.abc import Callable
 
 from aiohttp import web
 
@@ -32,6 +33,10 @@
         self.ends_under = ""
         """A part of paths; a request with it ends the target as soon as that runs it."""
         self.ended = False
+        self.ran_ending_by_path: dict[str, list[float]] = {}
+        """When it began to run requests that end it (monotonic seconds)."""
+        self.comes_back: Callable[[], None] | None = None
+        """What to do when it has ended and is back at once, in another life."""
         self._sequence = 0
         self._running: Running | None = None
         self._stopping: asyncio.Task[None] | None = None
@@ -50,11 +55,15 @@
     def _end_itself(self) -> None:
         """End at once, with every connection, as a process does that crashes."""
         assert self._running is not None
-        self.ended = True
         server = self._running.runner.server
         for handler in server.connections if server is not None else ():
             if handler.transport is not None:
                 handler.transport.abort()
+        if self.comes_back is not None:
+            self.start_again()
+            self.comes_back()
+            return
+        self.ended = True
         self._stopping = asyncio.get_running_loop().create_task(self._running.stop())
 
     def entry(self, state: str = "ready", zone: str = "a") -> bytes:
@@ -98,6 +107,7 @@
         self.run_times.append(time.monotonic())
         body = await request.read()
         if self.ends_under and self.ends_under in request.path:
+            self.ran_ending_by_path.setdefault(request.path, []).append(time.monotonic())
             await asyncio.sleep(CRASH_AFTER_S)
             self._end_itself()
         try:
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -121,3 +121,22 @@
     if excused:
         fleet.spans = [Span(Kind.STORE_DOWN, "", 18.0, 19.0)]
     assert len(check_all(fleet, [])) == broken
+
+
+@pytest.mark.parametrize(
+    ("ran_at", "found"),
+    [
+        pytest.param([1.0, 1.1, 1.2, 4.0, 6.0, 7.0, 8.0], False, id="three-more"),
+        pytest.param([1.0, 1.1, 1.2, 6.0, 7.0, 8.0, 9.0], True, id="four-more"),
+        pytest.param([1.0, 9.0], False, id="too-few-to-know"),
+    ],
+)
+@pytest.mark.parametrize("excused", [False, True])
+def test_request_that_ends_targets_goes_on(
+    fleet: SoakFleet, ran_at: list[float], found: bool, excused: bool
+) -> None:
+    fleet.target_by_instance[SHARDS[0]].ran_ending_by_path["/q/x"] = ran_at[::2]
+    fleet.target_by_instance[SHARDS[1]].ran_ending_by_path["/q/x"] = ran_at[1::2]
+    if excused:
+        fleet.spans.append(Span(Kind.STORE_DOWN, "", 5.0, 5.5))
+    assert bool(check_all(fleet, [])) is (found and not excused)
