--- a/tests/quarantine/test_suspects.py
+++ b/tests/quarantine/test_suspects.py
@@ -375,6 +375,16 @@
     assert messages(suspects.tick(1.0 + REPORT_AFTER_S)) == said
 
 
+def test_end_on_trial_is_told_at_once() -> None:
+    suspects = Suspects()
+    closed(ENDS, 1, 2, 3)(suspects)
+    closed(OTHER, 1, 2, 3)(suspects)
+    suspects.tick(SETTLED)
+    closed(ENDS, 4, at=SETTLED)(suspects)
+    assert suspects.next_wake() == SETTLED
+    assert messages(suspects.tick(SETTLED)) == [CrashReport([EndsUnder(ENDS, [life(4)])])]
+
+
 def test_only_boxes_that_met_it_tell_that_it_is_held() -> None:
     met, heard = Suspects(), Suspects()
     closed(ENDS, 1, 2, 3)(met)
--- a/trackwheel/quarantine/suspects.py
+++ b/trackwheel/quarantine/suspects.py
@@ -166,6 +166,9 @@
         if evidence is None:
             return
         evidence.add_own(life, now)
+        if self._is_on_trial(request, now):
+            # Another box would try it too until it hears of this end.
+            evidence.report_at = now
         self._due_at = min(self._due_at, evidence.due_at)
 
     def _add(self, request: bytes, lives: Iterable[Life], now: float) -> Evidence | None:
