Work out a request's fingerprint once; name its neighbours in one place

Reading only. The fingerprint was hashed three to four times a request and kept twice more (Sending, sends of a run); it is a field of the request now. Boxes of the own domain and watchers of others were picked in both composition roots; FleetService.near and far_watchers do it.

--- a/trackwheel/app.py
+++ b/trackwheel/app.py
@@ -186,22 +186,9 @@
     def _take_members(self, members: tuple[Member, ...]) -> None:
         self.files.set_watching(self.fleet.is_watcher())
         self.files.set_neighbours(self.fleet.monitored)
-        self._set_quarantine_boxes(members)
-
-    def _set_quarantine_boxes(self, members: tuple[Member, ...]) -> None:
-        """Tell the boxes of the own failure domain, and those of others that watch the store."""
-        own = self.fleet.own
-        near = [
-            member.address
-            for member in members
-            if member.failure_domain == own.failure_domain and member.address != own.address
-        ]
-        far = [
-            member.address
-            for member in self.fleet.watchers()
-            if member.failure_domain != own.failure_domain
-        ]
-        self.quarantine.set_boxes(near, far, tells_again=self.fleet.is_watcher())
+        self.quarantine.set_boxes(
+            self.fleet.near(), self.fleet.far_watchers(), tells_again=self.fleet.is_watcher()
+        )
 
     def _take_notes(self, notes: tuple[TargetNote, ...]) -> None:
         self.dispatch.told_leaving(notes)
--- a/trackwheel/dispatch/guard.py
+++ b/trackwheel/dispatch/guard.py
@@ -10,7 +10,6 @@
 
 _QUERY: Final = b"query"
 _EXECUTE: Final = b"execute"
-STATUS_OK: Final = 200
 
 
 def query_fingerprint(service: str, query: str) -> bytes:
--- a/trackwheel/entry/box.py
+++ b/trackwheel/entry/box.py
@@ -182,13 +182,7 @@
 
     def _take_members(self, members: tuple[Member, ...]) -> None:
         own = self.fleet.own
-        peers = [member for member in members if member.address != own.address]
-        near = [m.address for m in peers if m.failure_domain == own.failure_domain]
-        far_watchers = [
-            m.address
-            for m in self.fleet.watchers()
-            if m.failure_domain != own.failure_domain and m.address != own.address
-        ]
+        near, far_watchers = self.fleet.near(), self.fleet.far_watchers()
         before = self.fleet.watchers_before(own)
         self.directory.set_peers(before, near, far_watchers)
         self.quarantine.set_boxes(near, far_watchers, tells_again=not before)
--- a/trackwheel/fleet/service.py
+++ b/trackwheel/fleet/service.py
@@ -145,6 +145,20 @@
             <= last_place_by_domain.get(member.failure_domain, LAST_PLACE)
         )
 
+    def near(self) -> list[str]:
+        """Return the other boxes of the own failure domain."""
+        domain = self.own.failure_domain
+        return [
+            member.address
+            for member in self.members
+            if member.failure_domain == domain and member.address != self.own.address
+        ]
+
+    def far_watchers(self) -> list[str]:
+        """Return the boxes of other failure domains that watch the store, as seen from here."""
+        domain = self.own.failure_domain
+        return [member.address for member in self.watchers() if member.failure_domain != domain]
+
     def watchers_before(self, subject: Member) -> list[str]:
         """Return the boxes of a member's domain that come before it as watchers.
 
--- a/trackwheel/platform/wire.py
+++ b/trackwheel/platform/wire.py
@@ -20,6 +20,7 @@
     STATUS_ELSEWHERE,
     TARGET_HEADERS,
 )
+from trackwheel.relay.fingerprint import fingerprint
 from trackwheel.relay.models import CallerRequest, Outcome, TargetEnd
 from trackwheel.units import MILLISECONDS
 
@@ -44,7 +45,8 @@
         path = request.target.partition(b"?")[0].decode("latin-1")
         request_id = (header(request.headers, HEADER_ATTEMPT) or b"").decode("latin-1")
         name = host.rpartition(":")[0] if ":" in host else host
-        return CallerRequest(request_id, name, path, request.arrived + left_s, request)
+        content = fingerprint(name, request.method, request.target, request.body)
+        return CallerRequest(request_id, name, path, request.arrived + left_s, request, content)
 
     def forwarded_headers(self, request: Request) -> Headers:
         """Return the headers of a client's request that targets get."""
--- a/trackwheel/relay/ends.py
+++ b/trackwheel/relay/ends.py
@@ -12,9 +12,9 @@
         match outcome:
             case Outcome.OK:
                 # No other answer clears a request: a failing target may not have begun to run it.
-                quarantine.answered(sending.fingerprint)
+                quarantine.answered(sending.request.fingerprint)
             case Outcome.CLOSED:
-                quarantine.closed(sending.fingerprint, sending.target.life)
+                quarantine.closed(sending.request.fingerprint, sending.target.life)
             case Outcome.NOT_SENT:
                 quarantine.refused(sending.target.life)
 
--- a/trackwheel/relay/models.py
+++ b/trackwheel/relay/models.py
@@ -4,7 +4,6 @@
 from typing import Final, NamedTuple, Protocol
 
 from trackwheel.http1.models import Headers, Request, Response
-from trackwheel.relay.fingerprint import fingerprint
 
 
 class Place(NamedTuple):
@@ -127,18 +126,17 @@
 
 
 class CallerRequest(NamedTuple):
-    """One request of a client in the product's terms (monotonic seconds)."""
+    """One request of a client in the product's terms (monotonic seconds).
+
+    `fingerprint` is the same in each attempt at this request, at every box.
+    """
 
     request_id: str
     host: str
     path: str
     deadline: float
     http: Request
-
-    @property
-    def fingerprint(self) -> bytes:
-        """Return what is the same in each attempt at this request, at every box."""
-        return fingerprint(self.host, self.http.method, self.http.target, self.http.body)
+    fingerprint: bytes
 
 
 class Part(NamedTuple):
--- a/trackwheel/relay/runs.py
+++ b/trackwheel/relay/runs.py
@@ -65,7 +65,6 @@
     ) -> None:
         self._transport = transport
         self._request = request
-        self._fingerprint = request.fingerprint
         self._route = route
         self._on_end = on_end
         self._token_by_number: dict[int, object] = {}
@@ -75,15 +74,13 @@
     ) -> None:
         """Send the request to a target; its end is told unless it is withdrawn."""
         token = self._token_by_number[number] = object()
-        sending = Sending(
-            token, self._request, target, self._route, reason, single, once, self._fingerprint
-        )
+        sending = Sending(token, self._request, target, self._route, reason, single, once)
         self._transport.send(sending, lambda end: self._ended(number, end))
 
     def withdraw(self, number: int, target: Target) -> None:
         """Take a request back."""
         token = self._token_by_number.pop(number)
-        self._transport.withdraw(token, target, self._fingerprint)
+        self._transport.withdraw(token, target, self._request.fingerprint)
 
     def _ended(self, number: int, end: TargetEnd) -> None:
         self._token_by_number.pop(number, None)
--- a/trackwheel/relay/taken.py
+++ b/trackwheel/relay/taken.py
@@ -9,6 +9,7 @@
 from trackwheel.quarantine.service import Quarantine
 from trackwheel.relay.board import Board
 from trackwheel.relay.budget import RepeatBudget
+from trackwheel.relay.fingerprint import fingerprint
 from trackwheel.relay.gather import Gather
 from trackwheel.relay.gather_models import Declined, Gathered, GatherFailed, GatherPlan
 from trackwheel.relay.merge import merge_records
@@ -170,7 +171,10 @@
     def _task(self, message: GroupForward, now: float) -> GatherTask:
         http = Request(message.method, message.target, tuple(message.headers), message.body, now)
         deadline = now + message.end_in_ms / MILLISECONDS
-        request = CallerRequest(message.request_id, message.host, message.path, deadline, http)
+        content = fingerprint(message.host, http.method, http.target, http.body)
+        request = CallerRequest(
+            message.request_id, message.host, message.path, deadline, http, content
+        )
         plan = GatherPlan(
             route=RouteKey(message.route, message.aim_ms / MILLISECONDS, frozenset(message.homes)),
             shards=tuple(message.shards),
--- a/trackwheel/relay/transport.py
+++ b/trackwheel/relay/transport.py
@@ -49,7 +49,6 @@
     reason: str
     single: bool
     once: bool
-    fingerprint: bytes
 
 
 OnAnyEnd = Callable[[Sending, Outcome, float], None]
@@ -153,7 +152,7 @@
             self._log.write(
                 "target_closed",
                 id=sending.request.request_id,
-                fingerprint=sending.fingerprint.hex(),
+                fingerprint=sending.request.fingerprint.hex(),
                 target=target.instance,
                 service=target.service,
                 ran_ms=round((self._clock() - sent_at) * MILLISECONDS, 1),
--- a/trackwheel/storage/held.py
+++ b/trackwheel/storage/held.py
@@ -26,14 +26,7 @@
 
     async def read(self) -> Result[list[HeldRequest], TrackwheelError]:
         """Return the requests that are held."""
-        match await self._client.get(KEY):
-            case Success(stored):
-                now_ms = time.time() * MILLISECONDS
-                rows = _decode(stored).items()
-                return Success([HeldRequest(bytes.fromhex(k), over - now_ms) for k, over in rows])
-            case Failure(error):
-                return Failure(error)
-        raise AssertionError("a result is a success or a failure")
+        return (await self._client.get(KEY)).map(_held_requests)
 
     async def keep(self, held: HeldRequest) -> Result[None, TrackwheelError]:
         """Write that a request is held."""
@@ -59,9 +52,16 @@
                         else Failure(platform_error("held", KEY, "another box wrote meanwhile"))
                     )
                 )
-            case Failure(error):
-                return Failure(error)
-        raise AssertionError("a result is a success or a failure")
+            case failure:
+                return failure.map(lambda _: None)
+
+
+def _held_requests(stored: Stored) -> list[HeldRequest]:
+    now_ms = time.time() * MILLISECONDS
+    return [
+        HeldRequest(bytes.fromhex(name), over_ms - now_ms)
+        for name, over_ms in _decode(stored).items()
+    ]
 
 
 def _decode(stored: Stored) -> OverByRequest:
