Log what a reading of the store brought and told, and a digest of the targets a box holds

Sight for requests at a target that had said it leaves: the number of targets could not tell a lost change from a late one. A digest of instance, life, service, address and leaving shows which boxes differ under one revision, and how many leaving targets each knows; targets_read says up to which revision the store was read and what peers were told. No decision changes. tests/directory, telemetry, platform, entry pass.

--- a/trackwheel/directory/service.py
+++ b/trackwheel/directory/service.py
@@ -153,10 +153,26 @@
         """Take a reading or changes of the store; return the revision from which to watch on."""
         since = 0 if read.since is None else self._targets.newest
         if self._targets.take(read, steady_now()):
+            push = self._targets.changes(since, steady_now())
+            self._note_read(read, push)
             self._targets_changed("store")
-            self._pass_on(self._targets.changes(since, steady_now()), self._near_peers)
+            self._pass_on(push, self._near_peers)
         return read.as_of
 
+    def _note_read(self, read: TargetsRead, push: TargetsPush) -> None:
+        """Note up to where the store was read, and what of it goes to how many peers."""
+        self._log.write(
+            "targets_read",
+            after=read.since,
+            as_of=read.as_of,
+            entries=len(read.entries),
+            gone=len(read.gone),
+            peers=len(self._near_peers),
+            told_after=push.since,
+            told_newest=push.newest,
+            told=len(push.entries) + len(push.gone),
+        )
+
     def take_copy(self, orders: OrdersRead, targets: TargetsRead) -> None:
         """Take a copy of the store that may be seconds old."""
         if orders.table is not None:
@@ -248,7 +264,15 @@
     def _targets_changed(self, source: str) -> None:
         targets_by_service = self._targets.targets_by_service(self.evacuated)
         count = sum(len(targets) for targets in targets_by_service.values())
-        self._log.write("targets", source=source, newest=self._targets.newest, count=count)
+        digest = self._targets.digest
+        self._log.write(
+            "targets",
+            source=source,
+            newest=self._targets.newest,
+            count=count,
+            leaving=digest.leaving,
+            digest=f"{digest.value:08x}",
+        )
         for handler in self._on_targets:
             handler(targets_by_service)
 
--- a/trackwheel/directory/targets.py
+++ b/trackwheel/directory/targets.py
@@ -9,6 +9,7 @@
     LAPSE_NEWS_S,
     LAPSE_RETURN_S,
 )
+from trackwheel.directory.digest import EntriesDigest
 from trackwheel.directory.models import EntryGone, TargetEntry, TargetsPush, TargetsRead
 from trackwheel.relay.models import Place, Target
 
@@ -46,6 +47,8 @@
         self._gone_revision_by_instance: dict[str, int] = {}
         self._store_away = False
         self._store_back_at = float("-inf")
+        self.digest = EntriesDigest()
+        """Of the entries that are there; those that are gone, or have lapsed, are not in it."""
         self.newest = 0
         """The revision up to which all changes are known here."""
 
@@ -131,7 +134,7 @@
             if held.gone_revision is not None and held.drop_at <= now
         ]
         for instance in over:
-            del self._held_by_instance[instance]
+            self._drop(instance)
         return bool(over)
 
     def next_expiry(self) -> float:
@@ -176,11 +179,11 @@
             if held.entry.revision >= entry.revision:
                 return False
             if held.tells_again(entry) and not held.turns_cold(entry, now):
-                self._held_by_instance[entry.instance] = held._replace(entry=entry)
+                self._hold(held._replace(entry=entry))
                 return False
         self._gone_revision_by_instance.pop(entry.instance, None)
         cold_until = now + entry.cold_s
-        self._held_by_instance[entry.instance] = _Held(entry, entry.revision, cold_until)
+        self._hold(_Held(entry, entry.revision, cold_until))
         return True
 
     def _judged(self, gone: EntryGone, now: float) -> EntryGone:
@@ -204,16 +207,31 @@
         if held is None or held.gone_revision is not None:
             return False
         if held.entry.leaving:
-            del self._held_by_instance[gone.instance]
+            self._drop(gone.instance)
             return True
         lapsed = gone.may_return_s > 0.0
-        self._held_by_instance[gone.instance] = held._replace(
-            gone_revision=gone.revision,
-            drop_at=now + (gone.may_return_s if lapsed else GONE_HOLD_S),
-            lapsed=lapsed,
+        self._hold(
+            held._replace(
+                gone_revision=gone.revision,
+                drop_at=now + (gone.may_return_s if lapsed else GONE_HOLD_S),
+                lapsed=lapsed,
+            )
         )
         return True
 
+    def _hold(self, held: _Held) -> None:
+        """Keep what is known of a target in place of what was."""
+        self._drop(held.entry.instance)
+        self._held_by_instance[held.entry.instance] = held
+        if held.gone_revision is None:
+            self.digest.add(held.entry)
+
+    def _drop(self, instance: str) -> None:
+        """Forget a target, if it is known."""
+        held = self._held_by_instance.pop(instance, None)
+        if held is not None and held.gone_revision is None:
+            self.digest.remove(held.entry)
+
     def _remove_missing(self, read: TargetsRead, now: float) -> list[bool]:
         """Remove what a full reading does not list although it is as new."""
         listed = {entry.instance for entry in read.entries}
