--- a/standins/entry_fleet.py
+++ b/standins/entry_fleet.py
@@ -158,6 +158,16 @@
         self.put(f"servers/{instance}", target.entry(zone=zone))
         return target
 
+    def add_entry(self, instance: str, service: str) -> None:
+        """Write the entry of a target that nobody asks."""
+        self.put(f"servers/{instance}", self.entry_of(instance, service, "ready"))
+
+    def entry_of(self, instance: str, service: str, state: str) -> bytes:
+        """Return the entry of a target that nobody asks."""
+        target = ShardTarget(instance, service)
+        target.address = "127.0.0.1:9"
+        return target.entry(state)
+
     def replace_ended(self) -> None:
         """Let targets that ended come back: under new names, as every start has."""
         for old in [target for target in self.target_by_instance.values() if target.ended]:
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+from collections.abc import Callable
 from typing import Any
 
 from aiohttp import web
@@ -20,6 +21,8 @@
         self.down = False
         self.mute = False
         self.refused_hosts: set[str] = set()
+        self.after_first_page: Callable[[], None] | None = None
+        """What happens once, between the first page of a range and the next one."""
         self._item_by_key: dict[str, dict[str, Any]] = {}
         self._history: list[dict[str, Any]] = []
         self._oldest = 0
@@ -85,7 +88,15 @@
         keys = sorted(key for key in self._item_by_key if key.startswith(prefix) and key > after)
         items = [self._item_by_key[key] for key in keys[:PAGE_ITEMS]]
         more = len(keys) > PAGE_ITEMS
-        return web.json_response({"items": items, "has_more": more, "as_of": self.revision})
+        page = web.json_response({"items": items, "has_more": more, "as_of": self.revision})
+        if more and not after and "stale_ok" not in request.query:
+            self._pass_first_page()
+        return page
+
+    def _pass_first_page(self) -> None:
+        happens, self.after_first_page = self.after_first_page, None
+        if happens is not None:
+            happens()
 
     async def _lease(self, request: web.Request) -> web.StreamResponse:
         """Give a lease; it never runs out here."""
--- a/tests/whole/test_entry.py
+++ b/tests/whole/test_entry.py
@@ -2,7 +2,7 @@
 
 import signal
 import time
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
 from pathlib import Path
 
@@ -25,9 +25,9 @@
 
 
 @contextmanager
-def running(folder: Path) -> Iterator[EntryFleet]:
+def running(folder: Path, zones: Sequence[str] = ("a", "a", "b")) -> Iterator[EntryFleet]:
     """Run two boxes east and one west; shards 0 to 3 have targets on both sides."""
-    with EntryFleet(["a", "a", "b"], folder) as fleet:
+    with EntryFleet(list(zones), folder) as fleet:
         for number, shard in enumerate(SHARDS):
             fleet.add_target(f"{shard}-west", shard, "b")
             if number < 4:
