Tell peers only what has been read up to a revision, not the newest change seen

What callers saw: nothing; two requests were run by a target five seconds after it had said that it leaves, 49 and 53 ms beyond the bound. Such a target may end under them.

Cause: the pages of a reading are of different moments. The newest change on any of them was told to peers as the revision up to which all is known. A change after its own page and before that one came with the next watch, and was not passed on: peers claimed to know it. Boxes that do not read the store kept the target as one that stays, for as long as it lived.

Change: changes that were read are unconfirmed until a reading or a watch has come up to them; only then does the revision told to peers rise, and what peers lack is told from the one before. Why it holds: whatever the watch brings late is newer than what peers were told is complete, so that it goes with the next push, or is asked for.

Ruled out: late news (the box would have caught up), an older word in place of a newer one (the digest shows that the change never came).

--- /dev/null
+++ b/tests/directory/test_readings.py
@@ -0,0 +1,112 @@
+"""What the boxes that do not read the store hold, whatever happens while another one reads it."""
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from tests.directory.paged_store import PagedStore
+from tests.directory.test_service import FakeLog, FakeSource
+from trackwheel.clock import steady_now
+from trackwheel.directory.models import DirectoryBeacon, TargetsRead
+from trackwheel.directory.service import DirectoryService
+from trackwheel.directory.targets import TargetDirectory
+from trackwheel.directory.watching import Watching
+from trackwheel.peers.models import PeerIdentity
+
+BEATS_BETWEEN_PAGES = 3
+SEEDS = range(30)
+
+
+class Net:
+    """Carry messages between boxes at once, unless they are to be lost."""
+
+    def __init__(self) -> None:
+        self.box_by_address: dict[str, ReadingBox] = {}
+        self.loses: Callable[[], bool] = lambda: False
+
+    def deliver(self, sender: PeerIdentity, address: str, message: Any) -> None:
+        if address in self.box_by_address and not self.loses():
+            self.box_by_address[address].handler_by_type[type(message)](sender, message)
+
+
+class ReadingBox:
+    """The directory of one box, which a test lets read the store."""
+
+    def __init__(self, net: Net, address: str) -> None:
+        self.identity = PeerIdentity(address, address, address, "r", "a")
+        self.handler_by_type: dict[type[Any], Any] = {}
+        self.targets = TargetDirectory({})
+        self._net = net
+        self.service = DirectoryService(
+            self,  # type: ignore[arg-type]
+            FakeSource(),  # type: ignore[arg-type]
+            self.targets,
+            Watching(steady_now(), address, first=True),
+            FakeLog(),  # type: ignore[arg-type]
+            3.0,
+        )
+        net.box_by_address[address] = self
+
+    def register(self, message_type: type[Any], handler: Any) -> None:
+        """Take what the directory does with messages of a kind."""
+        self.handler_by_type[message_type] = handler
+
+    def send(self, address: str, message: Any) -> bool:
+        """Send a message of the directory."""
+        self._net.deliver(self.identity, address, message)
+        return True
+
+    def reads(self, read: TargetsRead) -> int:
+        """Take a reading of the store."""
+        return self.service.take_targets(read)
+
+    def hear(self, sender: "ReadingBox") -> None:
+        """Hear how far another box is."""
+        beacon = DirectoryBeacon(0, sender.targets.newest, sender.identity.address)
+        self.handler_by_type[DirectoryBeacon](sender.identity, beacon)
+
+
+def make_boxes(net: Net, count: int) -> list[ReadingBox]:
+    boxes = [ReadingBox(net, f"box-{number}") for number in range(count)]
+    for number, box in enumerate(boxes):
+        others = [other.identity.address for other in boxes if other is not box]
+        # The first one reads; the others go by what it passes on.
+        before = [boxes[0].identity.address] if number else []
+        box.service.set_peers(before, others if not number else [], [])
+    return boxes
+
+
+def held(box: ReadingBox) -> dict[str, bool]:
+    """Return the targets that a box takes for present, and which of them are leaving."""
+    return {
+        target.instance: target.barred
+        for targets in box.targets.targets_by_service().values()
+        for target in targets
+        if not target.doubtful
+    }
+
+
+def there(store: PagedStore) -> dict[str, bool]:
+    return {name: entry.leaving for name, entry in store.entry_by_instance.items()}
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_peers_hold_what_the_store_holds_whatever_changes_between_pages(seed: int) -> None:
+    store, net = PagedStore(seed), Net()
+    for _ in range(60):
+        store.change()
+    reader, peer = make_boxes(net, 2)
+
+    def changes() -> None:
+        for _ in range(BEATS_BETWEEN_PAGES):
+            store.change()
+
+    for _ in range(3):
+        after = reader.reads(store.read(changes))
+        for _ in range(2):
+            changes()
+            after = reader.reads(store.watch(after))
+        assert held(reader) == there(store)
+        assert held(peer) == there(store)
+        assert peer.targets.digest.value == reader.targets.digest.value
--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -63,6 +63,7 @@
 SUSPECTS = "tests/quarantine/test_suspects.py::"
 HOLDING = "tests/quarantine/test_fleet.py::"
 CLOCK = "tests/test_clock.py::"
+READINGS = "tests/directory/test_readings.py::"
 WIRE = "tests/platform/test_wire.py::"
 ENTRY = "tests/whole/test_entry.py::"
 
@@ -1409,6 +1410,21 @@
         "tests/whole/test_crashing_query.py::test_what_three_targets_ended_under_goes_to_no_more",
         Mutant("trackwheel/dispatch/guard.py", "case TargetClosedError():", "case MemoryError():"),
     ),
+    Row(
+        PLATFORM,
+        LEAVING,
+        "targets leave while a box reads all of them page by page, at its peers",
+        "tests/whole/test_leaving_target.py::"
+        "test_target_that_leaves_while_all_are_read_gets_nothing_after_its_time",
+        Mutant("trackwheel/directory/targets.py", "if revision <= as_of}", "}"),
+    ),
+    Row(
+        PLATFORM,
+        LEAVING,
+        "thirty seeds of changes between the pages of a reading, at its peers",
+        READINGS + "test_peers_hold_what_the_store_holds_whatever_changes_between_pages",
+        Mutant("trackwheel/directory/targets.py", "if revision <= as_of}", "}"),
+    ),
     Row(
         PLATFORM,
         SUSPENDED,
--- a/trackwheel/directory/service.py
+++ b/trackwheel/directory/service.py
@@ -151,11 +151,13 @@
 
     def take_targets(self, read: TargetsRead) -> int:
         """Take a reading or changes of the store; return the revision from which to watch on."""
-        since = 0 if read.since is None else self._targets.newest
-        if self._targets.take(read, steady_now()):
-            push = self._targets.changes(since, steady_now())
-            self._note_read(read, push)
+        before = self._targets.newest
+        changed = self._targets.take(read, steady_now())
+        if changed:
             self._targets_changed("store")
+        if changed or self._targets.newest > before:
+            push = self._targets.changes(0 if read.since is None else before, steady_now())
+            self._note_read(read, push)
             self._pass_on(push, self._near_peers)
         return read.as_of
 
--- a/trackwheel/directory/targets.py
+++ b/trackwheel/directory/targets.py
@@ -49,8 +49,16 @@
         self._store_back_at = float("-inf")
         self.digest = EntriesDigest()
         """Of the entries that are there; those that are gone, or have lapsed, are not in it."""
+        self._unconfirmed: set[int] = set()
+        """Revisions of changes that were read, while earlier ones may not have been yet."""
         self.newest = 0
-        """The revision up to which all changes are known here."""
+        """The revision up to which all changes are known here: what peers are told is complete.
+
+        The pages of a reading are of different moments. What a later page holds is newer than
+        changes of earlier pages that only the next watch brings; a box that told peers of the
+        newest change it had seen never passed those on, and a target that was leaving got requests
+        for as long as it lived.
+        """
 
     @property
     def known(self) -> bool:
@@ -85,6 +93,7 @@
         if read.since is None:
             removed = self._remove_missing(read, now)
             changed += [self._note(was_there, read.as_of) for was_there in removed]
+        self._confirm(read.as_of)
         return any(changed)
 
     def take_copy(self, entries: Iterable[TargetEntry], now: float) -> bool:
@@ -107,11 +116,17 @@
         return any(changed)
 
     def _note(self, is_news: bool, revision: int) -> bool:
-        """Keep the revision of the newest news; entries that changed in nothing are none."""
+        """Note the revision of news; entries that changed in nothing are none."""
         if is_news:
-            self.newest = max(self.newest, revision)
+            self._unconfirmed.add(revision)
         return is_news
 
+    def _confirm(self, as_of: int) -> None:
+        """Take that everything up to a revision has been read."""
+        confirmed = {revision for revision in self._unconfirmed if revision <= as_of}
+        self._unconfirmed -= confirmed
+        self.newest = max(self.newest, *confirmed, 0)
+
     def changes(self, since: int, now: float) -> TargetsPush:
         """Return all changes after a revision, for a peer that knows those up to it."""
         entries = [
