Let a whole list of targets take away what it lacks, and tell everything to who knows less

What callers saw: nothing yet; a target whose entry went without notice may end at once, and requests that still go to it fail or are run by a target that is counted as gone.

A box that starts while an entry goes never hears of it; it told its peers all entries that it found, and they took its revision but kept what it did not name. A box that knew more removals than another had no way to say so either.

Change: a list of everything takes away what it lacks and is not newer. A box that is asked by one that knew less than it did when it first knew everything sends such a list. A reading of everything reaches the store's revision at its first page. News that only move the revision are passed on. Lapsed entries keep their time to come back.

--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -1425,6 +1425,13 @@
         READINGS + "test_peers_hold_what_the_store_holds_whatever_changes_between_pages",
         Mutant("trackwheel/directory/targets.py", "if revision <= as_of}", "}"),
     ),
+    Row(
+        PLATFORM,
+        LEAVING,
+        "an entry goes while the box that reads starts anew and half of its news are lost",
+        READINGS + "test_peers_lose_what_went_while_the_box_that_reads_was_another_one",
+        Mutant("trackwheel/directory/targets.py", "if push.since == 0:", "if False:"),
+    ),
     Row(
         PLATFORM,
         SUSPENDED,
--- a/trackwheel/directory/service.py
+++ b/trackwheel/directory/service.py
@@ -156,7 +156,7 @@
         if changed:
             self._targets_changed("store")
         if changed or self._targets.newest > before:
-            push = self._targets.changes(0 if read.since is None else before, steady_now())
+            push = self._targets.changes(before, steady_now())
             self._note_read(read, push)
             self._pass_on(push, self._near_peers)
         return read.as_of
@@ -209,12 +209,13 @@
             self._evacuations_changed(source)
 
     def _take_targets_push(self, sender: PeerIdentity, push: TargetsPush) -> None:
+        before = self._targets.newest
         changed = self._targets.take_push(push, steady_now())
         self._peer_flow.moved(self._how_far)
-        if not changed:
-            return
-        self._targets_changed(sender.box_id)
-        self._tell_near(push)
+        if changed:
+            self._targets_changed(sender.box_id)
+        if changed or self._targets.newest > before:
+            self._tell_near(push)
 
     def _take_beacon(self, sender: PeerIdentity, beacon: DirectoryBeacon) -> None:
         self._take_evacuations(beacon.evacuations, sender.box_id)
--- a/trackwheel/directory/targets.py
+++ b/trackwheel/directory/targets.py
@@ -59,6 +59,9 @@
         newest change it had seen never passed those on, and a target that was leaving got requests
         for as long as it lived.
         """
+        self._whole_at = 0
+        """The revision at which this box knew everything for the first time. It has not heard of
+        what went before that, and a peer that knows less is told everything."""
 
     @property
     def known(self) -> bool:
@@ -91,8 +94,10 @@
             for gone in read.gone
         ]
         if read.since is None:
-            removed = self._remove_missing(read, now)
+            listed = {entry.instance for entry in read.entries}
+            removed = self._remove_missing(listed, read.as_of, self._returns_for_s(now), now)
             changed += [self._note(was_there, read.as_of) for was_there in removed]
+            self._reach(read.as_of)
         self._confirm(read.as_of)
         return any(changed)
 
@@ -105,14 +110,14 @@
         return any([self._merge(entry, now) for entry in entries])
 
     def take_push(self, push: TargetsPush, now: float) -> bool:
-        """Take news of a peer; return whether anything is another now.
-
-        Whatever the push lacks may be newer here, so that nothing is taken away for it.
-        """
+        """Take news of a peer; return whether anything is another now."""
         changed = [self._merge(entry, now) for entry in push.entries]
         changed += [self._remove(gone, now) for gone in push.gone]
+        if push.since == 0:
+            listed = {entry.instance for entry in push.entries}
+            changed += self._remove_missing(listed, push.newest, push.may_return_s, now)
         if self.newest >= push.since:
-            self.newest = max(self.newest, push.newest)
+            self._reach(push.newest)
         return any(changed)
 
     def _note(self, is_news: bool, revision: int) -> bool:
@@ -125,10 +130,22 @@
         """Take that everything up to a revision has been read."""
         confirmed = {revision for revision in self._unconfirmed if revision <= as_of}
         self._unconfirmed -= confirmed
-        self.newest = max(self.newest, *confirmed, 0)
+        self._reach(max(confirmed, default=0))
+
+    def _reach(self, revision: int) -> None:
+        """Take that all changes up to a revision are known."""
+        if self.newest == 0:
+            self._whole_at = revision
+        self.newest = max(self.newest, revision)
 
     def changes(self, since: int, now: float) -> TargetsPush:
-        """Return all changes after a revision, for a peer that knows those up to it."""
+        """Return all changes after a revision, for a peer that knows those up to it.
+
+        It is told everything if it knows less than this box did at first: then both may not know
+        of the same removals.
+        """
+        if since < self._whole_at:
+            since = 0
         entries = [
             held.entry
             for held in self._held_by_instance.values()
@@ -139,7 +156,7 @@
             for instance, revision in self._gone_revision_by_instance.items()
             if revision > since
         ]
-        return TargetsPush(since, self.newest, entries, gone)
+        return TargetsPush(since, self.newest, entries, gone, self._returns_for_s(now))
 
     def expire(self, now: float) -> bool:
         """Drop targets whose time as a last resort is over; return whether there were any."""
@@ -203,9 +220,11 @@
 
     def _judged(self, gone: EntryGone, now: float) -> EntryGone:
         """Return news of the store with how long the entry may still come back."""
-        if not self.returns_awaited(now):
-            return gone
-        return gone._replace(may_return_s=self._returns_until - now)
+        return gone._replace(may_return_s=self._returns_for_s(now))
+
+    def _returns_for_s(self, now: float) -> float:
+        """Return how long entries that lapsed with the store may still come back (seconds)."""
+        return max(0.0, self._returns_until - now)
 
     def _may_return_s(self, instance: str, now: float) -> float:
         """Return how long an entry that is gone may still come back, as believed here."""
@@ -247,15 +266,13 @@
         if held is not None and held.gone_revision is None:
             self.digest.remove(held.entry)
 
-    def _remove_missing(self, read: TargetsRead, now: float) -> list[bool]:
-        """Remove what a full reading does not list although it is as new."""
-        listed = {entry.instance for entry in read.entries}
+    def _remove_missing(
+        self, listed: set[str], as_of: int, may_return_s: float, now: float
+    ) -> list[bool]:
+        """Remove what a list of everything up to a revision lacks, unless it is newer."""
         missing = [
             held.entry.instance
             for held in self._held_by_instance.values()
             if held.entry.instance not in listed and held.gone_revision is None
         ]
-        return [
-            self._remove(self._judged(EntryGone(instance, read.as_of), now), now)
-            for instance in missing
-        ]
+        return [self._remove(EntryGone(instance, as_of, may_return_s), now) for instance in missing]
