Keep to what is known when the store comes back from an older copy

What callers would see: a store that comes back from a copy seconds old gives its revisions again. Boxes ordered all news by revision: a target that said afterwards that it leaves, an evacuation, or an entry written anew counted as old news until the revision had passed the old one, and a watch could go on past changes that it had never told.

Change: the platform's client joins the store's era to each revision, so that later ones are greater; a watch or a reading whose era is another one reads everything anew. What the copy lacks or shows in an older state takes nothing back: an entry that its target wrote no later than what is known (its sequence tells) changes nothing, one that leaves goes on leaving in its life, what is missing is used until it may be written again, evacuations that are known stand until they are written again or 30 s have passed, held requests are written to the store anew. What a box does not know of, as one that has just started, it takes from the copy.

The bodies of the store's calls moved to platform/items.py, what is held of a target to directory/held.py.

--- a/standins/entry_fleet.py
+++ b/standins/entry_fleet.py
@@ -18,7 +18,7 @@
 
 from standins.fleet import free_ports, wait_until
 from standins.http import Running
-from standins.metadata_store import MetadataStore
+from standins.metadata_store import MetadataStore, StoreCopy
 from standins.shard_target import ShardTarget
 
 T = TypeVar("T")
@@ -168,6 +168,22 @@
         target.address = "127.0.0.1:9"
         return target.entry(state)
 
+    def copy_store(self) -> StoreCopy:
+        """Return what the store holds now."""
+
+        async def take() -> StoreCopy:
+            return self.store.copy()
+
+        return self.call(take())
+
+    def set_store_back(self, earlier: StoreCopy) -> None:
+        """Let the store come back from a copy."""
+
+        async def come_back() -> None:
+            self.store.come_back_from(earlier)
+
+        self.call(come_back())
+
     def replace_ended(self) -> None:
         """Let targets that ended come back: under new names, as every start has."""
         for old in [target for target in self.target_by_instance.values() if target.ended]:
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import base64
+import copy
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NamedTuple
 
 from aiohttp import web
 
@@ -12,11 +13,20 @@
 PAGE_ITEMS = 50
 
 
+class StoreCopy(NamedTuple):
+    """Hold what a store held at some moment."""
+
+    revision: int
+    item_by_key: dict[str, dict[str, Any]]
+
+
 class MetadataStore:
     """Serve ranges and watches; faults are attributes that a test sets."""
 
     def __init__(self) -> None:
         self.revision = 0
+        self.era = 1
+        """How often the store has come back from a copy, and one."""
         self.calls = 0
         self.down = False
         self.mute = False
@@ -65,6 +75,17 @@
         self._item_by_key.pop(key, None)
         self._note({"tls_key": key, "revision": self.revision, "deleted": True})
 
+    def copy(self) -> StoreCopy:
+        """Return what the store holds now."""
+        return StoreCopy(self.revision, copy.deepcopy(self._item_by_key))
+
+    def come_back_from(self, earlier: StoreCopy) -> None:
+        """Hold what a copy holds; what was written since is gone, its revisions are given again."""
+        self.era += 1
+        self.revision = earlier.revision
+        self._item_by_key = copy.deepcopy(earlier.item_by_key)
+        self.forget_history()
+
     def forget_history(self) -> None:
         """Drop what watches would be told of the past."""
         self._history.clear()
@@ -80,7 +101,14 @@
         if self.mute:
             await asyncio.sleep(60.0)
         if self.down or request.remote in self.refused_hosts:
-            raise web.HTTPServiceUnavailable
+            raise web.HTTPServiceUnavailable(headers=self._headers)
+
+    @property
+    def _headers(self) -> dict[str, str]:
+        return {"Store-Era": str(self.era)}
+
+    def _answer(self, content: dict[str, Any], status: int = 200) -> web.Response:
+        return web.json_response(content, status=status, headers=self._headers)
 
     async def _range(self, request: web.Request) -> web.StreamResponse:
         await self._enter(request)
@@ -88,7 +116,7 @@
         keys = sorted(key for key in self._item_by_key if key.startswith(prefix) and key > after)
         items = [self._item_by_key[key] for key in keys[:PAGE_ITEMS]]
         more = len(keys) > PAGE_ITEMS
-        page = web.json_response({"items": items, "has_more": more, "as_of": self.revision})
+        page = self._answer({"items": items, "has_more": more, "as_of": self.revision})
         if more and not after and "stale_ok" not in request.query:
             self._pass_first_page()
         return page
@@ -102,7 +130,7 @@
         """Give a lease; it never runs out here."""
         await self._enter(request)
         self._leases += 1
-        return web.json_response({"lease": self._leases, **await request.json()})
+        return self._answer({"lease": self._leases, **await request.json()})
 
     async def _change(self, request: web.Request) -> web.StreamResponse:
         await self._enter(request)
@@ -110,20 +138,20 @@
         for row in change["expected_revision"]:
             item = self._item_by_key.get(row["tls_key"], {"revision": 0})
             if item["revision"] != row["revision"]:
-                return web.json_response({"items": [item]}, status=412)
+                return self._answer({"items": [item]}, status=412)
         for row in change["puts"]:
             self.put(row["tls_key"], base64.b64decode(row["value"]))
         for key in change["remove"]:
             self.remove(key)
-        return web.json_response({"revision": self.revision})
+        return self._answer({"revision": self.revision})
 
     async def _watch(self, request: web.Request) -> web.StreamResponse:
         await self._enter(request)
         prefix, after = request.query["path_prefix"], int(request.query["after"])
         end = asyncio.get_running_loop().time() + int(request.query["wait_ms"]) / 1000
         while True:
-            if after < self._oldest:
-                raise web.HTTPGone
+            if not self._oldest <= after <= self.revision:
+                raise web.HTTPGone(headers=self._headers)
             found = [
                 event
                 for event in self._history
@@ -131,7 +159,7 @@
             ]
             left = end - asyncio.get_running_loop().time()
             if found or left <= 0:
-                return web.json_response({"events": found, "as_of": self.revision})
+                return self._answer({"events": found, "as_of": self.revision})
             try:
                 await asyncio.wait_for(self._changed.wait(), left)
             except TimeoutError:
--- a/tests/directory/paged_store.py
+++ b/tests/directory/paged_store.py
@@ -1,9 +1,14 @@
-"""A store in memory whose readings take several pages, between which it changes."""
+"""A store in memory whose readings take several pages, between which it changes.
+
+It may come back from a copy; then what was written since is gone, and revisions are given again.
+"""
 
 from collections.abc import Callable
 from random import Random
 
-from trackwheel.directory.models import EntryGone, TargetEntry, TargetsRead
+from trackwheel.directory.models import EntryGone, HistoryGoneError, TargetEntry, TargetsRead
+from trackwheel.directory.revisions import era_of, make_revision
+from trackwheel.errors import Problem
 
 PAGE_ENTRIES = 5
 
@@ -13,23 +18,59 @@
 
     def __init__(self, seed: int) -> None:
         self.random = Random(seed)
-        self.revision = 0
+        self.era = 1
+        self.written = 0
         self.entry_by_instance: dict[str, TargetEntry] = {}
+        self.last_by_instance: dict[str, TargetEntry] = {}
+        """What each target wrote last; those that are gone for good are not in it."""
         self._history: list[TargetEntry | EntryGone] = []
 
+    @property
+    def revision(self) -> int:
+        """Return the newest revision."""
+        return make_revision(self.era, self.written)
+
     def put(self, instance: str, leaving: bool = False) -> None:
-        """Let a target write its entry; it comes before or after others by its name."""
-        self.revision += 1
-        entry = TargetEntry(instance, "s", "127.0.0.1:1", "a", 2, leaving, 0.0, self.revision)
-        self.entry_by_instance[instance] = entry
+        """Let a target write its entry."""
+        self.written += 1
+        last = self.last_by_instance.get(instance)
+        sequence = 1 if last is None else last.sequence + 1
+        entry = TargetEntry(
+            instance, "s", "127.0.0.1:1", "a", 2, leaving, 0.0, self.revision, 0, sequence
+        )
+        self.entry_by_instance[instance] = self.last_by_instance[instance] = entry
         self._history.append(entry)
 
     def remove(self, instance: str) -> None:
-        """Let an entry go."""
-        self.revision += 1
+        """Let an entry go for good."""
+        self.written += 1
+        self.last_by_instance.pop(instance, None)
         del self.entry_by_instance[instance]
         self._history.append(EntryGone(instance, self.revision))
 
+    def copy(self) -> tuple[int, dict[str, TargetEntry]]:
+        """Return what the store holds now."""
+        return self.written, dict(self.entry_by_instance)
+
+    def come_back_from(self, earlier: tuple[int, dict[str, TargetEntry]]) -> None:
+        """Hold what a copy holds."""
+        self.era += 1
+        self.written, entries = earlier[0], earlier[1]
+        self.entry_by_instance = {
+            instance: entry._replace(
+                revision=make_revision(self.era, entry.revision - make_revision(self.era - 1, 0))
+            )
+            for instance, entry in entries.items()
+        }
+        self._history.clear()
+
+    def write_again(self) -> None:
+        """Let each target write what it had written last, and what is gone go again."""
+        for instance in sorted(self.entry_by_instance.keys() - self.last_by_instance.keys()):
+            self.remove(instance)
+        for instance, last in sorted(self.last_by_instance.items()):
+            self.put(instance, last.leaving)
+
     def change(self) -> None:
         """Let something happen to a target."""
         there = sorted(self.entry_by_instance)
@@ -56,7 +97,9 @@
             between_pages()
 
     def watch(self, after: int) -> TargetsRead:
-        """Return the changes after a revision."""
+        """Return the changes after a revision; raise `HistoryGoneError` for one it lacks."""
+        if era_of(after) != self.era:
+            raise HistoryGoneError(Problem("history_gone", "watch", "store", "came back"))
         news = [event for event in self._history if event.revision > after]
         entries = [event for event in news if isinstance(event, TargetEntry)]
         gone = [event for event in news if isinstance(event, EntryGone)]
--- a/tests/directory/test_evacuations.py
+++ b/tests/directory/test_evacuations.py
@@ -14,6 +14,7 @@
 from tests.directory.memory_fleet import DOMAINS, MemoryFleet
 from trackwheel.directory.evacuations import Evacuations
 from trackwheel.directory.models import Evacuation
+from trackwheel.directory.revisions import make_revision
 
 WORDS = [
     Evacuation("a", True, 5),
@@ -41,6 +42,43 @@
     assert not evacuations.take([word])
 
 
+IN_ERA_2 = make_revision(2, 3)
+
+
+@pytest.mark.parametrize(
+    ("listed", "then", "domains"),
+    [
+        pytest.param([], None, {"b"}, id="copy-lacks-it"),
+        pytest.param(["a", "b"], None, {"b"}, id="copy-has-one-that-was-taken-back"),
+        pytest.param(["c"], None, {"b", "c"}, id="another-one"),
+        pytest.param([], Evacuation("a", True, IN_ERA_2 + 1), {"a", "b"}, id="asked-for-since"),
+        pytest.param(["b"], Evacuation("b", False, IN_ERA_2 + 1), set(), id="taken-back-since"),
+    ],
+)
+def test_store_that_came_back_from_a_copy_says_nothing_of_known_domains(
+    listed: list[str], then: Evacuation | None, domains: set[str]
+) -> None:
+    """Its revision 3 is given for the second time; what is known came with 5 to 9."""
+    evacuations = Evacuations()
+    evacuations.take_whole([], make_revision(1, 4))
+    evacuations.take(word._replace(revision=make_revision(1, word.revision)) for word in WORDS)
+    evacuations.take_whole([Evacuation(name, True, IN_ERA_2) for name in listed], IN_ERA_2)
+    assert evacuations.doubtful
+    if then is not None:
+        evacuations.take([then])
+    assert evacuations.domains == domains
+
+
+def test_later_reading_of_a_store_that_came_back_counts() -> None:
+    evacuations = Evacuations()
+    evacuations.take_whole([Evacuation("b", True, make_revision(1, 9))], make_revision(1, 9))
+    evacuations.take_whole([], IN_ERA_2)
+    assert evacuations.domains == {"b"}
+    evacuations.take_whole([], IN_ERA_2 + 1)
+    assert not evacuations.doubtful
+    assert evacuations.domains == set()
+
+
 @pytest.mark.parametrize(
     ("listed", "as_of", "domains"),
     [
--- a/tests/directory/test_readings.py
+++ b/tests/directory/test_readings.py
@@ -8,6 +8,7 @@
 from tests.directory.paged_store import PagedStore
 from tests.directory.test_service import FakeLog, FakeSource
 from trackwheel.clock import steady_now
+from trackwheel.directory.const import LAPSE_NEWS_S, LAPSE_RETURN_S
 from trackwheel.directory.models import DirectoryBeacon, TargetsRead
 from trackwheel.directory.service import DirectoryService
 from trackwheel.directory.targets import TargetDirectory
@@ -145,3 +146,37 @@
         peer.hear(reader)
         assert held(peer) == there(store)
         assert peer.targets.digest.value == reader.targets.digest.value
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_leaving_and_lost_targets_stay_so_while_the_store_is_older_than_its_boxes(
+    seed: int,
+) -> None:
+    """The store comes back from a copy some changes old, and gives its revisions again."""
+    store, net = PagedStore(seed), Net()
+    for _ in range(60):
+        store.change()
+    reader, peer = make_boxes(net, 2)
+    after = reader.reads(store.read(lambda: None))
+    earlier = store.copy()
+    for _ in range(30):
+        store.change()
+    reader.reads(store.watch(after))
+    known = there(store)
+
+    store.come_back_from(earlier)
+    reader.reads(store.read(lambda: None))
+    for box in (reader, peer):
+        assert {name for name, leaving in held(box).items() if not leaving} <= {
+            name for name, leaving in known.items() if not leaving
+        }
+
+    after = reader.reads(store.read(store.write_again))
+    store.write_again()
+    after = reader.reads(store.watch(after))
+    for _ in range(30):
+        store.change()
+    reader.reads(store.watch(after))
+    for box in (reader, peer):
+        box.targets.expire(steady_now() + LAPSE_RETURN_S + LAPSE_NEWS_S)
+        assert held(box) == there(store)
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -12,7 +12,7 @@
 from trackwheel.directory.models import EntryGone, TargetsRead
 from trackwheel.errors import TrackwheelError
 from trackwheel.platform.decode import decode_target
-from trackwheel.platform.store import StoreClient
+from trackwheel.platform.store import StoreAnswer, StoreClient
 
 GOOD: dict[str, Any] = {
     "service": "s",
@@ -117,8 +117,8 @@
 
     async def _get(
         self, path: str, parameters: dict[str, str], wait_s: float
-    ) -> Result[bytes, TrackwheelError]:
-        return Success(self._bodies.pop(0))
+    ) -> Result[StoreAnswer, TrackwheelError]:
+        return Success(StoreAnswer(0, self._bodies.pop(0)))
 
 
 def item(name: str, value: bytes | None, revision: int) -> dict[str, Any]:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -4,8 +4,12 @@
 from typing import Any
 
 import anyio
+import pytest
 from returns.result import Failure, Success
 
+from standins.metadata_store import MetadataStore
+from trackwheel.directory.models import HistoryGoneError
+from trackwheel.directory.revisions import era_of, own_of
 from trackwheel.platform.store import StoreClient
 
 EVENTS = b'{"events": [], "as_of": 7}'
@@ -43,3 +47,60 @@
 
     assert anyio.run(scenario) == [Success, Failure, Success]
     assert connections == 3
+
+
+ENTRY = b'{"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1","slots":2,"state":'
+ENTRY += b'"ready","warmup_left_ms":0,"sequence":4}'
+
+
+def test_revisions_that_are_given_again_are_later_ones() -> None:
+    """The store comes back from a copy two changes old, and is written to up to where it was."""
+
+    async def scenario() -> None:
+        store = MetadataStore()
+        running = await store.start("127.0.0.1:0")
+        client = StoreClient(running.address, 1.0, NoLog())  # type: ignore[arg-type]
+        store.put("servers/a", ENTRY)
+        earlier = store.copy()
+        store.put("servers/a", ENTRY)
+        store.put("servers/b", ENTRY)
+        before = (await client.read_targets()).unwrap()
+        store.come_back_from(earlier)
+        assert client.era == 1
+        for _ in range(3):
+            store.put("servers/c", ENTRY)
+        match await client.watch_targets(before.as_of, 0.0):
+            case Failure(HistoryGoneError()):
+                assert client.era == 2
+            case _:
+                pytest.fail("the changes under revisions that were given before are lost")
+        after = (await client.read_targets()).unwrap()
+        assert (era_of(after.as_of), own_of(after.as_of)) == (2, 4)
+        assert after.as_of > before.as_of
+        revision_by_instance = {entry.instance: entry.revision for entry in after.entries}
+        assert set(revision_by_instance) == {"a", "c"}
+        assert min(revision_by_instance.values()) > before.as_of
+        changes = (await client.watch_targets(after.as_of - 1, 0.0)).unwrap()
+        assert [entry.instance for entry in changes.entries] == ["c"]
+        await running.stop()
+
+    anyio.run(scenario)
+
+
+def test_pages_of_two_eras_are_no_reading() -> None:
+    async def scenario() -> None:
+        store = MetadataStore()
+        running = await store.start("127.0.0.1:0")
+        client = StoreClient(running.address, 1.0, NoLog())  # type: ignore[arg-type]
+        for number in range(60):
+            store.put(f"servers/t-{number:02}", ENTRY)
+        store.after_first_page = lambda: store.come_back_from(store.copy())
+        match await client.read_targets():
+            case Failure(HistoryGoneError()):
+                pass
+            case _:
+                pytest.fail("a reading of two moments")
+        assert len((await client.read_targets()).unwrap().entries) == 60
+        await running.stop()
+
+    anyio.run(scenario)
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -223,7 +223,7 @@
     )
     match decode_target("servers/i-7", value, 12):
         case Success(entry):
-            assert entry == ("i-7", "s", "10.0.0.1:80", "a", 2, True, 1.5, 12, 0)
+            assert entry == ("i-7", "s", "10.0.0.1:80", "a", 2, True, 1.5, 12, 0, 4)
         case _:
             pytest.fail("not decoded")
     assert isinstance(decode_target("servers/i-7", b"{}", 12), Failure)
--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -74,6 +74,7 @@
 AT_MOST_ONCE = "at most once"
 AT_ONCE = "given up on: final answer at once, with when to come back"
 LEAVING = "a leaving target gets no new work"
+SET_BACK = "a store that comes back from an older copy takes nothing back"
 STOP = "a planned stop cuts off nothing"
 SHARE = "fair shares"
 IN_FORCE = "an accepted file is in force everywhere and never reverts"
@@ -875,7 +876,7 @@
         DIRECTORY + "test_news_end_the_same_in_any_order",
         Mutant(
             "trackwheel/directory/targets.py",
-            "if self._gone_revision_by_instance.get(entry.instance, -1) >= entry.revision:",
+            "if gone is not None and (gone.revision >= entry.revision or is_earlier_word(entry, gone)):",
             "if False:",
         ),
     ),
@@ -886,8 +887,8 @@
         DIRECTORY + "test_entries_that_lapsed_with_the_store_are_used_until_they_are_back",
         Mutant(
             "trackwheel/directory/targets.py",
-            "doubtful=held.gone_revision is not None and not held.lapsed",
-            "doubtful=held.gone_revision is not None",
+            "doubtful=not held.there and not held.lapsed",
+            "doubtful=not held.there",
         ),
     ),
     Row(
@@ -1432,6 +1433,53 @@
         READINGS + "test_peers_lose_what_went_while_the_box_that_reads_was_another_one",
         Mutant("trackwheel/directory/targets.py", "if push.since == 0:", "if False:"),
     ),
+    Row(
+        PLATFORM,
+        SET_BACK,
+        "targets, evacuations, configurations and their changes, at boxes as processes",
+        "tests/whole/test_store_goes_back.py::"
+        "test_what_was_known_holds_until_it_is_written_again_and_what_is_written_counts",
+        Mutant("trackwheel/directory/revisions.py", "(era << _ERA_SHIFT) | own", "own"),
+    ),
+    Row(
+        PLATFORM,
+        SET_BACK,
+        "thirty seeds of changes that are lost, written again and followed by others",
+        READINGS + "test_leaving_and_lost_targets_stay_so_while_the_store_is_older_than_its_boxes",
+        Mutant("trackwheel/directory/held.py", "return set_back and", "return False and"),
+    ),
+    Row(
+        PLATFORM,
+        SET_BACK,
+        "a watch from a revision that is given for the second time",
+        "tests/platform/test_store.py::test_revisions_that_are_given_again_are_later_ones",
+        Mutant("trackwheel/platform/store.py", "answer.era != era_of(after)", "False"),
+    ),
+    Row(
+        PLATFORM,
+        SET_BACK,
+        "a reading whose pages are of before and after",
+        "tests/platform/test_store.py::test_pages_of_two_eras_are_no_reading",
+        Mutant("trackwheel/platform/store.py", "era_of(page.as_of) != era_of(as_of)", "False"),
+    ),
+    Row(
+        PLATFORM,
+        SET_BACK,
+        "evacuations that the copy lacks, or still has",
+        "tests/directory/test_evacuations.py::"
+        "test_store_that_came_back_from_a_copy_says_nothing_of_known_domains",
+        Mutant("trackwheel/directory/evacuations.py", "if self.doubtful:", "if False:"),
+    ),
+    Row(
+        PLATFORM,
+        SET_BACK,
+        "held requests that the copy lacks, or still has",
+        "tests/quarantine/test_store_goes_back.py::"
+        "test_store_that_came_back_from_a_copy_holds_again_what_is_held",
+        Mutant(
+            "trackwheel/quarantine/service.py", "self._store.era > self._stored_in_era", "False"
+        ),
+    ),
     Row(
         PLATFORM,
         SUSPENDED,
--- a/trackwheel/directory/const.py
+++ b/trackwheel/directory/const.py
@@ -47,6 +47,9 @@
 LAPSE_NEWS_S: Final = 0.5
 """How long the news of an entry that is back takes to a box: one rest of a watcher after a return,
 and the way there."""
+ORDERS_WRITTEN_AGAIN_S: Final = 30.0
+"""How long after the store came back from a copy the operator may take to write anew what that
+lacks. An evacuation that is kept too long costs capacity, one that is forgotten is broken."""
 RETURN_REST_S: Final = 0.25
 """Pause between two watches of the targets while lapsed entries come back. With the usual pause a
 target that had written its entry in time was out of use for another second."""
--- a/trackwheel/directory/evacuations.py
+++ b/trackwheel/directory/evacuations.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from trackwheel.directory.models import Evacuation
+from trackwheel.directory.revisions import era_of
 
 
 class Evacuations:
@@ -14,6 +15,9 @@
 
     def __init__(self) -> None:
         self._word_by_domain: dict[str, Evacuation] = {}
+        self._era: int | None = None
+        self.doubtful = False
+        """Whether the last reading was of a store that had just come back from a copy."""
 
     @property
     def domains(self) -> frozenset[str]:
@@ -32,9 +36,18 @@
     def take_whole(self, words: Iterable[Evacuation], as_of: int) -> bool:
         """Take a reading of all that are asked for; those that it lacks were taken back.
 
-        It says nothing of what changed after the revision `as_of`.
+        It says nothing of what changed after the revision `as_of`. The first reading after the
+        store has come back from a copy says nothing of domains that are known: what was asked for,
+        or taken back, since that copy is written again.
         """
         listed = list(words)
+        era = era_of(as_of)
+        self.doubtful = self._era is not None and era > self._era
+        self._era = max(era, self._era or 0)
+        if self.doubtful:
+            return self.take(
+                word for word in listed if word.failure_domain not in self._word_by_domain
+            )
         named = {word.failure_domain for word in listed}
         missing = [
             Evacuation(domain, False, as_of) for domain in self.domains if domain not in named
--- /dev/null
+++ b/trackwheel/directory/held.py
@@ -0,0 +1,52 @@
+"""What is kept of one target: its entry while it is there, and its last word when it is gone."""
+
+from typing import NamedTuple
+
+from trackwheel.directory.const import COLD_AGAIN_S
+from trackwheel.directory.models import EntryGone, TargetEntry
+from trackwheel.directory.revisions import era_of
+
+
+class HeldTarget(NamedTuple):
+    """Hold one entry; `lapsed` says that it went while the store was away, and may come back."""
+
+    entry: TargetEntry
+    changed_revision: int
+    cold_until: float
+    gone_revision: int | None = None
+    drop_at: float = 0.0
+    lapsed: bool = False
+
+    @property
+    def there(self) -> bool:
+        """Return whether the entry is there, as far as is known."""
+        return self.gone_revision is None
+
+    def tells_again(self, entry: TargetEntry) -> bool:
+        """Return whether a newer entry says the same, but for how long the target is cold."""
+        return _state(self.entry) == _state(entry)
+
+    def turns_cold(self, entry: TargetEntry, now: float) -> bool:
+        """Return whether by a newer entry the target stays cold for longer than was known."""
+        return entry.cold_s > 0.0 and now + entry.cold_s > self.cold_until + COLD_AGAIN_S
+
+    def keeps_leaving(self, entry: TargetEntry) -> TargetEntry:
+        """Return a newer entry, leaving if the target has said so before in this life.
+
+        Nobody takes that back; an entry without it was written earlier and has come late.
+        """
+        same_life = self.entry.born_ms == entry.born_ms
+        return entry._replace(leaving=entry.leaving or (same_life and self.entry.leaving))
+
+
+def _state(entry: TargetEntry) -> TargetEntry:
+    return entry._replace(revision=0, sequence=0, cold_s=0)
+
+
+def is_earlier_word(entry: TargetEntry, known: TargetEntry | EntryGone) -> bool:
+    """Return whether a target wrote an entry no later than what is known, whatever its revision.
+
+    A store that comes back from a copy shows old entries under new revisions.
+    """
+    set_back = era_of(entry.revision) > era_of(known.revision)
+    return set_back and (entry.born_ms, entry.sequence) <= (known.born_ms, known.sequence)
--- a/trackwheel/directory/models.py
+++ b/trackwheel/directory/models.py
@@ -12,7 +12,8 @@
     """One target as it describes itself; `cold_s` is how long it is still slow (seconds).
 
     `born_ms` is when it started (Unix milliseconds): one that starts again under its id is another
-    one, that holds and knows nothing of before.
+    one, that holds and knows nothing of before. `sequence` rises with each time that it writes its
+    entry.
     """
 
     instance: str
@@ -24,18 +25,22 @@
     cold_s: float
     revision: int
     born_ms: int = 0
+    sequence: int = 0
 
 
 class EntryGone(NamedTuple):
     """Say that the entry of a target is gone since a revision.
 
     `may_return_s` is how long an entry that lapsed while the store was away may still come back
-    (seconds from when this is sent).
+    (seconds from when this is sent). `born_ms` and `sequence` are those of the last entry that is
+    known, where there is one.
     """
 
     instance: str
     revision: int
     may_return_s: float = 0.0
+    born_ms: int = 0
+    sequence: int = -1
 
 
 class Evacuation(NamedTuple):
--- a/trackwheel/directory/reading.py
+++ b/trackwheel/directory/reading.py
@@ -38,8 +38,11 @@
 class StoreNews(Protocol):
     """Take what was read of the store."""
 
-    def take_orders(self, read: OrdersRead) -> int:
-        """Take a reading or a change; return the revision from which to watch on."""
+    def take_orders(self, read: OrdersRead) -> int | None:
+        """Take a reading or a change; return the revision from which to watch on.
+
+        None asks for everything once more.
+        """
 
     def take_targets(self, read: TargetsRead) -> int:
         """Take a reading or changes; return the revision from which to watch on."""
@@ -120,7 +123,7 @@
         self,
         read: Callable[[], Awaitable[Result[T, TrackwheelError]]],
         watch: Callable[[int, float], Awaitable[Result[T, TrackwheelError]]],
-        take: Callable[[T], int],
+        take: Callable[[T], int | None],
         flow: StoreFlow,
         wait_s: float,
         rest_s: float,
--- a/trackwheel/directory/service.py
+++ b/trackwheel/directory/service.py
@@ -10,6 +10,7 @@
 from trackwheel.directory.const import (
     BEACON_PERIOD_S,
     LOOK_PERIOD_S,
+    ORDERS_WRITTEN_AGAIN_S,
     PACK_LEVEL,
 )
 from trackwheel.directory.evacuations import Evacuations
@@ -26,6 +27,7 @@
     TargetsRead,
 )
 from trackwheel.directory.reading import StoreReader
+from trackwheel.directory.revisions import show_revision
 from trackwheel.directory.targets import TargetDirectory
 from trackwheel.directory.watching import Watching
 from trackwheel.errors import Problem, TrackwheelError
@@ -56,6 +58,7 @@
         self._log = log
         self._packed = b""
         self._evacuations = Evacuations()
+        self._orders_settled_at = float("inf")
         self._reader = StoreReader(source, targets, watching, self, log, drain_s)
         self._lag = Lag(self._reader.targets_rest_s)
         self._peer_flow = PeerFlow()
@@ -139,15 +142,25 @@
             tasks.start_soon(self._send_beacons)
             tasks.start_soon(self._expire)
 
-    def take_orders(self, read: OrdersRead) -> int:
-        """Take a reading or a change of the store; return the revision from which to watch on."""
+    def take_orders(self, read: OrdersRead) -> int | None:
+        """Take a reading or a change of the store.
+
+        Return the revision from which to watch on, None when all is to be read once more.
+        """
         if read.table is not None:
             self._adopt(read.table, zlib.compress(read.content, PACK_LEVEL), "store")
         if not read.whole:
             self._take_evacuations(read.evacuations, "store")
         elif self._evacuations.take_whole(read.evacuations, read.as_of):
             self._evacuations_changed("store")
-        return read.as_of
+        return None if self._reads_orders_again(read.whole, steady_now()) else read.as_of
+
+    def _reads_orders_again(self, whole: bool, now: float) -> bool:
+        """Return whether what a store lacked that came back from a copy is written again by now."""
+        if whole:
+            lasts_s = ORDERS_WRITTEN_AGAIN_S if self._evacuations.doubtful else float("inf")
+            self._orders_settled_at = now + lasts_s
+        return now >= self._orders_settled_at
 
     def take_targets(self, read: TargetsRead) -> int:
         """Take a reading or changes of the store; return the revision from which to watch on."""
@@ -165,13 +178,13 @@
         """Note up to where the store was read, and what of it goes to how many peers."""
         self._log.write(
             "targets_read",
-            after=read.since,
-            as_of=read.as_of,
+            after=None if read.since is None else show_revision(read.since),
+            as_of=show_revision(read.as_of),
             entries=len(read.entries),
             gone=len(read.gone),
             peers=len(self._near_peers),
-            told_after=push.since,
-            told_newest=push.newest,
+            told_after=show_revision(push.since),
+            told_newest=show_revision(push.newest),
             told=len(push.entries) + len(push.gone),
         )
 
@@ -271,7 +284,7 @@
         self._log.write(
             "targets",
             source=source,
-            newest=self._targets.newest,
+            newest=show_revision(self._targets.newest),
             count=count,
             leaving=digest.leaving,
             digest=f"{digest.value:08x}",
--- a/trackwheel/directory/targets.py
+++ b/trackwheel/directory/targets.py
@@ -1,38 +1,15 @@
 """The directory of targets: merges news from any source in any order, without I/O."""
 
 from collections.abc import Iterable
-from typing import NamedTuple
-
-from trackwheel.directory.const import (
-    COLD_AGAIN_S,
-    GONE_HOLD_S,
-    LAPSE_NEWS_S,
-    LAPSE_RETURN_S,
-)
+
+from trackwheel.directory.const import GONE_HOLD_S, LAPSE_NEWS_S, LAPSE_RETURN_S
 from trackwheel.directory.digest import EntriesDigest
+from trackwheel.directory.held import HeldTarget, is_earlier_word
 from trackwheel.directory.models import EntryGone, TargetEntry, TargetsPush, TargetsRead
+from trackwheel.directory.revisions import era_of
 from trackwheel.relay.models import Place, Target
 
 
-class _Held(NamedTuple):
-    """Hold one entry; `lapsed` says that it went while the store was away, and may come back."""
-
-    entry: TargetEntry
-    changed_revision: int
-    cold_until: float
-    gone_revision: int | None = None
-    drop_at: float = 0.0
-    lapsed: bool = False
-
-    def tells_again(self, entry: TargetEntry) -> bool:
-        """Return whether a newer entry says the same, but for how long the target is cold."""
-        return self.entry._replace(revision=0, cold_s=0) == entry._replace(revision=0, cold_s=0)
-
-    def turns_cold(self, entry: TargetEntry, now: float) -> bool:
-        """Return whether by a newer entry the target stays cold for longer than was known."""
-        return entry.cold_s > 0.0 and now + entry.cold_s > self.cold_until + COLD_AGAIN_S
-
-
 class TargetDirectory:
     """Hold the newest news of each target; an entry's revision decides which is newer.
 
@@ -43,8 +20,8 @@
 
     def __init__(self, region_by_failure_domain: dict[str, str]) -> None:
         self._region_by_failure_domain = region_by_failure_domain
-        self._held_by_instance: dict[str, _Held] = {}
-        self._gone_revision_by_instance: dict[str, int] = {}
+        self._held_by_instance: dict[str, HeldTarget] = {}
+        self._gone_by_instance: dict[str, EntryGone] = {}
         self._store_away = False
         self._store_back_at = float("-inf")
         self.digest = EntriesDigest()
@@ -88,6 +65,7 @@
 
     def take(self, read: TargetsRead, now: float) -> bool:
         """Take news; return whether anything is another now."""
+        self._note_era(read.as_of, now)
         changed = [self._note(self._merge(entry, now), entry.revision) for entry in read.entries]
         changed += [
             self._note(self._remove(self._judged(gone, now), now), gone.revision)
@@ -111,6 +89,7 @@
 
     def take_push(self, push: TargetsPush, now: float) -> bool:
         """Take news of a peer; return whether anything is another now."""
+        self._note_era(push.newest, now)
         changed = [self._merge(entry, now) for entry in push.entries]
         changed += [self._remove(gone, now) for gone in push.gone]
         if push.since == 0:
@@ -120,6 +99,11 @@
             self._reach(push.newest)
         return any(changed)
 
+    def _note_era(self, revision: int, now: float) -> None:
+        """Take that the store has come back from a copy: what that lacks is written again soon."""
+        if self.newest and era_of(revision) > era_of(self.newest):
+            self._store_back_at = now
+
     def _note(self, is_news: bool, revision: int) -> bool:
         """Note the revision of news; entries that changed in nothing are none."""
         if is_news:
@@ -149,12 +133,12 @@
         entries = [
             held.entry
             for held in self._held_by_instance.values()
-            if held.gone_revision is None and held.changed_revision > since
+            if held.there and held.changed_revision > since
         ]
         gone = [
-            EntryGone(instance, revision, self._may_return_s(instance, now))
-            for instance, revision in self._gone_revision_by_instance.items()
-            if revision > since
+            gone._replace(may_return_s=self._may_return_s(gone.instance, now))
+            for gone in self._gone_by_instance.values()
+            if gone.revision > since
         ]
         return TargetsPush(since, self.newest, entries, gone, self._returns_for_s(now))
 
@@ -163,7 +147,7 @@
         over = [
             instance
             for instance, held in self._held_by_instance.items()
-            if held.gone_revision is not None and held.drop_at <= now
+            if not held.there and held.drop_at <= now
         ]
         for instance in over:
             self._drop(instance)
@@ -171,11 +155,7 @@
 
     def next_expiry(self) -> float:
         """Return when `expire` is next needed (monotonic seconds)."""
-        times = (
-            held.drop_at
-            for held in self._held_by_instance.values()
-            if held.gone_revision is not None
-        )
+        times = (held.drop_at for held in self._held_by_instance.values() if not held.there)
         return min(times, default=float("inf"))
 
     def targets_by_service(
@@ -196,7 +176,7 @@
                 place=Place(region, entry.failure_domain),
                 slots=entry.slots,
                 barred=entry.leaving or entry.failure_domain in evacuated,
-                doubtful=held.gone_revision is not None and not held.lapsed,
+                doubtful=not held.there and not held.lapsed,
                 cold_until=held.cold_until,
                 born_ms=entry.born_ms,
             )
@@ -204,18 +184,23 @@
         return {service: tuple(targets) for service, targets in found.items()}
 
     def _merge(self, entry: TargetEntry, now: float) -> bool:
-        if self._gone_revision_by_instance.get(entry.instance, -1) >= entry.revision:
+        gone = self._gone_by_instance.get(entry.instance)
+        if gone is not None and (gone.revision >= entry.revision or is_earlier_word(entry, gone)):
             return False
         held = self._held_by_instance.get(entry.instance)
-        if held is not None and held.gone_revision is None:
+        if held is not None and held.there:
             if held.entry.revision >= entry.revision:
                 return False
+            if is_earlier_word(entry, held.entry):
+                known = held.entry._replace(revision=entry.revision)
+                self._hold(held._replace(entry=known))
+                return False
+            entry = held.keeps_leaving(entry)
             if held.tells_again(entry) and not held.turns_cold(entry, now):
                 self._hold(held._replace(entry=entry))
                 return False
-        self._gone_revision_by_instance.pop(entry.instance, None)
-        cold_until = now + entry.cold_s
-        self._hold(_Held(entry, entry.revision, cold_until))
+        self._gone_by_instance.pop(entry.instance, None)
+        self._hold(HeldTarget(entry, entry.revision, now + entry.cold_s))
         return True
 
     def _judged(self, gone: EntryGone, now: float) -> EntryGone:
@@ -236,9 +221,8 @@
         held = self._held_by_instance.get(gone.instance)
         if held is not None and held.entry.revision > gone.revision:
             return False
-        known = self._gone_revision_by_instance.get(gone.instance, -1)
-        self._gone_revision_by_instance[gone.instance] = max(known, gone.revision)
-        if held is None or held.gone_revision is not None:
+        self._note_gone(gone, held)
+        if held is None or not held.there:
             return False
         if held.entry.leaving:
             self._drop(gone.instance)
@@ -253,17 +237,30 @@
         )
         return True
 
-    def _hold(self, held: _Held) -> None:
+    def _note_gone(self, gone: EntryGone, held: HeldTarget | None) -> None:
+        """Keep since when a target is gone, and its last word."""
+        known = self._gone_by_instance.get(gone.instance)
+        if known is not None and known.revision >= gone.revision:
+            return
+        words = [(word.born_ms, word.sequence) for word in (gone, known) if word is not None]
+        if held is not None:
+            words.append((held.entry.born_ms, held.entry.sequence))
+        born_ms, sequence = max(words)
+        self._gone_by_instance[gone.instance] = EntryGone(
+            gone.instance, gone.revision, 0.0, born_ms, sequence
+        )
+
+    def _hold(self, held: HeldTarget) -> None:
         """Keep what is known of a target in place of what was."""
         self._drop(held.entry.instance)
         self._held_by_instance[held.entry.instance] = held
-        if held.gone_revision is None:
+        if held.there:
             self.digest.add(held.entry)
 
     def _drop(self, instance: str) -> None:
         """Forget a target, if it is known."""
         held = self._held_by_instance.pop(instance, None)
-        if held is not None and held.gone_revision is None:
+        if held is not None and held.there:
             self.digest.remove(held.entry)
 
     def _remove_missing(
@@ -273,6 +270,6 @@
         missing = [
             held.entry.instance
             for held in self._held_by_instance.values()
-            if held.entry.instance not in listed and held.gone_revision is None
+            if held.entry.instance not in listed and held.there
         ]
         return [self._remove(EntryGone(instance, as_of, may_return_s), now) for instance in missing]
--- a/trackwheel/platform/decode.py
+++ b/trackwheel/platform/decode.py
@@ -170,5 +170,6 @@
             cold_s=server.warmup_left_ms / MILLISECONDS,
             revision=revision,
             born_ms=server.born,
+            sequence=server.sequence,
         )
     )
--- a/trackwheel/platform/held.py
+++ b/trackwheel/platform/held.py
@@ -17,6 +17,11 @@
     def __init__(self, store: StoreClient) -> None:
         self._store = store
 
+    @property
+    def era(self) -> int:
+        """Return how often the store has come back from a copy, as far as is known."""
+        return self._store.era
+
     async def read(self) -> Result[list[HeldRequest], TrackwheelError]:
         """Return the requests that are held, as they stood some seconds ago."""
         items = await self._store.read_items(PREFIX_HELD)
--- a/trackwheel/platform/names.py
+++ b/trackwheel/platform/names.py
@@ -17,6 +17,8 @@
 HEADER_PARTS: Final = b"x-part-stamps"
 HEADER_MISSING: Final = b"x-missing-parts"
 HEADER_ENCODING: Final = b"content-encoding"
+HEADER_ERA: Final = b"store-era"
+"""How often the store has come back from a copy; a store that never does may not say it."""
 
 CONNECTION_HEADERS: Final = frozenset(
     {
--- a/trackwheel/platform/store.py
+++ b/trackwheel/platform/store.py
@@ -3,7 +3,7 @@
 import base64
 from collections.abc import Collection
 from functools import partial
-from typing import Final, TypeVar
+from typing import Final, NamedTuple, TypeVar
 from urllib.parse import urlencode
 
 import msgspec
@@ -18,12 +18,16 @@
     TargetEntry,
     TargetsRead,
 )
+from trackwheel.directory.revisions import era_of, own_of
 from trackwheel.errors import Problem, TrackwheelError
 from trackwheel.http1.call import call_once
-from trackwheel.http1.models import Request
+from trackwheel.http1.models import Request, header
 from trackwheel.platform.decode import decode_routes, decode_target
 from trackwheel.platform.errors import store_error
+from trackwheel.platform.items import Change, Events, Expected, Item, Lease, LeaseAsk, Page, Put
+from trackwheel.platform.load import read_number
 from trackwheel.platform.names import (
+    HEADER_ERA,
     KEY_CONFIG,
     PATH_CHANGE,
     PATH_LEASE,
@@ -57,56 +61,11 @@
 T = TypeVar("T")
 
 
-class _Item(msgspec.Struct):
-    # The key's name on the wire has nothing to do with TLS.
-    tls_key: str
-    revision: int
-    value: str = ""
-    deleted: bool = False
-    as_of: int = 0
-
-    def content(self) -> Result[bytes, TrackwheelError]:
-        """Return the decoded value."""
-        try:
-            return Success(base64.b64decode(self.value, validate=True))
-        except ValueError as error:
-            return Failure(store_error("bad_value", "decode", self.tls_key, error))
-
-
-class _LeaseAsk(msgspec.Struct):
-    ttl_ms: int
-
-
-class _Lease(msgspec.Struct):
-    lease: int
-
-
-class _Expected(msgspec.Struct):
-    tls_key: str
-    revision: int
-
-
-class _Put(msgspec.Struct):
-    tls_key: str
-    value: str
-    lease: int
+class StoreAnswer(NamedTuple):
+    """Hold the body of an answer, and the era in which the store gave it."""
 
-
-class _Change(msgspec.Struct):
-    expected_revision: list[_Expected] = []
-    puts: list[_Put] = []
-    remove: list[str] = []
-
-
-class _Page(msgspec.Struct):
-    items: list[_Item]
-    has_more: bool
-    as_of: int
-
-
-class _Events(msgspec.Struct):
-    events: list[_Item]
-    as_of: int
+    era: int
+    body: bytes
 
 
 class StoreClient:
@@ -123,6 +82,8 @@
         self._call_timeout_s = call_timeout_s
         self._log = log
         self._unusable_keys: set[str] = set()
+        self.era = 0
+        """How often the store has come back from a copy, as far as its answers have told."""
 
     def decode_routes(self, content: bytes) -> Result[RouteTable, TrackwheelError]:
         """Return the configuration that some bytes hold."""
@@ -152,7 +113,7 @@
         changes = await self._watch(PREFIX_TARGETS, after, wait_s)
         return changes.map(lambda found: self._target_changes(after, found))
 
-    def _target_changes(self, after: int, found: _Events) -> TargetsRead:
+    def _target_changes(self, after: int, found: Events) -> TargetsRead:
         entries, unusable = self._entries([item for item in found.events if not item.deleted])
         gone = [
             EntryGone(item.tls_key.removeprefix(PREFIX_TARGETS), item.revision)
@@ -177,11 +138,11 @@
     ) -> Result[None, TrackwheelError]:
         """Write an item for some time (seconds), unless it is there already."""
         ttl_ms = round(min(LONGEST_TTL_MS, max(LEAST_TTL_MS, lasts_s * MILLISECONDS)))
-        leased = await self._post(PATH_LEASE, _LeaseAsk(ttl_ms))
-        match leased.bind(lambda content: self._decode(content, _Lease, f"lease for {key}")):
+        leased = await self._post(PATH_LEASE, LeaseAsk(ttl_ms))
+        match leased.bind(lambda answer: self._decode(answer.body, Lease, f"lease for {key}")):
             case Success(granted):
-                put = _Put(key, base64.b64encode(value).decode(), granted.lease)
-                change = _Change(expected_revision=[_Expected(key, 0)], puts=[put])
+                put = Put(key, base64.b64encode(value).decode(), granted.lease)
+                change = Change(expected_revision=[Expected(key, 0)], puts=[put])
                 written = await self._post(PATH_CHANGE, change, (STATUS_OK, STATUS_OTHERWISE))
                 return written.map(lambda _: None)
             case failure:
@@ -189,11 +150,15 @@
 
     async def remove_item(self, key: str) -> Result[None, TrackwheelError]:
         """Remove an item, if it is there."""
-        return (await self._post(PATH_CHANGE, _Change(remove=[key]))).map(lambda _: None)
+        return (await self._post(PATH_CHANGE, Change(remove=[key]))).map(lambda _: None)
 
-    async def _read_all(self, prefix: str, copy: bool) -> Result[_Page, TrackwheelError]:
-        """Return all items below a prefix, page by page, with the revision of the first page."""
-        items: list[_Item] = []
+    async def _read_all(self, prefix: str, copy: bool) -> Result[Page, TrackwheelError]:
+        """Return all items below a prefix, page by page, with the revision of the first page.
+
+        A copy may be older than the era of its answers: what it holds counts as older than
+        whatever the store itself answers.
+        """
+        items: list[Item] = []
         as_of: int | None = None
         last = ""
         while True:
@@ -202,35 +167,54 @@
                 # Here the field names the last key of the page before, not a revision.
                 parameters["after"] = last
             answer = await self._get(PATH_RANGE, parameters, 0.0)
-            match answer.bind(lambda content: self._decode(content, _Page, f"read {prefix}")):
+            match answer.bind(lambda answer: self._page(answer, prefix, copy)):
                 case Success(page):
                     items += page.items
                 case Failure() as failure:
                     return failure
             as_of = page.as_of if as_of is None else as_of
+            if era_of(page.as_of) != era_of(as_of):
+                return Failure(self._set_back(PATH_RANGE))
             if not page.has_more or not page.items:
-                return Success(_Page(items, False, as_of))
+                return Success(Page(items, False, as_of))
             last = page.items[-1].tls_key
 
+    def _page(self, answer: StoreAnswer, prefix: str, copy: bool) -> Result[Page, TrackwheelError]:
+        page = self._decode(answer.body, Page, f"read {prefix}")
+        return page.map(lambda page: page.in_era(0 if copy else answer.era))
+
     async def _watch(
         self, prefix: str, after: int, wait_s: float
-    ) -> Result[_Events, TrackwheelError]:
+    ) -> Result[Events, TrackwheelError]:
         parameters = {
             "path_prefix": prefix,
-            "after": str(after),
+            "after": str(own_of(after)),
             "wait_ms": str(round(wait_s * MILLISECONDS)),
         }
         answer = await self._get(PATH_WATCH, parameters, wait_s)
-        return answer.bind(lambda content: self._decode(content, _Events, f"watch {prefix}"))
+        return answer.bind(lambda answer: self._events(answer, prefix, after))
+
+    def _events(
+        self, answer: StoreAnswer, prefix: str, after: int
+    ) -> Result[Events, TrackwheelError]:
+        """Return the changes; none where the store gives the revisions after `after` anew."""
+        if answer.era != era_of(after):
+            return Failure(self._set_back(PATH_WATCH))
+        events = self._decode(answer.body, Events, f"watch {prefix}")
+        return events.map(lambda events: events.in_era(answer.era))
+
+    def _set_back(self, step: str) -> HistoryGoneError:
+        detail = "the store has come back from an older copy"
+        return HistoryGoneError(Problem("history_gone", step, self._address, detail))
 
     async def _get(
         self, path: str, parameters: dict[str, str], wait_s: float
-    ) -> Result[bytes, TrackwheelError]:
+    ) -> Result[StoreAnswer, TrackwheelError]:
         return await self._call(b"GET", path, f"{path}?{urlencode(parameters)}", b"", wait_s)
 
     async def _post(
-        self, path: str, change: _LeaseAsk | _Change, good: Collection[int] = (STATUS_OK,)
-    ) -> Result[bytes, TrackwheelError]:
+        self, path: str, change: LeaseAsk | Change, good: Collection[int] = (STATUS_OK,)
+    ) -> Result[StoreAnswer, TrackwheelError]:
         return await self._call(b"POST", path, path, msgspec.json.encode(change), 0.0, good)
 
     async def _call(
@@ -241,7 +225,7 @@
         body: bytes,
         wait_s: float,
         good: Collection[int] = (STATUS_OK,),
-    ) -> Result[bytes, TrackwheelError]:
+    ) -> Result[StoreAnswer, TrackwheelError]:
         """Make one call; `good` are the statuses of answers that are of use."""
         headers = ((b"host", self._address.encode()), (b"content-type", b"application/json"))
         request = Request(method, query.encode(), headers, body, steady_now())
@@ -252,14 +236,16 @@
         if end.answer is None:
             return Failure(store_error(UNAVAILABLE, step, self._address, end.detail))
         status = end.answer.status
+        era = round(read_number(header(end.answer.headers, HEADER_ERA) or b"") or 0)
+        self.era = max(self.era, era)
         if status == STATUS_HISTORY_GONE:
             detail = "the store has forgotten the changes since then"
             return Failure(HistoryGoneError(Problem("history_gone", step, self._address, detail)))
         if status not in good:
             return Failure(store_error(UNAVAILABLE, step, self._address, f"status {status}"))
-        return Success(end.answer.body)
+        return Success(StoreAnswer(era, end.answer.body))
 
-    def _orders(self, items: list[_Item], as_of: int, whole: bool) -> OrdersRead:
+    def _orders(self, items: list[Item], as_of: int, whole: bool) -> OrdersRead:
         """Return the newest configuration among some items, and the evacuations."""
         evacuations = tuple(
             Evacuation(
@@ -283,7 +269,7 @@
     def _with_table(self, content: bytes) -> Result[tuple[RouteTable, bytes], TrackwheelError]:
         return decode_routes(content).map(lambda table: (table, content))
 
-    def _entries(self, items: list[_Item]) -> tuple[list[TargetEntry], list[EntryGone]]:
+    def _entries(self, items: list[Item]) -> tuple[list[TargetEntry], list[EntryGone]]:
         """Return the entries that can be used, and the keys that name no target to use.
 
         Those were written by somebody else than a target: what was known of the key before does
--- a/trackwheel/quarantine/models.py
+++ b/trackwheel/quarantine/models.py
@@ -55,6 +55,10 @@
 class HeldStore(Protocol):
     """Keep held requests where they outlast all boxes."""
 
+    @property
+    def era(self) -> int:
+        """Return a number that rises each time that what was written lately may be lost."""
+
     async def read(self) -> Result[list[HeldRequest], TrackwheelError]:
         """Return the requests that are held, as they stood some seconds ago."""
 
--- a/trackwheel/quarantine/service.py
+++ b/trackwheel/quarantine/service.py
@@ -61,6 +61,7 @@
         self._tells_again = False
         self._has_read = False
         self._stored: set[bytes] = set()
+        self._stored_in_era = 0
         self.store_calls = 0
         hub.register(CrashReport, self._take_report)
         hub.register(RequestsAnswered, self._take_answered)
@@ -146,6 +147,8 @@
                 continue
             if not self._has_read:
                 await self._read_store()
+            if self._has_read and self._store.era > self._stored_in_era:
+                await self._catch_up()
             await self._write_store()
 
     async def _read_store(self) -> None:
@@ -153,12 +156,29 @@
         match await self._store.read():
             case Success(rows):
                 self._has_read = True
+                self._stored_in_era = self._store.era
                 self._stored = {row.fingerprint for row in rows}
                 self._suspects.take_held(RequestsHeld(rows), steady_now())
                 self._wake()
             case Failure(error):
                 self._log.write("held_unread", reason=str(error))
 
+    async def _catch_up(self) -> None:
+        """Take that the store came back from a copy: what is held is written anew.
+
+        What that copy lists and nobody holds any more is removed again.
+        """
+        era = self._store.era
+        self.store_calls += 1
+        match await self._store.read():
+            case Success(rows):
+                held = self._suspects.held_requests(steady_now()).rows
+                listed = {row.fingerprint for row in rows}
+                self._stored = listed - {row.fingerprint for row in held}
+                self._stored_in_era = era
+            case Failure(error):
+                self._log.write("held_unread", reason=str(error))
+
     async def _write_store(self) -> None:
         """Write which requests are held and not in the store yet; remove those that were cleared.
 
--- a/trackwheel/storage/held.py
+++ b/trackwheel/storage/held.py
@@ -21,6 +21,9 @@
 class KeyValueHeldStore:
     """Read the value, change it, write it back if nobody else has; who was too late tries again."""
 
+    era: Final = 0
+    """This service loses nothing that it has taken."""
+
     def __init__(self, client: KeyValueClient) -> None:
         self._client = client
 
