Compare what boxes hold under one revision, and ask for everything where they go on differing

The class of the incident's cause: peers believe a claim to know everything up to a revision, and nothing told by revision would ever bring what such a claim leaves out. Operators' files and the table of members compare digests; the directory of targets did not.

Change: a watcher's word carries the digest of the targets it holds. A fault put into a peer's directory by hand heals; without the comparison it stays for good (row with mutant).

--- a/tests/directory/test_readings.py
+++ b/tests/directory/test_readings.py
@@ -34,7 +34,7 @@
 class ReadingBox:
     """The directory of one box, which a test lets read the store."""
 
-    def __init__(self, net: Net, address: str) -> None:
+    def __init__(self, net: Net, address: str, drain_s: float = 3.0) -> None:
         self.identity = PeerIdentity(address, address, address, "r", "a")
         self.handler_by_type: dict[type[Any], Any] = {}
         self.targets = TargetDirectory({})
@@ -45,7 +45,7 @@
             self.targets,
             Watching(steady_now(), address, first=True),
             FakeLog(),  # type: ignore[arg-type]
-            3.0,
+            drain_s,
         )
         net.box_by_address[address] = self
 
@@ -64,13 +64,16 @@
 
     def hear(self, sender: "ReadingBox") -> None:
         """Hear how far another box is."""
-        beacon = DirectoryBeacon(0, sender.targets.newest, sender.identity.address)
+        targets = sender.targets
+        beacon = DirectoryBeacon(
+            0, targets.newest, sender.identity.address, [], targets.digest.value
+        )
         self.handler_by_type[DirectoryBeacon](sender.identity, beacon)
 
 
-def make_boxes(net: Net, count: int) -> list[ReadingBox]:
+def make_boxes(net: Net, count: int, drain_s: float = 3.0) -> list[ReadingBox]:
     """Return boxes of which the first one reads; the others go by what it passes on."""
-    boxes = [ReadingBox(net, f"box-{number}") for number in range(count)]
+    boxes = [ReadingBox(net, f"box-{number}", drain_s) for number in range(count)]
     addresses = [box.identity.address for box in boxes]
     boxes[0].service.set_peers([], addresses[1:], [])
     for box in boxes[1:]:
@@ -180,3 +183,20 @@
     for box in (reader, peer):
         box.targets.expire(steady_now() + LAPSE_RETURN_S + LAPSE_NEWS_S)
         assert held(box) == there(store)
+
+
+@pytest.mark.parametrize("lost", ["one-that-stays", "one-that-leaves"])
+def test_box_that_lost_a_change_for_any_reason_is_told_everything(lost: str) -> None:
+    """Here a fault that nobody knows of yet has taken a target out of a peer's directory.
+
+    News take no time here, so that boxes differ for too long at once.
+    """
+    store, net = PagedStore(1), Net()
+    store.put("one-that-stays")
+    store.put("one-that-leaves", leaving=True)
+    reader, peer = make_boxes(net, 2, drain_s=0.0)
+    reader.reads(store.read(lambda: None))
+    peer.targets._drop(lost)
+    assert held(peer) != there(store)
+    peer.hear(reader)
+    assert held(peer) == there(store)
--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -1433,6 +1433,13 @@
         READINGS + "test_peers_lose_what_went_while_the_box_that_reads_was_another_one",
         Mutant("trackwheel/directory/targets.py", "if push.since == 0:", "if False:"),
     ),
+    Row(
+        PLATFORM,
+        LEAVING,
+        "a box has lost a change in a way that nobody knows of",
+        READINGS + "test_box_that_lost_a_change_for_any_reason_is_told_everything",
+        Mutant("trackwheel/directory/service.py", "self._agreement.differs(now)", "False"),
+    ),
     Row(
         PLATFORM,
         SET_BACK,
--- a/trackwheel/directory/models.py
+++ b/trackwheel/directory/models.py
@@ -114,12 +114,14 @@
     rises without any. `goes_by` is the sender's own address while the store answers it, that of a
     peer whom it answers and with whom the sender has caught up, or empty. All words on evacuations
     are in it: there are a few, mostly none, and a push of them that was lost heals so.
+    `targets_digest` differs where two boxes at one revision hold other targets.
     """
 
     routes_version: int
     targets_newest: int
     goes_by: str
     evacuations: list[Evacuation] = []
+    targets_digest: int = 0
 
 
 class DirectoryAsk(NamedTuple):
--- a/trackwheel/directory/service.py
+++ b/trackwheel/directory/service.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from trackwheel.clock import steady_now
+from trackwheel.directory.agreement import Agreement
 from trackwheel.directory.const import (
     BEACON_PERIOD_S,
     LOOK_PERIOD_S,
@@ -62,6 +63,7 @@
         self._reader = StoreReader(source, targets, watching, self, log, drain_s)
         self._lag = Lag(self._reader.targets_rest_s)
         self._peer_flow = PeerFlow()
+        self._agreement = Agreement(2 * self._reader.targets_rest_s)
         self._watched = False
         self._beacon_at = 0.0
         self._told_goes_by = ""
@@ -239,10 +241,26 @@
             self._peer_flow.heard(
                 sender.address, beacon.routes_version, beacon.targets_newest, now, self._how_far
             )
+        self._compare(sender, beacon, now)
         behind = self._lag.asks(self._targets.newest, beacon.targets_newest, self.synced, now)
         if beacon.routes_version > self.version or behind:
             self._ask(sender.address, targets_wanted=True)
 
+    def _compare(self, sender: PeerIdentity, beacon: DirectoryBeacon, now: float) -> None:
+        """Ask for everything where this box differs from one that reads the store.
+
+        A box that reads it itself has no need to: what it holds is what the store answered.
+        """
+        if beacon.goes_by != sender.address or self.synced:
+            return
+        if beacon.targets_newest != self._targets.newest:
+            self._agreement.moved()
+        elif beacon.targets_digest == self._targets.digest.value:
+            self._agreement.agrees()
+        elif self._agreement.differs(now):
+            self._log.write("targets_differ", peer=sender.box_id)
+            self._hub.send(sender.address, DirectoryAsk(self.version, 0, True))
+
     @property
     def _how_far(self) -> HowFar:
         return HowFar(self.version, self._targets.newest)
@@ -323,7 +341,11 @@
             self._beacon_at = now + BEACON_PERIOD_S - LOOK_PERIOD_S / 2
             self._told_goes_by = goes_by
             beacon = DirectoryBeacon(
-                self.version, self._targets.newest, goes_by, self._evacuations.words
+                self.version,
+                self._targets.newest,
+                goes_by,
+                self._evacuations.words,
+                self._targets.digest.value,
             )
             self._pass_on(beacon, self._near_peers + self._far_watchers)
 
