Send a request that comes again to a target over another connection

What callers might see: an answer that is not theirs to the end, or merged records that are not those of the named parts (seen once, not traced; docs/OPEN.md).

Cause of what is mended here: a target may send a second answer late, in the slot of the next one. Its id says only which request it belongs to. Where the same request went to the same target again over one kept connection (a part that was declined, held back or asked for by two groups of peers), the surplus answer to the first try was taken for the answer to the second.

Change: a connection remembers the latest 32 requests it has carried and carries none of them again; where the target takes no further connection, a resting one gives way. That this was the cause of what was seen is not shown by a run.

--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import contextlib
+import itertools
 import socket
 import struct
 from collections.abc import Awaitable, Callable
 
+import anyio
 import pytest
 
 from tests.http1.conftest import Run
@@ -64,14 +66,20 @@
     return script
 
 
+NUMBERS = itertools.count()
+
+
 def belongs(answer: Response) -> str:
     told = header(answer.headers, b"x-id")
     return "" if told in (None, b"7") else "another request's"
 
 
-async def exchange(pool: TargetPool, once: bool = False, request: Request = REQUEST) -> ExchangeEnd:
+async def exchange(
+    pool: TargetPool, once: bool = False, request: Request = REQUEST, request_id: str = ""
+) -> ExchangeEnd:
     future: asyncio.Future[ExchangeEnd] = asyncio.get_running_loop().create_future()
-    pool.submit(Job(object(), lambda: request, belongs, once, future.set_result))
+    request_id = request_id or f"any-{next(NUMBERS)}"
+    pool.submit(Job(object(), request_id, lambda: request, belongs, once, future.set_result))
     return await future
 
 
@@ -207,6 +215,37 @@
     run(scenario())
 
 
+LATE = OK.replace(b"\r\n\r\nok", b"\r\n\r\nno")
+"""A surplus answer to an earlier try of the same request: its id is the one that is awaited."""
+
+
+@pytest.mark.parametrize("limit", [2, 1], ids=["room-for-another-connection", "no-room"])
+@pytest.mark.parametrize("between", [0, 3], ids=["in-a-row", "others-between"])
+def test_request_that_comes_again_is_not_answered_by_what_was_left_of_it(
+    run: Run, limit: int, between: int
+) -> None:
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter, number: int
+    ) -> None:
+        answers = [OK] * (1 + between) + [LATE]
+        for answer in answers:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(answer)
+        await reader.read()
+
+    async def scenario() -> None:
+        async with Target(script) as target:
+            pool = TargetPool("127.0.0.1", target.port, limit)
+            ids = ["7", *(f"other-{place}" for place in range(between)), "7"]
+            with anyio.fail_after(5.0):
+                ends = [await exchange(pool, request_id=name) for name in ids]
+            pool.close()
+        bodies = [end.answer.body for end in ends if end.answer is not None]
+        assert bodies == [b"ok"] * (2 + between)
+
+    run(scenario())
+
+
 def test_withdrawn_request_closes_its_connection(run: Run) -> None:
     left = asyncio.Event()
 
@@ -221,7 +260,7 @@
         async with Target(script) as target:
             pool = TargetPool("127.0.0.1", target.port, 2)
             token = object()
-            pool.submit(Job(token, lambda: REQUEST, belongs, False, lambda end: None))
+            pool.submit(Job(token, str(token), lambda: REQUEST, belongs, False, lambda end: None))
             await asyncio.sleep(0.05)
             pool.cancel(token)
             await left.wait()
--- a/tests/http1/test_pool.py
+++ b/tests/http1/test_pool.py
@@ -21,7 +21,7 @@
                 if takes_back:
                     pool.cancel(takes_back)
 
-            return Job(name, lambda: REQUEST, lambda answer: "", False, end)
+            return Job(name, name, lambda: REQUEST, lambda answer: "", False, end)
 
         for waiting in (job("first", takes_back="second"), job("second"), job("third")):
             pool.submit(waiting)
--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -1487,6 +1487,14 @@
             "trackwheel/quarantine/service.py", "self._store.era > self._stored_in_era", "False"
         ),
     ),
+    Row(
+        PLATFORM,
+        OWN,
+        "a surplus answer comes late, while the same request is at the target again",
+        "tests/http1/test_client.py::"
+        "test_request_that_comes_again_is_not_answered_by_what_was_left_of_it",
+        Mutant("trackwheel/http1/pool.py", "job.request_id not in connection.carried", "True"),
+    ),
     Row(
         PLATFORM,
         SUSPENDED,
--- a/trackwheel/http1/client.py
+++ b/trackwheel/http1/client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import re
+from collections import deque
 from collections.abc import Callable
 from typing import Final, cast
 
@@ -9,6 +10,7 @@
 
 from trackwheel.clock import steady_now
 from trackwheel.http1.const import (
+    CARRIED_KEPT,
     CLOSE_DELIMITED_STATUSES,
     DEFAULT_REUSE_S,
     REUSE_MARGIN_S,
@@ -59,6 +61,8 @@
         self._answer_began = False
         self.idle_since = 0.0
         self.reuse_s = DEFAULT_REUSE_S
+        self.carried: deque[str] = deque(maxlen=CARRIED_KEPT)
+        """The ids of the latest requests that were sent here."""
         self.silent = False
         """Whether it ended since nothing was acknowledged on it any more."""
 
--- a/trackwheel/http1/const.py
+++ b/trackwheel/http1/const.py
@@ -18,6 +18,9 @@
 silent, where nothing is sent. Three probes: on a lossy link one or two are lost by chance."""
 CONNECT_TIMEOUT_S: Final = 1.0
 """Longest wait for a new connection; the slowest path today takes some 30 ms."""
+CARRIED_KEPT: Final = 32
+"""How many requests a connection remembers: far more than it carries while one is under way, and
+only then is one sent to the same target again."""
 DEFAULT_REUSE_S: Final = 4.0
 """How long an idle connection is reused when its target tells no time."""
 REUSE_MARGIN_S: Final = 0.6
--- a/trackwheel/http1/pool.py
+++ b/trackwheel/http1/pool.py
@@ -12,9 +12,13 @@
 
 
 class Job(NamedTuple):
-    """One exchange that waits for a connection; `build` makes the request when it is sent."""
+    """One exchange that waits for a connection; `build` makes the request when it is sent.
+
+    A request goes under its id, and may go to one target again.
+    """
 
     token: object
+    request_id: str
     build: Callable[[], Request]
     check: Check
     once: bool
@@ -77,26 +81,36 @@
 
     def _pump(self) -> None:
         while self._waiting:
-            connection = self._take_idle(self._waiting[0].once)
+            connection = self._take_idle(self._waiting[0])
             if connection is None:
                 break
             self._send(connection, self._waiting.popleft())
         missing = len(self._waiting) - len(self._connecting)
         room = self.limit - len(self._open) - len(self._connecting)
+        if missing > 0 and room <= 0 and self._idle:
+            # None of these may be used for what waits; the next one takes its place.
+            self._idle[0].abandon()
+            return
         for _ in range(min(missing, room)):
             task = asyncio.get_running_loop().create_task(self._connect())
             self._connecting.add(task)
             task.add_done_callback(self._connecting.discard)
 
-    def _take_idle(self, once: bool) -> ClientConnection | None:
+    def _take_idle(self, job: Job) -> ClientConnection | None:
+        """Take the connection that rested last; one that has rested too long is closed.
+
+        A surplus answer may come late, and its id says only which request it belongs to. On a
+        connection that has carried the same request before, it would be taken for the answer.
+        """
         now = steady_now()
-        while self._idle:
-            connection = self._idle.pop()
+        for connection in reversed(tuple(self._idle)):
             rested = now - connection.idle_since
-            bound = min(connection.reuse_s, ONCE_REUSE_S) if once else connection.reuse_s
-            if connection.open and rested < bound:
+            bound = min(connection.reuse_s, ONCE_REUSE_S) if job.once else connection.reuse_s
+            if not connection.open or rested >= bound:
+                connection.abandon()
+            elif job.request_id not in connection.carried:
+                self._idle.remove(connection)
                 return connection
-            connection.abandon()
         return None
 
     def _send(self, connection: ClientConnection, job: Job) -> None:
@@ -110,6 +124,7 @@
             self._pump()
 
         self._connection_by_token[job.token] = connection
+        connection.carried.append(job.request_id)
         connection.send(job.build(), job.check, end)
 
     async def _connect(self) -> None:
--- a/trackwheel/relay/transport.py
+++ b/trackwheel/relay/transport.py
@@ -122,7 +122,9 @@
                 handler(sending, result.outcome, sent_at)
             on_end(result)
 
-        self._pool(target).submit(Job(sending.token, build, check, sending.once, ended))
+        self._pool(target).submit(
+            Job(sending.token, request.request_id, build, check, sending.once, ended)
+        )
 
     def withdraw(self, token: object, target: Target, fingerprint: bytes) -> None:
         """Take a request back."""
