--- a/trackwheel/directory/service.py
+++ b/trackwheel/directory/service.py
@@ -9,7 +9,6 @@
 from trackwheel.clock import steady_now
 from trackwheel.directory.agreement import Agreement
 from trackwheel.directory.const import (
-    BEACON_PERIOD_S,
     LOOK_PERIOD_S,
     ORDERS_WRITTEN_AGAIN_S,
     PACK_LEVEL,
@@ -30,6 +29,7 @@
 from trackwheel.directory.reading import StoreReader
 from trackwheel.directory.revisions import show_revision
 from trackwheel.directory.targets import TargetDirectory
+from trackwheel.directory.telling import PeerTelling
 from trackwheel.directory.watching import Watching
 from trackwheel.errors import Problem, TrackwheelError
 from trackwheel.peers.hub import Hub
@@ -64,11 +64,7 @@
         self._lag = Lag(self._reader.targets_rest_s)
         self._peer_flow = PeerFlow()
         self._agreement = Agreement(2 * self._reader.targets_rest_s)
-        self._watched = False
-        self._beacon_at = 0.0
-        self._told_goes_by = ""
-        self._near_peers: tuple[str, ...] = ()
-        self._far_watchers: tuple[str, ...] = ()
+        self._telling = PeerTelling(hub, watching, log, self._beacon)
         self._on_routes: list[Callable[[RouteTable], None]] = []
         self._on_targets: list[Callable[[dict[str, tuple[Target, ...]]], None]] = []
         self.table: RouteTable | None = None
@@ -125,8 +121,7 @@
         Watchers of other domains read the store too; one that cannot asks for what it lacks.
         """
         self._watching.set_boxes_before(before)
-        self._near_peers = tuple(near)
-        self._far_watchers = tuple(far_watchers)
+        self._telling.set_peers(near, far_watchers)
 
     def peer_version(self, address: str, version: int) -> None:
         """Take the version that a peer, often in another region, says it has in force.
@@ -141,7 +136,7 @@
         """Keep in step until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._reader.run)
-            tasks.start_soon(self._send_beacons)
+            tasks.start_soon(self._telling.run)
             tasks.start_soon(self._expire)
 
     def take_orders(self, read: OrdersRead) -> int | None:
@@ -173,7 +168,7 @@
         if changed or self._targets.newest > before:
             push = self._targets.changes(before, steady_now())
             self._note_read(read, push)
-            self._pass_on(push, self._near_peers)
+            self._telling.pass_on(push)
         return read.as_of
 
     def _note_read(self, read: TargetsRead, push: TargetsPush) -> None:
@@ -184,7 +179,7 @@
             as_of=show_revision(read.as_of),
             entries=len(read.entries),
             gone=len(read.gone),
-            peers=len(self._near_peers),
+            peers=self._telling.near,
             told_after=show_revision(push.since),
             told_newest=show_revision(push.newest),
             told=len(push.entries) + len(push.gone),
@@ -230,7 +225,7 @@
         if changed:
             self._targets_changed(sender.box_id)
         if changed or self._targets.newest > before:
-            self._tell_near(push)
+            self._telling.tell_near(push)
 
     def _take_beacon(self, sender: PeerIdentity, beacon: DirectoryBeacon) -> None:
         self._take_evacuations(beacon.evacuations, sender.box_id)
@@ -287,13 +282,13 @@
         self._log.write("routes_in_force", version=table.version, before=before, source=source)
         for handler in self._on_routes:
             handler(table)
-        self._tell_near(RoutesPush(table.version, packed))
+        self._telling.tell_near(RoutesPush(table.version, packed))
 
     def _evacuations_changed(self, source: str) -> None:
         """Let no new work go to the domains that are evacuated now, and tell the boxes nearby."""
         self._log.write("evacuations", domains=",".join(sorted(self.evacuated)), source=source)
         self._targets_changed(source)
-        self._tell_near(EvacuationsPush(self._evacuations.words))
+        self._telling.tell_near(EvacuationsPush(self._evacuations.words))
 
     def _targets_changed(self, source: str) -> None:
         targets_by_service = self._targets.targets_by_service(self.evacuated)
@@ -310,52 +305,16 @@
         for handler in self._on_targets:
             handler(targets_by_service)
 
-    def _tell_near(self, news: RoutesPush | EvacuationsPush | TargetsPush) -> None:
-        """Pass news on to the boxes nearby, as long as this one reads the store for them."""
-        if self._watching.watches(steady_now()):
-            self._pass_on(news, self._near_peers)
-
-    def _pass_on(
-        self,
-        message: RoutesPush | EvacuationsPush | TargetsPush | DirectoryBeacon,
-        addresses: Iterable[str],
-    ) -> None:
-        for address in addresses:
-            self._hub.send(address, message)
-
-    async def _send_beacons(self) -> None:
-        """Say how far this box is, now and then, and at once when that is another answer.
-
-        The boxes after this one must hear that it reads before they begin themselves, and all of
-        them that the store is back.
-        """
-        while True:
-            await anyio.sleep(LOOK_PERIOD_S)
-            now = steady_now()
-            self._note_watching(self._watching.watches(now))
-            if not self._watched:
-                continue
-            goes_by = self.goes_by(now)
-            if now < self._beacon_at and bool(goes_by) is bool(self._told_goes_by):
-                continue
-            self._beacon_at = now + BEACON_PERIOD_S - LOOK_PERIOD_S / 2
-            self._told_goes_by = goes_by
-            beacon = DirectoryBeacon(
-                self.version,
-                self._targets.newest,
-                goes_by,
-                self._evacuations.words,
-                self._targets.digest.value,
-            )
-            self._pass_on(beacon, self._near_peers + self._far_watchers)
-
-    def _note_watching(self, watches: bool) -> None:
-        """Note when this box begins and ends to read the store."""
-        if watches is self._watched:
-            return
-        self._watched = watches
-        self._beacon_at = 0.0
-        self._log.write("store_watch", reads=watches, boxes_before=self._watching.boxes_before)
+    def _beacon(self, now: float) -> DirectoryBeacon:
+        """Return how far this box is."""
+        targets = self._targets
+        return DirectoryBeacon(
+            self.version,
+            targets.newest,
+            self.goes_by(now),
+            self._evacuations.words,
+            targets.digest.value,
+        )
 
     async def _expire(self) -> None:
         while True:
--- /dev/null
+++ b/trackwheel/directory/telling.py
@@ -0,0 +1,95 @@
+"""What a box tells its peers of the directory: how far it is, and the news that it passes on."""
+
+from collections.abc import Callable, Iterable
+
+import anyio
+
+from trackwheel.clock import steady_now
+from trackwheel.directory.const import BEACON_PERIOD_S, LOOK_PERIOD_S
+from trackwheel.directory.models import (
+    DirectoryBeacon,
+    EvacuationsPush,
+    RoutesPush,
+    TargetsPush,
+)
+from trackwheel.directory.watching import Watching
+from trackwheel.peers.hub import Hub
+from trackwheel.telemetry.events import EventLog
+
+News = RoutesPush | EvacuationsPush | TargetsPush
+
+
+class PeerTelling:
+    """Tell the boxes nearby and the watchers of other failure domains.
+
+    `beacon` makes the word on how far this box is, at a time (monotonic seconds).
+    """
+
+    def __init__(
+        self,
+        hub: Hub,
+        watching: Watching,
+        log: EventLog,
+        beacon: Callable[[float], DirectoryBeacon],
+    ) -> None:
+        self._hub = hub
+        self._watching = watching
+        self._log = log
+        self._beacon = beacon
+        self._near: tuple[str, ...] = ()
+        self._far_watchers: tuple[str, ...] = ()
+        self._watched = False
+        self._beacon_at = 0.0
+        self._told_goes_by = ""
+
+    @property
+    def near(self) -> int:
+        """Return how many boxes nearby news are passed on to."""
+        return len(self._near)
+
+    def set_peers(self, near: Iterable[str], far_watchers: Iterable[str]) -> None:
+        """Take the boxes nearby, and those that read the store in other failure domains."""
+        self._near = tuple(near)
+        self._far_watchers = tuple(far_watchers)
+
+    def pass_on(self, news: News) -> None:
+        """Pass on what this box has read of the store."""
+        self._send(news, self._near)
+
+    def tell_near(self, news: News) -> None:
+        """Pass on what another box has told, while this one reads the store for those nearby."""
+        if self._watching.watches(steady_now()):
+            self.pass_on(news)
+
+    async def run(self) -> None:
+        """Say how far this box is, now and then, and at once when that is another answer.
+
+        The boxes after this one must hear that it reads before they begin themselves, and all of
+        them that the store is back.
+        """
+        while True:
+            await anyio.sleep(LOOK_PERIOD_S)
+            now = steady_now()
+            self._note_watching(self._watching.watches(now))
+            if self._watched:
+                self._tell_how_far(now)
+
+    def _tell_how_far(self, now: float) -> None:
+        beacon = self._beacon(now)
+        if now < self._beacon_at and bool(beacon.goes_by) is bool(self._told_goes_by):
+            return
+        self._beacon_at = now + BEACON_PERIOD_S - LOOK_PERIOD_S / 2
+        self._told_goes_by = beacon.goes_by
+        self._send(beacon, self._near + self._far_watchers)
+
+    def _note_watching(self, watches: bool) -> None:
+        """Note when this box begins and ends to read the store."""
+        if watches is self._watched:
+            return
+        self._watched = watches
+        self._beacon_at = 0.0
+        self._log.write("store_watch", reads=watches, boxes_before=self._watching.boxes_before)
+
+    def _send(self, message: News | DirectoryBeacon, addresses: Iterable[str]) -> None:
+        for address in addresses:
+            self._hub.send(address, message)
