Take a heartbeat without working out its digest anew

Cause: since the directory keeps a digest, each entry went out of it and in again, also where it only repeats what is known: 14.8 to 20.6 us a heartbeat, 6.4 to 11.3 before the digest (20,000 entries, three passes each, busy machine). A watcher of 700 targets takes some 600 a second. A new entry takes 4.6 to 5.0 us (1.4 to 2.8): it comes once.

--- a/trackwheel/directory/held.py
+++ b/trackwheel/directory/held.py
@@ -35,12 +35,21 @@
 
         Nobody takes that back; an entry without it was written earlier and has come late.
         """
-        same_life = self.entry.born_ms == entry.born_ms
-        return entry._replace(leaving=entry.leaving or (same_life and self.entry.leaving))
-
-
-def _state(entry: TargetEntry) -> TargetEntry:
-    return entry._replace(revision=0, sequence=0, cold_s=0)
+        if entry.leaving or not self.entry.leaving or self.entry.born_ms != entry.born_ms:
+            return entry
+        return entry._replace(leaving=True)
+
+
+def _state(entry: TargetEntry) -> tuple[str, str, str, int, bool, int]:
+    """Return what heartbeats repeat; most entries are heartbeats."""
+    return (
+        entry.service,
+        entry.address,
+        entry.failure_domain,
+        entry.slots,
+        entry.leaving,
+        entry.born_ms,
+    )
 
 
 def is_earlier_word(entry: TargetEntry, known: TargetEntry | EntryGone) -> bool:
--- a/trackwheel/directory/targets.py
+++ b/trackwheel/directory/targets.py
@@ -192,12 +192,11 @@
             if held.entry.revision >= entry.revision:
                 return False
             if is_earlier_word(entry, held.entry):
-                known = held.entry._replace(revision=entry.revision)
-                self._hold(held._replace(entry=known))
+                self._renew(held, held.entry._replace(revision=entry.revision))
                 return False
             entry = held.keeps_leaving(entry)
             if held.tells_again(entry) and not held.turns_cold(entry, now):
-                self._hold(held._replace(entry=entry))
+                self._renew(held, entry)
                 return False
         self._gone_by_instance.pop(entry.instance, None)
         self._hold(HeldTarget(entry, entry.revision, now + entry.cold_s))
@@ -257,6 +256,10 @@
         if held.there:
             self.digest.add(held.entry)
 
+    def _renew(self, held: HeldTarget, entry: TargetEntry) -> None:
+        """Keep an entry that says the same as the one before, so that the digest stays."""
+        self._held_by_instance[entry.instance] = held._replace(entry=entry)
+
     def _drop(self, instance: str) -> None:
         """Forget a target, if it is known."""
         held = self._held_by_instance.pop(instance, None)
