Raise the protocol between boxes to version 7

Entries of targets carry a sequence, removals the last word of their target, watchers' words a digest: boxes of version 6 read other fields there and refuse the link instead.

--- a/trackwheel/peers/const.py
+++ b/trackwheel/peers/const.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-PROTOCOL_VERSION: Final = 6
+PROTOCOL_VERSION: Final = 7
 """Boxes of other versions refuse each other's links; raised whenever a message changes."""
 MAX_FRAME_BYTES: Final = 8_000_000
 """Largest frame, before it is packed."""
