Count a watcher's word from when it heard the peer that it goes by

Cause: the boxes of all three failure domains that read the store were turned away by it within 10 ms, at 2.50. Each had heard the others a moment ago and counted as in step with them for 1.5 s more, which is true; but its word to the boxes after it counted anew each time, so that these began to read 2 s after the last such word: at 5.57 to 6.02, where the configuration of 2.715 was due at 5.715.

Change: a watcher's word says how long ago it heard the peer it goes by, and the boxes after it count from then: they begin two seconds after the last word of a box that the store answered. Before: 9 of 9 new cases in virtual time (18 to 198 boxes) learn of nothing for more than 2.5 s. Open: a store that falls silent for all of them is noticed by time-outs only.

--- a/tests/directory/test_store_outage.py
+++ b/tests/directory/test_store_outage.py
@@ -39,9 +39,13 @@
         self.next_beacon_at = 0.0
         self.calls_at: list[float] = []
         self.told = ""
+        self.told_ago_s = 0.0
         self.in_step_at = 0.0
         self.longest_silence_s = 0.0
         """Longest time without a word of a box in step, or an answer, while the box ran."""
+        self.answered_at = 0.0
+        self.longest_unanswered_s = 0.0
+        """Longest time since the store answered this box, or one whose news had come here."""
 
     def goes_by(self, now: float) -> str:
         return self.address if self.flow.in_step(now) else self.peer_flow.goes_by(now)
@@ -50,19 +54,23 @@
         if self.goes_by(now):
             self.in_step_at = now
         self.longest_silence_s = max(self.longest_silence_s, now - self.in_step_at)
+        unanswered_s = now - self.answered_at
+        self.longest_unanswered_s = max(self.longest_unanswered_s, unanswered_s)
 
     def call(self, now: float, answered: bool) -> None:
         self.calls_at.append(now)
         if answered:
             self.flow.answered(now)
+            self.answered_at = now
             self.next_call_at = now + WATCH_S
         else:
             self.flow.failed()
             self.next_call_at = now + RETRY_LONGEST_S
 
     def hear(self, sender: "Box", now: float) -> None:
+        self.answered_at = max(self.answered_at, sender.answered_at)
         if sender.domain == self.domain:
-            self.watching.heard(sender.address, sender.told, now)
+            self.watching.heard(sender.address, sender.told, now, sender.told_ago_s)
             if sender.told:
                 self.in_step_at = now
         if sender.told == sender.address:
@@ -73,7 +81,10 @@
 """Whether the store answers a box at a time."""
 
 
-def play(per_domain: int, reaches: Reaches, alive: Reaches, end: float) -> list[Box]:
+def play(
+    per_domain: int, reaches: Reaches, alive: Reaches, end: float, resets: bool = False
+) -> list[Box]:
+    """Run all boxes; with `resets`, a watch that stands ends at once where the store goes."""
     boxes = [
         Box(domain, place, [f"{domain}/{before}" for before in range(place)])
         for domain in range(DOMAINS)
@@ -88,12 +99,17 @@
             box.note(now)
             if not box.watching.watches(now):
                 continue
-            if now >= box.next_call_at:
+            stands = box.flow.in_step(now)
+            if now >= box.next_call_at or (resets and stands and not reaches(box, now)):
                 box.call(now, reaches(box, now))
+            elif stands and reaches(box, now):
+                # It would tell of a change at once.
+                box.answered_at = now
             goes_by = box.goes_by(now)
             if now >= box.next_beacon_at or bool(goes_by) is not bool(box.told):
                 box.next_beacon_at = now + BEACON_PERIOD_S
                 box.told = goes_by
+                box.told_ago_s = 0.0 if box.flow.in_step(now) else box.peer_flow.ago_s(now)
                 near = [other for other in boxes if other.domain == box.domain]
                 far = [other for other in boxes if other.first and other.domain != box.domain]
                 for other in near + far:
@@ -188,3 +204,28 @@
     callers = {box.address for box in boxes if any(at >= SETTLED_S for at in box.calls_at)}
     assert len(callers) <= most_callers
     assert max(box.longest_silence_s for box in boxes) <= silent_s
+
+
+READ_WITHIN_S = 2.5
+"""The least bound of the users for a configuration is 3 s; half a second is for the reading itself
+and for the ways between boxes."""
+
+
+@pytest.mark.parametrize("per_domain", [3, 10, 33], ids=["18-boxes", "60-boxes", "198-boxes"])
+@pytest.mark.parametrize("shift_s", [0.0, 0.2, 0.4], ids="{}-s-later".format)
+def test_next_boxes_read_in_time_when_all_watchers_lose_the_store_at_once(
+    per_domain: int, shift_s: float
+) -> None:
+    """What was seen: two requests for a route that had been there for 3.2 s were refused as unknown.
+
+    All boxes that read the store were turned away by it within 10 ms, just before the operator
+    wrote the route. Each had heard the others a moment ago and went on telling the boxes after it
+    that it was in step, for 1.5 s; these began two seconds after the last such word.
+    """
+    lost_at = SETTLED_S + shift_s
+
+    def reaches(box: Box, now: float) -> bool:
+        return not (box.first and lost_at <= now < lost_at + 10.0)
+
+    boxes = play(per_domain, reaches, always, lost_at + 6.0, resets=True)
+    assert max(box.longest_unanswered_s for box in boxes) <= READ_WITHIN_S
--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -74,6 +74,7 @@
 AT_MOST_ONCE = "at most once"
 AT_ONCE = "given up on: final answer at once, with when to come back"
 LEAVING = "a leaving target gets no new work"
+IN_TIME = "what the operator writes is in force everywhere in time"
 SET_BACK = "a store that comes back from an older copy takes nothing back"
 STOP = "a planned stop cuts off nothing"
 SHARE = "fair shares"
@@ -1440,6 +1441,18 @@
         READINGS + "test_box_that_lost_a_change_for_any_reason_is_told_everything",
         Mutant("trackwheel/directory/service.py", "self._agreement.differs(now)", "False"),
     ),
+    Row(
+        PLATFORM,
+        IN_TIME,
+        "all boxes that read the store are turned away by it at once, in fleets of 18 to 198",
+        "tests/directory/test_store_outage.py::"
+        "test_next_boxes_read_in_time_when_all_watchers_lose_the_store_at_once",
+        Mutant(
+            "trackwheel/directory/watching.py",
+            "max(self._trusted_at, now - ago_s)",
+            "now",
+        ),
+    ),
     Row(
         PLATFORM,
         SET_BACK,
--- a/trackwheel/directory/in_step.py
+++ b/trackwheel/directory/in_step.py
@@ -114,4 +114,8 @@
 
     def goes_by(self, now: float) -> str:
         """Return the peer whom this box has caught up with lately, empty when there is none."""
-        return self._address if now - self._level_at < BEACON_LIFETIME_S else ""
+        return self._address if self.ago_s(now) < BEACON_LIFETIME_S else ""
+
+    def ago_s(self, now: float) -> float:
+        """Return how long ago the peer was heard whom this box goes by (seconds)."""
+        return now - self._level_at
--- a/trackwheel/directory/service.py
+++ b/trackwheel/directory/service.py
@@ -9,6 +9,7 @@
 from trackwheel.clock import steady_now
 from trackwheel.directory.agreement import Agreement
 from trackwheel.directory.const import (
+    BEACON_LIFETIME_S,
     LOOK_PERIOD_S,
     ORDERS_WRITTEN_AGAIN_S,
     PACK_LEVEL,
@@ -231,7 +232,7 @@
         self._take_evacuations(beacon.evacuations, sender.box_id)
         now = steady_now()
         if sender.failure_domain == self._hub.identity.failure_domain:
-            self._watching.heard(sender.address, beacon.goes_by, now)
+            self._watching.heard(sender.address, beacon.goes_by, now, beacon.heard_ago_s)
         if beacon.goes_by == sender.address:
             self._peer_flow.heard(
                 sender.address, beacon.routes_version, beacon.targets_newest, now, self._how_far
@@ -308,12 +309,14 @@
     def _beacon(self, now: float) -> DirectoryBeacon:
         """Return how far this box is."""
         targets = self._targets
+        own = self._reader.in_step(now)
         return DirectoryBeacon(
             self.version,
             targets.newest,
             self.goes_by(now),
             self._evacuations.words,
             targets.digest.value,
+            0.0 if own else min(BEACON_LIFETIME_S, self._peer_flow.ago_s(now)),
         )
 
     async def _expire(self) -> None:
--- a/trackwheel/directory/watching.py
+++ b/trackwheel/directory/watching.py
@@ -50,12 +50,16 @@
         """Return how many boxes of the failure domain come before this one."""
         return len(self._before)
 
-    def heard(self, address: str, goes_by: str, now: float) -> None:
+    def heard(self, address: str, goes_by: str, now: float, ago_s: float = 0.0) -> None:
         """Take the word of a box that reads the store.
 
         `goes_by` is the box whose reading of the store it goes by, empty when it is out of step.
         A box that reads itself leaves that only to one before it: two that heard of each other
         would both stop.
+
+        A box that goes by another one heard that `ago_s` before (seconds). Counted from its own
+        word, all watchers that lose the store at once went on vouching for each other, and boxes
+        after them began 1.5 s too late to learn of a configuration in time.
         """
         if not goes_by:
             self._reads_in_vain_at_by_address[address] = now
@@ -64,7 +68,7 @@
         if goes_by == self._own_address:
             return
         if address in self._before or not self.watches(now):
-            self._trusted_at = now
+            self._trusted_at = max(self._trusted_at, now - ago_s)
             self._began = False
 
     def watches(self, now: float) -> bool:
