--- a/tests/directory/test_store_outage.py
+++ b/tests/directory/test_store_outage.py
@@ -216,7 +216,7 @@
 def test_next_boxes_read_in_time_when_all_watchers_lose_the_store_at_once(
     per_domain: int, shift_s: float
 ) -> None:
-    """What was seen: two requests for a route that had been there for 3.2 s were refused as unknown.
+    """What was seen: a request for a route that had been there for 3.2 s was refused as unknown.
 
     All boxes that read the store were turned away by it within 10 ms, just before the operator
     wrote the route. Each had heard the others a moment ago and went on telling the boxes after it
--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -917,7 +917,7 @@
         OUTAGE + "test_somebody_in_step_is_heard_again_within_seconds",
         Mutant(
             "trackwheel/directory/in_step.py",
-            'return self._address if now - self._level_at < BEACON_LIFETIME_S else ""',
+            'return self._address if self.ago_s(now) < BEACON_LIFETIME_S else ""',
             'return ""',
         ),
     ),
--- a/trackwheel/directory/models.py
+++ b/trackwheel/directory/models.py
@@ -114,8 +114,8 @@
     rises without any. `goes_by` is the sender's own address while the store answers it, that of a
     peer whom it answers and with whom the sender has caught up, or empty. All words on evacuations
     are in it: there are a few, mostly none, and a push of them that was lost heals so.
-    `targets_digest` differs where two boxes at one revision hold other targets. `heard_ago_s` is how
-    long ago that peer was heard (seconds).
+    `targets_digest` differs where two boxes at one revision hold other targets. `heard_ago_s` is
+    how long ago that peer was heard (seconds).
     """
 
     routes_version: int
