Log what an owner expects of a target when it sends nothing, and when a box was paused

Added on the product's own path, 20 lines a second of each kind at most: subrequest_refused, query_given_up, event_loop_late. A test's fleet keeps its logs where TRACKWHEEL_KEEP_LOGS names a folder. No decision changes.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -5,6 +5,7 @@
 
 import itertools
 import os
+import shutil
 import signal
 import socket
 import ssl
@@ -160,8 +161,19 @@
         for process in self.process_by_name.values():
             process.wait()
         self.http.close()
+        self._keep_logs()
         self._folder.cleanup()
 
+    def _keep_logs(self) -> None:
+        """Copy the logs to the folder that `TRACKWHEEL_KEEP_LOGS` names, if any."""
+        kept = os.environ.get("TRACKWHEEL_KEEP_LOGS")
+        if not kept:
+            return
+        folder = Path(kept) / self.folder.name
+        folder.mkdir(parents=True)
+        for log in self.folder.glob("*.log"):
+            shutil.copy(log, folder)
+
     def start_box(self, box: BoxPlace, issue: bool = True) -> None:
         """Start one box, or start it anew at its place, with the certificate that it has or not."""
         path = self.folder / f"{box.box_id}.ini"
--- a/trackwheel/app.py
+++ b/trackwheel/app.py
@@ -37,6 +37,8 @@
 from trackwheel.storage.held import KeyValueHeldStore
 from trackwheel.targets.client import AiohttpTargetClient
 from trackwheel.telemetry.burn import Burn
+from trackwheel.telemetry.event_loop import report_late_wakes
+from trackwheel.telemetry.events import EventLog
 from trackwheel.telemetry.explain import Traces
 from trackwheel.telemetry.logs import Log
 from trackwheel.telemetry.metrics import Metrics
@@ -83,6 +85,7 @@
         self.client = AiohttpTargetClient()
         self.store = HttpKeyValue(settings.key_value)
         self.box_list = HttpBoxList(settings.box_list)
+        self.events = EventLog(settings.box_id)
         self.traces = Traces()
         self.burn = Burn()
         self.board = Board(seed=0)
@@ -92,8 +95,12 @@
         self.files = FilesService(self.hub, self.store)
         self.quarantine = Quarantine(self.hub, KeyValueHeldStore(self.store), _QuarantineLog())
         guard = SendGuard(self.quarantine)
-        self.dispatch = DispatchService(self.hub, self.client, self.fleet.tell_leaving, guard)
-        self.queries = QueryRunner(self.hub, self.fleet, self.board, self.traces, self.quarantine)
+        self.dispatch = DispatchService(
+            self.hub, self.client, self.fleet.tell_leaving, guard, self.events
+        )
+        self.queries = QueryRunner(
+            self.hub, self.fleet, self.board, self.traces, self.quarantine, self.events
+        )
         self.once = OnceRunner(self.hub, self.fleet, self.board, self.traces)
         self.forwarder = Forwarder(self.hub, self.fleet)
         self.confirmations = Confirmations(
@@ -212,6 +219,7 @@
             tasks.start_soon(box.dispatch.run)
             tasks.start_soon(box.quarantine.run)
             tasks.start_soon(box.queries.watch_owners)
+            tasks.start_soon(report_late_wakes, box.events)
             callers = box.callers_app()
             tasks.start_soon(box.forwarder.run, callers.serve_forward)
             await _serve_until_stopped(box, callers)
--- a/trackwheel/dispatch/limiter.py
+++ b/trackwheel/dispatch/limiter.py
@@ -40,6 +40,7 @@
         self.mean_s = DEFAULT_SERVICE_S
         self._deviation_s = 0.0
         self.measured = False
+        self.learnt_at = float("-inf")
 
     def restart(self) -> None:
         """Begin again at one, as for a cold target."""
@@ -61,6 +62,7 @@
     def succeeded(self, level: int, service_s: float, waiting: bool, now: float) -> None:
         """Take a finished request that ran as one of `level` at the target."""
         self._learn(level, service_s)
+        self.learnt_at = now
         self._pause_s = SHED_PAUSE_FIRST_S
         if self._starting:
             self._slow_start()
--- a/trackwheel/dispatch/line.py
+++ b/trackwheel/dispatch/line.py
@@ -21,6 +21,7 @@
     CheckHealth,
     DispatchCommand,
     Ended,
+    LineEstimate,
     Outcome,
     PermitUnused,
     Refuse,
@@ -89,6 +90,18 @@
         """Return how many requests may run at a time."""
         return self._limiter.limit
 
+    def estimate(self) -> LineEstimate:
+        """Return what is expected of the target, for the log."""
+        limiter = self._limiter
+        return LineEstimate(
+            limiter.mean_s,
+            limiter.likely_s,
+            limiter.learnt_at,
+            self.running,
+            self.waiting,
+            limiter.limit,
+        )
+
     def ejected(self, now: float) -> bool:
         """Return whether the target is left out because of its answers."""
         return self._ejection.until is not None and now < self._ejection.until
--- a/trackwheel/dispatch/models.py
+++ b/trackwheel/dispatch/models.py
@@ -245,6 +245,17 @@
 )
 
 
+class LineEstimate(NamedTuple):
+    """Describe what an owner expects of a target (seconds)."""
+
+    mean_s: float
+    likely_s: float
+    learnt_at: float
+    running: int
+    waiting: int
+    limit: int
+
+
 class Ended(NamedTuple):
     """Say how a request at a target ended, for the target's own record."""
 
--- a/trackwheel/dispatch/owner.py
+++ b/trackwheel/dispatch/owner.py
@@ -8,6 +8,7 @@
     DispatchCommand,
     Ended,
     ExecuteAsk,
+    LineEstimate,
     Outcome,
     PermitUnused,
     Refuse,
@@ -56,6 +57,11 @@
             for line in self._line_by_target.values()
         ]
 
+    def estimate(self, target: str) -> LineEstimate | None:
+        """Return what is expected of a target, None when it has no line."""
+        line = self._line_by_target.get(target)
+        return line.estimate() if line is not None else None
+
     def busy(self) -> bool:
         """Return whether any work waits or runs."""
         return any(line.running or line.waiting for line in self._line_by_target.values())
--- a/trackwheel/dispatch/service.py
+++ b/trackwheel/dispatch/service.py
@@ -58,7 +58,9 @@
     TargetClient,
     TargetReply,
 )
+from trackwheel.telemetry.events import EventLog
 from trackwheel.telemetry.logs import Log
+from trackwheel.units import MILLISECONDS
 
 LOG = Log("dispatch")
 
@@ -72,9 +74,11 @@
         client: TargetClient,
         tell_leaving: Callable[[TargetNote], None],
         guard: SendGuard,
+        log: EventLog,
     ) -> None:
         self._hub = hub
         self._guard = guard
+        self._log = log
         self._client = client
         self._tell_leaving = tell_leaving
         self._owner = Owner()
@@ -239,6 +243,7 @@
         work = command.work
         outcome = command.outcome
         self.refused_by_outcome[outcome] = self.refused_by_outcome.get(outcome, 0) + 1
+        self._log_refusal(command)
         retry_ms = command.retry_after_s * 1000
         query_id, nonce = work.key.query_id, work.key.nonce
         answer: ExecuteAnswer | SubAnswer
@@ -249,6 +254,27 @@
             answer = SubAnswer(query_id, nonce, outcome, b"", [], delay_ms, 0.0, retry_ms)
         self._hub.send(work.key.gateway, answer)
 
+    def _log_refusal(self, command: Refuse) -> None:
+        work = command.work
+        estimate = self._owner.estimate(work.target)
+        if estimate is None:
+            return
+        now = steady_now()
+        self._log.write(
+            "subrequest_refused",
+            id=work.key.query_id,
+            target=work.target,
+            outcome=command.outcome,
+            left_ms=round((work.deadline - now) * MILLISECONDS, 1),
+            delay_ms=round(command.delay_s * MILLISECONDS, 1),
+            mean_ms=round(estimate.mean_s * MILLISECONDS, 1),
+            likely_ms=round(estimate.likely_s * MILLISECONDS, 1),
+            learnt_age_s=_age_s(estimate.learnt_at, now),
+            running=estimate.running,
+            waiting=estimate.waiting,
+            limit=estimate.limit,
+        )
+
     def _answer(self, event: Exchanged, now: float) -> None:
         """Send the end of a sub-request to its gateway."""
         work = event.work
@@ -353,6 +379,11 @@
                 return
 
 
+def _age_s(learnt_at: float, now: float) -> float | None:
+    """Return the age of what was learnt (seconds), None when nothing was."""
+    return round(now - learnt_at, 3) if learnt_at > 0.0 else None
+
+
 def _exchanged(
     work: Work, outcome: Outcome, service_s: float, reply: TargetReply | None, holds: list[int]
 ) -> Exchanged:
--- a/trackwheel/gateway/budget.py
+++ b/trackwheel/gateway/budget.py
@@ -13,6 +13,11 @@
         self.extras = 0
         self.denied = 0
 
+    @property
+    def left(self) -> float:
+        """Return how many extra sub-requests may be sent now; negative while in debt."""
+        return self._tokens
+
     def first(self, count: int) -> None:
         """Count first tries."""
         self.first_tries += count
--- a/trackwheel/gateway/queries.py
+++ b/trackwheel/gateway/queries.py
@@ -1,7 +1,7 @@
 """The task of each query: it carries the gather's commands to owners and brings back answers."""
 
 import itertools
-from collections import defaultdict
+from collections import Counter, defaultdict
 from typing import NamedTuple, Protocol
 
 import anyio
@@ -34,6 +34,7 @@
 from trackwheel.peers.models import PeerIdentity
 from trackwheel.quarantine.service import Quarantine
 from trackwheel.targets.models import TargetAnswer
+from trackwheel.telemetry.events import EventLog
 from trackwheel.telemetry.explain import Trace, Traces
 from trackwheel.telemetry.logs import Log
 
@@ -90,10 +91,17 @@
     """Run queries from admission to answer."""
 
     def __init__(
-        self, hub: Hub, owners: Owners, board: Board, traces: Traces, quarantine: Quarantine
+        self,
+        hub: Hub,
+        owners: Owners,
+        board: Board,
+        traces: Traces,
+        quarantine: Quarantine,
+        log: EventLog,
     ) -> None:
         self._hub = hub
         self._quarantine = quarantine
+        self._log = log
         self._owners = owners
         self._board = board
         self._traces = traces
@@ -313,12 +321,27 @@
                 withdraw = Withdraw(query_id, [Ask(nonce, asked.target, False)])
                 self._hub.send(asked.owner, withdraw)
 
+    def _log_given_up(self, running: _Running, end: GivenUp) -> None:
+        budget = self._budget(running.service)
+        trace = running.trace
+        self._log.write(
+            "query_given_up",
+            id=running.gather.plan.query_id,
+            service=running.service.name,
+            took_ms=round(trace.took_ms, 1),
+            overloaded=end.overloaded,
+            lacking=_count_reasons([lack.reason for lack in end.answer.lacking]),
+            requests=len(running.asked_by_nonce),
+            budget_left=round(budget.left, 1),
+        )
+
     def _conclude(self, running: _Running, end: Answered | GivenUp) -> QueryResult:
         result = QueryResult(running.gather.plan.query_id, end.answer)
         if isinstance(end, Answered):
             running.trace.end("whole" if end.answer.whole else "partial")
             return result
         running.trace.end("given up")
+        self._log_given_up(running, end)
         code = Code.OVERLOADED if end.overloaded else Code.COVERAGE_TOO_LOW
         lacking = len(end.answer.lacking)
         detail = f"{lacking} shards could not be covered in time"
@@ -327,5 +350,9 @@
         raise CoverageTooLowError(error, result)
 
 
+def _count_reasons(reasons: list[str]) -> str:
+    return ", ".join(f"{reason} {count}" for reason, count in Counter(reasons).items())
+
+
 def _without_owner(nonce: int) -> ShardAnswer:
     return ShardAnswer(nonce, Outcome.NO_OWNER, None, {}, (), 0.0)
--- /dev/null
+++ b/trackwheel/telemetry/event_loop.py
@@ -0,0 +1,26 @@
+"""Reports when this process was kept from running."""
+
+from typing import Final
+
+import anyio
+
+from trackwheel.clock import steady_now
+from trackwheel.telemetry.events import EventLog
+from trackwheel.units import MILLISECONDS
+
+CHECK_PERIOD_S: Final = 0.05
+LATE_WAKE_S: Final = 0.04
+
+
+async def report_late_wakes(log: EventLog) -> None:
+    """Write an event for each timer that fired late, until cancelled.
+
+    A paused or starved process delays its own timers: times that it measured meanwhile are not
+    those of its peers or targets.
+    """
+    while True:
+        due = steady_now() + CHECK_PERIOD_S
+        await anyio.sleep(CHECK_PERIOD_S)
+        late_s = steady_now() - due
+        if late_s > LATE_WAKE_S:
+            log.write("event_loop_late", late_ms=round(late_s * MILLISECONDS, 1))
