Keep a box running when a message has no valid address to go to

Cause, from its log: a query took back a request that had no owner, the message went to the address '', the link's task raised InvalidURI, and one failed task ends the process. Ruled out: the signal's own handling (the error comes before the two seconds of grace are over), hypercorn (its errors follow). Fix: nothing is sent where there was no owner; an address that cannot be parsed counts as a link that cannot be opened. The same fault elsewhere: every sender goes through the hub, and addresses also come with peers' records; the relay's senders and once.py check theirs already.

--- a/tests/peers/test_hub.py
+++ b/tests/peers/test_hub.py
@@ -54,3 +54,31 @@
 
     anyio.run(scenario)
     assert bounds == [LINK_UNACKNOWLEDGED_MS, LINK_UNACKNOWLEDGED_MS]
+
+
+@pytest.mark.parametrize(
+    "address",
+    [
+        pytest.param("", id="no-address"),
+        pytest.param("here", id="no-port"),
+        pytest.param("127.0.0.1:99999", id="no-such-port"),
+        pytest.param("[127.0.0.1:80", id="no-host"),
+    ],
+)
+def test_message_to_an_invalid_address_does_not_end_the_hub(address: str) -> None:
+    """A box crashed when it sent to a box without a valid address."""
+    lost: list[str] = []
+
+    async def scenario() -> None:
+        hub = make_hub("box-1")
+        hub.on_link_lost(lost.append)
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(hub.run)
+            hub.send(address, object())
+            with anyio.fail_after(5.0):
+                while not lost:
+                    await anyio.sleep(0.01)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(scenario)
+    assert lost == [address]
--- a/tests/telemetry/test_event_loop.py
+++ b/tests/telemetry/test_event_loop.py
@@ -16,7 +16,7 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(report_late_wakes, log)
         await anyio.sleep(CHECK_PERIOD_S / 2)
-        time.sleep(pause_s)  # noqa: ASYNC251
+        time.sleep(pause_s)
         await anyio.sleep(CHECK_PERIOD_S)
         tasks.cancel_scope.cancel()
 
--- a/trackwheel/gateway/queries.py
+++ b/trackwheel/gateway/queries.py
@@ -231,7 +231,7 @@
                     asks_by_owner_and_version[owner, command.version].append(ask)
                 case WithdrawAsk(nonce, target):
                     asked = running.asked_by_nonce.get(nonce)
-                    if asked is not None:
+                    if asked is not None and asked.owner:
                         withdrawn_by_owner[asked.owner].append(Ask(nonce, target, False))
                 case Answered() | GivenUp():
                     end = command
--- a/trackwheel/peers/hub.py
+++ b/trackwheel/peers/hub.py
@@ -11,7 +11,7 @@
 from websockets.asyncio.client import connect
 from websockets.asyncio.connection import Connection
 from websockets.asyncio.server import ServerConnection, serve
-from websockets.exceptions import ConnectionClosed, InvalidHandshake
+from websockets.exceptions import ConnectionClosed, InvalidHandshake, InvalidURI
 
 from trackwheel.clock import steady_now
 from trackwheel.http1.sockets import watch_for_silence
@@ -165,6 +165,11 @@
         except (TimeoutError, OSError, ConnectionClosed, InvalidHandshake):
             self._forget(address, outbox)
             return
+        except (InvalidURI, ValueError) as error:
+            # Addresses come from peers' records too: a bad one must not end this box.
+            LOG.warning(f"Cannot open a link to {address!r}: {error}")
+            self._forget(address, outbox)
+            return
         if peer is None or peer.address != address:
             await socket.close(CLOSE_CODE_REFUSED, "not the box that was meant")
             self._forget(address, outbox)
