Keep asking owners that paused together when no other box may own

What callers saw: a leaving box whose peers all paused for 0.15 s refused every query with coverage_too_low (13 of 180) within 20 ms. Cause, from its log: 'lacking no_owner 1, not_awaited 5', 30 requests of one query in 14 ms. An owner is passed over after 55 ms of silence; a leaving box owns nothing itself, so with both others passed over there was no owner at all. The docstring promised 'unless none is left' for the whole fleet only. Fix: members stay owners where none else would be left; a silent owner's asks end only where the target has another owner now, and wait for it otherwise. Ruled out: a longer silence before passing over (slower for real losses).

--- a/tests/fleet/test_ownership.py
+++ b/tests/fleet/test_ownership.py
@@ -6,7 +6,7 @@
 
 from trackwheel.files.models import Policy, ServiceSpec, TargetSpec
 from trackwheel.fleet.models import Member, Status
-from trackwheel.fleet.ownership import OwnerMap, owners_of
+from trackwheel.fleet.ownership import OwnerMap, owners_of, reachable_members
 
 REGIONS = ("muc", "nue", "aug")
 
@@ -133,3 +133,25 @@
                 owner = owner_map.owner(spec, target.address)
                 expected = fresh.get(target.address)
                 assert owner == expected
+
+
+@pytest.mark.parametrize(
+    ("statuses", "unreachable", "kept"),
+    [
+        pytest.param("AAA", {0}, {1, 2}, id="one-of-three"),
+        pytest.param("AAL", {0, 1}, {0, 1, 2}, id="only-a-leaving-one-is-left"),
+        pytest.param("AA", {0, 1}, {0, 1}, id="all"),
+        pytest.param("ASL", {0}, {1, 2}, id="a-suspect-one-still-owns"),
+    ],
+)
+def test_passing_over_boxes_leaves_an_owner(
+    statuses: str, unreachable: set[int], kept: set[int]
+) -> None:
+    """A leaving box whose peers all paused for a moment refused every query."""
+    by_letter = {"A": Status.ALIVE, "S": Status.SUSPECT, "L": Status.LEAVING}
+    members = tuple(
+        box(number)._replace(status=by_letter[letter]) for number, letter in enumerate(statuses)
+    )
+    addresses = {box(number).address for number in unreachable}
+    found = reachable_members(members, addresses)
+    assert {member.address for member in found} == {box(number).address for number in kept}
--- a/tests/peers/test_hub.py
+++ b/tests/peers/test_hub.py
@@ -74,7 +74,7 @@
         hub.on_link_lost(lost.append)
         async with anyio.create_task_group() as tasks:
             await tasks.start(hub.run)
-            hub.send(address, object())
+            hub.send(address, ())
             with anyio.fail_after(5.0):
                 while not lost:
                     await anyio.sleep(0.01)
--- a/tests/whole/test_box_faults.py
+++ b/tests/whole/test_box_faults.py
@@ -97,6 +97,32 @@
     assert "All work is finished" in own_fleet.log(leaving.box_id)
 
 
+def test_planned_stop_beside_paused_boxes_cuts_off_nothing(own_fleet: SmallFleet) -> None:
+    """A stopping box whose peers all paused found no owner for its work, and crashed."""
+    leaving = own_fleet.boxes[2]
+    staying = own_fleet.boxes[:2]
+
+    async def stop(callers: Callers) -> None:
+        await asyncio.sleep(0.5)
+        own_fleet.signal_box(leaving, signal.SIGTERM)
+        await asyncio.sleep(0.3)
+        for box in staying:
+            own_fleet.signal_box(box, signal.SIGSTOP)
+        await asyncio.sleep(0.15)
+        for box in staying:
+            own_fleet.signal_box(box, signal.SIGCONT)
+        await asyncio.sleep(0.5)
+        callers.set_addresses([box.callers for box in staying])
+
+    addresses = [box.callers for box in own_fleet.boxes]
+    results = run_queries(addresses, "clerks", SERVICE, 60, 3.0, stop)
+    assert results.cut_off == []
+    assert results.broken == []
+    assert results.codes == {}
+    assert results.answered == 180
+    assert own_fleet.process_by_name[leaving.box_id].wait(timeout=10) == 0
+
+
 def test_long_work_in_flight_outlives_a_planned_stop(own_fleet: SmallFleet) -> None:
     for replicas in targets_of(own_fleet):
         for address in replicas:
--- a/trackwheel/fleet/ownership.py
+++ b/trackwheel/fleet/ownership.py
@@ -17,6 +17,17 @@
     return member.status in (Status.ALIVE, Status.SUSPECT)
 
 
+def reachable_members(
+    members: tuple[Member, ...], unreachable: Collection[str]
+) -> tuple[Member, ...]:
+    """Return the members that are not unreachable, or all when no owner would be left.
+
+    Owners that paused together answer again soon; without an owner nothing can be served.
+    """
+    reachable = tuple(member for member in members if member.address not in unreachable)
+    return reachable if any(may_own(member) for member in reachable) else members
+
+
 def _seed(key: str) -> int:
     return int(xxhash.xxh64_intdigest(key.encode()))
 
--- a/trackwheel/fleet/service.py
+++ b/trackwheel/fleet/service.py
@@ -30,7 +30,7 @@
     Status,
     TargetNote,
 )
-from trackwheel.fleet.ownership import OwnerMap, may_own
+from trackwheel.fleet.ownership import OwnerMap, may_own, reachable_members
 from trackwheel.inbox import Inbox
 from trackwheel.peers.hub import Hub
 from trackwheel.peers.models import PeerIdentity
@@ -196,15 +196,13 @@
         self._inbox.put(lambda now: self._membership.link_lost(address, now))
 
     def _reachable(self) -> tuple[Member, ...]:
-        """Return the members without those to which links broke, unless none is left."""
+        """Return the members that may own targets as seen from here."""
         now = steady_now()
         until = self._unreachable_until_by_address
         for address in [address for address, end in until.items() if end <= now]:
             del until[address]
         self._reachable_until = min(until.values(), default=float("inf"))
-        if not until:
-            return self.members
-        return tuple(member for member in self.members if member.address not in until)
+        return reachable_members(self.members, until)
 
     def _perform(self, commands: list[FleetCommand]) -> None:
         for command in commands:
--- a/trackwheel/gateway/queries.py
+++ b/trackwheel/gateway/queries.py
@@ -132,7 +132,7 @@
                     case OwnerSilent(owner):
                         LOG.warning(f"Owner {owner} is silent. Others take its targets.")
                         self._owners.pass_over(owner)
-                        self._link_lost(owner)
+                        self._reassign(owner)
 
     @property
     def running(self) -> int:
@@ -242,8 +242,7 @@
         return end
 
     def _note_ask(self, running: _Running, command: AskTarget) -> str:
-        member = self._owners.owner(running.service, command.target)
-        owner = member.address if member is not None else ""
+        owner = self._owner_address(running.service, command.target)
         asked = _Asked(command.target, owner, command.instance)
         running.asked_by_nonce[command.nonce] = asked
         detail = (
@@ -304,6 +303,19 @@
         snapshot = Snapshot(read.version, read.map_size)
         return ShardAnswer(answer.nonce, Outcome.OK, snapshot, read.shards, (), retry_s)
 
+    def _reassign(self, silent: str) -> None:
+        """End the asks at a silent owner whose targets have another owner now."""
+        for running in self._running_by_id.values():
+            for nonce, asked in running.asked_by_nonce.items():
+                if asked.owner != silent:
+                    continue
+                if self._owner_address(running.service, asked.target) != silent:
+                    running.inbox.put(_without_owner(nonce))
+
+    def _owner_address(self, service: ServiceSpec, target: str) -> str:
+        member = self._owners.owner(service, target)
+        return member.address if member is not None else ""
+
     def _link_lost(self, address: str) -> None:
         """End every ask at an owner that cannot be reached."""
         for running in self._running_by_id.values():
