Count the answers that one pause delayed as one observation of a target's service time

Cause, from subrequest_refused: owners held mean_ms 40 to 86 and likely_ms 100 to 195 for work of 4 ms, learnt 0 to 20 ms before. All requests under way during a pause end with its length, and each counted as a service time of its own: two of 0.3 s make 4 ms 60 and the likely time 137. Queued work of which less than that was left was dropped, arriving work shed by a wait of 15 x 60 ms. Ruled out by the same logs: a paused owner (no event_loop_late there), load (0 of 5 beside 16 busy processes), ejection (outcomes are shed and late). Fix: requests that overlap one stalled answer are one observation, bounded at four means; a request that began after it and is stalled too shows that the target has become slower, and counts in full. Costs: the mean of a service of which a few in a hundred requests take over four times the usual is bounded too, so that it is estimated too low.

--- /dev/null
+++ b/tests/dispatch/test_service_time.py
@@ -0,0 +1,103 @@
+"""Service times learnt beside pauses: one pause is one observation."""
+
+import pytest
+
+from tests.dispatch.test_line import Commands, LineSession, outcomes
+from trackwheel.dispatch.models import Ended, Outcome, SendQuery, Work
+from trackwheel.dispatch.service_time import ServiceTime
+
+SERVICE_S = 0.004
+PAUSE_S = 0.3
+DEADLINE_S = 0.4
+
+
+class PausedTarget(LineSession):
+    """Drive a line whose target answers each request after the usual time, or after a pause."""
+
+    def __init__(self, slots: int = 2) -> None:
+        super().__init__(slots)
+        self.now = 0.0
+        self.refused: list[Outcome] = []
+        self.sent: list[Work] = []
+
+    def take(self, commands: Commands) -> None:
+        self.refused += outcomes(commands)
+        self.sent += [command.work for command in commands if isinstance(command, SendQuery)]
+
+    def arrive(self) -> None:
+        work = self.work(deadline=self.now + DEADLINE_S)
+        self.take(self.line.offer(work, 1.0, self.now))
+
+    def answer(self, service_s: float) -> None:
+        """Let all requests at the target end, each after the same time."""
+        running, self.sent = self.sent, []
+        for work in running:
+            ended = Ended(work.key, Outcome.OK, service_s, "boot1", False)
+            self.take(self.line.ended(ended, self.now))
+
+    def serve(self, count: int, service_s: float = SERVICE_S) -> None:
+        for _ in range(count):
+            self.arrive()
+            self.now += service_s
+            self.answer(service_s)
+
+
+@pytest.mark.parametrize("slots", [1, 2, 8])
+@pytest.mark.parametrize("answers_before", [0, 1, 100])
+def test_work_that_waited_out_a_pause_is_done(slots: int, answers_before: int) -> None:
+    """Requests were refused as overload for seconds after their target had paused once."""
+    session = PausedTarget(slots)
+    session.serve(answers_before)
+    for _ in range(8):
+        session.arrive()
+        session.now += PAUSE_S / 8
+    session.answer(PAUSE_S)
+    for _ in range(30):
+        session.arrive()
+        session.now += SERVICE_S
+        session.answer(SERVICE_S)
+    assert session.refused == []
+    assert session.line.waiting == 0
+
+
+@pytest.mark.parametrize("service_s", [0.03, 0.3], ids=["eight-times", "many-times"])
+def test_slower_target_is_learnt(service_s: float) -> None:
+    session = PausedTarget()
+    session.serve(100)
+    session.serve(30, service_s)
+    assert session.line.estimate().mean_s > 0.9 * service_s
+
+
+def test_work_is_still_refused_at_a_target_that_became_too_slow() -> None:
+    session = PausedTarget(slots=1)
+    session.serve(100)
+    session.serve(30, 2 * DEADLINE_S)
+    session.arrive()
+    session.arrive()
+    assert session.refused != []
+
+
+SAMPLES = [
+    pytest.param([(0.0, 0.3), (0.1, 0.2), (0.2, 0.1)], 1, id="overlapping-are-one"),
+    pytest.param([(0.0, 0.3), (0.3, 0.3)], 2, id="one-after-the-other-are-two"),
+    pytest.param([(0.0, 0.3), (0.3, 0.004), (0.4, 0.3)], 3, id="quick-answer-between"),
+]
+
+
+@pytest.mark.parametrize(("samples", "learnt"), SAMPLES)
+def test_answers_delayed_by_one_pause_count_once(
+    samples: list[tuple[float, float]], learnt: int
+) -> None:
+    service_time = ServiceTime()
+    service_time.add(-1.0, SERVICE_S, -1.0 + SERVICE_S)
+    taken = [service_time.add(at, took_s, at + took_s) for at, took_s in samples]
+    assert len([value for value in taken if value is not None]) == learnt
+
+
+def test_first_answer_delayed_by_a_pause_is_not_believed() -> None:
+    service_time = ServiceTime()
+    before_s = service_time.mean_s
+    assert service_time.add(0.0, PAUSE_S, PAUSE_S) is None
+    assert service_time.mean_s == before_s
+    service_time.add(PAUSE_S, PAUSE_S, 2 * PAUSE_S)
+    assert service_time.mean_s == pytest.approx(PAUSE_S)
--- a/trackwheel/dispatch/limiter.py
+++ b/trackwheel/dispatch/limiter.py
@@ -7,18 +7,17 @@
 import random
 
 from trackwheel.dispatch.const import (
-    DEFAULT_SERVICE_S,
     EXPLORE_COMPLETIONS,
     EXPLORE_FIRST_S,
     EXPLORE_LAST_S,
     GOOD_ENOUGH_RATE,
-    LIKELY_DEVIATIONS,
     SHED_PAUSE_FIRST_S,
     SHED_PAUSE_LAST_S,
     SLOW_START_SUCCESSES,
     SMOOTHING,
     SPARE_CONNECTIONS,
 )
+from trackwheel.dispatch.service_time import ServiceTime
 
 
 class Limiter:
@@ -37,10 +36,7 @@
         self._pause_s = SHED_PAUSE_FIRST_S
         self.paused_until = 0.0
         self.limit = 1
-        self.mean_s = DEFAULT_SERVICE_S
-        self._deviation_s = 0.0
-        self.measured = False
-        self.learnt_at = float("-inf")
+        self.service_time = ServiceTime()
 
     def restart(self) -> None:
         """Begin again at one, as for a cold target."""
@@ -50,19 +46,28 @@
         self._exploring_left = 0
         self._mean_by_level.clear()
 
+    @property
+    def mean_s(self) -> float:
+        """Return the mean service time (seconds)."""
+        return self.service_time.mean_s
+
     @property
     def likely_s(self) -> float:
         """Return a service time that most requests stay under (seconds)."""
-        return self.mean_s + LIKELY_DEVIATIONS * self._deviation_s
+        return self.service_time.likely_s
 
     def rate(self) -> float:
         """Return how many requests a second the target is expected to finish."""
         return self.limit / self.mean_s
 
-    def succeeded(self, level: int, service_s: float, waiting: bool, now: float) -> None:
+    def succeeded(
+        self, level: int, started: float, service_s: float, waiting: bool, now: float
+    ) -> None:
         """Take a finished request that ran as one of `level` at the target."""
-        self._learn(level, service_s)
-        self.learnt_at = now
+        learnt_s = self.service_time.add(started, service_s, now)
+        if learnt_s is None:
+            return
+        self._learn(level, learnt_s)
         self._pause_s = SHED_PAUSE_FIRST_S
         if self._starting:
             self._slow_start()
@@ -74,8 +79,7 @@
     def relearn(self, service_s: float) -> None:
         """Take the service time of a trial in place of what was learnt before it."""
         self._mean_by_level.clear()
-        self.mean_s = service_s
-        self._deviation_s = 0.0
+        self.service_time.replace(service_s)
 
     def shed(self, now: float) -> None:
         """Take a target's refusal: halve the limit and leave the target alone for a while."""
@@ -91,12 +95,6 @@
     def _learn(self, level: int, service_s: float) -> None:
         mean = self._mean_by_level.get(level, service_s)
         self._mean_by_level[level] = mean + SMOOTHING * (service_s - mean)
-        if not self.measured:
-            self.measured = True
-            self.mean_s = service_s
-        deviation_s = abs(service_s - self.mean_s)
-        self._deviation_s += SMOOTHING * (deviation_s - self._deviation_s)
-        self.mean_s += SMOOTHING * (service_s - self.mean_s)
 
     def _slow_start(self) -> None:
         self._slow_start_left -= 1
--- a/trackwheel/dispatch/line.py
+++ b/trackwheel/dispatch/line.py
@@ -96,7 +96,7 @@
         return LineEstimate(
             limiter.mean_s,
             limiter.likely_s,
-            limiter.learnt_at,
+            limiter.service_time.learnt_at,
             self.running,
             self.waiting,
             limiter.limit,
@@ -300,7 +300,7 @@
             if self._ejection.succeeded():
                 self._limiter.restart()
             waiting = len(self._queue) > 0
-            self._limiter.succeeded(run.level, event.service_s, waiting, now)
+            self._limiter.succeeded(run.level, run.started, event.service_s, waiting, now)
             return []
         self._trial.ended(event.key, now)
         if event.outcome is Outcome.WRONG_VERSION:
