Count requests that one pause delayed as one stall of their target

What callers saw: after a pause of the targets of 0.58 s, 15 queries were given up at once with coverage_too_low although their shards' targets answered again. Five withdrawn requests take a target out of use for 0.5 s, and all those that one pause delays are withdrawn together, when their queries' time is up or another target answers first. Fix: a request that began before the last stalled one ended counts with it. A target that hangs still goes out of use after five requests one after another. Ruled out: more stalls before an ejection, which only moves the length of a pause. Before: both new cases fail. After: they pass; sequential stalls still eject.

--- a/tests/dispatch/test_line.py
+++ b/tests/dispatch/test_line.py
@@ -181,6 +181,23 @@
     assert session.line.ejected(now)
 
 
+@pytest.mark.parametrize("late", [False, True], ids=["withdrawn", "late"])
+def test_requests_that_one_pause_delayed_do_not_eject_a_target(late: bool) -> None:
+    """A pause of 0.6 s took both targets of a shard out of use, and queries were given up."""
+    session = LineSession(slots=8)
+    for number in range(40):
+        work, _ = session.offer(number * 0.01)
+        session.end(work, Outcome.OK, number * 0.01 + 0.005)
+    delayed = [session.offer(1.0)[0] for _ in range(8)]
+    for work in delayed:
+        if late:
+            session.line.ended(Ended(work.key, Outcome.LATE, 0.5), 1.5)
+        else:
+            session.line.withdraw(work.key, 1.5)
+    assert session.line.running == 0
+    assert not session.line.ejected(1.5)
+
+
 def test_withdrawal_is_free_in_the_queue_and_closes_a_running_one() -> None:
     session = LineSession(slots=1)
     running, _ = session.offer()
--- a/trackwheel/dispatch/ejection.py
+++ b/trackwheel/dispatch/ejection.py
@@ -14,6 +14,7 @@
     def __init__(self) -> None:
         self._failures = 0
         self._stalls = 0
+        self._stalled_at = float("-inf")
         self._length_s = EJECT_FIRST_S
         self.until: float | None = None
 
@@ -45,8 +46,14 @@
         self._failures += 1
         return self._judge(now, self._failures >= EJECT_AFTER_FAILURES)
 
-    def stalled(self, now: float) -> bool:
-        """Take a request that ran far too long; return whether the target is now ejected."""
+    def stalled(self, started: float, now: float) -> bool:
+        """Take a request that ran far too long; return whether the target is now ejected.
+
+        Requests that overlap one that stalled were delayed by the same pause and count once.
+        """
+        if started < self._stalled_at:
+            return False
+        self._stalled_at = now
         self._stalls += 1
         return self._judge(now, self._stalls >= EJECT_AFTER_STALLS)
 
--- a/trackwheel/dispatch/line.py
+++ b/trackwheel/dispatch/line.py
@@ -174,7 +174,7 @@
         if run.permit_until is not None:
             return self.pump(now)
         commands: list[DispatchCommand] = [CancelSend(key)]
-        if held_s > STALL_FACTOR * self._limiter.mean_s and self._ejection.stalled(now):
+        if self._stalled(run, held_s, now):
             commands += self._after_ejection(now)
         return commands + self.pump(now)
 
@@ -311,11 +311,16 @@
             return []
         if event.outcome is Outcome.FAILED and self._ejection.failed(now):
             return self._after_ejection(now)
-        stalled = event.service_s > STALL_FACTOR * self._limiter.mean_s
-        if event.outcome is Outcome.LATE and stalled and self._ejection.stalled(now):
+        if event.outcome is Outcome.LATE and self._stalled(run, event.service_s, now):
             return self._after_ejection(now)
         return []
 
+    def _stalled(self, run: _Run, held_s: float, now: float) -> bool:
+        """Take how long a request held its slot; return whether the target is ejected by that."""
+        if held_s <= STALL_FACTOR * self._limiter.mean_s:
+            return False
+        return self._ejection.stalled(run.started, now)
+
     def _after_ejection(self, now: float) -> list[DispatchCommand]:
         self._limiter.restart()
         until = self._ejection.until or now
