Ask an ejected target before a query is given up, whatever was lost first

Cause, from query_given_up: 'leaving 1, not_awaited 5'. A query asked an ejected target as a last resort only if that refusal was the last one it got, or if it had asked nobody; after a refusal by a leaving, failing or shedding target it gave up, and a target known as ejected from another query got no chance at all. Fix: the last resort is any target of the shard that this query has sent nothing to and that is not leaving. Before: all six cases of the new test fail. After: they pass.

--- a/tests/gateway/test_gather.py
+++ b/tests/gateway/test_gather.py
@@ -333,6 +333,25 @@
     assert session.result.whole
 
 
+@pytest.mark.parametrize("told", [False, True], ids=["refused-itself", "refused-another-query"])
+@pytest.mark.parametrize("last", [Outcome.LEAVING, Outcome.FAILED, Outcome.SHED], ids=str)
+def test_ejected_replica_is_asked_when_the_other_one_is_lost(last: Outcome, told: bool) -> None:
+    """Queries were given up beside a target that was ejected, but answered again."""
+    board = Board(seed=1)
+    if told:
+        board.learn_ejected("t0b", 0.0)
+        session = Session(board=board)
+        assert session.ask_of(0).target == "t0a"
+    else:
+        session = Session(board=board)
+        session.fail(session.ask_of(0), Outcome.EJECTED)
+    session.fail(session.ask_of(0), last)
+    assert session.ask_of(0).last_resort
+    for instance in range(3):
+        session.answer(session.ask_of(instance))
+    assert session.result.whole
+
+
 def test_target_that_answers_another_version_than_asked_counts_as_failed() -> None:
     session = Session(hint=1)
     session.answer(session.ask_of(0), version=7)
--- a/trackwheel/gateway/gather.py
+++ b/trackwheel/gateway/gather.py
@@ -43,12 +43,14 @@
 class _Instance:
     """Hold what one query knows of one instance."""
 
-    __slots__ = ("asks", "nonces", "reason", "retry_at", "retry_wait_s", "tried")
+    __slots__ = ("asks", "ejected", "nonces", "reason", "retry_at", "retry_wait_s", "tried")
 
     def __init__(self) -> None:
         self.asks = 0
         self.nonces: set[int] = set()
         self.tried: set[str] = set()
+        self.ejected: set[str] = set()
+        """Targets to which nothing was sent since their owners have ejected them."""
         self.reason = "not_answered"
         self.retry_at: float | None = None
         self.retry_wait_s = VERSION_RETRY_FIRST_S
@@ -231,6 +233,7 @@
     def _take_failure(self, ask: _Ask, event: ShardAnswer, now: float) -> None:
         if event.outcome is Outcome.EJECTED:
             self._board.learn_ejected(ask.target, now)
+            self._instances[ask.instance].ejected.add(ask.target)
         elif event.outcome is Outcome.LEAVING:
             self._board.learn_leaving(ask.target, now)
         elif event.outcome in (Outcome.SHED, Outcome.LATE):
@@ -260,14 +263,17 @@
         targets = self.plan.targets_by_instance[number]
         if self._board.choose(targets, self._instances[number].tried, now) is not None:
             return True
-        return self._may_resort(number, now)
+        return self._last_resort(number, now) is not None
 
-    def _may_resort(self, number: int, now: float) -> bool:
-        """Return whether an ejected target is the only one that may still answer."""
+    def _last_resort(self, number: int, now: float) -> str | None:
+        """Return an ejected target that has had no chance to answer this query yet."""
         instance = self._instances[number]
-        targets = self.plan.targets_by_instance[number]
-        untried = instance.asks == 0 or instance.reason == Outcome.EJECTED
-        return untried and self._board.last_resort(targets, now) is not None
+        targets = tuple(
+            target
+            for target in self.plan.targets_by_instance[number]
+            if target not in instance.tried or target in instance.ejected
+        )
+        return self._board.last_resort(targets, now)
 
     def _ask_next(self, number: int, now: float, reason: str) -> None:
         targets = self.plan.targets_by_instance[number]
@@ -276,11 +282,12 @@
         if target is not None:
             self._ask(number, target, now, False, reason)
             return
-        resort = self._board.last_resort(targets, now) if self._may_resort(number, now) else None
+        resort = self._last_resort(number, now)
         if resort is None:
             instance.reason = Outcome.LEAVING
             self._exhausted.add(number)
             return
+        instance.ejected.discard(resort)
         self._ask(number, resort, now, True, "last_resort")
 
     def _ask(self, number: int, target: str, now: float, last_resort: bool, reason: str) -> None:
