Choose among replicas and hedge by latencies in which one pause counts once

The target had got nothing before: after a pause it was out of use, and gateways took the other replica, since every request that the pause delayed raised the latency they choose by; that fades by half in 10 s. The same fault: the quantile after which a second target is asked stayed at the pause's length for up to ten seconds. Fix: the rule of the service times moves to trackwheel/stalls.py and holds for latencies too; a request that one stalled explains teaches nothing unless it was quicker than usual, or forty that end together climb by degrees. Ruled out: a shorter half-life, which forgets slow targets too.

--- a/tests/dispatch/test_service_time.py
+++ b/tests/dispatch/test_service_time.py
@@ -91,7 +91,7 @@
     service_time = ServiceTime()
     service_time.add(-1.0, SERVICE_S, -1.0 + SERVICE_S)
     taken = [service_time.add(at, took_s, at + took_s) for at, took_s in samples]
-    assert len([value for value in taken if value is not None]) == learnt
+    assert sum(value is not None for value in taken) == learnt
 
 
 def test_first_answer_delayed_by_a_pause_is_not_believed() -> None:
--- a/trackwheel/dispatch/const.py
+++ b/trackwheel/dispatch/const.py
@@ -28,8 +28,6 @@
 EJECT_AFTER_STALLS: Final = 5
 EJECT_FIRST_S: Final = 0.5
 EJECT_LAST_S: Final = 30.0
-STALL_FACTOR: Final = 4.0
-"""A request that ran this many times the mean before it was withdrawn counts as stalled."""
 
 HEALTH_PERIOD_S: Final = 1.0
 LINE_IDLE_S: Final = 60.0
--- a/trackwheel/dispatch/line.py
+++ b/trackwheel/dispatch/line.py
@@ -9,7 +9,6 @@
     LINE_IDLE_S,
     MAX_QUEUED_PER_TARGET,
     PERMIT_TIMEOUT_S,
-    STALL_FACTOR,
     WAKE_MARGIN_S,
 )
 from trackwheel.dispatch.ejection import Ejection
@@ -34,6 +33,7 @@
 )
 from trackwheel.dispatch.trial import Trial
 from trackwheel.files.models import ServiceSpec
+from trackwheel.stalls import STALL_FACTOR
 
 
 class _Run(NamedTuple):
--- a/trackwheel/gateway/board.py
+++ b/trackwheel/gateway/board.py
@@ -19,6 +19,7 @@
     SCORE_HALF_LIFE_S,
     SCORE_NOISE,
 )
+from trackwheel.stalls import StallFilter
 from trackwheel.telemetry.const import LEAST_US, MOST_US
 
 _DIGITS = 2
@@ -66,6 +67,7 @@
         "latency_s",
         "learnt_at",
         "service_s",
+        "stalls",
         "under_way",
     )
 
@@ -77,6 +79,17 @@
         self.delay_s = 0.0
         self.delay_at = 0.0
         self.under_way = 0
+        self.stalls = StallFilter()
+
+    def admit(self, seconds: float, now: float) -> float | None:
+        """Return what to learn from a request that took so long, None for nothing."""
+        usual_s = self.latency_s or DEFAULT_HEDGE_S
+        return self.stalls.admit(now - seconds, seconds, usual_s, now)
+
+    def smooth(self, seconds: float, now: float) -> None:
+        """Take a latency as the newest of many."""
+        self.latency_s += LATENCY_SMOOTHING * (seconds - self.latency_s)
+        self.learnt_at = now
 
 
 class Board:
@@ -111,19 +124,23 @@
     def learn_latency(self, service: str, target: str, seconds: float, now: float) -> None:
         """Take how long a target's answer took, seen from this gateway."""
         notes = self._notes(target)
-        if notes.latency_s == 0.0:
-            notes.latency_s = seconds
-        notes.latency_s += LATENCY_SMOOTHING * (seconds - notes.latency_s)
-        notes.learnt_at = now
         notes.ejected_until = 0.0
-        self._window(service).record(seconds, now)
+        learnt_s = notes.admit(seconds, now)
+        if learnt_s is None:
+            return
+        if notes.latency_s == 0.0:
+            notes.latency_s = learnt_s
+        notes.smooth(learnt_s, now)
+        self._window(service).record(learnt_s, now)
 
     def learn_at_least(self, target: str, seconds: float, now: float) -> None:
         """Take that a target had not answered after a time."""
         notes = self._notes(target)
-        if seconds > notes.latency_s:
-            notes.latency_s += LATENCY_SMOOTHING * (seconds - notes.latency_s)
-            notes.learnt_at = now
+        if seconds <= notes.latency_s:
+            return
+        learnt_s = notes.admit(seconds, now)
+        if learnt_s is not None:
+            notes.smooth(learnt_s, now)
 
     def learn_queue(self, target: str, delay_s: float, service_s: float, now: float) -> None:
         """Take what an owner says of a target's queue and of its service time (seconds)."""
