Believe that a target leaves when its boot is one that this owner has not met

Found in reading, while telling apart who sends late work to a leaving target: an owner that had missed a target's restart (it reads a health page each second at most) passed over another box's word on the new boot, and sent work until the target's next page or answer. Fix: a word on a boot that this owner has not met ends new work until the target itself speaks, and its health page is read at once; boots that it has met and that are over stay passed over. Before: the first new test fails. After: both pass.

--- a/tests/dispatch/test_line.py
+++ b/tests/dispatch/test_line.py
@@ -126,6 +126,25 @@
     assert outcomes(session.offer(1.1)[1]) == []
 
 
+def test_word_of_a_boot_not_met_yet_ends_new_work_until_the_target_speaks() -> None:
+    """An owner that had missed a restart sent work to a target that others knew as leaving."""
+    session = LineSession()
+    commands = session.line.told_leaving("boot2")
+    assert CheckHealth("t") in commands
+    assert outcomes(session.offer(0.1)[1]) == [Outcome.LEAVING]
+    session.line.health(True, "boot2", False, 0.2)
+    assert outcomes(session.offer(0.3)[1]) == [Outcome.LEAVING], "its page lies"
+    session.line.health(True, "boot3", False, 0.4)
+    assert outcomes(session.offer(0.5)[1]) == []
+
+
+def test_word_of_a_boot_before_the_first_one_met_is_over_with_the_next_page() -> None:
+    session = LineSession()
+    session.line.told_leaving("boot0")
+    session.line.health(True, "boot1", False, 0.1)
+    assert outcomes(session.offer(0.2)[1]) == []
+
+
 def eject(session: LineSession) -> float:
     now = 0.0
     for _ in range(3):
--- a/trackwheel/dispatch/line.py
+++ b/trackwheel/dispatch/line.py
@@ -60,6 +60,7 @@
         self._run_by_key: dict[WorkKey, _Run] = {}
         self._cold = True
         self._boot = ""
+        self._past_boots: set[str] = set()
         self._leaving_boots: set[str] = set()
         self._leaving = False
         self._removed = False
@@ -213,22 +214,30 @@
         self._health_at = now + HEALTH_PERIOD_S
         if boot != self._boot:
             if self._boot:
+                self._past_boots.add(self._boot)
                 self._ejection.new_boot(now)
             self._boot = boot
-            self._leaving = boot in self._leaving_boots
-        if not leaving or boot in self._leaving_boots:
-            return self._flush(Outcome.LEAVING) if self._leaving else []
-        self._leaving_boots.add(boot)
-        self._leaving = True
-        return [TellLeaving(self.target, boot), *self._flush(Outcome.LEAVING)]
+        commands: list[DispatchCommand] = []
+        if leaving and boot not in self._leaving_boots:
+            self._leaving_boots.add(boot)
+            commands.append(TellLeaving(self.target, boot))
+        self._leaving = boot in self._leaving_boots
+        return commands + (self._flush(Outcome.LEAVING) if self._leaving else [])
 
     def told_leaving(self, boot: str) -> list[DispatchCommand]:
-        """Take another box's word that a boot of the target is leaving."""
+        """Take another box's word that a boot of the target is leaving.
+
+        A boot that this box has not met is taken for a newer one than it knows, until the
+        target's own word.
+        """
         self._leaving_boots.add(boot)
-        if self._boot not in ("", boot):
+        if boot in self._past_boots:
             return []
         self._leaving = True
-        return self._flush(Outcome.LEAVING)
+        commands = self._flush(Outcome.LEAVING)
+        if self._boot not in ("", boot):
+            commands.append(CheckHealth(self.target))
+        return commands
 
     def set_removed(self, removed: bool) -> list[DispatchCommand]:
         """Take whether the files in force still name the target."""
