Take stalls that are seconds apart for pauses, not for a slower target

Two pauses had met the same owner 2 s apart; between them its target got nothing, so that the second one confirmed the first and counted in full. Fix: only a request that begins within a second of a stalled one confirms it. Before: one of the three new cases fails. After: all pass. A lying target that gets no work cannot be found out before its first answer; no bound on that is promised where pauses keep work away.

--- a/tests/dispatch/test_service_time.py
+++ b/tests/dispatch/test_service_time.py
@@ -82,6 +82,23 @@
     pytest.param([(0.0, 0.3), (0.3, 0.3)], 2, id="one-after-the-other-are-two"),
     pytest.param([(0.0, 0.3), (0.3, 0.004), (0.4, 0.3)], 3, id="quick-answer-between"),
 ]
+APART = [
+    pytest.param(0.0, True, id="at-once"),
+    pytest.param(0.9, True, id="soon"),
+    pytest.param(3.0, False, id="much-later"),
+]
+
+
+@pytest.mark.parametrize(("apart_s", "slower"), APART)
+def test_stalls_far_apart_are_pauses(apart_s: float, slower: bool) -> None:
+    """A target that got nothing after a pause was taken for slow when a second pause met it."""
+    service_time = ServiceTime()
+    service_time.add(-1.0, SERVICE_S, -1.0 + SERVICE_S)
+    service_time.add(0.0, PAUSE_S, PAUSE_S)
+    began = PAUSE_S + apart_s
+    learnt_s = service_time.add(began, PAUSE_S, began + PAUSE_S)
+    assert learnt_s is not None
+    assert (learnt_s == PAUSE_S) is slower
 
 
 @pytest.mark.parametrize(("samples", "learnt"), SAMPLES)
--- a/trackwheel/stalls.py
+++ b/trackwheel/stalls.py
@@ -5,13 +5,16 @@
 STALL_FACTOR: Final = 4.0
 """A request that takes this many times the usual has stalled."""
 
+CONFIRM_WITHIN_S: Final = 1.0
+"""A request that begins within this time of a stalled one tells a slower target from a pause."""
+
 
 class StallFilter:
     """Bound what the requests to one target that stalled teach (times in seconds).
 
     A process that pauses delays every request under way by the same pause. Requests that overlap
     one that stalled are therefore one observation, which counts with a bounded weight; a target
-    has become slower only when a request that began after a stalled one stalls as well.
+    has become slower only when a request that began soon after a stalled one stalls as well.
     """
 
     def __init__(self) -> None:
@@ -25,7 +28,7 @@
         if took_s <= most_s:
             self._stalled_at = None
             return took_s
-        if self._stalled_at is not None:
+        if self._stalled_at is not None and started < self._stalled_at + CONFIRM_WITHIN_S:
             return took_s
         self._stalled_at = now
         return most_s
