--- /dev/null
+++ b/trackwheel/dispatch/exchange.py
@@ -0,0 +1,142 @@
+"""The exchanges with targets: requests go out, and how they ended goes to the dispatch task."""
+
+from collections.abc import Callable
+
+import anyio
+import anyio.abc
+import msgspec
+
+from trackwheel.clock import steady_now
+from trackwheel.dispatch.const import EXECUTE_TIMEOUT_S, LEAST_RETRY_AFTER_S
+from trackwheel.dispatch.events import Event, Exchanged, HealthRead
+from trackwheel.dispatch.guard import SendGuard
+from trackwheel.dispatch.judge import judge_execute, judge_query, outcome_of_run
+from trackwheel.dispatch.models import Ended, ExecuteAnswer, Outcome, RunOutcome, Work, WorkKey
+from trackwheel.peers.hub import Hub
+from trackwheel.targets.const import HEALTH_TIMEOUT_S, PATH_EXECUTE, PATH_HEALTH, PATH_QUERY
+from trackwheel.targets.errors import TargetBrokenError, TargetUnreachableError
+from trackwheel.targets.models import HealthPage, TargetClient, TargetReply
+
+
+class TargetExchanges:
+    """Carry work to targets, one task for each request."""
+
+    def __init__(
+        self, hub: Hub, client: TargetClient, guard: SendGuard, put: Callable[[Event], None]
+    ) -> None:
+        self._hub = hub
+        self._client = client
+        self._guard = guard
+        self._put = put
+        self._scope_by_key: dict[WorkKey, anyio.CancelScope] = {}
+        self.sent_by_outcome: dict[str, int] = {}
+
+    def start_query(self, work: Work, tasks: anyio.abc.TaskGroup) -> None:
+        """Send a sub-request; it ends with its deadline at the latest."""
+        scope = anyio.CancelScope(deadline=work.deadline)
+        self._scope_by_key[work.key] = scope
+        tasks.start_soon(self._query, work, scope)
+
+    def cancel(self, key: WorkKey) -> None:
+        """Stop waiting for a sub-request's answer and close its connection."""
+        running = self._scope_by_key.pop(key, None)
+        if running is not None:
+            running.cancel()
+
+    async def _query(self, work: Work, scope: anyio.CancelScope) -> None:
+        """Exchange one sub-request with its target."""
+        if scope.cancel_called:
+            return
+        started = steady_now()
+        body = msgspec.json.encode(
+            {
+                "nonce": work.key.wire(),
+                "service": work.service,
+                "group": work.group,
+                "version": work.version,
+                "query": work.text,
+            }
+        )
+        reply: TargetReply | None = None
+        outcome = Outcome.LATE
+        holds: list[int] = []
+        with scope:
+            left_ms = (work.deadline - started) * 1000
+            try:
+                reply = await self._client.post(work.target, PATH_QUERY, body, left_ms)
+                outcome, holds = judge_query(work, reply)
+                self._guard.replied(work, outcome, reply)
+            except (TargetUnreachableError, TargetBrokenError) as error:
+                outcome = Outcome.FAILED
+                self._guard.failed(work, error)
+        if self._scope_by_key.pop(work.key, None) is None:
+            return
+        self.sent_by_outcome[outcome] = self.sent_by_outcome.get(outcome, 0) + 1
+        service_s = steady_now() - started
+        self._put(_exchanged(work, outcome, service_s, reply, holds))
+
+    async def execute(self, work: Work) -> None:
+        """Run permitted work once; whatever is not certain is told as unknown."""
+        started = steady_now()
+        body = msgspec.json.encode(
+            {
+                "nonce": work.key.wire(),
+                "id": work.request_id,
+                "service": work.service,
+                "group": work.group,
+                "body": work.text,
+            }
+        )
+        run, reason, reply = RunOutcome.UNKNOWN, "no_answer", None
+        with anyio.move_on_after(EXECUTE_TIMEOUT_S):
+            try:
+                left_ms = EXECUTE_TIMEOUT_S * 1000
+                reply = await self._client.post(work.target, PATH_EXECUTE, body, left_ms)
+                run, reason = judge_execute(work, reply)
+                self._guard.replied(work, outcome_of_run(run, reply), reply)
+            except TargetUnreachableError as error:
+                run, reason = RunOutcome.NOT_RUN, Outcome.FAILED
+                self._guard.failed(work, error)
+            except TargetBrokenError as error:
+                run, reason = RunOutcome.UNKNOWN, "connection_broke"
+                self._guard.failed(work, error)
+        outcome = outcome_of_run(run, reply)
+        service_s = steady_now() - started
+        self._put(_exchanged(work, outcome, service_s, reply, []))
+        retry_ms = 1000 * max(LEAST_RETRY_AFTER_S, reply.retry_after_s if reply else 0.0)
+        done = reply.body if reply is not None and run is RunOutcome.DONE else b""
+        answer = ExecuteAnswer(work.key.query_id, work.key.nonce, run, reason, done, retry_ms)
+        self._hub.send(work.key.gateway, answer)
+
+    async def check_health(self, target: str) -> None:
+        """Read a target's health page."""
+        read = HealthRead(target, False, "", False)
+        with anyio.move_on_after(HEALTH_TIMEOUT_S):
+            try:
+                reply = await self._client.get(target, PATH_HEALTH)
+                page = msgspec.json.decode(reply.body, type=HealthPage)
+                leaving = page.draining or reply.draining
+                read = HealthRead(target, True, page.boot or reply.boot, leaving)
+                self._guard.heard(target, read.boot)
+            except (TargetUnreachableError, TargetBrokenError, msgspec.DecodeError):
+                pass
+        self._put(read)
+
+    async def warm(self, target: str) -> None:
+        """Open one connection ahead of need by reading the health page over it."""
+        with anyio.move_on_after(HEALTH_TIMEOUT_S):
+            try:
+                await self._client.get(target, PATH_HEALTH)
+            except (TargetUnreachableError, TargetBrokenError):
+                return
+
+
+def _exchanged(
+    work: Work, outcome: Outcome, service_s: float, reply: TargetReply | None, holds: list[int]
+) -> Exchanged:
+    boot = reply.boot if reply is not None else ""
+    leaving = reply is not None and reply.draining
+    ended = Ended(work.key, outcome, service_s, boot, leaving)
+    body = reply.body if reply is not None and outcome is Outcome.OK else b""
+    retry_s = max(LEAST_RETRY_AFTER_S, reply.retry_after_s if reply is not None else 0.0)
+    return Exchanged(ended, work, body, holds, retry_s)
--- a/trackwheel/dispatch/service.py
+++ b/trackwheel/dispatch/service.py
@@ -1,13 +1,12 @@
-"""The task that owns the dispatch decisions: it sends to targets and answers gateways."""
+"""The task that owns the dispatch decisions: it takes work from gateways and answers them."""
 
 from collections.abc import Callable
 
 import anyio
 import anyio.abc
-import msgspec
 
 from trackwheel.clock import steady_now
-from trackwheel.dispatch.const import EXECUTE_TIMEOUT_S, LEAST_RETRY_AFTER_S
+from trackwheel.dispatch.const import LEAST_RETRY_AFTER_S
 from trackwheel.dispatch.events import (
     Event,
     Exchanged,
@@ -17,14 +16,13 @@
     InForceChanged,
     NotesLearnt,
 )
+from trackwheel.dispatch.exchange import TargetExchanges
 from trackwheel.dispatch.guard import SendGuard, execute_fingerprint, query_fingerprint
-from trackwheel.dispatch.judge import judge_execute, judge_query, outcome_of_run
 from trackwheel.dispatch.models import (
     AskPermit,
     CancelSend,
     CheckHealth,
     DispatchCommand,
-    Ended,
     ExecuteAnswer,
     ExecuteAsk,
     Outcome,
@@ -51,13 +49,7 @@
 from trackwheel.inbox import Inbox
 from trackwheel.peers.hub import Hub
 from trackwheel.peers.models import PeerIdentity
-from trackwheel.targets.const import HEALTH_TIMEOUT_S, PATH_EXECUTE, PATH_HEALTH, PATH_QUERY
-from trackwheel.targets.errors import TargetBrokenError, TargetUnreachableError
-from trackwheel.targets.models import (
-    HealthPage,
-    TargetClient,
-    TargetReply,
-)
+from trackwheel.targets.models import TargetClient
 from trackwheel.telemetry.events import EventLog
 from trackwheel.telemetry.logs import Log
 from trackwheel.units import MILLISECONDS
@@ -79,18 +71,21 @@
         self._hub = hub
         self._guard = guard
         self._log = log
-        self._client = client
         self._tell_leaving = tell_leaving
         self._owner = Owner()
-        self._scope_by_key: dict[WorkKey, anyio.CancelScope] = {}
         self._inbox: Inbox[Event] = Inbox()
-        self.sent_by_outcome: dict[str, int] = {}
+        self._exchanges = TargetExchanges(hub, client, guard, self._inbox.put)
         self.refused_by_outcome: dict[str, int] = {}
         for message_type in (Scatter, ExecuteAsk, Withdraw, PermitReply):
             hub.register(message_type, self._from_gateway)
         hub.register(Ping, self._answer_ping)
         hub.on_link_lost(lambda address: self._inbox.put(GatewayLost(address)))
 
+    @property
+    def sent_by_outcome(self) -> dict[str, int]:
+        """Return how many sub-requests to targets ended in which way."""
+        return self._exchanges.sent_by_outcome
+
     @property
     def busy(self) -> bool:
         """Return whether any work waits or runs."""
@@ -203,26 +198,22 @@
         for command in commands:
             match command:
                 case SendQuery(work):
-                    scope = anyio.CancelScope(deadline=work.deadline)
-                    self._scope_by_key[work.key] = scope
-                    tasks.start_soon(self._query, work, scope)
+                    self._exchanges.start_query(work, tasks)
                 case SendExecute(work):
-                    tasks.start_soon(self._execute, work)
+                    tasks.start_soon(self._exchanges.execute, work)
                 case AskPermit(work):
                     self._ask_permit(work)
                 case CancelSend(key):
-                    running = self._scope_by_key.pop(key, None)
-                    if running is not None:
-                        running.cancel()
+                    self._exchanges.cancel(key)
                 case Refuse():
                     self._refuse(command)
                 case PermitUnused(key):
                     self._return_permit(key)
                 case CheckHealth(target):
-                    tasks.start_soon(self._check_health, target)
+                    tasks.start_soon(self._exchanges.check_health, target)
                 case Warm(target, connections):
                     for _ in range(connections):
-                        tasks.start_soon(self._warm, target)
+                        tasks.start_soon(self._exchanges.warm, target)
                 case TellLeaving(target, boot):
                     LOG.info(f"Target {target} is leaving and gets no new work.")
                     self._tell_leaving(TargetNote(target, boot))
@@ -292,104 +283,7 @@
         )
         self._hub.send(work.key.gateway, answer)
 
-    async def _query(self, work: Work, scope: anyio.CancelScope) -> None:
-        """Exchange one sub-request with its target."""
-        if scope.cancel_called:
-            return
-        started = steady_now()
-        body = msgspec.json.encode(
-            {
-                "nonce": work.key.wire(),
-                "service": work.service,
-                "group": work.group,
-                "version": work.version,
-                "query": work.text,
-            }
-        )
-        reply: TargetReply | None = None
-        outcome = Outcome.LATE
-        holds: list[int] = []
-        with scope:
-            left_ms = (work.deadline - started) * 1000
-            try:
-                reply = await self._client.post(work.target, PATH_QUERY, body, left_ms)
-                outcome, holds = judge_query(work, reply)
-                self._guard.replied(work, outcome, reply)
-            except (TargetUnreachableError, TargetBrokenError) as error:
-                outcome = Outcome.FAILED
-                self._guard.failed(work, error)
-        if self._scope_by_key.pop(work.key, None) is None:
-            return
-        self.sent_by_outcome[outcome] = self.sent_by_outcome.get(outcome, 0) + 1
-        service_s = steady_now() - started
-        self._inbox.put(_exchanged(work, outcome, service_s, reply, holds))
-
-    async def _execute(self, work: Work) -> None:
-        """Run permitted work once; whatever is not certain is told as unknown."""
-        started = steady_now()
-        body = msgspec.json.encode(
-            {
-                "nonce": work.key.wire(),
-                "id": work.request_id,
-                "service": work.service,
-                "group": work.group,
-                "body": work.text,
-            }
-        )
-        run, reason, reply = RunOutcome.UNKNOWN, "no_answer", None
-        with anyio.move_on_after(EXECUTE_TIMEOUT_S):
-            try:
-                left_ms = EXECUTE_TIMEOUT_S * 1000
-                reply = await self._client.post(work.target, PATH_EXECUTE, body, left_ms)
-                run, reason = judge_execute(work, reply)
-                self._guard.replied(work, outcome_of_run(run, reply), reply)
-            except TargetUnreachableError as error:
-                run, reason = RunOutcome.NOT_RUN, Outcome.FAILED
-                self._guard.failed(work, error)
-            except TargetBrokenError as error:
-                run, reason = RunOutcome.UNKNOWN, "connection_broke"
-                self._guard.failed(work, error)
-        outcome = outcome_of_run(run, reply)
-        service_s = steady_now() - started
-        self._inbox.put(_exchanged(work, outcome, service_s, reply, []))
-        retry_ms = 1000 * max(LEAST_RETRY_AFTER_S, reply.retry_after_s if reply else 0.0)
-        done = reply.body if reply is not None and run is RunOutcome.DONE else b""
-        answer = ExecuteAnswer(work.key.query_id, work.key.nonce, run, reason, done, retry_ms)
-        self._hub.send(work.key.gateway, answer)
-
-    async def _check_health(self, target: str) -> None:
-        read = HealthRead(target, False, "", False)
-        with anyio.move_on_after(HEALTH_TIMEOUT_S):
-            try:
-                reply = await self._client.get(target, PATH_HEALTH)
-                page = msgspec.json.decode(reply.body, type=HealthPage)
-                leaving = page.draining or reply.draining
-                read = HealthRead(target, True, page.boot or reply.boot, leaving)
-                self._guard.heard(target, read.boot)
-            except (TargetUnreachableError, TargetBrokenError, msgspec.DecodeError):
-                pass
-        self._inbox.put(read)
-
-    async def _warm(self, target: str) -> None:
-        """Open one connection ahead of need by reading the health page over it."""
-        with anyio.move_on_after(HEALTH_TIMEOUT_S):
-            try:
-                await self._client.get(target, PATH_HEALTH)
-            except (TargetUnreachableError, TargetBrokenError):
-                return
-
 
 def _age_s(learnt_at: float, now: float) -> float | None:
     """Return the age of what was learnt (seconds), None when nothing was."""
     return round(now - learnt_at, 3) if learnt_at > 0.0 else None
-
-
-def _exchanged(
-    work: Work, outcome: Outcome, service_s: float, reply: TargetReply | None, holds: list[int]
-) -> Exchanged:
-    boot = reply.boot if reply is not None else ""
-    leaving = reply is not None and reply.draining
-    ended = Ended(work.key, outcome, service_s, boot, leaving)
-    body = reply.body if reply is not None and outcome is Outcome.OK else b""
-    retry_s = max(LEAST_RETRY_AFTER_S, reply.retry_after_s if reply is not None else 0.0)
-    return Exchanged(ended, work, body, holds, retry_s)
