Name reports that targets leave by the field's term

told_leaving and TellLeaving of dispatch and fleet become apply_leaving_report and ReportLeaving: a report goes to one receiver.

--- a/tests/dispatch/test_line.py
+++ b/tests/dispatch/test_line.py
@@ -14,9 +14,9 @@
     Outcome,
     PermitUnused,
     Refuse,
+    ReportLeaving,
     SendExecute,
     SendQuery,
-    TellLeaving,
     Work,
     WorkKey,
 )
@@ -75,7 +75,7 @@
     ("answer", lambda s, w: s.end(w, Outcome.OK, 0.01, leaving=True)),
     ("refusal", lambda s, w: s.end(w, Outcome.LEAVING, 0.01, leaving=True)),
     ("health-page", lambda s, w: s.line.health(True, "boot1", True, 0.01)),
-    ("other-box", lambda s, w: s.line.told_leaving("boot1")),
+    ("other-box", lambda s, w: s.line.apply_leaving_report("boot1")),
     ("file", lambda s, w: s.line.set_removed(True)),
 ]
 
@@ -113,7 +113,7 @@
 def test_only_a_new_boot_ends_leaving(boot: str, leaving: bool, returns: bool) -> None:
     session = LineSession()
     told = session.line.health(True, "boot1", True, 0.01)
-    assert TellLeaving("t", "boot1") in told
+    assert ReportLeaving("t", "boot1") in told
     session.line.health(True, boot, leaving, 5.0)
     refused = outcomes(session.offer(5.1)[1]) == [Outcome.LEAVING]
     assert refused is not returns
@@ -122,14 +122,14 @@
 def test_late_word_of_an_old_boot_changes_nothing() -> None:
     session = LineSession()
     session.line.health(True, "boot2", False, 1.0)
-    session.line.told_leaving("boot1")
+    session.line.apply_leaving_report("boot1")
     assert outcomes(session.offer(1.1)[1]) == []
 
 
 def test_word_of_a_boot_not_met_yet_ends_new_work_until_the_target_speaks() -> None:
     """An owner that had missed a restart sent work to a target that others knew as leaving."""
     session = LineSession()
-    commands = session.line.told_leaving("boot2")
+    commands = session.line.apply_leaving_report("boot2")
     assert CheckHealth("t") in commands
     assert outcomes(session.offer(0.1)[1]) == [Outcome.LEAVING]
     session.line.health(True, "boot2", False, 0.2)
@@ -140,7 +140,7 @@
 
 def test_word_of_a_boot_before_the_first_one_met_is_over_with_the_next_page() -> None:
     session = LineSession()
-    session.line.told_leaving("boot0")
+    session.line.apply_leaving_report("boot0")
     session.line.health(True, "boot1", False, 0.1)
     assert outcomes(session.offer(0.2)[1]) == []
 
--- a/trackwheel/app.py
+++ b/trackwheel/app.py
@@ -96,7 +96,7 @@
         self.quarantine = Quarantine(self.hub, KeyValueHeldStore(self.store), _QuarantineLog())
         guard = SendGuard(self.quarantine)
         self.dispatch = DispatchService(
-            self.hub, self.client, self.fleet.tell_leaving, guard, self.events
+            self.hub, self.client, self.fleet.report_leaving, guard, self.events
         )
         self.queries = QueryRunner(
             self.hub, self.fleet, self.board, self.traces, self.quarantine, self.events
@@ -198,7 +198,7 @@
         )
 
     def _take_notes(self, notes: tuple[TargetNote, ...]) -> None:
-        self.dispatch.told_leaving(notes)
+        self.dispatch.apply_leaving_report(notes)
         for note in notes:
             self.board.learn_leaving(note.address, steady_now())
 
--- a/trackwheel/dispatch/line.py
+++ b/trackwheel/dispatch/line.py
@@ -24,9 +24,9 @@
     Outcome,
     PermitUnused,
     Refuse,
+    ReportLeaving,
     SendExecute,
     SendQuery,
-    TellLeaving,
     Warm,
     Work,
     WorkKey,
@@ -220,12 +220,12 @@
         commands: list[DispatchCommand] = []
         if leaving and boot not in self._leaving_boots:
             self._leaving_boots.add(boot)
-            commands.append(TellLeaving(self.target, boot))
+            commands.append(ReportLeaving(self.target, boot))
         self._leaving = boot in self._leaving_boots
         return commands + (self._flush(Outcome.LEAVING) if self._leaving else [])
 
-    def told_leaving(self, boot: str) -> list[DispatchCommand]:
-        """Take another box's word that a boot of the target is leaving.
+    def apply_leaving_report(self, boot: str) -> list[DispatchCommand]:
+        """Take another box's report that a boot of the target is leaving.
 
         A boot that this box has not met is taken for a newer one than it knows, until the
         target's own word.
--- a/trackwheel/dispatch/models.py
+++ b/trackwheel/dispatch/models.py
@@ -225,7 +225,7 @@
     target: str
 
 
-class TellLeaving(NamedTuple):
+class ReportLeaving(NamedTuple):
     """Command: tell the fleet that a target is leaving."""
 
     target: str
@@ -241,7 +241,7 @@
     | PermitUnused
     | Warm
     | CheckHealth
-    | TellLeaving
+    | ReportLeaving
 )
 
 
--- a/trackwheel/dispatch/owner.py
+++ b/trackwheel/dispatch/owner.py
@@ -162,8 +162,8 @@
             return []
         return self._touched(line, line.health(reachable, boot, leaving, now))
 
-    def told_leaving(self, notes: tuple[TargetNote, ...]) -> list[DispatchCommand]:
-        """Take other boxes' word that targets are leaving."""
+    def apply_leaving_report(self, notes: tuple[TargetNote, ...]) -> list[DispatchCommand]:
+        """Take reports of other boxes that targets are leaving."""
         commands: list[DispatchCommand] = []
         for note in notes:
             self._note_by_target.pop(note.address, None)
@@ -172,7 +172,7 @@
                 del self._note_by_target[next(iter(self._note_by_target))]
             line = self._line_by_target.get(note.address)
             if line is not None:
-                commands += self._touched(line, line.told_leaving(note.target_boot))
+                commands += self._touched(line, line.apply_leaving_report(note.target_boot))
         return commands
 
     def tick(self, now: float) -> list[DispatchCommand]:
@@ -219,6 +219,6 @@
             note = self._note_by_target.get(work.target)
             commands += line.first_commands
             if note is not None:
-                commands += self._touched(line, line.told_leaving(note.target_boot))
+                commands += self._touched(line, line.apply_leaving_report(note.target_boot))
         offered = line.offer(work, self._share(work.group), now)
         return commands + self._touched(line, offered)
--- a/trackwheel/dispatch/service.py
+++ b/trackwheel/dispatch/service.py
@@ -32,12 +32,12 @@
     Ping,
     Pong,
     Refuse,
+    ReportLeaving,
     RunOutcome,
     Scatter,
     SendExecute,
     SendQuery,
     SubAnswer,
-    TellLeaving,
     Warm,
     Withdraw,
     Work,
@@ -64,14 +64,14 @@
         self,
         hub: Hub,
         client: TargetClient,
-        tell_leaving: Callable[[TargetNote], None],
+        report_leaving: Callable[[TargetNote], None],
         guard: SendGuard,
         log: EventLog,
     ) -> None:
         self._hub = hub
         self._guard = guard
         self._log = log
-        self._tell_leaving = tell_leaving
+        self._report_leaving = report_leaving
         self._owner = Owner()
         self._inbox: Inbox[Event] = Inbox()
         self._exchanges = TargetExchanges(hub, client, guard, self._inbox.put)
@@ -99,8 +99,8 @@
         """Take the files in force."""
         self._inbox.put(InForceChanged(in_force))
 
-    def told_leaving(self, notes: tuple[TargetNote, ...]) -> None:
-        """Take other boxes' word that targets are leaving."""
+    def apply_leaving_report(self, notes: tuple[TargetNote, ...]) -> None:
+        """Take reports of other boxes that targets are leaving."""
         self._inbox.put(NotesLearnt(notes))
 
     async def run(self) -> None:
@@ -143,7 +143,7 @@
             case InForceChanged(in_force):
                 return self._owner.set_in_force(in_force)
             case NotesLearnt(notes):
-                return self._owner.told_leaving(notes)
+                return self._owner.apply_leaving_report(notes)
 
     def _handle_gateway(
         self,
@@ -214,9 +214,9 @@
                 case Warm(target, connections):
                     for _ in range(connections):
                         tasks.start_soon(self._exchanges.warm, target)
-                case TellLeaving(target, boot):
+                case ReportLeaving(target, boot):
                     LOG.info(f"Target {target} is leaving and gets no new work.")
-                    self._tell_leaving(TargetNote(target, boot))
+                    self._report_leaving(TargetNote(target, boot))
 
     def _ask_permit(self, work: Work) -> None:
         key = work.key
--- a/trackwheel/fleet/service.py
+++ b/trackwheel/fleet/service.py
@@ -102,7 +102,7 @@
         """Say to the fleet that this box is leaving."""
         self._inbox.put(lambda now: self._membership.leave())
 
-    def tell_leaving(self, note: TargetNote) -> None:
+    def report_leaving(self, note: TargetNote) -> None:
         """Tell the fleet that a target is leaving."""
         self._inbox.put(lambda now: self._membership.note_leaving_target(note, now))
 
@@ -196,7 +196,7 @@
         self._inbox.put(lambda now: self._membership.link_lost(address, now))
 
     def _reachable(self) -> tuple[Member, ...]:
-        """Return the members that may own targets as seen from here."""
+        """Return the members among which targets are owned, as seen from here."""
         now = steady_now()
         until = self._unreachable_until_by_address
         for address in [address for address, end in until.items() if end <= now]:
