Pass over what an earlier boot of a target says once a later one is known

Fix: a boot that is over says nothing any more; a page that names no boot speaks for the one that is known. Before: both new cases fail. After: they pass.

--- a/tests/dispatch/test_line.py
+++ b/tests/dispatch/test_line.py
@@ -145,6 +145,18 @@
     assert outcomes(session.offer(0.2)[1]) == []
 
 
+@pytest.mark.parametrize("late", ["boot1", ""], ids=["earlier-boot", "no-boot"])
+def test_late_answer_of_an_earlier_boot_hides_no_report(late: str) -> None:
+    """A report on the target's boot would be passed over as one on an earlier boot."""
+    session = LineSession()
+    session.line.health(True, "boot2", False, 0.1)
+    session.line.health(True, late, False, 0.2)
+    session.line.apply_leaving_report("boot2")
+    assert outcomes(session.offer(0.3)[1]) == [Outcome.LEAVING]
+    session.line.health(True, late, False, 0.4)
+    assert outcomes(session.offer(0.5)[1]) == [Outcome.LEAVING]
+
+
 def eject(session: LineSession) -> float:
     now = 0.0
     for _ in range(3):
--- a/trackwheel/dispatch/line.py
+++ b/trackwheel/dispatch/line.py
@@ -212,6 +212,9 @@
         Only a new boot ends leaving, since a health page may lie about it.
         """
         self._health_at = now + HEALTH_PERIOD_S
+        boot = boot or self._boot
+        if boot in self._past_boots:
+            return []
         if boot != self._boot:
             if self._boot:
                 self._past_boots.add(self._boot)
