Never block or fail on a log sentence that nobody reads

Found in reading: events on the product's own path set standard output to non-blocking; where standard error shares its pipe (2>&1), a log sentence to a slow reader would have raised in the middle of a decision, and before that change it would have stopped the box. Fix: sentences are written as events are, and dropped where there is no room.

--- a/trackwheel/telemetry/logs.py
+++ b/trackwheel/telemetry/logs.py
@@ -1,6 +1,7 @@
 """Logs: short sentences with a fixed prefix for each part, as text or JSON lines."""
 
 import json
+import os
 import sys
 
 import logbook
@@ -30,6 +31,22 @@
         self._logger.error(sentence)
 
 
+class DroppingStream:
+    """Write text to a descriptor, and drop it where a slow reader leaves no room."""
+
+    def __init__(self, descriptor: int) -> None:
+        self._descriptor = descriptor
+        self.dropped = 0
+        os.set_blocking(descriptor, False)
+
+    def write(self, text: str) -> None:
+        """Write one line, or drop it; never blocks and never fails."""
+        try:
+            os.write(self._descriptor, text.encode())
+        except OSError:
+            self.dropped += 1
+
+
 def _format_json(record: logbook.LogRecord, handler: object) -> str:
     fields = {
         "time": record.time.isoformat() + "Z",
@@ -44,7 +61,9 @@
     """Send logs to standard error in the wanted form."""
     text = "{record.time:%Y-%m-%dT%H:%M:%S.%f} {record.level_name} [{record.channel}] "
     handler = logbook.StreamHandler(
-        sys.stderr, level=level.upper(), format_string=text + "{record.message}"
+        DroppingStream(sys.stderr.fileno()),
+        level=level.upper(),
+        format_string=text + "{record.message}",
     )
     if log_format == "json":
         handler.formatter = _format_json
