--- a/tests/gateway/test_board.py
+++ b/tests/gateway/test_board.py
@@ -1,5 +1,7 @@
 """What a gateway learns of targets beside pauses: one pause is one observation."""
 
+import random
+
 import pytest
 
 from trackwheel.gateway.board import Board
@@ -62,3 +64,31 @@
     for _ in range(10):
         board.learn_latency("s", "b", USUAL_S, now)
     assert {board.choose(TARGETS, set(), now) for _ in range(100)} == {"b"}
+
+
+def longest_gap_s(seed: int, seconds: float = 60.0, rate: float = 40.0) -> float:
+    """Return the longest time in which a replica got nothing from three gateways beside pauses."""
+    draw = random.Random(seed)
+    boards = [Board(seed=10 * seed + number) for number in range(3)]
+    asked_at = dict.fromkeys(TARGETS, 0.0)
+    gaps_s = []
+    next_pause = draw.uniform(0.5, 1.5)
+    for number in range(int(seconds * rate)):
+        now = number / rate
+        board = boards[number % len(boards)]
+        target = board.choose(TARGETS, set(), now)
+        assert target is not None
+        took_s = 0.004 + draw.expovariate(1 / 0.003)
+        if now >= next_pause:
+            took_s = draw.uniform(0.05, 0.3)
+            next_pause = now + draw.uniform(0.5, 1.5)
+        board.learn_latency("s", target, took_s, now + took_s)
+        gaps_s.append(now - asked_at[target])
+        asked_at[target] = now
+    return max([*gaps_s, *(seconds - at for at in asked_at.values())])
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_no_replica_is_left_without_work_for_long_beside_pauses(seed: int) -> None:
+    """A leaving target whose page lies is found by its first answer, which came after seconds."""
+    assert longest_gap_s(seed) < 2.0
