Let the first slow answer of a target bound what counts as a stall

Cause, from its log: refusals 'ejected' at targets of which nothing had been learnt yet (mean_ms 5, learnt_age null). Fix: until the second answer the first one bounds what counts as a stall. Before: one of the two new cases fails.

--- a/tests/dispatch/test_service_time.py
+++ b/tests/dispatch/test_service_time.py
@@ -3,6 +3,7 @@
 import pytest
 
 from tests.dispatch.test_line import Commands, LineSession, outcomes
+from trackwheel.dispatch.const import EJECT_AFTER_STALLS
 from trackwheel.dispatch.models import Ended, Outcome, SendQuery, Work
 from trackwheel.dispatch.service_time import ServiceTime
 
@@ -118,3 +119,20 @@
     assert service_time.mean_s == before_s
     service_time.add(PAUSE_S, PAUSE_S, 2 * PAUSE_S)
     assert service_time.mean_s == pytest.approx(PAUSE_S)
+
+
+@pytest.mark.parametrize(
+    ("held_s", "ejected"),
+    [pytest.param(0.1, False, id="as-slow"), pytest.param(0.5, True, id="far-slower")],
+)
+def test_first_slow_answer_tells_what_has_stalled(held_s: float, ejected: bool) -> None:
+    """A target on a starved machine went out of use after its first answer, as if it hung."""
+    session = PausedTarget()
+    session.arrive()
+    session.now = 0.06
+    session.answer(0.06)
+    for _ in range(EJECT_AFTER_STALLS):
+        work, _ = session.offer(session.now)
+        session.now += held_s
+        session.line.withdraw(work.key, session.now)
+    assert session.line.ejected(session.now) is ejected
--- a/trackwheel/dispatch/line.py
+++ b/trackwheel/dispatch/line.py
@@ -33,7 +33,6 @@
 )
 from trackwheel.dispatch.trial import Trial
 from trackwheel.files.models import ServiceSpec
-from trackwheel.stalls import STALL_FACTOR
 
 
 class _Run(NamedTuple):
@@ -329,7 +328,7 @@
 
     def _stalled(self, run: _Run, held_s: float, now: float) -> bool:
         """Take how long a request held its slot; return whether the target is ejected by that."""
-        if held_s <= STALL_FACTOR * self._limiter.mean_s:
+        if held_s <= self._limiter.service_time.stall_s:
             return False
         return self._ejection.stalled(run.started, now)
 
--- a/trackwheel/telemetry/event_loop.py
+++ b/trackwheel/telemetry/event_loop.py
@@ -8,7 +8,7 @@
 from trackwheel.telemetry.events import EventLog
 from trackwheel.units import MILLISECONDS
 
-CHECK_PERIOD_S: Final = 0.05
+CHECK_PERIOD_S: Final = 0.1
 LATE_WAKE_S: Final = 0.04
 
 
