--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -41,6 +41,8 @@
 KEEPER = "tests/files/test_keeper.py::"
 LINE = "tests/dispatch/test_line.py::"
 SHARING = "tests/dispatch/test_sharing.py::"
+PAUSES = "tests/dispatch/test_service_time.py::"
+REPLICAS = "tests/gateway/test_board.py::"
 MEMBERS = "tests/fleet/test_membership.py::"
 SHARDS = "tests/relay/test_gather.py::"
 HOMES = "tests/relay/test_homes.py::"
@@ -90,6 +92,7 @@
 FOREIGN = "an entry of another writer names no target, and the others hold"
 BUDGET = "repeats stay within the budget of all boxes together"
 GONE = "work of a client that left is cancelled"
+PAUSE = "a pause is no overload: work that can be done in time is not refused"
 
 ROWS = (
     Row(
@@ -1529,4 +1532,95 @@
         CLOCK + "test_box_that_was_suspended_joins_again",
         Mutant("trackwheel/clock.py", '"CLOCK_BOOTTIME"', '"CLOCK_MONOTONIC"'),
     ),
+    Row(
+        LOAD,
+        PAUSE,
+        "a target pauses once: what waited and what comes is done",
+        PAUSES + "test_work_that_waited_out_a_pause_is_done",
+        Mutant(
+            "trackwheel/stalls.py",
+            "most_s = STALL_FACTOR * usual_s",
+            'most_s = float("inf")',
+        ),
+    ),
+    Row(
+        LOAD,
+        PAUSE,
+        "two pauses of a target that got nothing between them",
+        PAUSES + "test_stalls_far_apart_are_pauses",
+        Mutant("trackwheel/stalls.py", "started < self._stalled_at + CONFIRM_WITHIN_S", "True"),
+    ),
+    Row(
+        LOAD,
+        PAUSE,
+        "a pause delays several requests at one target: it stays in use",
+        LINE + "test_requests_that_one_pause_delayed_do_not_eject_a_target",
+        Mutant("trackwheel/dispatch/ejection.py", "if started < self._stalled_at:", "if False:"),
+    ),
+    Row(
+        LOAD,
+        PAUSE,
+        "a target is out of use, and the shard's other one is lost",
+        GATHER + "test_ejected_replica_is_asked_when_the_other_one_is_lost",
+        Mutant(
+            "trackwheel/gateway/gather.py",
+            "if target not in instance.tried or target in instance.ejected",
+            "if target not in instance.tried",
+        ),
+    ),
+    Row(
+        LOAD,
+        PAUSE,
+        "a replica pauses once: it gets work again",
+        REPLICAS + "test_target_that_paused_once_gets_work_again_soon",
+        Mutant(
+            "trackwheel/gateway/board.py",
+            "return self.stalls.admit(now - seconds, seconds, usual_s, now)",
+            "return seconds",
+        ),
+    ),
+    Row(
+        FLEET,
+        STOP,
+        "all other boxes pause while a box stops",
+        BOXES + "test_planned_stop_beside_paused_boxes_cuts_off_nothing",
+        Mutant(
+            "trackwheel/fleet/ownership.py",
+            "return reachable if any(may_own(member) for member in reachable) else members",
+            "return reachable",
+        ),
+    ),
+    Row(
+        FLEET,
+        STOP,
+        "a message to a box without a valid address",
+        "tests/peers/test_hub.py::test_message_to_an_invalid_address_does_not_end_the_hub",
+        Mutant(
+            "trackwheel/peers/hub.py",
+            "except (InvalidURI, ValueError) as error:",
+            "except KeyError as error:",
+        ),
+    ),
+    Row(
+        FLEET,
+        LEAVING,
+        "an owner missed a restart of the target of which others say that it leaves",
+        LINE + "test_word_of_a_boot_not_met_yet_ends_new_work_until_the_target_speaks",
+        Mutant(
+            "trackwheel/dispatch/line.py",
+            "if boot in self._past_boots:\n            return []\n        self._leaving = True",
+            'if self._boot not in ("", boot):\n            return []\n        self._leaving = True',
+        ),
+    ),
+    Row(
+        FLEET,
+        LEAVING,
+        "an answer of an earlier boot comes late",
+        LINE + "test_late_answer_of_an_earlier_boot_hides_no_report",
+        Mutant(
+            "trackwheel/dispatch/line.py",
+            "boot = boot or self._boot\n        if boot in self._past_boots:",
+            "if False:",
+        ),
+    ),
 )
