--- a/tests/dispatch/test_service_time.py
+++ b/tests/dispatch/test_service_time.py
@@ -136,3 +136,11 @@
         session.now += held_s
         session.line.withdraw(work.key, session.now)
     assert session.line.ejected(session.now) is ejected
+
+
+def test_quicker_one_of_the_first_two_answers_is_believed() -> None:
+    """A target whose first answer was slow and whose second one met a pause got no work."""
+    service_time = ServiceTime()
+    service_time.add(0.0, 0.04, 0.04)
+    service_time.add(0.05, PAUSE_S, 0.05 + PAUSE_S)
+    assert service_time.mean_s < PAUSE_S / 2
