--- a/tests/whole/test_target_faults.py
+++ b/tests/whole/test_target_faults.py
@@ -1,6 +1,7 @@
 """Targets that straggle, die, lie, answer in half, move shards and leave, through real boxes."""
 
 import asyncio
+import json
 import time
 from collections.abc import Iterator
 from typing import Any
@@ -110,6 +111,20 @@
     assert took_s < 0.25, "at once, not at the deadline of 500 ms"
 
 
+def test_refused_query_is_logged_with_its_reasons(
+    fleet: SmallFleet, targets: list[list[str]]
+) -> None:
+    """On-call engineers could not tell overload from a pause by the logs."""
+    for address in targets[4]:
+        fleet.control(address, shed=True)
+    response = fleet.query(fleet.boxes[0], "clerks-key", SERVICE)
+    assert response.status_code == 503
+    lines = [line for line in fleet.log("box-0").splitlines() if '"query_given_up"' in line]
+    event = json.loads(lines[-1])
+    assert event["overloaded"] is True
+    assert "shed 1" in event["lacking"]
+
+
 def test_versions_flip_under_load(fleet: SmallFleet, targets: list[list[str]]) -> None:
     async def flip(callers: Callers) -> None:
         for version in (2, 3, 4):
