--- a/tests/dispatch/test_service_time.py
+++ b/tests/dispatch/test_service_time.py
@@ -144,3 +144,14 @@
     service_time.add(0.0, 0.04, 0.04)
     service_time.add(0.05, PAUSE_S, 0.05 + PAUSE_S)
     assert service_time.mean_s < PAUSE_S / 2
+
+
+def test_second_pause_soon_after_the_first_counts_once() -> None:
+    """A box that paused twice took each request of the second pause for proof of a slow target."""
+    service_time = ServiceTime()
+    service_time.add(-1.0, SERVICE_S, -1.0 + SERVICE_S)
+    service_time.add(0.0, PAUSE_S, PAUSE_S)
+    end = 1.0
+    began = [0.35, 0.36, 0.4, 0.45]
+    taken = [service_time.add(at, end - at, end) for at in began]
+    assert sum(value is not None for value in taken) == 1
