--- a/bench/policy.py
+++ b/bench/policy.py
@@ -11,10 +11,10 @@
 from bench.policy_fleet import Kind, ModelFleet, Tally, credit_share
 from bench.policy_targets import Trouble
 from bench.report import Report, Series
-from trackwheel.relay import peers
-from trackwheel.relay.const import PEERS_IN_ROTATION
+from trackwheel.delegation import peers
+from trackwheel.delegation.const import PEERS_IN_ROTATION
+from trackwheel.delegation.peers import PeerBox
 from trackwheel.relay.models import Place, Target
-from trackwheel.relay.peers import PeerBox
 
 PLACES: Final = tuple(
     Place(region, f"{region}-{domain}") for domain in ("a", "b") for region in ("r1", "r2", "r3")
--- a/bench/policy_fleet.py
+++ b/bench/policy_fleet.py
@@ -12,10 +12,11 @@
 
 from bench.agenda import Action, Agenda, Processor
 from bench.policy_targets import QUIET, Habits, ModelTarget
-from trackwheel.relay.budget import RetryBudget, RetryBudgetLimits
-from trackwheel.relay.down_reports import DownReports, TargetDown
-from trackwheel.relay.gather import Gather
-from trackwheel.relay.gather_models import (
+from trackwheel.delegation.gatherers import choose_gatherers
+from trackwheel.delegation.grouping import GroupPlanner
+from trackwheel.delegation.peers import PeerBox, PeerTracker
+from trackwheel.gathering.gather import Gather
+from trackwheel.gathering.gather_models import (
     CancelGroup,
     CancelPart,
     Declined,
@@ -26,11 +27,10 @@
     SendGroup,
     SendPart,
 )
-from trackwheel.relay.gatherers import choose_gatherers
-from trackwheel.relay.grouping import GroupPlanner
 from trackwheel.relay.models import Load, Outcome, Part, Place, RouteKey, Target, TargetResult
-from trackwheel.relay.peers import PeerBox, PeerTracker
-from trackwheel.relay.target_selector import TargetSelector
+from trackwheel.selection.budget import RetryBudget, RetryBudgetLimits
+from trackwheel.selection.down_reports import DownReports, TargetDown
+from trackwheel.selection.target_selector import TargetSelector
 
 SEND_S: Final = 0.0004
 """Processor time of one request to a target and its answer, for one core."""
--- a/bench/policy_shifted.py
+++ b/bench/policy_shifted.py
@@ -16,11 +16,12 @@
 from bench.policy_fleet import Kind, ModelFleet, Tally, credit_share
 from bench.policy_targets import Habits, Trouble
 from bench.report import Report, Series
-from trackwheel.relay import attempts, shard_requester
-from trackwheel.relay.attempts import NEVER
+from trackwheel.delegation.peers import PeerBox
+from trackwheel.gathering import shard_requester
 from trackwheel.relay.models import Place, Target
-from trackwheel.relay.peers import PeerBox
-from trackwheel.relay.target_selector import Candidate
+from trackwheel.selection import attempts
+from trackwheel.selection.attempts import NEVER
+from trackwheel.selection.target_selector import Candidate
 
 REGIONS: Final = ("r1", "r2", "r3")
 PLACES: Final = tuple(Place(region, f"{region}-{name}") for name in "ab" for region in REGIONS)
--- a/tests/relay/test_grouping.py
+++ b/tests/delegation/test_grouping.py
@@ -6,13 +6,13 @@
 import pytest
 
 from tests.relay.conftest import HERE, ROUTE, THERE, target
-from trackwheel.relay.const import PEER_AVOID_S, PEERS_IN_ROTATION
-from trackwheel.relay.gather_models import GatherPlan
-from trackwheel.relay.gatherers import choose_gatherers
-from trackwheel.relay.grouping import GroupPlanner, group_remote_shards
+from trackwheel.delegation.const import PEER_AVOID_S, PEERS_IN_ROTATION
+from trackwheel.delegation.gatherers import choose_gatherers
+from trackwheel.delegation.grouping import GroupPlanner, group_remote_shards
+from trackwheel.delegation.peers import PeerBox, PeerTracker
+from trackwheel.gathering.gather_models import GatherPlan
 from trackwheel.relay.models import Place, Target
-from trackwheel.relay.peers import PeerBox, PeerTracker
-from trackwheel.relay.target_selector import TargetSelector
+from trackwheel.selection.target_selector import TargetSelector
 
 BESIDE = Place("here", "here-b")
 YONDER = Place("yonder", "yonder-a")
--- a/tests/relay/test_outbound_groups.py
+++ b/tests/delegation/test_outbound_groups.py
@@ -7,13 +7,13 @@
 import pytest
 
 from tests.relay.conftest import HERE, ROUTE
+from trackwheel.delegation.outbound_groups import OutboundGroups
+from trackwheel.delegation.peers import GroupDeclined, GroupParts
+from trackwheel.gathering.gather import Gather
+from trackwheel.gathering.gather_models import GatherPlan, GroupPlan, SendGroup
 from trackwheel.peers.models import PeerIdentity
-from trackwheel.relay.budget import RetryBudget
-from trackwheel.relay.gather import Gather
-from trackwheel.relay.gather_models import GatherPlan, GroupPlan, SendGroup
-from trackwheel.relay.outbound_groups import OutboundGroups
-from trackwheel.relay.peers import GroupDeclined, GroupParts
-from trackwheel.relay.target_selector import TargetSelector
+from trackwheel.selection.budget import RetryBudget
+from trackwheel.selection.target_selector import TargetSelector
 
 PEER = PeerIdentity("box-2", "boot", "peer:1", "here", "here-a")
 GROUP = GroupPlan("peer:1", HERE, ("s0", "s1"), 0.06, 0.08)
--- a/tests/relay/test_crashing_query.py
+++ b/tests/gathering/test_crashing_query.py
@@ -6,14 +6,14 @@
 
 import pytest
 
+from tests.gathering.test_gather import ANSWER_AT, GROUP, SHARDS, Session, SinglePeerRegrouper
 from tests.relay.conftest import ROUTE, THERE, target_result
-from tests.relay.test_gather import ANSWER_AT, GROUP, SHARDS, Session, SinglePeerRegrouper
-from trackwheel.relay.budget import RetryBudget
-from trackwheel.relay.gather import CRASHES_TARGETS
-from trackwheel.relay.gather_models import Gathered, GatherFailed
+from trackwheel.gathering.gather import CRASHES_TARGETS
+from trackwheel.gathering.gather_models import Gathered, GatherFailed
 from trackwheel.relay.models import Outcome, SendPermission
 from trackwheel.relay.single import Single, SingleFailed, SinglePlan
-from trackwheel.relay.target_selector import TargetSelector
+from trackwheel.selection.budget import RetryBudget
+from trackwheel.selection.target_selector import TargetSelector
 
 
 class Gate:
--- a/tests/relay/test_gather.py
+++ b/tests/gathering/test_gather.py
@@ -3,10 +3,10 @@
 import pytest
 
 from tests.relay.conftest import HERE, OLD, ROUTE, THERE, target_result
-from trackwheel.relay.budget import RetryBudget, RetryBudgetLimits
-from trackwheel.relay.const import MAX_SENDS
-from trackwheel.relay.gather import Gather
-from trackwheel.relay.gather_models import (
+from trackwheel.delegation.grouping import GroupPlanner
+from trackwheel.delegation.peers import PeerBox, PeerTracker
+from trackwheel.gathering.gather import Gather
+from trackwheel.gathering.gather_models import (
     CancelGroup,
     CancelPart,
     Declined,
@@ -20,10 +20,10 @@
     SendGroup,
     SendPart,
 )
-from trackwheel.relay.grouping import GroupPlanner
 from trackwheel.relay.models import OPEN_GATE, Outcome, Part, SendGate
-from trackwheel.relay.peers import PeerBox, PeerTracker
-from trackwheel.relay.target_selector import TargetSelector
+from trackwheel.selection.budget import RetryBudget, RetryBudgetLimits
+from trackwheel.selection.const import MAX_SENDS
+from trackwheel.selection.target_selector import TargetSelector
 
 SHARDS = tuple(f"s{number}" for number in range(10))
 ANSWER_AT = 0.18
--- a/tests/relay/test_merge.py
+++ b/tests/gathering/test_merge.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from trackwheel.relay.merge import merge_records, split_records, top_records
+from trackwheel.gathering.merge import merge_records, split_records, top_records
 
 
 def record(number: int) -> bytes:
--- a/tests/relay/test_parts.py
+++ b/tests/gathering/test_parts.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from trackwheel.relay.merge import merge_records
+from trackwheel.gathering.merge import merge_records
+from trackwheel.gathering.parts import ReceivedParts
 from trackwheel.relay.models import Part
-from trackwheel.relay.parts import ReceivedParts
 
 SHARDS = ("a", "b", "c", "d")
 
--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -44,24 +44,24 @@
 PAUSES = "tests/dispatch/test_service_time.py::"
 REPLICAS = "tests/gateway/test_target_selector.py::"
 MEMBERS = "tests/fleet/test_membership.py::"
-SHARDS = "tests/relay/test_gather.py::"
+SHARDS = "tests/gathering/test_gather.py::"
 HOMES = "tests/relay/test_homes.py::"
-COLD = "tests/relay/test_cold.py::"
-INCARNATIONS = "tests/relay/test_incarnations.py::"
+COLD = "tests/selection/test_cold.py::"
+INCARNATIONS = "tests/selection/test_incarnations.py::"
 ENTRIES = "tests/platform/test_entries.py::"
 EVACUATED = "tests/directory/test_evacuations.py::"
-PARTS_IN = "tests/relay/test_parts.py::"
+PARTS_IN = "tests/gathering/test_parts.py::"
 SINGLE = "tests/relay/test_single.py::"
-REPEATS = "tests/relay/test_budget.py::"
-CHOICE = "tests/relay/test_target_selector.py::"
+REPEATS = "tests/selection/test_budget.py::"
+CHOICE = "tests/selection/test_target_selector.py::"
 HTTP_TARGET = "tests/http1/test_client.py::"
 HTTP_CLIENT = "tests/http1/test_server.py::"
 DIRECTORY = "tests/directory/test_targets.py::"
 WATCHING = "tests/directory/test_watcher_election.py::"
 OUTAGE = "tests/directory/test_store_outage.py::"
-DOWN_REPORTS = "tests/relay/test_down_reports.py::"
+DOWN_REPORTS = "tests/selection/test_down_reports.py::"
 CRASHING = "tests/whole/test_crashing_request.py::"
-CRASHING_QUERY = "tests/relay/test_crashing_query.py::"
+CRASHING_QUERY = "tests/gathering/test_crashing_query.py::"
 CRASH_TRACKER = "tests/quarantine/test_crash_tracker.py::"
 HOLDING = "tests/quarantine/test_fleet.py::"
 CLOCK = "tests/test_clock.py::"
@@ -645,28 +645,28 @@
         OWN,
         "a part comes directly and again among a peer's merged ones",
         SHARDS + "test_no_shard_counts_twice",
-        Mutant("trackwheel/relay/parts.py", "self._part_by_shard.pop(shard, None)", "pass"),
+        Mutant("trackwheel/gathering/parts.py", "self._part_by_shard.pop(shard, None)", "pass"),
     ),
     Row(
         PLATFORM,
         OWN,
         "a peer brings parts of shards that it was not asked for",
         SHARDS + "test_parts_of_shards_that_were_not_asked_are_dropped",
-        Mutant("trackwheel/relay/parts.py", "shards - set(asked) or ", ""),
+        Mutant("trackwheel/gathering/parts.py", "shards - set(asked) or ", ""),
     ),
     Row(
         PLATFORM,
         OWN,
         "a part comes by itself from a second peer, and merged from the first",
         PARTS_IN + "test_shards_that_come_twice_count_once",
-        Mutant("trackwheel/relay/parts.py", "if shard not in self:", "if True:"),
+        Mutant("trackwheel/gathering/parts.py", "if shard not in self:", "if True:"),
     ),
     Row(
         PLATFORM,
         OWN,
         "late parts leave out records that cannot count",
         PARTS_IN + "test_floor_is_the_least_record_that_can_count",
-        Mutant("trackwheel/relay/parts.py", "if shard not in self._merged_by_peer", "if True"),
+        Mutant("trackwheel/gathering/parts.py", "if shard not in self._merged_by_peer", "if True"),
     ),
     Row(
         PLATFORM,
@@ -674,7 +674,7 @@
         "shards are late at a peer: they go beside other targets",
         SHARDS + "test_what_a_report_lacks_goes_in_one_group",
         Mutant(
-            "trackwheel/relay/gather.py",
+            "trackwheel/gathering/gather.py",
             "delegated = self._delegate_elsewhere(missing, True, now)",
             "delegated: set[str] = set()",
         ),
@@ -685,7 +685,7 @@
         "the targets beside a peer are slow: it leaves their shards to others",
         SHARDS + "test_declined_shards_go_elsewhere_and_are_no_repeats",
         Mutant(
-            "trackwheel/relay/gather.py",
+            "trackwheel/gathering/gather.py",
             "delegated = self._delegate_elsewhere(declined, repeat, now)",
             "delegated = self._delegate_elsewhere(declined, True, now)",
         ),
@@ -695,7 +695,7 @@
         NOT_RUN,
         "a peer is lost before it told whether targets ran its shards",
         SHARDS + "test_failure_reports_whether_a_peer_may_have_run_it",
-        Mutant("trackwheel/relay/gather.py", "        self._peers_ran = True\n", ""),
+        Mutant("trackwheel/gathering/gather.py", "        self._peers_ran = True\n", ""),
     ),
     Row(
         PLATFORM,
@@ -703,7 +703,7 @@
         "a second peer is handed what a first one has",
         SHARDS + "test_no_shard_is_asked_more_often_than_allowed",
         Mutant(
-            "trackwheel/relay/attempts.py",
+            "trackwheel/selection/attempts.py",
             "        self._tried |= targets\n        self._runs += 1\n",
             "        self._tried |= targets\n",
         ),
@@ -714,7 +714,7 @@
         "a box asks targets in the place of another one that used its part",
         REPEATS + "test_new_gatherer_has_no_share_for_a_window",
         Mutant(
-            "trackwheel/relay/allowance_sharers.py",
+            "trackwheel/selection/allowance_sharers.py",
             " or self._is_new(self._gathers_since, now)",
             "",
         ),
@@ -768,7 +768,7 @@
         "a peer that does not accept, or accepts and falls silent",
         SHARDS + "test_shards_of_a_silent_peer_are_requested_elsewhere",
         Mutant(
-            "trackwheel/relay/delegated.py",
+            "trackwheel/gathering/delegated.py",
             "if group.check_at <= now]",
             "if group.check_at < 0]",
         ),
@@ -834,7 +834,7 @@
         AT_ONCE,
         "so many shards failed that the least coverage cannot be reached",
         SHARDS + "test_query_that_cannot_succeed_fails_at_once",
-        Mutant("trackwheel/relay/gather.py", "elif self._cannot_succeed():", "elif False:"),
+        Mutant("trackwheel/gathering/gather.py", "elif self._cannot_succeed():", "elif False:"),
     ),
     Row(
         PLATFORM,
@@ -842,7 +842,7 @@
         "1 to 60 boxes at three rates, every window",
         REPEATS + "test_all_boxes_together_stay_within_the_limit",
         Mutant(
-            "trackwheel/relay/budget.py",
+            "trackwheel/selection/budget.py",
             "return allowance / members",
             "return allowance",
         ),
@@ -853,7 +853,7 @@
         "boxes are killed and come back, each thinking that it is alone",
         REPEATS + "test_restarted_boxes_stay_within_the_limit",
         Mutant(
-            "trackwheel/relay/allowance_sharers.py",
+            "trackwheel/selection/allowance_sharers.py",
             "0 if self._is_new(self._started_at, now) else ",
             "",
         ),
@@ -864,7 +864,7 @@
         "a target's address was given to another service",
         CHOICE + "test_target_replaced_at_its_address_gets_no_requests",
         Mutant(
-            "trackwheel/relay/record.py",
+            "trackwheel/selection/record.py",
             "self.ejected_until = self.gone_until = now + REPLACED_EJECT_S",
             "pass",
         ),
@@ -875,7 +875,7 @@
         "targets refuse connections",
         SHARDS + "test_failed_connections_do_not_enlarge_the_budget",
         Mutant(
-            "trackwheel/relay/attempts.py",
+            "trackwheel/selection/attempts.py",
             "if not self._first_counted:",
             "if self._deliveries == 0:",
         ),
@@ -886,7 +886,7 @@
         "a peer and this box ask for the same shard",
         SHARDS + "test_peer_and_this_box_share_the_attempt_limit",
         Mutant(
-            "trackwheel/relay/gather_models.py",
+            "trackwheel/gathering/gather_models.py",
             "return max(1, self.max_attempts - 1)",
             "return self.max_attempts",
         ),
@@ -976,7 +976,7 @@
         "a target dies; false, old and repeated news of it",
         DOWN_REPORTS + "test_reports_of_other_boxes",
         Mutant(
-            "trackwheel/relay/target_selector.py",
+            "trackwheel/selection/target_selector.py",
             "if record.answered_at >= failed_at or record.reported_down_until >= until:",
             "if record.reported_down_until >= until:",
         ),
@@ -987,7 +987,7 @@
         "a peer that may not pay for a repeat gives it back",
         SHARDS + "test_shard_that_peers_decline_is_retried",
         Mutant(
-            "trackwheel/relay/gather.py",
+            "trackwheel/gathering/gather.py",
             "self._shards[name].attempts.undo_repeat()",
             "pass",
         ),
@@ -998,7 +998,7 @@
         "all targets of a shard refuse connections",
         SHARDS + "test_shard_whose_targets_are_down_is_asked_seldom",
         Mutant(
-            "trackwheel/relay/attempts.py",
+            "trackwheel/selection/attempts.py",
             "reachable = [choice for choice in choices if choice.rests_until <= now]",
             "reachable = choices",
         ),
@@ -1054,7 +1054,7 @@
         "all targets of a shard refuse it, with time left",
         SHARDS + "test_shard_that_all_targets_refused_is_asked_again_within_the_aim",
         Mutant(
-            "trackwheel/relay/shard_requester.py",
+            "trackwheel/gathering/shard_requester.py",
             "elif refusal is Refusal.NOT_NOW and not self._plan.repeat:",
             "elif False:",
         ),
@@ -1065,7 +1065,7 @@
         "repeats that only add coverage meet those without which an answer fails",
         SHARDS + "test_shards_that_may_lack_leave_a_reserve",
         Mutant(
-            "trackwheel/relay/budget.py",
+            "trackwheel/selection/budget.py",
             "            allowed *= 1.0 - BUDGET_RESERVE_SHARE\n",
             "            pass\n",
         ),
@@ -1141,7 +1141,7 @@
         "targets in homes and outside, at the first choice",
         HOMES + "test_only_targets_in_the_homes_are_ranked",
         Mutant(
-            "trackwheel/relay/target_selector.py",
+            "trackwheel/selection/target_selector.py",
             "            if route.allows(target.place.region)\n            if self._may_ask",
             "            if self._may_ask",
         ),
@@ -1151,7 +1151,7 @@
         IN_HOMES,
         "peers in homes and outside, for first groups",
         HOMES + "test_no_group_goes_outside_the_homes",
-        Mutant("trackwheel/relay/grouping.py", "if not route.homes:", "if True:"),
+        Mutant("trackwheel/delegation/grouping.py", "if not route.homes:", "if True:"),
     ),
     Row(
         PLATFORM,
@@ -1231,7 +1231,7 @@
         "two hundred requests a second from each of several boxes",
         COLD + "test_all_boxes_together_keep_the_limit_in_every_second",
         Mutant(
-            "trackwheel/relay/cold.py",
+            "trackwheel/selection/cold.py",
             "return len(self._recent_sends(target, now)) < self.share(target, now)",
             "return True",
         ),
@@ -1242,7 +1242,9 @@
         "all cuts of up to eight boxes in two, with all views that each half may have",
         COLD + "test_partitioned_fleet_keeps_the_limit",
         Mutant(
-            "trackwheel/relay/cold.py", "MAX_FLEET_VIEWS: Final = 2", "MAX_FLEET_VIEWS: Final = 1"
+            "trackwheel/selection/cold.py",
+            "MAX_FLEET_VIEWS: Final = 2",
+            "MAX_FLEET_VIEWS: Final = 1",
         ),
     ),
     Row(
@@ -1251,7 +1253,7 @@
         "boxes restart or take over four times in a row",
         COLD + "test_new_gatherers_have_no_share_while_earlier_ones_may_have_used_it",
         Mutant(
-            "trackwheel/relay/allowance_sharers.py",
+            "trackwheel/selection/allowance_sharers.py",
             "return now - since < self._window_s",
             "return False",
         ),
@@ -1262,7 +1264,7 @@
         "an evacuation is taken back, and targets started anew in it",
         COLD + "test_targets_are_cold_after_an_evacuation_ends",
         Mutant(
-            "trackwheel/relay/target_selector.py",
+            "trackwheel/selection/target_selector.py",
             "            self._assume_returned_cold(chain.from_iterable(before.values()), now)\n",
             "            pass\n",
         ),
@@ -1301,7 +1303,7 @@
         "news of the earlier life, before and after the new entry",
         INCARNATIONS + "test_reports_on_an_earlier_incarnation_do_not_affect_the_new_one",
         Mutant(
-            "trackwheel/relay/down_reports.py",
+            "trackwheel/selection/down_reports.py",
             "return self.instance, self.born_ms",
             "return self.instance, 9_000",
         ),
@@ -1352,7 +1354,7 @@
         "one query over all shards: how many targets it ends",
         CRASHING + "test_crashing_query_spares_the_second_replica_of_each_shard",
         Mutant(
-            "trackwheel/relay/gather.py",
+            "trackwheel/gathering/gather.py",
             "self._closed_connections.has_any and not len(self.parts)",
             "False and not len(self.parts)",
         ),
@@ -1434,7 +1436,7 @@
         HELD,
         "second targets of a query under which the first ones ended",
         CRASHING_QUERY + "test_second_targets_are_spared_while_nothing_has_answered",
-        Mutant("trackwheel/relay/gather.py", "self._closed_connections.own_count += 1", "pass"),
+        Mutant("trackwheel/gathering/gather.py", "self._closed_connections.own_count += 1", "pass"),
     ),
     Row(
         LOAD,
--- a/tests/relay/conftest.py
+++ b/tests/relay/conftest.py
@@ -5,9 +5,9 @@
 import pytest
 
 from trackwheel.http1.models import Response
-from trackwheel.relay.budget import RetryBudget, RetryBudgetLimits
 from trackwheel.relay.models import Load, Outcome, Place, RouteKey, Target, TargetResult
-from trackwheel.relay.target_selector import TargetSelector
+from trackwheel.selection.budget import RetryBudget, RetryBudgetLimits
+from trackwheel.selection.target_selector import TargetSelector
 
 HERE = Place("here", "here-a")
 THERE = Place("there", "there-a")
--- a/tests/relay/test_homes.py
+++ b/tests/relay/test_homes.py
@@ -8,15 +8,15 @@
 import pytest
 
 from tests.relay.conftest import HERE, OLD, ROUTE, THERE, target
+from trackwheel.delegation.grouping import GroupPlanner
+from trackwheel.delegation.peers import RELAY_MESSAGES, GroupForward, PeerBox, PeerTracker
+from trackwheel.gathering.gather import Gather
+from trackwheel.gathering.gather_models import GatherFailed, GatherPlan, SendGroup, SendPart
 from trackwheel.peers.codec import Codec
-from trackwheel.relay.budget import RetryBudget, RetryBudgetLimits
-from trackwheel.relay.gather import Gather
-from trackwheel.relay.gather_models import GatherFailed, GatherPlan, SendGroup, SendPart
-from trackwheel.relay.grouping import GroupPlanner
 from trackwheel.relay.models import Outcome, Place, RouteKey, TargetResult
-from trackwheel.relay.peers import RELAY_MESSAGES, GroupForward, PeerBox, PeerTracker
 from trackwheel.relay.single import SendSingle, Single, SingleFailed, SinglePlan
-from trackwheel.relay.target_selector import NoTargetReason, TargetSelector
+from trackwheel.selection.budget import RetryBudget, RetryBudgetLimits
+from trackwheel.selection.target_selector import NoTargetReason, TargetSelector
 
 BESIDE = Place("here", "here-b")
 YONDER = Place("yonder", "yonder-a")
--- a/tests/relay/test_single.py
+++ b/tests/relay/test_single.py
@@ -3,7 +3,6 @@
 import pytest
 
 from tests.relay.conftest import ROUTE, target_result
-from trackwheel.relay.budget import RetryBudget
 from trackwheel.relay.models import Outcome
 from trackwheel.relay.single import (
     CancelSingle,
@@ -14,7 +13,8 @@
     SingleFailed,
     SinglePlan,
 )
-from trackwheel.relay.target_selector import TargetSelector
+from trackwheel.selection.budget import RetryBudget
+from trackwheel.selection.target_selector import TargetSelector
 
 NOT_RUN = [Outcome.NOT_RUN, Outcome.ELSEWHERE, Outcome.NOT_SENT]
 MAY_HAVE_RUN = [Outcome.FAILED, Outcome.CLOSED, Outcome.BROKEN]
--- a/tests/relay/test_budget.py
+++ b/tests/selection/test_budget.py
@@ -5,7 +5,7 @@
 import pytest
 
 from tests.relay.conftest import OLD
-from trackwheel.relay.budget import RetryBudget, RetryBudgetLimits
+from trackwheel.selection.budget import RetryBudget, RetryBudgetLimits
 
 LIMITS = RetryBudgetLimits(0.2, 10.0, 54.0)
 LARGE_LIMITS = RetryBudgetLimits(0.2, 10.0, 160.0)
--- a/tests/relay/test_cold.py
+++ b/tests/selection/test_cold.py
@@ -10,14 +10,14 @@
 import pytest
 
 from tests.relay.conftest import HERE, OLD, ROUTE, THERE, target
-from trackwheel.relay.allowance_sharers import AllowanceSharers
-from trackwheel.relay.budget import RetryBudget, RetryBudgetLimits
-from trackwheel.relay.cold import MAX_FLEET_VIEWS, ColdLimit, ColdLimitMargin, ColdTargetLimiter
-from trackwheel.relay.gather import Gather
-from trackwheel.relay.gather_models import GatherPlan, SendPart
+from trackwheel.gathering.gather import Gather
+from trackwheel.gathering.gather_models import GatherPlan, SendPart
 from trackwheel.relay.models import Outcome, Target
 from trackwheel.relay.single import SendSingle, Single, SingleFailed, SinglePlan
-from trackwheel.relay.target_selector import NoTargetReason, TargetSelector
+from trackwheel.selection.allowance_sharers import AllowanceSharers
+from trackwheel.selection.budget import RetryBudget, RetryBudgetLimits
+from trackwheel.selection.cold import MAX_FLEET_VIEWS, ColdLimit, ColdLimitMargin, ColdTargetLimiter
+from trackwheel.selection.target_selector import NoTargetReason, TargetSelector
 
 MARGIN = ColdLimitMargin(1.5, 5.0)
 SERVICE = "s"
--- a/tests/relay/test_down_reports.py
+++ b/tests/selection/test_down_reports.py
@@ -5,10 +5,14 @@
 import pytest
 
 from tests.relay.conftest import HERE, ROUTE, THERE, target
-from trackwheel.relay.const import DOWN_REPORT_DISTRUST_S, DOWN_REPORT_INTERVAL_S, REPORTED_DOWN_S
-from trackwheel.relay.down_reports import DownReports, TargetDown
 from trackwheel.relay.models import Outcome, Target
-from trackwheel.relay.target_selector import TargetSelector
+from trackwheel.selection.const import (
+    DOWN_REPORT_DISTRUST_S,
+    DOWN_REPORT_INTERVAL_S,
+    REPORTED_DOWN_S,
+)
+from trackwheel.selection.down_reports import DownReports, TargetDown
+from trackwheel.selection.target_selector import TargetSelector
 
 DOWN = target("down", "s")
 OTHER = target("other", "s", THERE)
--- a/tests/relay/test_incarnations.py
+++ b/tests/selection/test_incarnations.py
@@ -12,9 +12,9 @@
 from tests.relay.conftest import HERE, ROUTE, target
 from trackwheel.directory.models import EntryRemoved, TargetEntry, TargetsPush, TargetsRead
 from trackwheel.directory.targets import TargetDirectory
-from trackwheel.relay.down_reports import DownReports, TargetDown
 from trackwheel.relay.models import Load, Outcome
-from trackwheel.relay.target_selector import TargetSelector
+from trackwheel.selection.down_reports import DownReports, TargetDown
+from trackwheel.selection.target_selector import TargetSelector
 
 FIRST = target("t", "s")._replace(born_ms=1_000)
 SECOND = FIRST._replace(born_ms=9_000)
--- a/tests/relay/test_target_selector.py
+++ b/tests/selection/test_target_selector.py
@@ -3,9 +3,9 @@
 import pytest
 
 from tests.relay.conftest import HERE, ROUTE, THERE, target
-from trackwheel.relay.const import EJECT_AFTER_FAILURES, MAX_EJECT_S, REPLACED_EJECT_S
 from trackwheel.relay.models import Load, Outcome, Target
-from trackwheel.relay.target_selector import TargetSelector
+from trackwheel.selection.const import EJECT_AFTER_FAILURES, MAX_EJECT_S, REPLACED_EJECT_S
+from trackwheel.selection.target_selector import TargetSelector
 
 NEAR = target("near", "s")
 FAR = target("far", "s", THERE)
--- a/trackwheel/relay/gatherers.py
+++ b/trackwheel/delegation/gatherers.py
@@ -10,9 +10,9 @@
 
 from collections.abc import Iterable
 
+from trackwheel.delegation.const import BOXES_PER_GATHERER, MIN_GATHERERS, SMALL_DOMAIN_BOXES
+from trackwheel.delegation.peers import PeerBox
 from trackwheel.fleet.members import ring_position
-from trackwheel.relay.const import BOXES_PER_GATHERER, MIN_GATHERERS, SMALL_DOMAIN_BOXES
-from trackwheel.relay.peers import PeerBox
 
 
 def choose_gatherers(boxes: Iterable[PeerBox]) -> frozenset[str]:
--- a/trackwheel/relay/grouping.py
+++ b/trackwheel/delegation/grouping.py
@@ -4,19 +4,18 @@
 from math import log
 from typing import Final, NamedTuple
 
-from trackwheel.fleet.members import ring_position
-from trackwheel.relay.const import (
+from trackwheel.delegation.const import (
     ACCEPT_SLACK_S,
-    HEDGE_MIN_RESPONSE_TIMES,
-    HEDGE_RESERVE_RESPONSE_TIMES,
     MIN_GROUP_SHARDS,
     MIN_REGROUP_SHARDS,
     PEERS_IN_ROTATION,
 )
-from trackwheel.relay.gather_models import GatherPlan, GroupPlan
+from trackwheel.delegation.peers import PeerBox, PeerTracker
+from trackwheel.fleet.members import ring_position
+from trackwheel.gathering.gather_models import GatherPlan, GroupPlan
 from trackwheel.relay.models import Place, RouteKey
-from trackwheel.relay.peers import PeerBox, PeerTracker
-from trackwheel.relay.target_selector import TargetSelector
+from trackwheel.selection.const import HEDGE_MIN_RESPONSE_TIMES, HEDGE_RESERVE_RESPONSE_TIMES
+from trackwheel.selection.target_selector import TargetSelector
 
 RING_SIZE: Final = 2**64
 OTHER_REGION_DISTANCE: Final = 2
--- a/trackwheel/relay/inbound_groups.py
+++ b/trackwheel/delegation/inbound_groups.py
@@ -3,27 +3,27 @@
 from collections import deque
 
 from trackwheel.clock import steady_now
-from trackwheel.http1.models import Request
-from trackwheel.peers.hub import Hub
-from trackwheel.peers.models import PeerIdentity
-from trackwheel.quarantine.service import Quarantine
-from trackwheel.relay.budget import RetryBudget
-from trackwheel.relay.fingerprint import fingerprint
-from trackwheel.relay.gather import Gather
-from trackwheel.relay.gather_models import Declined, Gathered, GatherFailed, GatherPlan
-from trackwheel.relay.merge import merge_records
-from trackwheel.relay.models import CallerRequest, RouteKey
-from trackwheel.relay.peers import (
+from trackwheel.delegation.peers import (
     GroupAccepted,
     GroupCancel,
     GroupDeclined,
     GroupForward,
     GroupParts,
 )
+from trackwheel.gathering.gather import Gather
+from trackwheel.gathering.gather_models import Declined, Gathered, GatherFailed, GatherPlan
+from trackwheel.gathering.merge import merge_records
+from trackwheel.http1.models import Request
+from trackwheel.peers.hub import Hub
+from trackwheel.peers.models import PeerIdentity
+from trackwheel.quarantine.service import Quarantine
+from trackwheel.relay.fingerprint import fingerprint
+from trackwheel.relay.models import CallerRequest, RouteKey
 from trackwheel.relay.runs import GatherRun, GatherTask, GroupSender
-from trackwheel.relay.target_selector import TargetSelector
 from trackwheel.relay.timer import Timer
 from trackwheel.relay.transport import TargetTransport
+from trackwheel.selection.budget import RetryBudget
+from trackwheel.selection.target_selector import TargetSelector
 from trackwheel.telemetry.events import EventLog
 from trackwheel.units import MILLISECONDS
 
--- a/trackwheel/relay/outbound_groups.py
+++ b/trackwheel/delegation/outbound_groups.py
@@ -4,17 +4,8 @@
 from itertools import count
 
 from trackwheel.clock import steady_now
-from trackwheel.peers.hub import Hub
-from trackwheel.peers.models import PeerIdentity
-from trackwheel.relay.const import MAX_LOGGED_SHARDS, REPORT_MARGIN_S
-from trackwheel.relay.gather_models import (
-    CancelGroup,
-    PeerSilent,
-    SendGroup,
-)
-from trackwheel.relay.merge import split_records
-from trackwheel.relay.models import Wire
-from trackwheel.relay.peers import (
+from trackwheel.delegation.const import REPORT_MARGIN_S
+from trackwheel.delegation.peers import (
     GroupAccepted,
     GroupCancel,
     GroupDeclined,
@@ -22,6 +13,16 @@
     GroupParts,
     PeerTracker,
 )
+from trackwheel.gathering.const import MAX_LOGGED_SHARDS
+from trackwheel.gathering.gather_models import (
+    CancelGroup,
+    PeerSilent,
+    SendGroup,
+)
+from trackwheel.gathering.merge import split_records
+from trackwheel.peers.hub import Hub
+from trackwheel.peers.models import PeerIdentity
+from trackwheel.relay.models import Wire
 from trackwheel.relay.runs import GatherRun, GatherTask
 from trackwheel.telemetry.events import EventLog
 from trackwheel.units import MILLISECONDS
--- a/trackwheel/relay/peers.py
+++ b/trackwheel/delegation/peers.py
@@ -5,7 +5,7 @@
 from itertools import accumulate
 from typing import Final, NamedTuple
 
-from trackwheel.relay.const import (
+from trackwheel.delegation.const import (
     INITIAL_ROUND_TRIP_S,
     PEER_AVOID_S,
     PEERS_IN_ROTATION,
--- a/trackwheel/entry/box.py
+++ b/trackwheel/entry/box.py
@@ -7,6 +7,10 @@
 from typing import Final
 
 from trackwheel.clock import steady_now
+from trackwheel.delegation.gatherers import choose_gatherers
+from trackwheel.delegation.inbound_groups import InboundGroups
+from trackwheel.delegation.outbound_groups import OutboundGroups
+from trackwheel.delegation.peers import RELAY_MESSAGES, PeerBox
 from trackwheel.directory.const import STORE_TIMEOUT_S
 from trackwheel.directory.models import DIRECTORY_MESSAGES
 from trackwheel.directory.service import DirectoryService
@@ -35,20 +39,16 @@
 from trackwheel.platform.wire import PlatformWire
 from trackwheel.quarantine.models import QUARANTINE_MESSAGES
 from trackwheel.quarantine.service import Quarantine
-from trackwheel.relay.budget import RetryBudget
-from trackwheel.relay.cold import ColdLimit, ColdTargetLimiter
-from trackwheel.relay.down_report_exchange import DownReportExchange
-from trackwheel.relay.down_reports import DOWN_REPORT_MESSAGES, DownReports
-from trackwheel.relay.gatherers import choose_gatherers
-from trackwheel.relay.inbound_groups import InboundGroups
 from trackwheel.relay.models import Place, Target
-from trackwheel.relay.outbound_groups import OutboundGroups
 from trackwheel.relay.outcomes import report_outcomes
-from trackwheel.relay.peers import RELAY_MESSAGES, PeerBox
 from trackwheel.relay.service import RelayService
-from trackwheel.relay.target_selector import TargetSelector
 from trackwheel.relay.transport import TargetTransport
 from trackwheel.routing.models import Limits, RouteTable
+from trackwheel.selection.budget import RetryBudget
+from trackwheel.selection.cold import ColdLimit, ColdTargetLimiter
+from trackwheel.selection.down_report_exchange import DownReportExchange
+from trackwheel.selection.down_reports import DOWN_REPORT_MESSAGES, DownReports
+from trackwheel.selection.target_selector import TargetSelector
 from trackwheel.telemetry.events import EventLog
 from trackwheel.telemetry.figures import Figures
 
--- a/trackwheel/entry/figures.py
+++ b/trackwheel/entry/figures.py
@@ -8,9 +8,9 @@
 from trackwheel.peers.hub import Hub
 from trackwheel.platform.load import LoadReader
 from trackwheel.quarantine.service import Quarantine
-from trackwheel.relay.budget import RetryBudget
 from trackwheel.relay.service import RelayService
 from trackwheel.relay.transport import TargetTransport
+from trackwheel.selection.budget import RetryBudget
 from trackwheel.telemetry.events import EventLog
 from trackwheel.telemetry.figures import Figures
 
--- /dev/null
+++ b/trackwheel/gathering/__init__.py
@@ -0,0 +1,1 @@
+"""Scatter-gather queries: asks each shard, combines what arrives, decides when to answer."""
--- a/trackwheel/relay/delegated.py
+++ b/trackwheel/gathering/delegated.py
@@ -1,8 +1,8 @@
 """The groups of shards of one query that are delegated to peers."""
 
-from trackwheel.relay.attempts import NEVER
-from trackwheel.relay.const import REPORT_SLACK_S
-from trackwheel.relay.gather_models import GroupPlan
+from trackwheel.gathering.const import REPORT_SLACK_S
+from trackwheel.gathering.gather_models import GroupPlan
+from trackwheel.selection.attempts import NEVER
 
 
 class DelegatedGroup:
--- a/trackwheel/relay/gather.py
+++ b/trackwheel/gathering/gather.py
@@ -17,11 +17,10 @@
 from collections.abc import Sequence
 from typing import Final
 
-from trackwheel.relay.budget import RetryBudget
-from trackwheel.relay.closings import ClosedConnections
-from trackwheel.relay.const import DECLINE_RESPONSE_TIMES, MAX_LOGGED_SHARDS
-from trackwheel.relay.delegated import DelegatedGroups
-from trackwheel.relay.gather_models import (
+from trackwheel.gathering.closings import ClosedConnections
+from trackwheel.gathering.const import DECLINE_RESPONSE_TIMES, MAX_LOGGED_SHARDS
+from trackwheel.gathering.delegated import DelegatedGroups
+from trackwheel.gathering.gather_models import (
     CancelGroup,
     Declined,
     GatherCommand,
@@ -30,12 +29,13 @@
     PeerSilent,
     Regrouper,
 )
-from trackwheel.relay.group_delegator import GroupDelegator
+from trackwheel.gathering.group_delegator import GroupDelegator
+from trackwheel.gathering.parts import ReceivedParts
+from trackwheel.gathering.shard_requester import DECLINED, ShardRequester
+from trackwheel.gathering.shards import ShardTracker
 from trackwheel.relay.models import Outcome, Part, SendPermission, TargetResult
-from trackwheel.relay.parts import ReceivedParts
-from trackwheel.relay.shard_requester import DECLINED, ShardRequester
-from trackwheel.relay.shards import ShardTracker
-from trackwheel.relay.target_selector import TargetSelector
+from trackwheel.selection.budget import RetryBudget
+from trackwheel.selection.target_selector import TargetSelector
 
 CRASHES_TARGETS: Final = "targets end under it"
 """Failure reason of a quarantined query."""
--- a/trackwheel/relay/group_delegator.py
+++ b/trackwheel/gathering/group_delegator.py
@@ -2,12 +2,12 @@
 
 from collections.abc import Sequence
 
-from trackwheel.relay.delegated import DelegatedGroup, DelegatedGroups
-from trackwheel.relay.gather_models import GatherPlan, GroupPlan, Regrouper, SendGroup
+from trackwheel.gathering.delegated import DelegatedGroup, DelegatedGroups
+from trackwheel.gathering.gather_models import GatherPlan, GroupPlan, Regrouper, SendGroup
+from trackwheel.gathering.parts import ReceivedParts
+from trackwheel.gathering.shards import ShardTracker
 from trackwheel.relay.models import SendPermission
-from trackwheel.relay.parts import ReceivedParts
-from trackwheel.relay.shards import ShardTracker
-from trackwheel.relay.target_selector import TargetSelector
+from trackwheel.selection.target_selector import TargetSelector
 
 
 class GroupDelegator:
--- a/trackwheel/relay/merge.py
+++ b/trackwheel/gathering/merge.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from heapq import nlargest
 
-from trackwheel.relay.const import RECORD_BYTES
+from trackwheel.gathering.const import RECORD_BYTES
 
 
 def split_records(body: bytes) -> list[bytes]:
--- a/trackwheel/relay/parts.py
+++ b/trackwheel/gathering/parts.py
@@ -2,7 +2,7 @@
 
 from heapq import nlargest
 
-from trackwheel.relay.gather_models import Gathered
+from trackwheel.gathering.gather_models import Gathered
 from trackwheel.relay.models import Part
 
 
--- a/trackwheel/relay/shard_requester.py
+++ b/trackwheel/gathering/shard_requester.py
@@ -2,13 +2,13 @@
 
 from typing import Final
 
-from trackwheel.relay.attempts import Refusal, hedge_time
-from trackwheel.relay.budget import RetryBudget
-from trackwheel.relay.const import LATE_RETRY_DELAY_RESPONSE_TIMES, RETRY_DELAY_RESPONSE_TIMES
-from trackwheel.relay.delegated import DelegatedGroups
-from trackwheel.relay.gather_models import CancelPart, GatherPlan, SendPart
-from trackwheel.relay.shards import Shard, ShardTracker
-from trackwheel.relay.target_selector import NoTargetReason, TargetSelector
+from trackwheel.gathering.const import LATE_RETRY_DELAY_RESPONSE_TIMES, RETRY_DELAY_RESPONSE_TIMES
+from trackwheel.gathering.delegated import DelegatedGroups
+from trackwheel.gathering.gather_models import CancelPart, GatherPlan, SendPart
+from trackwheel.gathering.shards import Shard, ShardTracker
+from trackwheel.selection.attempts import Refusal, hedge_time
+from trackwheel.selection.budget import RetryBudget
+from trackwheel.selection.target_selector import NoTargetReason, TargetSelector
 
 DECLINED: Final = "declined"
 """Reason of a request for a shard that a peer has declined."""
--- a/trackwheel/relay/shards.py
+++ b/trackwheel/gathering/shards.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable, Iterable
 from heapq import heappop, heappush
 
-from trackwheel.relay.attempts import NEVER, Attempts
-from trackwheel.relay.gather_models import GatherPlan
-from trackwheel.relay.target_selector import NoTargetReason
+from trackwheel.gathering.gather_models import GatherPlan
+from trackwheel.selection.attempts import NEVER, Attempts
+from trackwheel.selection.target_selector import NoTargetReason
 
 
 class Shard:
--- a/trackwheel/platform/settings.py
+++ b/trackwheel/platform/settings.py
@@ -4,9 +4,9 @@
 from typing import Final, NamedTuple
 
 from trackwheel.errors import Problem, TrackwheelError
-from trackwheel.relay.budget import RetryBudgetLimits
-from trackwheel.relay.cold import ColdLimitMargin
 from trackwheel.relay.models import Place
+from trackwheel.selection.budget import RetryBudgetLimits
+from trackwheel.selection.cold import ColdLimitMargin
 from trackwheel.settings import split_address
 from trackwheel.units import MILLISECONDS
 
--- a/trackwheel/relay/__init__.py
+++ b/trackwheel/relay/__init__.py
@@ -1,1 +1,1 @@
-"""One request's way to the targets: choice, retries, hedges, gathering, hand-over between boxes."""
+"""A request's way through a box: service, single requests, sending to targets."""
--- a/trackwheel/relay/const.py
+++ b/trackwheel/relay/const.py
@@ -1,115 +1,20 @@
-"""Constants of the decisions about one request."""
+"""Constants of the relay."""
 
 from typing import Final
 
-RECORD_BYTES: Final = 16
-"""Size of one record in a shard's answer, as defined by the targets' interface."""
-
-RESPONSE_TIME_SAMPLES: Final = 128
-"""Most recent answers of a route from which its usual response time is computed."""
-RESPONSE_TIME_REFRESH_SAMPLES: Final = 8
-"""New answers after which the usual response time is computed again."""
-INITIAL_RESPONSE_TIME_SHARE: Final = 0.2
-"""Usual response time before the first answer, as a share of the target latency."""
-
-SLOWER_WEIGHT: Final = 0.3
-"""Weight of an answer slower than its target's estimate; low, since it may be a single pause."""
-FASTER_WEIGHT: Final = 0.7
-"""Weight of an answer faster than the estimate; high, since a pause ends with the first of them."""
-MAX_SLOWNESS: Final = 10.0
-"""Upper bound of the slowness that one answer can count as."""
-SLOWNESS_HALF_LIFE_S: Final = 3.0
-"""Half-life of a target's slowness, so that a slow target is tried again."""
-FAILURE_WEIGHT: Final = 0.25
-"""Weight of the newest outcome in a target's failure rate."""
-FAILURE_HALF_LIFE_S: Final = 2.0
-"""Half-life of a target's failure rate."""
-FAILURE_COST_AIMS: Final = 1.0
-"""Cost of a certain failure in the choice of a target, in target latencies of the route."""
-COLD_FACTOR: Final = 1.6
-"""Factor on the response time of a target that has just started, as with the users' targets."""
-LOAD_REPORT_LIFETIME_S: Final = 0.3
-"""Validity of the load that a target reports: ten times the usual duration of its work."""
-STALL_FACTOR: Final = 3.0
-"""Multiple of the expected time after which an unanswered request counts as stalled."""
-FAR_COST_AIMS: Final = 0.25
-"""Cost of transferring an answer from another region, in target latencies of the route."""
-OTHER_DOMAIN_COST_AIMS: Final = 0.03
-"""The same for another failure domain of the own region."""
-COST_JITTER: Final = 0.1
-"""Relative spread of costs, so that boxes do not all choose the same target at once."""
-EJECT_AFTER_FAILURES: Final = 2
-"""Consecutive failures after which a target is ejected, that is, used only as a last resort."""
-EJECT_S: Final = 0.5
-"""Duration of the first ejection; doubles with each further failure."""
-MAX_EJECT_S: Final = 4.0
-"""Longest ejection: a restarted target must get work again within seconds."""
-DISCONNECT_EJECT_S: Final = 1.0
-"""Duration of an ejection after a failed connection attempt."""
-
-CONNECT_BACKOFF_S: Final = 0.05
-"""Backoff after a refused connection; doubles with each consecutive refusal. Without it a shard
-whose targets were all down was requested eight times within milliseconds by each query: 1,417 of
-2,031 failed connections of a day on 195 boxes were such second tries."""
-MAX_CONNECT_BACKOFF_S: Final = 0.4
-"""Longest backoff; bounds how long a target that has returned stays unnoticed."""
-REPORTED_DOWN_S: Final = 1.0
-"""How long after its failed connection a target that another box reported down is a last resort
-here; as long as after a failure of the own."""
-DOWN_REPORT_INTERVAL_S: Final = 0.5
-"""Shortest interval between down reports on one target, and after a received one."""
-DOWN_REPORT_MAX_BOXES: Final = 16
-"""Most boxes that a report is sent to; each failure domain has only a few that send requests to the
-same targets."""
-DOWN_REPORT_DISTRUST_S: Final = 10.0
-"""How long reports of a box are ignored after a target that it reported down answered here: the box
-may be cut off itself, and would keep working targets out of use."""
-REPLACED_EJECT_S: Final = 30.0
-"""How long a target gets no requests after another one answered at its address. It is gone, since a
-restarted target has a new name; one wrong answer should not exclude it for good."""
-HEDGE_MIN_RESPONSE_TIMES: Final = 2.0
-"""Earliest time of a hedge, in usual response times."""
-HEDGE_RESERVE_RESPONSE_TIMES: Final = 2.5
-"""Time left until the target latency when a hedge is sent, in response times of its target."""
-MAX_SENDS: Final = 8
-"""Most sends of one request, or of one shard of a query, whatever became of the earlier ones."""
-RETRY_DELAY_RESPONSE_TIMES: Final = 0.5
-"""Delay before a shard that was held back is retried, in usual response times."""
-LATE_RETRY_DELAY_RESPONSE_TIMES: Final = 2.0
-"""The same after the target latency: speed no longer helps then, and each retry costs CPU time."""
-REFUSAL_BACKOFF_RESPONSE_TIMES: Final = 0.5
-"""Backoff of a shard that all its targets refused, in usual response times; doubles each time.
-While half of the targets shed six in ten requests for nine seconds, 15 answers failed with it and
-66 without it, which had been given up after some 20 ms (one pair of runs under the same load)."""
-BUDGET_RESERVE_SHARE: Final = 0.25
-"""Share of the retry budget that is reserved for retries without which an answer fails. A needed
-shard makes the whole answer possible, another one only adds its share. Under the same load, 0.93 of
-all that could be answered in time was answered so in the two worst seconds, 0.88 without it."""
-DECLINE_RESPONSE_TIMES: Final = 2.0
-"""Expected cost at which a shard is left to others, in usual response times: a hedge would be sent
-at that point anyway."""
 RESPONSE_MARGIN_S: Final = 0.0105
 """Margin between the last moment to answer and the target latency: the way to and from a client
 (3 ms each at the farther site) and timer inaccuracy."""
+
 NEW_CONNECTION_MARGIN_S: Final = 0.006
 """Additional margin for the first request of a connection, which the client opened before it."""
+
 FINAL_MARGIN_S: Final = 0.02
 """Margin between the last possible answer and the client's deadline."""
 
-BUDGET_RATIO_SHARE: Final = 0.8
-"""Share of the allowed retry ratio that is used; the rest covers counts that differ."""
-BUDGET_EXTRA_SHARE: Final = 0.8
-"""Share of the fixed allowance that members divide; the rest covers views that differ."""
-BUDGET_FLEET_SHARE: Final = 0.2
-"""Share of that which all boxes divide for a shard, for requests that bypass peers. The rest goes
-to the gatherers in the failure domains of its targets, which send nearly all retries."""
-MEMBER_COUNT_WINDOW_S: Final = 60.0
-"""Window of the largest member count: a box that is cut off sees only itself."""
-BUDGET_BUCKETS: Final = 20
-"""Buckets of a sliding window."""
-
 RETRY_AFTER_S: Final = 0.2
 """Retry-After of a refusal where nothing better is known."""
+
 NO_ROUTES_RETRY_AFTER_S: Final = 0.5
 """Retry-After of a box that has no configuration yet."""
 
@@ -117,37 +22,10 @@
 """How long a request waits at a box that has no configuration yet. One is read within some 50 ms of
 a start; a client that is refused returns only after its target latency. This happened to 35 of
 3,100 requests when all boxes were lost once and three were added."""
+
 STARTUP_MAX_WAITING: Final = 500
 """Most requests that wait for it; further ones are refused at once."""
 
-ACCEPT_SLACK_S: Final = 0.04
-"""Time beyond the usual round trip within which a peer has to accept a query."""
-REPORT_SLACK_S: Final = 0.012
-"""Tolerated delay of a peer's report, for timers and the network."""
-INITIAL_ROUND_TRIP_S: Final = 0.03
-"""Round trip to a peer before the first measurement."""
-ROUND_TRIP_WEIGHT: Final = 0.2
-"""Weight of the newest sample in a peer's round trip."""
-PEER_AVOID_S: Final = 1.5
-"""How long a peer that did not accept a query is avoided."""
-PEERS_IN_ROTATION: Final = 2
-"""Peers of one failure domain to which a box delegates shards in rotation: when one stops
-responding, the other is known to be alive."""
 LINK_OPEN_DELAY_S: Final = 0.3
 """How long the fleet must be unchanged before links are opened in advance: while boxes start, each
 new one would change which links are wanted."""
-REPORT_MARGIN_S: Final = 0.003
-"""Time by which a peer's second report should precede the last moment to answer."""
-MIN_GROUP_SHARDS: Final = 2
-"""Fewer remote shards are requested directly: a message to a peer would not be smaller."""
-MIN_REGROUP_SHARDS: Final = 1
-"""The same for late shards: even one goes through a peer, which is connected to the target."""
-SMALL_DOMAIN_BOXES: Final = 4
-"""Size of a failure domain up to which all of its boxes are gatherers."""
-BOXES_PER_GATHERER: Final = 5
-"""Boxes for each gatherer in larger failure domains; where processor speeds differ, the gatherers
-have this part of the domain's total speed."""
-MIN_GATHERERS: Final = 2
-"""Fewest gatherers in a larger failure domain, since one may fail."""
-MAX_LOGGED_SHARDS: Final = 4
-"""Most shards that one log line of a query names with their reasons."""
--- a/trackwheel/relay/runs.py
+++ b/trackwheel/relay/runs.py
@@ -4,8 +4,8 @@
 from typing import NamedTuple, Protocol
 
 from trackwheel.clock import steady_now
-from trackwheel.relay.gather import Gather
-from trackwheel.relay.gather_models import (
+from trackwheel.gathering.gather import Gather
+from trackwheel.gathering.gather_models import (
     CancelGroup,
     CancelPart,
     Declined,
@@ -16,7 +16,7 @@
     SendGroup,
     SendPart,
 )
-from trackwheel.relay.merge import top_records
+from trackwheel.gathering.merge import top_records
 from trackwheel.relay.models import CallerRequest, Outcome, Part, RouteKey, Target, TargetResult
 from trackwheel.relay.single import (
     CancelSingle,
--- a/trackwheel/relay/service.py
+++ b/trackwheel/relay/service.py
@@ -4,10 +4,15 @@
 from http import HTTPStatus
 
 from trackwheel.clock import steady_now
+from trackwheel.delegation.grouping import GroupPlanner
+from trackwheel.delegation.outbound_groups import OutboundGroups
+from trackwheel.delegation.peers import PeerBox
+from trackwheel.gathering.gather import CRASHES_TARGETS, Gather
+from trackwheel.gathering.gather_models import Gathered, GatherFailed, GatherPlan
+from trackwheel.gathering.merge import merge_records
 from trackwheel.http1.models import Request
 from trackwheel.http1.server import Exchange
 from trackwheel.quarantine.service import Quarantine
-from trackwheel.relay.budget import RetryBudget
 from trackwheel.relay.const import (
     FINAL_MARGIN_S,
     LINK_OPEN_DELAY_S,
@@ -16,21 +21,16 @@
     RESPONSE_MARGIN_S,
     RETRY_AFTER_S,
 )
-from trackwheel.relay.gather import CRASHES_TARGETS, Gather
-from trackwheel.relay.gather_models import Gathered, GatherFailed, GatherPlan
-from trackwheel.relay.grouping import GroupPlanner
-from trackwheel.relay.merge import merge_records
 from trackwheel.relay.models import OPEN_GATE, CallerRequest, Place, RouteKey, SendPermission, Wire
-from trackwheel.relay.outbound_groups import OutboundGroups
-from trackwheel.relay.peers import PeerBox
 from trackwheel.relay.runs import GatherRun, GatherTask, SingleRun
 from trackwheel.relay.single import Single, SingleAnswered, SingleFailed, SinglePlan
 from trackwheel.relay.startup_queue import StartupQueue
-from trackwheel.relay.target_selector import TargetSelector
 from trackwheel.relay.timer import Timer
 from trackwheel.relay.transport import TargetTransport
 from trackwheel.routing.models import Route, RouteTable
 from trackwheel.routing.table import WeightedRoundRobin, find_route
+from trackwheel.selection.budget import RetryBudget
+from trackwheel.selection.target_selector import TargetSelector
 from trackwheel.telemetry.events import EventLog
 from trackwheel.telemetry.figures import Figures
 from trackwheel.units import MILLISECONDS
--- a/trackwheel/relay/single.py
+++ b/trackwheel/relay/single.py
@@ -7,10 +7,10 @@
 from typing import NamedTuple
 
 from trackwheel.http1.models import Response
-from trackwheel.relay.attempts import NEVER, Attempts, Refusal, hedge_time
-from trackwheel.relay.budget import RetryBudget
 from trackwheel.relay.models import OPEN_GATE, Outcome, RouteKey, SendGate, Target, TargetResult
-from trackwheel.relay.target_selector import TargetSelector
+from trackwheel.selection.attempts import NEVER, Attempts, Refusal, hedge_time
+from trackwheel.selection.budget import RetryBudget
+from trackwheel.selection.target_selector import TargetSelector
 
 
 class SinglePlan(NamedTuple):
--- a/trackwheel/relay/transport.py
+++ b/trackwheel/relay/transport.py
@@ -15,7 +15,7 @@
     TargetResult,
     Wire,
 )
-from trackwheel.relay.target_selector import TargetAvailability, TargetSelector
+from trackwheel.selection.target_selector import TargetAvailability, TargetSelector
 from trackwheel.settings import split_address
 from trackwheel.telemetry.events import EventLog
 from trackwheel.units import MILLISECONDS
--- a/trackwheel/relay/allowance_sharers.py
+++ b/trackwheel/selection/allowance_sharers.py
@@ -3,7 +3,7 @@
 from collections import deque
 from collections.abc import Mapping
 
-from trackwheel.relay.const import MEMBER_COUNT_WINDOW_S
+from trackwheel.selection.const import MEMBER_COUNT_WINDOW_S
 
 
 class SlidingMaximum:
--- a/trackwheel/relay/attempts.py
+++ b/trackwheel/selection/attempts.py
@@ -3,13 +3,6 @@
 from enum import StrEnum
 from typing import Final
 
-from trackwheel.relay.budget import RetryBudget
-from trackwheel.relay.const import (
-    HEDGE_MIN_RESPONSE_TIMES,
-    HEDGE_RESERVE_RESPONSE_TIMES,
-    MAX_SENDS,
-    REFUSAL_BACKOFF_RESPONSE_TIMES,
-)
 from trackwheel.relay.models import (
     NOTHING_RAN,
     OPEN_GATE,
@@ -19,7 +12,14 @@
     SendPermission,
     Target,
 )
-from trackwheel.relay.target_selector import Candidate, TargetSelector
+from trackwheel.selection.budget import RetryBudget
+from trackwheel.selection.const import (
+    HEDGE_MIN_RESPONSE_TIMES,
+    HEDGE_RESERVE_RESPONSE_TIMES,
+    MAX_SENDS,
+    REFUSAL_BACKOFF_RESPONSE_TIMES,
+)
+from trackwheel.selection.target_selector import Candidate, TargetSelector
 
 NEVER: Final = float("inf")
 
--- a/trackwheel/relay/budget.py
+++ b/trackwheel/selection/budget.py
@@ -8,8 +8,8 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from trackwheel.relay.allowance_sharers import AllowanceSharers
-from trackwheel.relay.const import (
+from trackwheel.selection.allowance_sharers import AllowanceSharers
+from trackwheel.selection.const import (
     BUDGET_BUCKETS,
     BUDGET_EXTRA_SHARE,
     BUDGET_FLEET_SHARE,
--- a/trackwheel/relay/cold.py
+++ b/trackwheel/selection/cold.py
@@ -11,8 +11,8 @@
 from math import floor
 from typing import Final, NamedTuple
 
-from trackwheel.relay.allowance_sharers import AllowanceSharers
 from trackwheel.relay.models import Incarnation, Target
+from trackwheel.selection.allowance_sharers import AllowanceSharers
 
 COLD_WINDOW_S: Final = 1.0
 """Window in which the requests to a cold target are counted; limits are given for one second."""
--- a/trackwheel/relay/down_report_exchange.py
+++ b/trackwheel/selection/down_report_exchange.py
@@ -5,10 +5,10 @@
 from trackwheel.clock import steady_now
 from trackwheel.peers.hub import Hub
 from trackwheel.peers.models import PeerIdentity
-from trackwheel.relay.const import DOWN_REPORT_MAX_BOXES
-from trackwheel.relay.down_reports import DownReports, TargetDown
 from trackwheel.relay.models import Outcome
 from trackwheel.relay.transport import TargetAttempt, TargetTransport
+from trackwheel.selection.const import DOWN_REPORT_MAX_BOXES
+from trackwheel.selection.down_reports import DownReports, TargetDown
 from trackwheel.telemetry.events import EventLog
 
 
--- a/trackwheel/relay/down_reports.py
+++ b/trackwheel/selection/down_reports.py
@@ -2,9 +2,13 @@
 
 from typing import NamedTuple
 
-from trackwheel.relay.const import DOWN_REPORT_DISTRUST_S, DOWN_REPORT_INTERVAL_S, REPORTED_DOWN_S
 from trackwheel.relay.models import Incarnation, Outcome, Target
-from trackwheel.relay.target_selector import TargetSelector
+from trackwheel.selection.const import (
+    DOWN_REPORT_DISTRUST_S,
+    DOWN_REPORT_INTERVAL_S,
+    REPORTED_DOWN_S,
+)
+from trackwheel.selection.target_selector import TargetSelector
 from trackwheel.units import MILLISECONDS
 
 
--- a/trackwheel/relay/record.py
+++ b/trackwheel/selection/record.py
@@ -3,7 +3,8 @@
 from math import exp2
 from typing import NamedTuple
 
-from trackwheel.relay.const import (
+from trackwheel.relay.models import Load, Outcome, RouteKey
+from trackwheel.selection.const import (
     CONNECT_BACKOFF_S,
     DISCONNECT_EJECT_S,
     EJECT_AFTER_FAILURES,
@@ -20,7 +21,6 @@
     SLOWNESS_HALF_LIFE_S,
     STALL_FACTOR,
 )
-from trackwheel.relay.models import Load, Outcome, RouteKey
 
 
 class InFlightRequest(NamedTuple):
--- a/trackwheel/relay/response_times.py
+++ b/trackwheel/selection/response_times.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 
-from trackwheel.relay.const import (
+from trackwheel.selection.const import (
     INITIAL_RESPONSE_TIME_SHARE,
     RESPONSE_TIME_REFRESH_SAMPLES,
     RESPONSE_TIME_SAMPLES,
--- a/trackwheel/relay/target_selector.py
+++ b/trackwheel/selection/target_selector.py
@@ -6,17 +6,17 @@
 from random import Random
 from typing import NamedTuple
 
-from trackwheel.relay.cold import ColdTargetLimiter
-from trackwheel.relay.const import (
+from trackwheel.relay.models import Incarnation, Load, Outcome, Place, RouteKey, Target
+from trackwheel.selection.cold import ColdTargetLimiter
+from trackwheel.selection.const import (
     COLD_FACTOR,
     COST_JITTER,
     FAILURE_COST_AIMS,
     FAR_COST_AIMS,
     OTHER_DOMAIN_COST_AIMS,
 )
-from trackwheel.relay.models import Incarnation, Load, Outcome, Place, RouteKey, Target
-from trackwheel.relay.record import InFlightRequest, TargetRecord
-from trackwheel.relay.response_times import ResponseTimes
+from trackwheel.selection.record import InFlightRequest, TargetRecord
+from trackwheel.selection.response_times import ResponseTimes
 
 
 class Candidate(NamedTuple):
