Count the quicker one of a target's first answers, and a second pause once

Callers saw queries refused as overloaded for work that targets could have done. Of the first two answers of a target the second one became the mean, also when a pause had delayed it; and a request that confirmed a stall began none, so that every request which overlapped it counted in full.

--- a/trackwheel/dispatch/service_time.py
+++ b/trackwheel/dispatch/service_time.py
@@ -38,6 +38,8 @@
         if sample_s is None:
             return None
         if not self._measured:
+            # Either of the first two requests may have been delayed by a pause.
+            sample_s = min(sample_s, self._unconfirmed_s or sample_s)
             self._measured = True
             self._unconfirmed_s = 0.0
             self.mean_s = sample_s
--- a/trackwheel/stalls.py
+++ b/trackwheel/stalls.py
@@ -30,6 +30,8 @@
             self._stalled_at = None
             return took_s
         if self._stalled_at is not None and started < self._stalled_at + CONFIRM_WITHIN_S:
+            # Requests that overlap this one were delayed by the same pause.
+            self._stalled_at = now
             return took_s
         self._stalled_at = now
         return max_s
