Read a group's key at the edge, tell targets the group, run checks before targets are asked

A configuration with groups was decoded without them: keys were passed on to targets and checked by nobody. Groups, keys, homes and priorities are part of the route table; the key is read once and removed; targets and peers are told the group. Entry checks are the place where limits and admission are built.

--- a/tests/delegation/test_outbound_groups.py
+++ b/tests/delegation/test_outbound_groups.py
@@ -11,6 +11,7 @@
 from trackwheel.delegation.peers import GroupDeclined, GroupParts
 from trackwheel.gathering.gather import Gather
 from trackwheel.gathering.gather_models import GatherPlan, GroupPlan, SendGroup
+from trackwheel.groups.models import NO_PRECEDENCE
 from trackwheel.peers.models import PeerIdentity
 from trackwheel.selection.budget import RetryBudget
 from trackwheel.selection.target_selector import TargetSelector
@@ -59,7 +60,15 @@
     plan = GatherPlan(ROUTE, GROUP.shards, 3, (GROUP,), 1.0, 2, 0.2, 1.0, False)
     gather = Gather(plan, selector, budget)
     http = SimpleNamespace(method=b"GET", target=b"/", body=b"")
-    request = SimpleNamespace(request_id="r", host="h", path="/", deadline=1.0, http=http)
+    request = SimpleNamespace(
+        request_id="r",
+        host="h",
+        path="/",
+        deadline=1.0,
+        http=http,
+        group="",
+        precedence=NO_PRECEDENCE,
+    )
     run: Any = SimpleNamespace(
         task=SimpleNamespace(gather=gather, request=request), perform=lambda commands: None
     )
--- a/trackwheel/delegation/inbound_groups.py
+++ b/trackwheel/delegation/inbound_groups.py
@@ -175,7 +175,14 @@
         deadline = now + message.end_in_ms / MILLISECONDS
         content = fingerprint(message.host, http.method, http.target, http.body)
         request = CallerRequest(
-            message.request_id, message.host, message.path, deadline, http, content
+            message.request_id,
+            message.host,
+            message.path,
+            deadline,
+            http,
+            content,
+            message.group,
+            message.precedence,
         )
         plan = GatherPlan(
             route=RouteKey(message.route, message.aim_ms / MILLISECONDS, frozenset(message.homes)),
--- a/trackwheel/delegation/outbound_groups.py
+++ b/trackwheel/delegation/outbound_groups.py
@@ -128,6 +128,8 @@
             floor=command.floor,
             least_coverage=command.least_coverage,
             homes=sorted(plan.route.homes),
+            group=request.group,
+            precedence=request.precedence,
         )
 
     def _receive_accepted(self, sender: PeerIdentity, message: GroupAccepted) -> None:
--- a/trackwheel/delegation/peers.py
+++ b/trackwheel/delegation/peers.py
@@ -11,6 +11,7 @@
     PEERS_IN_ROTATION,
     ROUND_TRIP_WEIGHT,
 )
+from trackwheel.groups.models import NO_PRECEDENCE, Precedence
 from trackwheel.relay.models import Place
 
 
@@ -21,7 +22,8 @@
     later parts as they arrive. With `repeat`, other targets were asked for the shards before: the
     peer asks only targets of its own failure domain, at the cost of its own retry budget. Only
     records above `floor` are sent. The answer needs the share `least_coverage` of these shards.
-    Only targets in the regions `homes` are asked; if it is empty, all may be.
+    Only targets in the regions `homes` are asked; if it is empty, all may be. `group` is the name
+    of the query's group; waiting queries are served in the order of `precedence`.
     """
 
     group_id: str
@@ -44,6 +46,8 @@
     floor: bytes
     least_coverage: float
     homes: list[str]
+    group: str = ""
+    precedence: Precedence = NO_PRECEDENCE
 
 
 class GroupAccepted(NamedTuple):
--- a/trackwheel/entry/box.py
+++ b/trackwheel/entry/box.py
@@ -134,6 +134,7 @@
             self.figures,
             place,
             settings.peers,
+            is_current=lambda: bool(self.directory.synced_via(steady_now())),
         )
         self.clients = ServerState(
             self.relay.handle,
--- a/trackwheel/platform/decode.py
+++ b/trackwheel/platform/decode.py
@@ -9,6 +9,8 @@
 
 from trackwheel.directory.models import TargetEntry
 from trackwheel.errors import TrackwheelError
+from trackwheel.groups.keys import key_digest
+from trackwheel.groups.models import Group, GroupLimit, GroupTable
 from trackwheel.platform.errors import store_error
 from trackwheel.platform.names import KIND_SAFE, PREFIX_TARGETS, STATE_DRAINING
 from trackwheel.routing.models import (
@@ -45,6 +47,8 @@
     min_coverage: float = 0.0
     # None or an empty list allows all regions.
     allowed_regions: list[str] | None = None
+    # Requests need no key.
+    public: bool = False
 
 
 class _Service(msgspec.Struct):
@@ -64,11 +68,23 @@
     idle_timeout_ms: float
 
 
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    # Limits over all boxes together; 0 means no limit.
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    allowed_regions: list[str] | None = None
+
+
 class _Config(msgspec.Struct):
     version: int
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits
+    # None if requests need no keys.
+    tenants: list[_Tenant] | None = None
 
 
 _MAX_TIME_MS: Final = 2**53
@@ -124,10 +140,23 @@
                 limits.header_timeout_ms / MILLISECONDS,
                 limits.idle_timeout_ms / MILLISECONDS,
             ),
+            None if config.tenants is None else _groups(config.tenants),
         )
     )
 
 
+def _groups(tenants: list[_Tenant]) -> GroupTable:
+    group_by_name: dict[str, Group] = {}
+    group_by_key_digest: dict[bytes, Group] = {}
+    for tenant in tenants:
+        limit = GroupLimit(tenant.rate_per_s, tenant.burst) if tenant.rate_per_s > 0.0 else None
+        homes = frozenset(tenant.allowed_regions or ())
+        group = group_by_name[tenant.name] = Group(tenant.name, tenant.priority, homes, limit)
+        for key in tenant.api_keys:
+            group_by_key_digest[key_digest(key.encode())] = group
+    return GroupTable(group_by_name, group_by_key_digest)
+
+
 def _route(route: _Route) -> Route:
     services = tuple(WeightedService(part.service, part.weight) for part in route.split)
     if route.service:
@@ -146,6 +175,7 @@
         top_k=route.top_k,
         least_coverage=route.min_coverage,
         homes=frozenset(route.allowed_regions or ()),
+        public=route.public,
     )
 
 
--- a/trackwheel/platform/wire.py
+++ b/trackwheel/platform/wire.py
@@ -1,5 +1,6 @@
 """Translation between the platform's headers and the types of the relay."""
 
+from trackwheel.groups.models import Precedence
 from trackwheel.http1.models import Headers, Request, Response, header
 from trackwheel.platform.load import LoadReader, parse_number
 from trackwheel.platform.names import (
@@ -8,6 +9,8 @@
     HEADER_DEADLINE,
     HEADER_ENCODING,
     HEADER_EXPECTED_INSTANCE,
+    HEADER_GROUP,
+    HEADER_KEY,
     HEADER_LOAD,
     HEADER_MISSING_PARTS,
     HEADER_NOT_RUN,
@@ -15,6 +18,7 @@
     HEADER_RETRY_AFTER,
     HEADER_SIGNATURE,
     HEADER_WARMUP,
+    KEY_SCHEME,
     NOT_RUN_STATUSES,
     OVERWRITTEN_HEADERS,
     STATUS_MISDIRECTED,
@@ -48,6 +52,24 @@
         content = fingerprint(name, request.method, request.target, request.body)
         return CallerRequest(request_id, name, path, request.arrived + left_s, request, content)
 
+    def read_key(self, request: Request) -> bytes | None:
+        """Return the key of a client's request; None without exactly one of the known scheme."""
+        credentials = [value for name, value in request.headers if name == HEADER_KEY]
+        if len(credentials) != 1:
+            return None
+        scheme, _, key = credentials[0].partition(b" ")
+        return key.strip() or None if scheme.lower() == KEY_SCHEME else None
+
+    def with_group(
+        self, request: CallerRequest, group: str, precedence: Precedence
+    ) -> CallerRequest:
+        """Return a request as its group's, without its key and what it says about its group."""
+        headers = tuple(
+            pair for pair in request.http.headers if pair[0] not in (HEADER_KEY, HEADER_GROUP)
+        )
+        http = request.http._replace(headers=headers)
+        return request._replace(http=http, group=group, precedence=precedence)
+
     def forwarded_headers(self, request: Request) -> Headers:
         """Return the headers of a client's request that are forwarded to targets."""
         return tuple(
@@ -59,8 +81,10 @@
     def target_request(self, request: CallerRequest, instance: str, now: float) -> Request:
         """Return the request to send to a target, with the remaining time."""
         left_ms = max(1, int((request.deadline - now) * MILLISECONDS))
+        group: Headers = ((HEADER_GROUP, request.group.encode()),) if request.group else ()
         headers = (
             *self.forwarded_headers(request.http),
+            *group,
             (HEADER_ATTEMPT, request.request_id.encode("latin-1")),
             (HEADER_DEADLINE, b"%d" % left_ms),
             (HEADER_EXPECTED_INSTANCE, instance.encode("latin-1")),
--- a/trackwheel/relay/models.py
+++ b/trackwheel/relay/models.py
@@ -3,6 +3,7 @@
 from enum import StrEnum
 from typing import Final, NamedTuple, Protocol
 
+from trackwheel.groups.models import NO_PRECEDENCE, Precedence
 from trackwheel.http1.models import Headers, Request, Response
 
 
@@ -130,7 +131,8 @@
 class CallerRequest(NamedTuple):
     """One decoded request of a client; `deadline` is monotonic seconds.
 
-    `fingerprint` is the same for each attempt at this request, at every box.
+    `fingerprint` is the same for each attempt at this request, at every box. `group` is the name of
+    the group that it belongs to; empty where requests need no key.
     """
 
     request_id: str
@@ -139,6 +141,8 @@
     deadline: float
     http: Request
     fingerprint: bytes
+    group: str = ""
+    precedence: Precedence = NO_PRECEDENCE
 
 
 class Part(NamedTuple):
@@ -154,6 +158,14 @@
     def read_request(self, request: Request) -> CallerRequest:
         """Decode a client's request."""
 
+    def read_key(self, request: Request) -> bytes | None:
+        """Return the key that a client's request carries; None if there is not exactly one."""
+
+    def with_group(
+        self, request: CallerRequest, group: str, precedence: Precedence
+    ) -> CallerRequest:
+        """Return a request as its group's, without its key and what it says about its group."""
+
     def target_request(self, request: CallerRequest, instance: str, now: float) -> Request:
         """Return the request for a target, with the remaining time."""
 
--- a/trackwheel/relay/service.py
+++ b/trackwheel/relay/service.py
@@ -1,7 +1,9 @@
 """Entry point of the relay: receives clients' requests and responds to them."""
 
 from collections import Counter
+from collections.abc import Callable, Sequence
 from http import HTTPStatus
+from typing import NamedTuple
 
 from trackwheel.clock import steady_now
 from trackwheel.delegation.grouping import GroupPlanner
@@ -10,6 +12,8 @@
 from trackwheel.gathering.gather import CRASHES_TARGETS, Gather
 from trackwheel.gathering.gather_models import Gathered, GatherFailed, GatherPlan
 from trackwheel.gathering.merge import merge_records
+from trackwheel.groups.keys import KeyProblem, identify
+from trackwheel.groups.models import Group, GroupTable, precedence
 from trackwheel.http1.models import Request
 from trackwheel.http1.server import Exchange
 from trackwheel.quarantine.service import Quarantine
@@ -21,6 +25,7 @@
     RESPONSE_MARGIN_S,
     RETRY_AFTER_S,
 )
+from trackwheel.relay.entry_checks import EntryCheck, EntryPassage, EntryRefusal, EntryRequest
 from trackwheel.relay.models import OPEN_GATE, CallerRequest, Place, RouteKey, SendPermission, Wire
 from trackwheel.relay.runs import GatherRun, GatherTask, SingleRun
 from trackwheel.relay.single import Single, SingleAnswered, SingleFailed, SinglePlan
@@ -36,8 +41,28 @@
 from trackwheel.units import MILLISECONDS
 
 
+class _Serving(NamedTuple):
+    """A client's request that is being served, with the configuration it began with."""
+
+    caller: CallerRequest
+    route: Route
+    homes: frozenset[str]
+    version: int
+    exchange: Exchange
+    passage: EntryPassage
+
+    @property
+    def key(self) -> RouteKey:
+        """Return what the choice of a target depends on."""
+        return RouteKey(self.route.name, self.route.aim_s, self.homes)
+
+
 class RelayService:
-    """Serves clients' requests from targets, directly or through peers in their failure domains."""
+    """Serves clients' requests from targets, directly or through peers in their failure domains.
+
+    `checks` decide one after the other whether a request may go on to targets. `is_current` tells
+    whether the configuration known here is the newest one, so that a key which it lacks is unknown.
+    """
 
     def __init__(
         self,
@@ -51,7 +76,11 @@
         figures: Figures,
         place: Place,
         address: str,
+        checks: Sequence[EntryCheck] = (),
+        is_current: Callable[[], bool] = lambda: True,
     ) -> None:
+        self._checks = checks
+        self._is_current = is_current
         self._wire = wire
         self._selector = selector
         self._budget = budget
@@ -95,15 +124,83 @@
             )
             exchange.respond(self._wire.refusal(HTTPStatus.NOT_FOUND, None, "no route"))
             return
+        group: Group | None = None
+        if table.groups is not None:
+            identified = self._identify(request, caller, route, table.groups, exchange)
+            if isinstance(identified, KeyProblem):
+                return
+            group = identified
+            order = precedence(group, route.priority)
+            caller = self._wire.with_group(caller, group.name if group else "", order)
         if self._refuse_held(caller, route, exchange):
             return
-        one_target = self._quarantine.start_trial(caller.fingerprint)
-        if not route.shards:
-            self._serve_single(caller, route, table.version, exchange, one_target)
+        self._check(EntryRequest(caller, route, group), table.version, exchange)
+
+    def _identify(
+        self,
+        request: Request,
+        caller: CallerRequest,
+        route: Route,
+        groups: GroupTable,
+        exchange: Exchange,
+    ) -> Group | None | KeyProblem:
+        """Return the group of a request, None for a public one, or the problem that refuses it."""
+        identified = identify(groups, self._wire.read_key(request), route.public)
+        if not isinstance(identified, KeyProblem):
+            return identified
+        # A newer configuration may have the key.
+        status, retry_after_s = HTTPStatus.UNAUTHORIZED, None
+        if identified is KeyProblem.UNKNOWN and not self._is_current():
+            status, retry_after_s = HTTPStatus.SERVICE_UNAVAILABLE, NO_ROUTES_RETRY_AFTER_S
+        refusal = EntryRefusal(status, "key", identified.value, retry_after_s)
+        self._refuse_entry(caller, route, refusal, exchange)
+        return identified
+
+    def _check(self, request: EntryRequest, version: int, exchange: Exchange) -> None:
+        """Serve a request that passes all checks; refuse another one."""
+        caller, route, group = request
+
+        def decide(refusal: EntryRefusal | None) -> None:
+            if refusal is not None:
+                self._refuse_entry(caller, route, refusal, exchange)
+                return
+            homes = combine_homes(route.homes, group.homes if group else frozenset())
+            if homes is None:
+                passage.end(ran=False)
+                reason = "no region may serve both the route and the group"
+                no_home = EntryRefusal(HTTPStatus.SERVICE_UNAVAILABLE, "homes", reason)
+                self._refuse_entry(caller, route, no_home, exchange)
+                return
+            self._serve(_Serving(caller, route, homes, version, exchange, passage))
+
+        passage = EntryPassage(self._checks, request, decide)
+        exchange.on_disconnect = passage.withdraw
+        passage.start()
+
+    def _refuse_entry(
+        self, caller: CallerRequest, route: Route, refusal: EntryRefusal, exchange: Exchange
+    ) -> None:
+        """Refuse a request for which no target was asked."""
+        self.ended_by_kind[(refusal.cause,)] += 1
+        self._log.write(
+            "refused",
+            id=caller.request_id,
+            route=route.name,
+            group=caller.group,
+            status=int(refusal.status),
+            cause=refusal.cause,
+            reason=refusal.reason,
+        )
+        exchange.respond(self._wire.refusal(refusal.status, refusal.retry_after_s, refusal.reason))
+
+    def _serve(self, serving: _Serving) -> None:
+        one_target = self._quarantine.start_trial(serving.caller.fingerprint)
+        if not serving.route.shards:
+            self._serve_single(serving, one_target)
         elif one_target:
-            self._serve_after_trial(caller, route, table.version, exchange)
+            self._serve_after_trial(serving)
         else:
-            self._serve_query(caller, route, table.version, exchange)
+            self._serve_query(serving)
 
     def _refuse_held(self, caller: CallerRequest, route: Route, exchange: Exchange) -> bool:
         """Refuse a request that is held in quarantine; return whether it was refused."""
@@ -132,10 +229,11 @@
             self._wire.refusal(HTTPStatus.SERVICE_UNAVAILABLE, NO_ROUTES_RETRY_AFTER_S, reason)
         )
 
-    def _plan_single(self, caller: CallerRequest, route: Route, one_target: bool) -> SinglePlan:
+    def _plan_single(self, serving: _Serving, one_target: bool) -> SinglePlan:
         """Return the plan for one target at a time; with `one_target`, for a single attempt."""
+        caller, route = serving.caller, serving.route
         return SinglePlan(
-            route=RouteKey(route.name, route.aim_s, route.homes),
+            route=serving.key,
             service=route.shards[0] if route.shards else self._round_robin.pick(route),
             repeatable=route.repeatable,
             max_attempts=1 if one_target else route.max_attempts,
@@ -145,60 +243,50 @@
             gate=OPEN_GATE if one_target else self._quarantine.gate(caller.fingerprint),
         )
 
-    def _serve_single(
-        self,
-        caller: CallerRequest,
-        route: Route,
-        version: int,
-        exchange: Exchange,
-        one_target: bool,
-    ) -> None:
-        plan = self._plan_single(caller, route, one_target)
+    def _serve_single(self, serving: _Serving, one_target: bool) -> None:
+        plan = self._plan_single(serving, one_target)
 
         def done(result: SingleAnswered | SingleFailed) -> None:
-            self._log_end(caller, route, version, result)
+            self._end(serving, result)
             if isinstance(result, SingleAnswered):
-                exchange.respond(self._wire.single_answer(result.answer))
+                serving.exchange.respond(self._wire.single_answer(result.answer))
                 return
             warm_in_s = self._selector.warm_in_s(plan.service, plan.route, steady_now())
-            self._refuse(exchange, result, max(RETRY_AFTER_S, warm_in_s))
+            self._refuse(serving.exchange, result, max(RETRY_AFTER_S, warm_in_s))
 
         single = Single(plan, self._selector, self._budget)
-        run = SingleRun(caller, single, self._transport, done)
-        exchange.on_disconnect = lambda: self._client_left(caller, route.name, run)
+        run = SingleRun(serving.caller, single, self._transport, done)
+        serving.exchange.on_disconnect = lambda: self._client_left(serving, run)
         run.start()
 
-    def _serve_after_trial(
-        self, caller: CallerRequest, route: Route, version: int, exchange: Exchange
-    ) -> None:
+    def _serve_after_trial(self, serving: _Serving) -> None:
         """Send a query suspected of crashing targets to one of them; serve it if that answers."""
+        caller = serving.caller
 
         def done(result: SingleAnswered | SingleFailed) -> None:
             if (
                 self._quarantine.gate(caller.fingerprint).permission(steady_now())
                 is SendPermission.OPEN
             ):
-                self._serve_query(caller, route, version, exchange)
+                self._serve_query(serving)
                 return
             failed = result
             if isinstance(failed, SingleAnswered):
                 failed = SingleFailed(True, False, CRASHES_TARGETS)
-            self._log_end(caller, route, version, failed)
-            self._refuse(exchange, failed)
+            self._end(serving, failed)
+            self._refuse(serving.exchange, failed)
 
-        single = Single(self._plan_single(caller, route, True), self._selector, self._budget)
+        single = Single(self._plan_single(serving, True), self._selector, self._budget)
         run = SingleRun(caller, single, self._transport, done)
-        exchange.on_disconnect = lambda: self._client_left(caller, route.name, run)
+        serving.exchange.on_disconnect = lambda: self._client_left(serving, run)
         run.start()
 
-    def _serve_query(
-        self, caller: CallerRequest, route: Route, version: int, exchange: Exchange
-    ) -> None:
-        plan = self._plan_query(caller, route)
-        gather = Gather(plan, self._selector, self._budget, self._planner)
+    def _serve_query(self, serving: _Serving) -> None:
+        caller, route, exchange = serving.caller, serving.route, serving.exchange
+        gather = Gather(self._plan_query(serving), self._selector, self._budget, self._planner)
 
         def done(result: Gathered | GatherFailed) -> None:
-            self._log_end(caller, route, version, result)
+            self._end(serving, result)
             if isinstance(result, GatherFailed):
                 self._refuse(exchange, result)
                 return
@@ -212,21 +300,25 @@
 
         task = GatherTask(caller, gather)
         run = GatherRun(task, self._transport, self._groups, done)
-        exchange.on_disconnect = lambda: self._client_left(caller, route.name, run)
+        exchange.on_disconnect = lambda: self._client_left(serving, run)
         run.start()
 
-    def _client_left(self, caller: CallerRequest, route: str, run: GatherRun | SingleRun) -> None:
+    def _client_left(self, serving: _Serving, run: GatherRun | SingleRun) -> None:
         """Cancel the request of a client that disconnected before the response."""
         run.cancel()
+        serving.passage.end(ran=True)
+        caller = serving.caller
         self.ended_by_kind[("client_left",)] += 1
         age_ms = (steady_now() - caller.http.arrived) * MILLISECONDS
-        self._log.write("client_left", id=caller.request_id, route=route, took_ms=round(age_ms, 1))
+        self._log.write(
+            "client_left", id=caller.request_id, route=serving.route.name, took_ms=round(age_ms, 1)
+        )
 
-    def _plan_query(self, caller: CallerRequest, route: Route) -> GatherPlan:
+    def _plan_query(self, serving: _Serving) -> GatherPlan:
         now = steady_now()
+        caller, route, key = serving.caller, serving.route, serving.key
         end_at = _end_at(caller, route)
         answer_at = min(end_at, _answer_at(caller, route))
-        key = RouteKey(route.name, route.aim_s, route.homes)
         return GatherPlan(
             route=key,
             shards=route.shards,
@@ -256,20 +348,26 @@
         status = HTTPStatus.GATEWAY_TIMEOUT if failed.late else HTTPStatus.BAD_GATEWAY
         exchange.respond(self._wire.refusal(status, None, failed.reason))
 
+    def _end(
+        self, serving: _Serving, result: Gathered | GatherFailed | SingleAnswered | SingleFailed
+    ) -> None:
+        """Release what the checks keep of a request that has ended, and log the end."""
+        serving.passage.end(
+            ran=result.ran if isinstance(result, GatherFailed | SingleFailed) else True
+        )
+        self._log_end(serving, result)
+
     def _log_end(
-        self,
-        request: CallerRequest,
-        route: Route,
-        version: int,
-        result: Gathered | GatherFailed | SingleAnswered | SingleFailed,
+        self, serving: _Serving, result: Gathered | GatherFailed | SingleAnswered | SingleFailed
     ) -> None:
+        request, route = serving.caller, serving.route
         age_s = steady_now() - request.http.arrived
         self._figures.observe_request(route.name, age_s)
         took_ms = round(age_s * MILLISECONDS, 1)
         common: dict[str, str | float] = {
             "id": request.request_id,
             "route": route.name,
-            "version": version,
+            "version": serving.version,
             "shards": len(route.shards),
             "took_ms": took_ms,
             "aim_ms": round(route.aim_s * MILLISECONDS),
@@ -277,8 +375,10 @@
         }
         if isinstance(result, GatherFailed | SingleFailed) and result.ran:
             common["fingerprint"] = request.fingerprint.hex()
-        if route.homes:
-            common["homes"] = ",".join(sorted(route.homes))
+        if request.group:
+            common["group"] = request.group
+        if serving.homes:
+            common["homes"] = ",".join(sorted(serving.homes))
         match result:
             case Gathered(_, _, missing, reason, lacking):
                 kind = "partial" if missing else "whole"
@@ -296,7 +396,7 @@
                 kind = "given_up_ran" if ran else "given_up_not_run"
                 self._log.write("given_up", ran=ran, late=late, reason=reason, **common)
         self.ended_by_kind[(kind,)] += 1
-        if route.homes and kind == "given_up_not_run":
+        if serving.homes and kind == "given_up_not_run":
             self.ended_by_kind[("without_home",)] += 1
 
 
@@ -311,3 +411,13 @@
 def _end_at(caller: CallerRequest, route: Route) -> float:
     """Return the last moment to answer at all (monotonic seconds)."""
     return min(caller.deadline, caller.http.arrived + route.timeout_s) - FINAL_MARGIN_S
+
+
+def combine_homes(route: frozenset[str], group: frozenset[str]) -> frozenset[str] | None:
+    """Return the regions that both a route and a group allow, None if there is none.
+
+    An empty set allows all regions.
+    """
+    if not route or not group:
+        return route or group
+    return route & group or None
--- a/trackwheel/routing/models.py
+++ b/trackwheel/routing/models.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from trackwheel.groups.models import GroupTable
+
 
 class Limits(NamedTuple):
     """Limits on the size of a client's request and the time to send it (bytes, seconds)."""
@@ -23,7 +25,8 @@
     """Handling of the requests under one path prefix of one host (times in seconds).
 
     Exactly one of `services` (a single service, or a weighted split) and `shards` is set.
-    `homes` are the only regions that may serve the requests; it is empty if all may.
+    `homes` are the only regions that may serve the requests; it is empty if all may. A request on a
+    `public` route needs no key.
     """
 
     name: str
@@ -39,6 +42,7 @@
     top_k: int
     least_coverage: float
     homes: frozenset[str] = frozenset()
+    public: bool = False
 
 
 class ServiceRule(NamedTuple):
@@ -56,9 +60,13 @@
 
 
 class RouteTable(NamedTuple):
-    """One complete version of the configuration; versions only increase."""
+    """One complete version of the configuration; versions only increase.
+
+    `groups` is None if it names none: requests then need no key.
+    """
 
     version: int
     routes_by_host: dict[str, tuple[Route, ...]]
     service_by_name: dict[str, ServiceRule]
     limits: Limits
+    groups: GroupTable | None = None
