Name the cause of each request that is not served, count and report it

Cause: a failed query said "too few shards can answer", a failed request the text of its last failure; neither could be counted, and what a late or partial answer had waited for was not told. Change: an enum of causes, set where a choice finds no target (Attempts), summed per query over its missing shards; in the log lines of ends and of peers' groups, in two counters by cause, and in a table of `trackwheel report`. Tests that compared whole results name the cause too; none is looser. Result: no decision changes.

--- a/tests/gathering/test_crashing_query.py
+++ b/tests/gathering/test_crashing_query.py
@@ -10,6 +10,7 @@
 from tests.relay.conftest import ROUTE, THERE, target_result
 from trackwheel.gathering.gather import CRASHES_TARGETS
 from trackwheel.gathering.gather_models import Gathered, GatherFailed
+from trackwheel.relay.causes import Cause
 from trackwheel.relay.models import Outcome, SendPermission
 from trackwheel.relay.single import Single, SingleFailed, SinglePlan
 from trackwheel.selection.budget import RetryBudget
@@ -121,20 +122,24 @@
 
 
 @pytest.mark.parametrize(
-    ("permission", "sends"),
+    ("permission", "sends", "cause"),
     [
-        (SendPermission.OPEN, 2),
-        (SendPermission.ONE, 1),
-        (SendPermission.WAIT, 1),
-        (SendPermission.SHUT, 1),
+        (SendPermission.OPEN, 2, None),
+        (SendPermission.ONE, 1, Cause.HELD),
+        (SendPermission.WAIT, 1, Cause.SUSPECTED),
+        (SendPermission.SHUT, 1, Cause.HELD),
     ],
 )
 def test_request_to_one_target_is_not_sent_again(
-    selector: TargetSelector, budget: RetryBudget, permission: SendPermission, sends: int
+    selector: TargetSelector,
+    budget: RetryBudget,
+    permission: SendPermission,
+    sends: int,
+    cause: Cause | None,
 ) -> None:
     gate = Gate()
     single = Single(SinglePlan(ROUTE, "s0", True, 3, 0.18, 1.0, gate), selector, budget)
     single.start(0.0)
     gate.now = permission
     commands = single.target_ended(0, target_result(Outcome.CLOSED), 0.02)
-    assert (commands == [SingleFailed(True, False, "closed")]) is (sends == 1)
+    assert (commands == [SingleFailed(True, False, "closed", cause)]) is (sends == 1)
--- a/tests/gathering/test_gather.py
+++ b/tests/gathering/test_gather.py
@@ -396,7 +396,7 @@
         session.tick(END_AT)
         assert isinstance(session.end, GatherFailed)
         assert session.end[:3] == (True, True, "time is up")
-        assert session.end.lacking == "s0: failed at s0-near, held back"
+        assert session.end.lacking == "s0: failed at s0-near, held back (retry_budget)"
 
     def test_shards_that_may_lack_leave_a_reserve(self, selector: TargetSelector) -> None:
         """Two of ten shards may be missing; the reserved repeat goes to the third that fails."""
--- a/tests/relay/test_homes.py
+++ b/tests/relay/test_homes.py
@@ -13,6 +13,7 @@
 from trackwheel.gathering.gather import Gather
 from trackwheel.gathering.gather_models import GatherFailed, GatherPlan, SendGroup, SendPart
 from trackwheel.peers.codec import Codec
+from trackwheel.relay.causes import Cause
 from trackwheel.relay.models import Outcome, Place, RouteKey, TargetResult
 from trackwheel.relay.single import SendSingle, Single, SingleFailed, SinglePlan
 from trackwheel.selection.budget import RetryBudget, RetryBudgetLimits
@@ -124,24 +125,28 @@
 
 
 @pytest.mark.parametrize(
-    ("places", "homes", "reason"),
+    ("places", "homes", "reason", "cause"),
     [
-        pytest.param(PLACES, {"nowhere"}, NoTargetReason.HOMES, id="home-without-targets"),
-        pytest.param((HERE, BESIDE), {"there"}, NoTargetReason.HOMES, id="targets-elsewhere-only"),
-        pytest.param((), {"here"}, NoTargetReason.UNKNOWN, id="no-targets"),
+        pytest.param(
+            PLACES, {"nowhere"}, NoTargetReason.HOMES, Cause.HOMES, id="no-target-at-home"
+        ),
+        pytest.param(
+            (HERE, BESIDE), {"there"}, NoTargetReason.HOMES, Cause.HOMES, id="elsewhere-only"
+        ),
+        pytest.param((), {"here"}, NoTargetReason.UNKNOWN, Cause.NO_TARGET, id="no-targets"),
     ],
 )
 def test_request_without_a_home_is_refused_at_once(
-    places: tuple[Place, ...], homes: set[str], reason: NoTargetReason
+    places: tuple[Place, ...], homes: set[str], reason: NoTargetReason, cause: Cause
 ) -> None:
     selector = make_selector(places)
     route = homed(frozenset(homes))
     single = Single(SinglePlan(route, "s0", True, 3, 0.19, 1.0), selector, make_budget())
-    assert single.start(0.0) == [SingleFailed(False, False, reason.value)]
+    assert single.start(0.0) == [SingleFailed(False, False, reason.value, cause)]
     plan = GatherPlan(route, SHARDS, 3, (), 0.8, 2, 0.19, 1.0, False)
     (failed,) = Gather(plan, selector, make_budget(), make_planner(selector)).start(0.0)
     assert isinstance(failed, GatherFailed)
-    assert (failed.ran, failed.late) == (False, False)
+    assert (failed.ran, failed.late, failed.cause) == (False, False, cause)
     assert reason.value in failed.lacking
 
 
@@ -150,7 +155,8 @@
     excluded = target("a", "s0", HERE, leaving=True)
     selector.set_targets({"s0": (excluded, target("b", "s0", THERE))}, 0.0)
     single = Single(SinglePlan(homed(HOMES[0]), "s0", True, 3, 0.19, 1.0), selector, make_budget())
-    assert single.start(0.0) == [SingleFailed(False, False, NoTargetReason.BARRED.value)]
+    refused = SingleFailed(False, False, NoTargetReason.BARRED.value, Cause.BARRED)
+    assert single.start(0.0) == [refused]
 
 
 def test_request_that_runs_once_keeps_to_its_home() -> None:
--- a/tests/relay/test_service.py
+++ b/tests/relay/test_service.py
@@ -62,10 +62,17 @@
     assert fixture.events == [
         (
             "given_up",
-            {"id": "r1", "ran": False, "late": False, "reason": "no configuration is known yet"},
+            {
+                "id": "r1",
+                "ran": False,
+                "late": False,
+                "reason": "no configuration is known yet",
+                "cause": "no_configuration",
+            },
         )
     ]
     assert fixture.relay.ended_by_kind[("no_configuration",)] == 1
+    assert fixture.relay.not_served == {("no_configuration", "early"): 1}
 
 
 @pytest.mark.parametrize("leaves", [False, True], ids=["waits", "leaves"])
--- a/tests/relay/test_single.py
+++ b/tests/relay/test_single.py
@@ -3,6 +3,7 @@
 import pytest
 
 from tests.relay.conftest import ROUTE, target_result
+from trackwheel.relay.causes import Cause
 from trackwheel.relay.models import Outcome
 from trackwheel.relay.single import (
     CancelSingle,
@@ -119,7 +120,7 @@
 def test_time_is_up(selector: TargetSelector, budget: RetryBudget) -> None:
     session = Session(selector, budget, False)
     session.take(session.single.tick(1.0))
-    assert session.end == SingleFailed(True, True, "time is up")
+    assert session.end == SingleFailed(True, True, "time is up", Cause.TARGET_SILENT)
     assert session.cancelled == [0]
 
 
--- a/tests/selection/test_cold.py
+++ b/tests/selection/test_cold.py
@@ -12,6 +12,7 @@
 from tests.relay.conftest import HERE, OLD, ROUTE, THERE, target
 from trackwheel.gathering.gather import Gather
 from trackwheel.gathering.gather_models import GatherPlan, SendPart
+from trackwheel.relay.causes import Cause
 from trackwheel.relay.models import Outcome, Target
 from trackwheel.relay.single import SendSingle, Single, SingleFailed, SinglePlan
 from trackwheel.selection.allowance_sharers import AllowanceSharers
@@ -194,7 +195,8 @@
 def test_request_that_no_target_can_take_is_refused_with_a_retry_time() -> None:
     selector = make_selector(make_limiter(2.0, boxes=60, shard=False), cold_target(until=2.5))
     single = Single(SinglePlan(ROUTE, SERVICE, True, 2, 0.19, 3.0), selector, budget())
-    assert single.start(1.0) == [SingleFailed(False, False, NoTargetReason.COLD.value)]
+    refused = SingleFailed(False, False, NoTargetReason.COLD.value, Cause.COLD)
+    assert single.start(1.0) == [refused]
     assert selector.warm_in_s(SERVICE, ROUTE, 1.0) == pytest.approx(1.5)
 
 
--- a/tests/telemetry/test_report.py
+++ b/tests/telemetry/test_report.py
@@ -66,6 +66,22 @@
     assert report.left_out_lines == 3
 
 
+@pytest.mark.parametrize(
+    ("fields", "key"),
+    [
+        ({"event": "given_up", "ran": True, "late": True}, "failed at the deadline"),
+        ({"event": "given_up", "ran": False, "late": False}, "refused early"),
+        ({"event": "query_partial", "missing": 2, "took_ms": 99.0}, "parts left out"),
+        ({"event": "query_partial", "missing": 2, "took_ms": 101.0}, "late"),
+        ({"event": "query_whole", "took_ms": 101.0}, "late"),
+        ({"event": "client_left"}, "left"),
+    ],
+)
+def test_causes_of_what_was_not_served_whole_in_time(fields: dict[str, Any], key: str) -> None:
+    report = make_report([end(0.5), end(0.6, cause="shed", **fields)])
+    assert report.causes == {(key, "shed"): 1}
+
+
 def test_boxes_without_a_collector_count_from_their_own_first_line() -> None:
     lines = [item._replace(collected_at=None) for item in LINES]
     assert [row.start for row in make_report(lines).spans] == [0.0, 2.0, 4.0]
--- a/trackwheel/delegation/inbound_groups.py
+++ b/trackwheel/delegation/inbound_groups.py
@@ -210,6 +210,7 @@
             peer=group.sender.box_id,
             shards=len(forward.shards),
             missing=missing,
+            cause=result.cause,
         )
         group.finish()
 
--- a/trackwheel/entry/figures.py
+++ b/trackwheel/entry/figures.py
@@ -39,6 +39,18 @@
         ("kind",),
         lambda: box.relay.ended_by_kind,
     )
+    figures.add_counters(
+        "requests_not_served_total",
+        "Requests given up on, by cause and whether before or at the deadline",
+        ("cause", "phase"),
+        lambda: box.relay.not_served,
+    )
+    figures.add_counters(
+        "answers_incomplete_total",
+        "Answers that were late or left shards out, by cause",
+        ("cause", "kind"),
+        lambda: box.relay.incomplete,
+    )
     figures.add_counters(
         "target_sends_total",
         "Requests sent to targets, by reason and distance",
--- a/trackwheel/gathering/gather.py
+++ b/trackwheel/gathering/gather.py
@@ -33,6 +33,7 @@
 from trackwheel.gathering.parts import ReceivedParts
 from trackwheel.gathering.shard_requester import DECLINED, ShardRequester
 from trackwheel.gathering.shards import ShardTracker
+from trackwheel.relay.causes import Cause
 from trackwheel.relay.models import Outcome, Part, SendPermission, TargetResult
 from trackwheel.selection.budget import RetryBudget
 from trackwheel.selection.target_selector import TargetSelector
@@ -61,6 +62,8 @@
         )
         self._requester = ShardRequester(plan, selector, budget, self._shards, self._groups)
         self._peers_ran = False
+        self._cause_at_aim: Cause | None = None
+        """The cause of the shards that were missing at the target latency."""
         self._closed_connections = ClosedConnections()
         self._commands: list[GatherCommand] = []
         self.ended = False
@@ -127,6 +130,7 @@
         name = self._requester.pop_ended(token)
         if self.ended or name is None:
             return []
+        self._note_cause_at_aim(now)
         shard = self._shards[name]
         if part is not None:
             shard.attempts.mark_succeeded(token)
@@ -168,6 +172,7 @@
         group = self._groups.get(number)
         if self.ended or group is None:
             return []
+        self._note_cause_at_aim(now)
         group.report()
         self._closed_connections.count_by_group[number] = closed
         self._peers_ran |= ran
@@ -217,6 +222,7 @@
         """Do what is due: hedged requests, checks of peers, retries, the end of the query."""
         if self.ended:
             return []
+        self._note_cause_at_aim(now)
         for number in self._groups.pop_overdue(now):
             self._handle_overdue_peer(number, now)
         self._ask_elsewhere(self._shards.pop_late(now), "hedge", now)
@@ -304,6 +310,16 @@
             self._closed_connections.has_any and not len(self.parts) and self._shards.awaits_answer
         )
 
+    def _note_cause_at_aim(self, now: float) -> None:
+        """Keep what was missing when the target latency passed."""
+        if now >= self.plan.answer_at and self._cause_at_aim is None:
+            self._cause_at_aim = self._shards.cause_of_missing()
+
+    @property
+    def waits_for(self) -> Cause | None:
+        """Return why the answer is not complete, None if no shard is missing."""
+        return self._shards.cause_of_missing()
+
     @property
     def closed(self) -> int:
         """Return how many targets closed the connection during the query, here or at peers."""
@@ -348,7 +364,7 @@
             if now >= self.plan.end_at or not pending:
                 self._answer("time is up" if pending else "no more shards expected")
         elif shut:
-            self._fail(CRASHES_TARGETS, False)
+            self._fail(CRASHES_TARGETS, False, Cause.HELD)
         elif self._cannot_succeed():
             self._fail("too few shards can answer", False)
         elif self._is_coverage_reached() and (now >= self.plan.answer_at or not pending):
@@ -357,16 +373,19 @@
             self._fail("time is up", True)
 
     def _answer(self, reason: str) -> None:
-        lacking = self._lacking()
-        gathered = self.parts.gathered()._replace(reason=reason, lacking=lacking)
+        cause = self._shards.cause_of_missing() or self._cause_at_aim
+        gathered = self.parts.gathered()._replace(
+            reason=reason, lacking=self._lacking(), cause=cause
+        )
         self._end()
         self._commands.append(gathered)
 
-    def _fail(self, reason: str, late: bool) -> None:
+    def _fail(self, reason: str, late: bool, cause: Cause | None = None) -> None:
         ran = self.may_have_run
         lacking = self._lacking()
+        cause = cause or self._shards.cause_of_missing()
         self._end()
-        self._commands.append(GatherFailed(ran, late, reason, lacking))
+        self._commands.append(GatherFailed(ran, late, reason, lacking, cause))
 
     def _lacking(self) -> str:
         """Return which shards are missing and why, for the log."""
--- a/trackwheel/gathering/gather_models.py
+++ b/trackwheel/gathering/gather_models.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple, Protocol
 
+from trackwheel.relay.causes import Cause
 from trackwheel.relay.models import OPEN_GATE, Place, RouteKey, SendGate, Target
 
 
@@ -114,13 +115,18 @@
 
 
 class Gathered(NamedTuple):
-    """Command: answer with these signatures and the top records of these lists."""
+    """Command: answer with these signatures and the top records of these lists.
+
+    `cause` tells why shards are missing or, of a late answer, what it waited for at the target
+    latency.
+    """
 
     signature_by_shard: dict[str, bytes]
     record_lists: list[list[bytes]]
     missing: int
     reason: str
     lacking: str = ""
+    cause: Cause | None = None
 
 
 class GatherFailed(NamedTuple):
@@ -130,6 +136,7 @@
     late: bool
     reason: str
     lacking: str = ""
+    cause: Cause | None = None
 
 
 GatherCommand = (
--- a/trackwheel/gathering/shards.py
+++ b/trackwheel/gathering/shards.py
@@ -4,6 +4,7 @@
 from heapq import heappop, heappush
 
 from trackwheel.gathering.gather_models import GatherPlan
+from trackwheel.relay.causes import Cause, most_frequent
 from trackwheel.selection.attempts import NEVER, Attempts
 from trackwheel.selection.target_selector import NoTargetReason
 
@@ -21,6 +22,14 @@
         """Return whether a request to a target or a peer is outstanding."""
         return bool(self.attempts.target_by_token or self.groups)
 
+    def cause(self, held_back: bool) -> Cause:
+        """Return why the shard is missing."""
+        if self.attempts.target_by_token:
+            return Cause.TARGET_SILENT
+        if self.groups:
+            return Cause.PEER_SILENT
+        return self.attempts.cause or (Cause.SUSPECTED if held_back else Cause.TARGETS_TRIED)
+
 
 def max_missing_shards(total: int, least_coverage: float) -> int:
     """Return how many shards may be missing at a given least coverage."""
@@ -121,6 +130,13 @@
             late.append(heappop(self._hedges)[1])
         return late
 
+    def cause_of_missing(self) -> Cause | None:
+        """Return the most frequent cause of the missing shards, None if there are none."""
+        return most_frequent(
+            shard.cause(name in self._retry_at_by_name)
+            for name, shard in self._missing_by_name.items()
+        )
+
     def describe_missing(self, limit: int, peer_address: Callable[[int], str]) -> str:
         """Return up to `limit` missing shards and why they are missing, for the log."""
         names = list(self._missing_by_name)[:limit]
@@ -132,7 +148,7 @@
         pending += [f"peer {peer_address(number)}" for number in sorted(shard.groups)]
         states = [shard.last_failure] if shard.last_failure else []
         if name in self._retry_at_by_name:
-            states.append("held back")
+            states.append(f"held back ({shard.cause(True)})")
         if pending:
             states.append(f"waiting for {', '.join(pending)}")
         return ", ".join(states) or NoTargetReason.TRIED.value
--- a/trackwheel/log_commands.py
+++ b/trackwheel/log_commands.py
@@ -46,6 +46,7 @@
         "boxes": [row._asdict() for row in report.boxes],
         "spans": [row._asdict() for row in report.spans],
         "reasons": [[*key, times] for key, times in report.reasons.most_common()],
+        "causes": [[*key, times] for key, times in report.causes.most_common()],
         "failures": [[*key, times] for key, times in report.failures.most_common()],
         "left_out_lines": report.left_out_lines,
     }
--- a/trackwheel/relay/runs.py
+++ b/trackwheel/relay/runs.py
@@ -17,6 +17,7 @@
     SendPart,
 )
 from trackwheel.gathering.merge import top_records
+from trackwheel.relay.causes import Cause
 from trackwheel.relay.models import CallerRequest, Outcome, Part, RouteKey, Target, TargetResult
 from trackwheel.relay.single import (
     CancelSingle,
@@ -110,6 +111,11 @@
         self._on_declined = on_declined
         self._timer = Timer(self._tick)
 
+    @property
+    def waits_for(self) -> Cause | None:
+        """Return why there is no answer yet."""
+        return self._gather.waits_for
+
     def start(self) -> None:
         """Begin."""
         self.perform(self._gather.start(steady_now()))
@@ -176,6 +182,11 @@
         self._on_done = on_done
         self._timer = Timer(self._tick)
 
+    @property
+    def waits_for(self) -> Cause | None:
+        """Return why there is no answer yet."""
+        return self._single.waits_for
+
     def start(self) -> None:
         """Begin."""
         self._perform(self._single.start(steady_now()))
--- a/trackwheel/relay/service.py
+++ b/trackwheel/relay/service.py
@@ -17,6 +17,7 @@
 from trackwheel.http1.models import Request
 from trackwheel.http1.server import Exchange
 from trackwheel.quarantine.service import Quarantine
+from trackwheel.relay.causes import Cause, Phase
 from trackwheel.relay.const import (
     FINAL_MARGIN_S,
     LINK_OPEN_DELAY_S,
@@ -90,6 +91,10 @@
         self._log = log
         self._figures = figures
         self.ended_by_kind: Counter[tuple[str]] = Counter()
+        self.not_served: Counter[tuple[str, str]] = Counter()
+        """Requests given up on, by cause and phase."""
+        self.incomplete: Counter[tuple[str, str]] = Counter()
+        """Answers that were late or left shards out, by cause and kind."""
         self._round_robin = WeightedRoundRobin()
         self._table: RouteTable | None = None
         self._startup_queue = StartupQueue(self.handle, self._refuse_without_routes)
@@ -224,7 +229,10 @@
         caller = self._wire.read_request(request)
         reason = "no configuration is known yet"
         self.ended_by_kind[("no_configuration",)] += 1
-        self._log.write("given_up", id=caller.request_id, ran=False, late=False, reason=reason)
+        cause = self._count_not_served(Cause.NO_CONFIGURATION, False)
+        self._log.write(
+            "given_up", id=caller.request_id, ran=False, late=False, reason=reason, cause=cause
+        )
         exchange.respond(
             self._wire.refusal(HTTPStatus.SERVICE_UNAVAILABLE, NO_ROUTES_RETRY_AFTER_S, reason)
         )
@@ -272,7 +280,7 @@
                 return
             failed = result
             if isinstance(failed, SingleAnswered):
-                failed = SingleFailed(True, False, CRASHES_TARGETS)
+                failed = SingleFailed(True, False, CRASHES_TARGETS, Cause.HELD)
             self._end(serving, failed)
             self._refuse(serving.exchange, failed)
 
@@ -305,13 +313,18 @@
 
     def _client_left(self, serving: _Serving, run: GatherRun | SingleRun) -> None:
         """Cancel the request of a client that disconnected before the response."""
+        cause = run.waits_for
         run.cancel()
         serving.passage.end(ran=True)
         caller = serving.caller
         self.ended_by_kind[("client_left",)] += 1
         age_ms = (steady_now() - caller.http.arrived) * MILLISECONDS
         self._log.write(
-            "client_left", id=caller.request_id, route=serving.route.name, took_ms=round(age_ms, 1)
+            "client_left",
+            id=caller.request_id,
+            route=serving.route.name,
+            took_ms=round(age_ms, 1),
+            cause=cause,
         )
 
     def _plan_query(self, serving: _Serving) -> GatherPlan:
@@ -380,25 +393,37 @@
         if serving.homes:
             common["homes"] = ",".join(sorted(serving.homes))
         match result:
-            case Gathered(_, _, missing, reason, lacking):
+            case Gathered(_, _, missing, reason, lacking, cause):
                 kind = "partial" if missing else "whole"
                 event = "query_partial" if missing else "query_whole"
+                if cause is not None:
+                    common["cause"] = cause.value
+                    self.incomplete[(cause.value, kind)] += 1
                 self._log.write(event, missing=missing, reason=reason, lacking=lacking, **common)
             case SingleAnswered(answer):
                 kind = "answered"
                 self._log.write("request_end", status=answer.status, **common)
-            case GatherFailed(ran, late, reason, lacking):
+            case GatherFailed(ran, late, reason, lacking, cause):
                 kind = "given_up_ran" if ran else "given_up_not_run"
+                common["cause"] = self._count_not_served(cause, late)
                 self._log.write(
                     "given_up", ran=ran, late=late, reason=reason, lacking=lacking, **common
                 )
-            case SingleFailed(ran, late, reason):
+            case SingleFailed(ran, late, reason, cause):
                 kind = "given_up_ran" if ran else "given_up_not_run"
+                common["cause"] = self._count_not_served(cause, late)
                 self._log.write("given_up", ran=ran, late=late, reason=reason, **common)
         self.ended_by_kind[(kind,)] += 1
         if serving.homes and kind == "given_up_not_run":
             self.ended_by_kind[("without_home",)] += 1
 
+    def _count_not_served(self, cause: Cause | None, late: bool) -> str:
+        """Count a request that was given up on; return the cause for its log line."""
+        name = (cause or Cause.TARGETS_TRIED).value
+        phase = Phase.DEADLINE if late else Phase.EARLY
+        self.not_served[(name, phase.value)] += 1
+        return name
+
 
 def _answer_at(caller: CallerRequest, route: Route) -> float:
     """Return the last moment to answer within the target latency (monotonic seconds)."""
--- a/trackwheel/relay/single.py
+++ b/trackwheel/relay/single.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from trackwheel.http1.models import Response
+from trackwheel.relay.causes import Cause
 from trackwheel.relay.models import OPEN_GATE, Outcome, RouteKey, SendGate, Target, TargetResult
 from trackwheel.selection.attempts import NEVER, Attempts, Refusal, hedge_time
 from trackwheel.selection.budget import RetryBudget
@@ -55,6 +56,7 @@
     ran: bool
     late: bool
     reason: str
+    cause: Cause | None = None
 
 
 SingleCommand = SendSingle | CancelSingle | SingleAnswered | SingleFailed
@@ -125,6 +127,15 @@
         """Return when `tick` is due next (monotonic seconds)."""
         return min(self._hedge_at, self._retry_at, self.plan.end_at)
 
+    @property
+    def waits_for(self) -> Cause | None:
+        """Return why there is no answer yet."""
+        if self._attempts.target_by_token:
+            return Cause.TARGET_SILENT
+        if self._attempts.ran and not self.plan.repeatable:
+            return Cause.MAY_HAVE_RUN
+        return self._attempts.cause
+
     def _wait_for_backoff(self, now: float) -> bool:
         """Schedule a retry at the end of the connection backoff, if that is in time."""
         backoff_until = self._attempts.backoff_until
@@ -162,8 +173,9 @@
 
     def _fail(self, reason: str, late: bool) -> None:
         ran = self._attempts.ran or bool(self._attempts.target_by_token)
+        cause = self.waits_for
         self._end()
-        self._commands.append(SingleFailed(ran, late, reason))
+        self._commands.append(SingleFailed(ran, late, reason, cause))
 
     def _end(self) -> None:
         self.ended = True
--- a/trackwheel/selection/attempts.py
+++ b/trackwheel/selection/attempts.py
@@ -3,6 +3,7 @@
 from enum import StrEnum
 from typing import Final
 
+from trackwheel.relay.causes import Cause
 from trackwheel.relay.models import (
     NOTHING_RAN,
     OPEN_GATE,
@@ -19,10 +20,18 @@
     MAX_SENDS,
     REFUSAL_BACKOFF_RESPONSE_TIMES,
 )
-from trackwheel.selection.target_selector import Candidate, TargetSelector
+from trackwheel.selection.target_selector import Candidate, NoTargetReason, TargetSelector
 
 NEVER: Final = float("inf")
 
+_CAUSE_BY_REASON: Final = {
+    NoTargetReason.UNKNOWN: Cause.NO_TARGET,
+    NoTargetReason.HOMES: Cause.HOMES,
+    NoTargetReason.BARRED: Cause.BARRED,
+    NoTargetReason.COLD: Cause.COLD,
+    NoTargetReason.TRIED: Cause.TARGETS_TRIED,
+}
+
 
 class Refusal(StrEnum):
     """Why no target is asked.
@@ -66,6 +75,8 @@
         self._refused_at = 0.0
         self.backoff_until = 0.0
         """End of the backoff after refused connections (monotonic seconds)."""
+        self.cause: Cause | None = None
+        """Why the last choice returned no target; None if it returned one."""
         self.target_by_token: dict[int, Target] = {}
         self.ran = False
         """Whether a target whose request has ended may have run it."""
@@ -132,28 +143,38 @@
 
         `needed` tells that the answer fails without this attempt.
         """
+        self.cause = None
         permission = self._gate.permission(now)
         if permission is SendPermission.WAIT:
-            return Refusal.NOT_NOW
+            return self._refuse(Refusal.NOT_NOW, Cause.SUSPECTED)
         # ONE: targets have already ended during it; the client's next attempt will be the trial.
-        if permission is not SendPermission.OPEN or not self.may_run_again:
-            return Refusal.NO_MORE
+        if permission is not SendPermission.OPEN:
+            return self._refuse(Refusal.NO_MORE, Cause.HELD)
+        if not self.may_run_again:
+            spent = Cause.SENDS if self._sends >= MAX_SENDS else Cause.ATTEMPTS
+            return self._refuse(Refusal.NO_MORE, spent)
         choices = self._rank(selector, route, now)
         if not choices and selector.may_ask_soon(self._service, route, now):
-            return Refusal.NOT_NOW
+            return self._refuse(Refusal.NOT_NOW, Cause.COLD)
         if not choices:
-            return Refusal.NO_MORE
+            reason = selector.no_target_reason(self._service, route, now)
+            return self._refuse(Refusal.NO_MORE, _CAUSE_BY_REASON[reason])
         reachable = [choice for choice in choices if choice.rests_until <= now]
         if not reachable:
             self.backoff_until = min(choice.rests_until for choice in choices)
-            return Refusal.DOWN
+            return self._refuse(Refusal.DOWN, Cause.UNREACHABLE)
         choices = reachable
         if self._is_in_refusal_backoff(choices, now):
-            return Refusal.NOT_NOW
+            return self._refuse(Refusal.NOT_NOW, Cause.SHED)
         if not self._spend_budget(budget, now, needed):
-            return Refusal.NOT_NOW if budget.allows_any else Refusal.NO_MORE
+            refusal = Refusal.NOT_NOW if budget.allows_any else Refusal.NO_MORE
+            return self._refuse(refusal, Cause.RETRY_BUDGET)
         return choices
 
+    def _refuse(self, refusal: Refusal, cause: Cause) -> Refusal:
+        self.cause = cause
+        return refusal
+
     def _is_in_refusal_backoff(self, choices: list[Candidate], now: float) -> bool:
         """Return whether all targets have refused it so recently that it should wait."""
         if choices[0].target.instance not in self._tried or self._refusals < len(choices):
--- a/trackwheel/telemetry/report.py
+++ b/trackwheel/telemetry/report.py
@@ -59,6 +59,7 @@
     boxes: list[BoxRow]
     spans: list[IntervalRow]
     reasons: Counter[tuple[str, str]]
+    causes: Counter[tuple[str, str]]
     failures: Counter[tuple[str, str]]
     left_out_lines: int
 
@@ -90,6 +91,11 @@
             for line in ends
             if line.event == "given_up"
         ),
+        causes=Counter(
+            (_classify_incomplete(line), str(line.fields["cause"]))
+            for line in ends
+            if line.fields.get("cause") and _classify_incomplete(line)
+        ),
         failures=Counter(
             (str(line.fields.get("outcome")), str(line.fields.get("why_sent")))
             for line in ordered
@@ -109,6 +115,16 @@
     return "left" if line.event == "client_left" else ""
 
 
+def _classify_incomplete(line: LogLine) -> str:
+    """Return how a request missed a whole answer in time; empty for other requests."""
+    kind = _classify_end(line)
+    if line.event == "given_up":
+        return f"{kind} at the deadline" if line.fields.get("late") else f"{kind} early"
+    if kind == "in_time":
+        return "parts left out" if line.fields.get("missing") else ""
+    return kind
+
+
 def _routes(ends: list[LogLine]) -> list[RouteRow]:
     ends_by_route: dict[str, list[LogLine]] = {}
     for line in ends:
--- a/trackwheel/telemetry/report_page.py
+++ b/trackwheel/telemetry/report_page.py
@@ -68,6 +68,11 @@
             ("route", "reason", "times"),
             _rows_by_count(report.reasons),
         ),
+        Table(
+            "not served, late or incomplete, by cause",
+            ("end", "cause", "times"),
+            _rows_by_count(report.causes),
+        ),
         Table(
             "failed at targets, by outcome and cause of the send",
             ("outcome", "why sent", "times"),
