Hold requests at a starting box until it knows targets, for a share of their time

Change: a request waits until configuration and targets are known, at most a quarter of its time, so that a refused client still has time for another attempt. 404 for an unknown route needs no targets.

--- a/trackwheel/entry/box.py
+++ b/trackwheel/entry/box.py
@@ -221,6 +221,7 @@
         self.transport.close_unknown({target.incarnation for target in targets})
         self.transport.refuse_waiting({target.incarnation for target in targets if target.excluded})
         self._set_shards()
+        self.relay.targets_known()
 
     def _set_shards(self) -> None:
         """Set the shards, the failure domains of their targets, and the limits of cold targets."""
--- a/trackwheel/relay/const.py
+++ b/trackwheel/relay/const.py
@@ -18,10 +18,10 @@
 NO_ROUTES_RETRY_AFTER_S: Final = 0.5
 """Retry-After of a box that has no configuration yet."""
 
-STARTUP_WAIT_S: Final = 0.1
-"""How long a request waits at a box that has no configuration yet. One is read within some 50 ms of
-a start; a client that is refused returns only after its target latency. This happened to 35 of
-3,100 requests when all boxes were lost once and three were added."""
+STARTUP_WAIT_SHARE: Final = 0.25
+"""Share of a request's time that it waits at a box without a configuration or targets. Most boxes
+have both within a second of a start, also when all start at once; the rest of the time is enough
+for one more attempt of a client that is refused."""
 
 STARTUP_MAX_WAITING: Final = 500
 """Most requests that wait for it; further ones are refused at once."""
--- a/trackwheel/relay/service.py
+++ b/trackwheel/relay/service.py
@@ -25,6 +25,7 @@
     NO_ROUTES_RETRY_AFTER_S,
     RESPONSE_MARGIN_S,
     RETRY_AFTER_S,
+    STARTUP_WAIT_SHARE,
 )
 from trackwheel.relay.entry_checks import EntryCheck, EntryPassage, EntryRefusal, EntryRequest
 from trackwheel.relay.models import OPEN_GATE, CallerRequest, Place, RouteKey, SendPermission, Wire
@@ -97,6 +98,7 @@
         """Answers that were late or left shards out, by cause and kind."""
         self._round_robin = WeightedRoundRobin()
         self._table: RouteTable | None = None
+        self._knows_targets = False
         self._startup_queue = StartupQueue(self.handle, self._refuse_without_routes)
         self._planner = GroupPlanner(place, address, selector, groups.peer_tracker)
         self._links_timer = Timer(self._open_links)
@@ -106,6 +108,12 @@
         self._table = table
         self._startup_queue.release()
 
+    def targets_known(self) -> None:
+        """Serve the requests that waited for the first targets."""
+        if not self._knows_targets:
+            self._knows_targets = True
+            self._startup_queue.release()
+
     def set_peers(self, peers: tuple[PeerBox, ...], gathers: bool) -> None:
         """Set the peers to which shards may be delegated, and whether this box is a gatherer."""
         self._planner.set_peers(peers, gathers)
@@ -117,10 +125,10 @@
     def handle(self, request: Request, exchange: Exchange) -> None:
         """Serve one client request."""
         table = self._table
+        caller = self._wire.read_request(request)
         if table is None:
-            self._startup_queue.add(request, exchange)
+            self._wait_for_start(caller, exchange)
             return
-        caller = self._wire.read_request(request)
         route = find_route(table, caller.host, caller.path)
         if route is None:
             self.ended_by_kind[("no_route",)] += 1
@@ -129,6 +137,9 @@
             )
             exchange.respond(self._wire.refusal(HTTPStatus.NOT_FOUND, None, "no route"))
             return
+        if not self._knows_targets:
+            self._wait_for_start(caller, exchange)
+            return
         group: Group | None = None
         if table.groups is not None:
             identified = self._identify(request, caller, route, table.groups, exchange)
@@ -141,6 +152,12 @@
             return
         self._check(EntryRequest(caller, route, group), table.version, exchange)
 
+    def _wait_for_start(self, caller: CallerRequest, exchange: Exchange) -> None:
+        """Hold a request until this box knows the configuration and the targets."""
+        arrived = caller.http.arrived
+        until = arrived + (caller.deadline - arrived) * STARTUP_WAIT_SHARE
+        self._startup_queue.add(caller.http, exchange, until - steady_now())
+
     def _identify(
         self,
         request: Request,
@@ -225,9 +242,10 @@
         return True
 
     def _refuse_without_routes(self, request: Request, exchange: Exchange) -> None:
-        """Refuse a request that arrived before this box had a configuration."""
+        """Refuse a request that arrived before this box had a configuration and targets."""
         caller = self._wire.read_request(request)
-        reason = "no configuration is known yet"
+        lack = "configuration" if self._table is None else "target"
+        reason = f"no {lack} is known yet"
         self.ended_by_kind[("no_configuration",)] += 1
         cause = self._count_not_served(Cause.NO_CONFIGURATION, False)
         self._log.write(
