--- a/trackwheel/relay/service.py
+++ b/trackwheel/relay/service.py
@@ -17,6 +17,7 @@
 from trackwheel.http1.models import Request
 from trackwheel.http1.server import Exchange
 from trackwheel.quarantine.service import Quarantine
+from trackwheel.relay.causes import Cause, Phase
 from trackwheel.relay.const import (
     FINAL_MARGIN_S,
     LINK_OPEN_DELAY_S,
@@ -24,6 +25,7 @@
     NO_ROUTES_RETRY_AFTER_S,
     RESPONSE_MARGIN_S,
     RETRY_AFTER_S,
+    STARTUP_WAIT_SHARE,
 )
 from trackwheel.relay.entry_checks import EntryCheck, EntryPassage, EntryRefusal, EntryRequest
 from trackwheel.relay.models import OPEN_GATE, CallerRequest, Place, RouteKey, SendPermission, Wire
@@ -90,8 +92,13 @@
         self._log = log
         self._figures = figures
         self.ended_by_kind: Counter[tuple[str]] = Counter()
+        self.not_served: Counter[tuple[str, str]] = Counter()
+        """Requests given up on, by cause and phase."""
+        self.incomplete: Counter[tuple[str, str]] = Counter()
+        """Answers that were late or left shards out, by cause and kind."""
         self._round_robin = WeightedRoundRobin()
         self._table: RouteTable | None = None
+        self._knows_targets = False
         self._startup_queue = StartupQueue(self.handle, self._refuse_without_routes)
         self._planner = GroupPlanner(place, address, selector, groups.peer_tracker)
         self._links_timer = Timer(self._open_links)
@@ -101,6 +108,12 @@
         self._table = table
         self._startup_queue.release()
 
+    def targets_known(self) -> None:
+        """Serve the requests that waited for the first targets."""
+        if not self._knows_targets:
+            self._knows_targets = True
+            self._startup_queue.release()
+
     def set_peers(self, peers: tuple[PeerBox, ...], gathers: bool) -> None:
         """Set the peers to which shards may be delegated, and whether this box is a gatherer."""
         self._planner.set_peers(peers, gathers)
@@ -112,10 +125,10 @@
     def handle(self, request: Request, exchange: Exchange) -> None:
         """Serve one client request."""
         table = self._table
+        caller = self._wire.read_request(request)
         if table is None:
-            self._startup_queue.add(request, exchange)
+            self._wait_for_start(caller, exchange)
             return
-        caller = self._wire.read_request(request)
         route = find_route(table, caller.host, caller.path)
         if route is None:
             self.ended_by_kind[("no_route",)] += 1
@@ -124,6 +137,9 @@
             )
             exchange.respond(self._wire.refusal(HTTPStatus.NOT_FOUND, None, "no route"))
             return
+        if not self._knows_targets:
+            self._wait_for_start(caller, exchange)
+            return
         group: Group | None = None
         if table.groups is not None:
             identified = self._identify(request, caller, route, table.groups, exchange)
@@ -136,6 +152,12 @@
             return
         self._check(EntryRequest(caller, route, group), table.version, exchange)
 
+    def _wait_for_start(self, caller: CallerRequest, exchange: Exchange) -> None:
+        """Hold a request until this box knows the configuration and the targets."""
+        arrived = caller.http.arrived
+        until = arrived + (caller.deadline - arrived) * STARTUP_WAIT_SHARE
+        self._startup_queue.add(caller.http, exchange, until - steady_now())
+
     def _identify(
         self,
         request: Request,
@@ -220,11 +242,15 @@
         return True
 
     def _refuse_without_routes(self, request: Request, exchange: Exchange) -> None:
-        """Refuse a request that arrived before this box had a configuration."""
+        """Refuse a request that arrived before this box had a configuration and targets."""
         caller = self._wire.read_request(request)
-        reason = "no configuration is known yet"
+        lack = "configuration" if self._table is None else "target"
+        reason = f"no {lack} is known yet"
         self.ended_by_kind[("no_configuration",)] += 1
-        self._log.write("given_up", id=caller.request_id, ran=False, late=False, reason=reason)
+        cause = self._count_not_served(Cause.NO_CONFIGURATION, False)
+        self._log.write(
+            "given_up", id=caller.request_id, ran=False, late=False, reason=reason, cause=cause
+        )
         exchange.respond(
             self._wire.refusal(HTTPStatus.SERVICE_UNAVAILABLE, NO_ROUTES_RETRY_AFTER_S, reason)
         )
@@ -272,7 +298,7 @@
                 return
             failed = result
             if isinstance(failed, SingleAnswered):
-                failed = SingleFailed(True, False, CRASHES_TARGETS)
+                failed = SingleFailed(True, False, CRASHES_TARGETS, Cause.HELD)
             self._end(serving, failed)
             self._refuse(serving.exchange, failed)
 
@@ -305,13 +331,18 @@
 
     def _client_left(self, serving: _Serving, run: GatherRun | SingleRun) -> None:
         """Cancel the request of a client that disconnected before the response."""
+        cause = run.waits_for
         run.cancel()
         serving.passage.end(ran=True)
         caller = serving.caller
         self.ended_by_kind[("client_left",)] += 1
         age_ms = (steady_now() - caller.http.arrived) * MILLISECONDS
         self._log.write(
-            "client_left", id=caller.request_id, route=serving.route.name, took_ms=round(age_ms, 1)
+            "client_left",
+            id=caller.request_id,
+            route=serving.route.name,
+            took_ms=round(age_ms, 1),
+            cause=cause,
         )
 
     def _plan_query(self, serving: _Serving) -> GatherPlan:
@@ -380,25 +411,37 @@
         if serving.homes:
             common["homes"] = ",".join(sorted(serving.homes))
         match result:
-            case Gathered(_, _, missing, reason, lacking):
+            case Gathered(_, _, missing, reason, lacking, cause):
                 kind = "partial" if missing else "whole"
                 event = "query_partial" if missing else "query_whole"
+                if cause is not None:
+                    common["cause"] = cause.value
+                    self.incomplete[(cause.value, kind)] += 1
                 self._log.write(event, missing=missing, reason=reason, lacking=lacking, **common)
             case SingleAnswered(answer):
                 kind = "answered"
                 self._log.write("request_end", status=answer.status, **common)
-            case GatherFailed(ran, late, reason, lacking):
+            case GatherFailed(ran, late, reason, lacking, cause):
                 kind = "given_up_ran" if ran else "given_up_not_run"
+                common["cause"] = self._count_not_served(cause, late)
                 self._log.write(
                     "given_up", ran=ran, late=late, reason=reason, lacking=lacking, **common
                 )
-            case SingleFailed(ran, late, reason):
+            case SingleFailed(ran, late, reason, cause):
                 kind = "given_up_ran" if ran else "given_up_not_run"
+                common["cause"] = self._count_not_served(cause, late)
                 self._log.write("given_up", ran=ran, late=late, reason=reason, **common)
         self.ended_by_kind[(kind,)] += 1
         if serving.homes and kind == "given_up_not_run":
             self.ended_by_kind[("without_home",)] += 1
 
+    def _count_not_served(self, cause: Cause | None, late: bool) -> str:
+        """Count a request that was given up on; return the cause for its log line."""
+        name = (cause or Cause.TARGETS_TRIED).value
+        phase = Phase.DEADLINE if late else Phase.EARLY
+        self.not_served[(name, phase.value)] += 1
+        return name
+
 
 def _answer_at(caller: CallerRequest, route: Route) -> float:
     """Return the last moment to answer within the target latency (monotonic seconds)."""
