Give back the attempts of a peer whose targets certainly did not run a shard

Cause: a peer was charged with an attempt per shard when the group was sent. Change: the last message for a group names the missing shards that no target of the peer may have run; their attempts are given back, the targets may be asked again within the refusals' bounds. `lacking` names the shards that were given up first, and a query that gives up early is counted by the cause of these.

--- a/tests/delegation/test_outbound_groups.py
+++ b/tests/delegation/test_outbound_groups.py
@@ -44,6 +44,7 @@
     [
         pytest.param(GroupParts("0", [0, 2], [b"a", b"b"], b"", False, True), id="out-of-range"),
         pytest.param(GroupParts("0", [-1], [b"a"], b"", False, True), id="negative"),
+        pytest.param(GroupParts("0", [], [], b"", True, False, 0, [9]), id="not-run-out-of-range"),
         pytest.param(GroupParts("0", [0, 1], [b"a"], b"", True, True), id="too-few-signatures"),
         pytest.param(GroupDeclined("0", [7]), id="declined-out-of-range"),
     ],
--- a/tests/gathering/test_gather.py
+++ b/tests/gathering/test_gather.py
@@ -129,10 +129,11 @@
         now: float = 0.05,
         number: int = 0,
         ran: bool = True,
+        not_run: tuple[str, ...] = (),
     ) -> None:
         signatures = {shard: f"peer{number}-{shard}".encode() for shard in shards}
         records = [b"peer".ljust(16)]
-        self.take(self.gather.group_parts(number, signatures, records, final, ran, now))
+        self.take(self.gather.group_parts(number, signatures, records, final, ran, now, 0, not_run))
 
     def tick(self, now: float) -> None:
         self.take(self.gather.tick(now))
--- a/trackwheel/delegation/inbound_groups.py
+++ b/trackwheel/delegation/inbound_groups.py
@@ -1,6 +1,7 @@
 """Groups of shards that this box gathers for peers, and the messages that report them."""
 
 from collections import deque
+from collections.abc import Sequence
 
 from trackwheel.clock import steady_now
 from trackwheel.delegation.peers import (
@@ -41,6 +42,7 @@
         self._timer = Timer(self._send_due_report)
         self._sends_at_once = forward.repeat
         """Whether each part is sent as it arrives instead of with the next due report."""
+        self._not_run: Sequence[str] = ()
 
     def start(self, run: GatherRun) -> None:
         """Start the gather and the timer of the reports."""
@@ -66,9 +68,10 @@
         positions = [position for position, name in enumerate(shards) if name in command.shards]
         self._hub.send(self.sender.address, GroupDeclined(self.forward.group_id, positions))
 
-    def finish(self) -> None:
-        """Send the remaining parts in a final message."""
+    def finish(self, not_run: Sequence[str]) -> None:
+        """Send the remaining parts, and the shards that no target has run, in a final message."""
         self._timer.stop()
+        self._not_run = not_run
         self._report(True)
 
     def _send_due_report(self) -> None:
@@ -111,6 +114,7 @@
             final,
             gather.may_have_run,
             gather.closed,
+            [at for at, name in enumerate(forward.shards) if final and name in self._not_run],
         )
         self._hub.send(self.sender.address, message)
 
@@ -212,7 +216,7 @@
             missing=missing,
             cause=result.cause,
         )
-        group.finish()
+        group.finish(result.not_run if isinstance(result, Gathered) else ())
 
     def _receive_cancel(self, sender: PeerIdentity, message: GroupCancel) -> None:
         group = self._group_by_key.pop((sender.boot, message.group_id), None)
--- a/trackwheel/delegation/outbound_groups.py
+++ b/trackwheel/delegation/outbound_groups.py
@@ -161,7 +161,8 @@
         if group is None or group.address != sender.address:
             return
         names = group.shards_at(message.shards)
-        if names is None or len(names) != len(message.signatures):
+        not_run = group.shards_at(message.not_run)
+        if names is None or not_run is None or len(names) != len(message.signatures):
             self._reject(sender, message)
             return
         if message.final:
@@ -179,6 +180,7 @@
                 message.ran,
                 now,
                 message.closed,
+                not_run,
             )
         )
 
--- a/trackwheel/delegation/peers.py
+++ b/trackwheel/delegation/peers.py
@@ -67,7 +67,8 @@
     """Parts: shards by position in the request, their signatures and their merged top records.
 
     `ran` tells whether targets may have run any of the shards, `closed` how many targets have
-    closed the connection during one so far.
+    closed the connection during one so far. `not_run` of the last message are missing shards, by
+    position, that certainly no target of the peer has run.
     """
 
     group_id: str
@@ -77,6 +78,7 @@
     final: bool
     ran: bool
     closed: int = 0
+    not_run: list[int] = []
 
 
 class GroupCancel(NamedTuple):
--- a/trackwheel/gathering/gather.py
+++ b/trackwheel/gathering/gather.py
@@ -163,11 +163,13 @@
         ran: bool,
         now: float,
         closed: int = 0,
+        not_run: Sequence[str] = (),
     ) -> list[GatherCommand]:
         """Handle parts that a peer merged; `final` marks its last message for the group.
 
         `ran` tells whether targets may have run any of the group's shards, `closed` how many
-        targets have closed the connection during such a request so far.
+        targets have closed the connection during such a request so far. At the peer, no target may
+        have run the shards `not_run` of the last message.
         """
         group = self._groups.get(number)
         if self.ended or group is None:
@@ -179,6 +181,7 @@
         for name in self.parts.add_merged(group.plan.shards, signature_by_shard, records):
             self._mark_received(name)
         if final:
+            self._delegator.refund(number, not_run)
             self._close_group(number, "lacking", now)
         elif not group.plan.repeat:
             self._ask_elsewhere(self._delegator.pending_shards(number), "hedge", now)
@@ -366,7 +369,8 @@
         elif shut:
             self._fail(CRASHES_TARGETS, False, Cause.HELD)
         elif self._cannot_succeed():
-            self._fail("too few shards can answer", False)
+            cause = self._shards.cause_of_given_up()
+            self._fail("too few shards can answer", False, cause)
         elif self._is_coverage_reached() and (now >= self.plan.answer_at or not pending):
             self._answer("aim" if pending else "no more shards expected")
         elif now >= self.plan.end_at:
@@ -375,7 +379,7 @@
     def _answer(self, reason: str) -> None:
         cause = self._shards.cause_of_missing() or self._cause_at_aim
         gathered = self.parts.gathered()._replace(
-            reason=reason, lacking=self._lacking(), cause=cause
+            reason=reason, lacking=self._lacking(), cause=cause, not_run=self._shards.not_run()
         )
         self._end()
         self._commands.append(gathered)
--- a/trackwheel/gathering/gather_models.py
+++ b/trackwheel/gathering/gather_models.py
@@ -118,7 +118,7 @@
     """Command: answer with these signatures and the top records of these lists.
 
     `cause` tells why shards are missing or, of a late answer, what it waited for at the target
-    latency.
+    latency. No target may have run the missing shards `not_run`.
     """
 
     signature_by_shard: dict[str, bytes]
@@ -127,6 +127,7 @@
     reason: str
     lacking: str = ""
     cause: Cause | None = None
+    not_run: tuple[str, ...] = ()
 
 
 class GatherFailed(NamedTuple):
--- a/trackwheel/gathering/group_delegator.py
+++ b/trackwheel/gathering/group_delegator.py
@@ -61,6 +61,14 @@
         groups = self._regrouper.regroup(tried_by_shard, self._plan, repeat, now)
         return [self.delegate(group) for group in groups]
 
+    def refund(self, number: int, not_run: Sequence[str]) -> None:
+        """Give back the attempts for shards that no target of a group's peer may have run."""
+        group = self._groups[number].plan
+        for name in self.pending_shards(number):
+            if name in not_run:
+                local = {t.instance for t in self._selector.targets(name) if t.place == group.place}
+                self._shards[name].attempts.refund_delegation(local, group.repeat)
+
     def pending_shards(self, number: int) -> list[str]:
         """Return the shards of a group that its peer still has."""
         return self._shards.in_group(self._groups[number].plan.shards, number)
--- a/trackwheel/gathering/shards.py
+++ b/trackwheel/gathering/shards.py
@@ -130,16 +130,28 @@
             late.append(heappop(self._hedges)[1])
         return late
 
-    def cause_of_missing(self) -> Cause | None:
-        """Return the most frequent cause of the missing shards, None if there are none."""
-        return most_frequent(
-            shard.cause(name in self._retry_at_by_name)
+    def not_run(self) -> tuple[str, ...]:
+        """Return the missing shards that no target may have run."""
+        return tuple(
+            name
             for name, shard in self._missing_by_name.items()
+            if not shard.is_pending and not shard.attempts.ran
         )
 
+    def cause_of_missing(self) -> Cause | None:
+        """Return the most frequent cause of the missing shards, None if there are none."""
+        return most_frequent(self._cause(name) for name in self._missing_by_name)
+
+    def cause_of_given_up(self) -> Cause | None:
+        """Return the most frequent cause of the shards that were given up."""
+        return most_frequent(self._cause(name) for name in self._given_up)
+
+    def _cause(self, name: str) -> Cause:
+        return self._shard_by_name[name].cause(name in self._retry_at_by_name)
+
     def describe_missing(self, limit: int, peer_address: Callable[[int], str]) -> str:
         """Return up to `limit` missing shards and why they are missing, for the log."""
-        names = list(self._missing_by_name)[:limit]
+        names = sorted(self._missing_by_name, key=lambda name: name not in self._given_up)[:limit]
         return "; ".join(f"{name}: {self._describe(name, peer_address)}" for name in names)
 
     def _describe(self, name: str, peer_address: Callable[[int], str]) -> str:
--- a/trackwheel/selection/attempts.py
+++ b/trackwheel/selection/attempts.py
@@ -118,6 +118,13 @@
         self._runs -= 1
         self._deliveries -= 1
 
+    def refund_delegation(self, targets: set[str], repeat: bool) -> None:
+        """Give back the attempts of a peer that has ended without a target that may have run it."""
+        self._runs -= 1 if repeat else self._delegated_runs
+        if not repeat:
+            self._delegated_runs = 0
+        self._not_run_at |= targets & self._tried
+
     def release_delegated_targets(self) -> None:
         """Allow the targets of delegated repeats again: no peer has asked one of them."""
         self._tried -= self._delegated_targets
