--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -67,8 +67,11 @@
 CLOCK = "tests/test_clock.py::"
 READINGS = "tests/directory/test_readings.py::"
 WIRE = "tests/platform/test_wire.py::"
+START = "tests/relay/test_service.py::"
 ENTRY = "tests/whole/test_entry.py::"
 
+SERVED = "a request with time left is not given up for what passes soon"
+CAUSES = "each request that is not served names its cause"
 SNAPSHOT = "one snapshot"
 COVERAGE = "true coverage"
 OWN = "the whole answer, only to its caller"
@@ -1661,4 +1664,37 @@
             "if False:",
         ),
     ),
+    Row(
+        PLATFORM,
+        SERVED,
+        "all boxes start at once and know their configuration before the first target",
+        START + "test_request_that_waits_is_not_refused_between_configuration_and_targets",
+        Mutant(
+            "trackwheel/relay/service.py",
+            "if not self._knows_targets:\n            self._wait_for_start",
+            "if False:\n            self._wait_for_start",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        SERVED,
+        "a peer's target is replaced, and another target of the shard fails",
+        "tests/gathering/test_not_run_at_peers.py::test_attempt_that_no_target_ran_is_given_back",
+        Mutant(
+            "trackwheel/gathering/gather.py",
+            "            self._delegator.refund(number, not_run)\n",
+            "",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        CAUSES,
+        "targets are silent, fail, shed, refuse connections or have been replaced; no budget",
+        "tests/gathering/test_causes.py::test_failure_names_its_cause",
+        Mutant(
+            "trackwheel/selection/attempts.py",
+            "        self.cause = cause\n        return refusal",
+            "        return refusal",
+        ),
+    ),
 )
