--- a/trackwheel/directory/const.py
+++ b/trackwheel/directory/const.py
@@ -32,8 +32,7 @@
 """How long a starting box uses a stale copy of the store before it reads the store itself.
 
 Its peers are known after about 0.1 s, and a beacon arrives within half a second. Without this wait,
-boxes that all start at once each consider themselves alone and read everything: 1,180 of 1,509
-calls of a day on 195 boxes that were lost once.
+boxes that all start at once each consider themselves alone and read everything.
 """
 START_PEER_WAIT_S: Final = 1.5
 """How long a starting box waits for beacons of its peers before it reads the store itself."""
--- a/trackwheel/gathering/gather.py
+++ b/trackwheel/gathering/gather.py
@@ -296,9 +296,8 @@
         """Return whether this query may be crashing its targets and pending answers will tell.
 
         Targets have closed the connection during it, none has answered yet, and answers are still
-        outstanding. Asking the second target of each shard now could crash those as well: in an
-        incident one query took down 40 targets instead of 20. If the targets failed for another
-        reason, the wait costs half of the usual response time.
+        outstanding. Asking the second target of each shard now could crash those as well. If the
+        targets failed for another reason, the wait costs half of the usual response time.
         """
         return (
             self._closed_connections.has_any and not len(self.parts) and self._shards.awaits_answer
--- a/trackwheel/quarantine/const.py
+++ b/trackwheel/quarantine/const.py
@@ -8,9 +8,8 @@
 MIN_CRASHES_TO_HOLD: Final = 3
 """Distinct targets that crash under a request, none having answered it, before it is held.
 
-Any request can meet one or two crashes while targets fail. In an incident, three without an answer
-were met by the request that caused the crashes and by requests running at the same targets; these
-are told apart by the crashes they share (see `CrashTracker`).
+Any request can meet one or two crashes while targets fail. Requests that run at the same targets
+meet as many as the one that causes them; `CrashTracker` tells them apart by shared crashes.
 """
 DECISION_DELAY_S: Final = 0.5
 """Delay between the third crash and the decision to hold (seconds). Boxes exchange crashes and
--- a/trackwheel/quarantine/crash_tracker.py
+++ b/trackwheel/quarantine/crash_tracker.py
@@ -2,9 +2,8 @@
 
 Every box records the targets that crash under each request and reports them to the others. A
 request is held once three targets have crashed under it and no target, at any box, has answered
-it. Held requests go to no target: in an incident a request that crashed forty targets within
-150 ms returned every few seconds, at any box and with another id, and brought down each service
-again as soon as it had recovered.
+it. Held requests go to no target: clients send such a request again, to any box and with another
+id, and each time it would bring down the services that have just recovered.
 
 Other requests run at the same targets when these crash. The crashes are attributed to the request
 with the most of them and no longer count against the others. A bystander that had three crashes
--- a/trackwheel/relay/const.py
+++ b/trackwheel/relay/const.py
@@ -20,8 +20,7 @@
 
 STARTUP_WAIT_S: Final = 0.1
 """How long a request waits at a box that has no configuration yet. One is read within some 50 ms of
-a start; a client that is refused returns only after its target latency. This happened to 35 of
-3,100 requests when all boxes were lost once and three were added."""
+a start; a client that is refused returns only after its target latency."""
 
 STARTUP_MAX_WAITING: Final = 500
 """Most requests that wait for it; further ones are refused at once."""
--- a/trackwheel/selection/const.py
+++ b/trackwheel/selection/const.py
@@ -63,9 +63,8 @@
 """Duration of an ejection after a failed connection attempt."""
 
 CONNECT_BACKOFF_S: Final = 0.05
-"""Backoff after a refused connection; doubles with each consecutive refusal. Without it a shard
-whose targets were all down was requested eight times within milliseconds by each query: 1,417 of
-2,031 failed connections of a day on 195 boxes were such second tries."""
+"""Backoff after a refused connection; doubles with each consecutive refusal. Without it, each query
+would request a shard whose targets are all down several times within milliseconds."""
 
 MAX_CONNECT_BACKOFF_S: Final = 0.4
 """Longest backoff; bounds how long a target that has returned stays unnoticed."""
@@ -99,14 +98,11 @@
 """Most sends of one request, or of one shard of a query, whatever became of the earlier ones."""
 
 REFUSAL_BACKOFF_RESPONSE_TIMES: Final = 0.5
-"""Backoff of a shard that all its targets refused, in usual response times; doubles each time.
-While half of the targets shed six in ten requests for nine seconds, 15 answers failed with it and
-66 without it, which had been given up after some 20 ms (one pair of runs under the same load)."""
+"""Backoff of a shard that all its targets refused, in usual response times; doubles each time."""
 
 BUDGET_RESERVE_SHARE: Final = 0.25
 """Share of the retry budget that is reserved for retries without which an answer fails. A needed
-shard makes the whole answer possible, another one only adds its share. Under the same load, 0.93 of
-all that could be answered in time was answered so in the two worst seconds, 0.88 without it."""
+shard makes the whole answer possible, another one only adds its share."""
 
 BUDGET_RATIO_SHARE: Final = 0.8
 """Share of the allowed retry ratio that is used; the rest covers counts that differ."""
