Measure the memory of a box by cause

Imports one after the other and then a running box, each by what it holds for itself alone (script/measure memory).

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -27,6 +27,7 @@
     "config",
     "fleet",
     "slopes",
+    "memory",
     "batch",
     "policy",
     "policy_shifted",
--- /dev/null
+++ b/bench/memory.py
@@ -0,0 +1,143 @@
+"""Memory of a box on the platform by cause, and the processor time of its start."""
+
+import os
+import subprocess
+import sys
+import sysconfig
+import tempfile
+import time
+from pathlib import Path
+from typing import Final, NamedTuple
+
+from bench.processes import anonymous_bytes, cpu_seconds
+from bench.report import Report
+from standins.entry_fleet import EntryFleet
+
+ROOT: Final = Path(__file__).resolve().parent.parent
+MIB: Final = 1 << 20
+SHARDS: Final = 225
+TARGETS_EACH: Final = 3
+QUERIES: Final = 40
+SETTLE_S: Final = 3.0
+STARTS: Final = 5
+STEPS: Final = (
+    "typing",
+    "asyncio",
+    "uvloop",
+    "anyio",
+    "anyio._backends._asyncio",
+    "msgspec",
+    "cbor2",
+    "xxhash",
+    "httptools",
+    "returns.result",
+    "trackwheel.peers.hub",
+    "trackwheel.entry.run",
+)
+"""Modules of the entry's path, each imported after the ones before it."""
+IMPORT_PROBE: Final = """\
+import sys
+
+def anonymous_kib():
+    with open("/proc/self/smaps_rollup") as rollup:
+        return next(int(line.split()[1]) for line in rollup if line.startswith("Anonymous:"))
+
+print("interpreter", anonymous_kib(), len(sys.modules))
+for name in sys.argv[1:]:
+    __import__(name)
+    print(name, anonymous_kib(), len(sys.modules))
+"""
+
+
+class Step(NamedTuple):
+    """Hold what a process held after a step."""
+
+    name: str
+    anonymous_bytes: int
+    modules: int
+
+
+def _run_bare(code: str, *arguments: str) -> str:
+    """Run code as the platform runs a box: without `site`, with compiled modules."""
+    packages = sysconfig.get_path("purelib")
+    env = {**os.environ, "PYTHONPATH": f"{packages}:{ROOT}"}
+    env.pop("PYTHONDONTWRITEBYTECODE", None)
+    command = [sys.executable, "-S", "-c", code, *arguments]
+    return subprocess.run(command, env=env, check=True, capture_output=True, text=True).stdout
+
+
+def import_steps() -> list[Step]:
+    """Return what a process holds after each import."""
+    _run_bare(IMPORT_PROBE, *STEPS)  # Compiles the modules.
+    lines = [line.split() for line in _run_bare(IMPORT_PROBE, *STEPS).splitlines()]
+    return [Step(name, int(kib) * 1024, int(modules)) for name, kib, modules in lines]
+
+
+def import_cpu_s(starts: int) -> float:
+    """Return the lowest processor time of the imports, over several starts."""
+    code = "import time, trackwheel.entry.run, uvloop, anyio._backends._asyncio"
+    code += "; print(time.process_time())"
+    return min(float(_run_bare(code)) for _ in range(starts))
+
+
+def running_steps() -> list[Step]:
+    """Return what a box holds at the start, with a directory, and after queries."""
+    with (
+        tempfile.TemporaryDirectory(prefix="trackwheel-bench-") as folder,
+        EntryFleet(["a", "a"], Path(folder)) as fleet,
+    ):
+        box, peer = fleet.boxes
+        shards = [f"shard-{number}" for number in range(SHARDS)]
+        fleet.configure([{"name": "q", "path_prefix": "/q/", "service": "lookup"}])
+        fleet.add_target("lookup-a", "lookup")
+        steps: list[Step] = []
+
+        def note(name: str) -> None:
+            time.sleep(SETTLE_S)
+            steps.append(Step(name, anonymous_bytes(fleet.pid(box)), 0))
+
+        fleet.start(box)
+        fleet.wait_ready(box)
+        note("ready, one target")
+        for shard in shards:
+            fleet.add_target(f"{shard}-0", shard)
+            for number in range(1, TARGETS_EACH):
+                fleet.add_entry(f"{shard}-{number}", shard)
+        query = {
+            "name": "q",
+            "path_prefix": "/q/",
+            "fanout_services": shards,
+            "top_k": 5,
+            "min_coverage": 0.8,
+        }
+        fleet.configure([query])
+        note(f"directory of {SHARDS * TARGETS_EACH} targets in {SHARDS} services")
+        fleet.start(peer)
+        fleet.wait_ready(peer)
+        note("a peer")
+        for number in range(QUERIES):
+            fleet.ask(box, f"/q/{number}")
+        note(f"{QUERIES} queries over all services")
+    return steps
+
+
+def measure(long: bool) -> Report:
+    """Measure imports and a running box."""
+    starts = STARTS * (3 if long else 1)
+    imported, running, cpu_s = import_steps(), running_steps(), import_cpu_s(starts)
+    rows: list[tuple[str, str]] = []
+    held = 0
+    for step in (*imported, *running):
+        rows.append((step.name, f"+{(step.anonymous_bytes - held) / MIB:.2f} MiB"))
+        held = step.anonymous_bytes
+    rows.append(("held in the end", f"{held / MIB:.1f} MiB"))
+    rows.append(("processor time of the imports", f"{cpu_s * 1000:.0f} ms"))
+    figures = {
+        "interpreter_mib": imported[0].anonymous_bytes / MIB,
+        "imported_mib": imported[-1].anonymous_bytes / MIB,
+        "modules": float(imported[-1].modules),
+        "running_mib": running[-1].anonymous_bytes / MIB,
+        "import_cpu_ms": cpu_s * 1000,
+    }
+    samples = {"starts": starts, "queries": QUERIES}
+    return Report("memory", 0, "the interpreter alone", figures, samples, rows, [])
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -16,3 +16,9 @@
 def resident_bytes(pid: int) -> int:
     """Return the memory that a process holds."""
     return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * _PAGE
+
+
+def anonymous_bytes(pid: int) -> int:
+    """Return the memory that a process holds for itself alone, without files mapped into it."""
+    lines = Path(f"/proc/{pid}/smaps_rollup").read_text().splitlines()
+    return next(int(line.split()[1]) * 1024 for line in lines if line.startswith("Anonymous:"))
--- a/standins/entry_fleet.py
+++ b/standins/entry_fleet.py
@@ -256,6 +256,10 @@
         """Send a signal to a box."""
         self._process_by_name[place.name].send_signal(number)
 
+    def pid(self, place: EntryPlace) -> int:
+        """Return the id of a box's process."""
+        return self._process_by_name[place.name].pid
+
     def wait_exit(self, place: EntryPlace, timeout_s: float) -> int:
         """Wait until a box has ended and return its exit code."""
         return self._process_by_name[place.name].wait(timeout_s)
