Free the state of a request when it ends, not when garbage is looked for

Cause: an ended request held itself in cycles: exchange, its handler for disconnects and the request; a run, its timer and its outstanding requests; a passage and its decision; a connection and its parser. A query over 225 shards is 2,240 such objects, and the threshold of 20,000 keeps nine of them for minutes on a box that seldom gets one. Every idle connection to a target also kept its last answer, its check and a parser.

Change: each drops what refers back to it when it ends; a connection makes its parser for each request, as before.

--- a/bench/memory.py
+++ b/bench/memory.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import Final, NamedTuple
 
-from bench.processes import anonymous_bytes, cpu_seconds
+from bench.processes import anonymous_bytes
 from bench.report import Report
 from standins.entry_fleet import EntryFleet
 
--- a/trackwheel/delegation/inbound_groups.py
+++ b/trackwheel/delegation/inbound_groups.py
@@ -51,7 +51,7 @@
 
     def cancel(self) -> None:
         """Stop; the sender no longer waits."""
-        self._timer.stop()
+        self._timer.close()
         if self._run is not None:
             self._run.cancel()
 
@@ -68,7 +68,7 @@
 
     def finish(self) -> None:
         """Send the remaining parts in a final message."""
-        self._timer.stop()
+        self._timer.close()
         self._report(True)
 
     def _send_due_report(self) -> None:
--- a/trackwheel/http1/client.py
+++ b/trackwheel/http1/client.py
@@ -90,7 +90,7 @@
 
     def abandon(self) -> None:
         """Close without waiting for the answer; most targets then cancel the request."""
-        self._on_result = None
+        self._on_result = self._check = self._parser = None
         self._close()
 
     def data_received(self, data: bytes) -> None:
@@ -187,11 +187,12 @@
         self._result = ExchangeResult(ExchangeOutcome.ANSWERED, answer, "")
 
     def _report_result(self) -> None:
-        """Report the result of the exchange if there is one."""
+        """Report the result of the exchange if there is one, and drop what belonged to it."""
         result, on_result = self._result, self._on_result
         if result is None:
             return
-        self._result = self._on_result = None
+        self._result = self._on_result = self._check = self._parser = None
+        self._headers, self._body = [], []
         if on_result is not None:
             on_result(result)
 
--- a/trackwheel/http1/server.py
+++ b/trackwheel/http1/server.py
@@ -77,6 +77,9 @@
         if self._done:
             return
         self._done = True
+        # The handler refers to the request and through it to this exchange; without the cycle a
+        # request's state is freed as soon as it ends.
+        self.on_disconnect = None
         self._connection.write_response(response, self._head_only, self._keep_alive)
 
     def notify_disconnect(self) -> None:
@@ -84,8 +87,9 @@
         if self._done:
             return
         self._done = True
-        if self.on_disconnect is not None:
-            self.on_disconnect()
+        handler, self.on_disconnect = self.on_disconnect, None
+        if handler is not None:
+            handler()
 
 
 class ServerConnection(asyncio.Protocol):
@@ -127,6 +131,8 @@
         self._state.connections.discard(self)
         self._stop_timer()
         self._pipelined.clear()
+        # The parser refers back to this connection.
+        del self._parser
         current, self._current = self._current, None
         if current is not None:
             current.notify_disconnect()
--- a/trackwheel/relay/entry_checks.py
+++ b/trackwheel/relay/entry_checks.py
@@ -71,6 +71,8 @@
     def end(self, ran: bool) -> None:
         """Release what the checks keep; `ran` tells whether a target may have run the request."""
         self._ended = True
+        # The decision refers to the request, and the request's end refers to this passage.
+        self._decide = _drop_decision
         passed, self._passed = self._passed, []
         for ticket in reversed(passed):
             ticket.end(ran)
@@ -88,8 +90,9 @@
                 return
             if refusal is not None:
                 self._pending = None
+                refuse = self._decide
                 self.end(ran=False)
-                self._decide(refusal)
+                refuse(refusal)
                 return
             decided = True
             if self._pending is not None:
@@ -107,3 +110,7 @@
         self._passed.append(self._pending)
         self._pending = None
         self._run_next()
+
+
+def _drop_decision(refusal: EntryRefusal | None) -> None:
+    """Ignore the decision on a request that has ended."""
--- a/trackwheel/relay/runs.py
+++ b/trackwheel/relay/runs.py
@@ -61,31 +61,36 @@
         transport: TargetTransport,
         request: CallerRequest,
         route: RouteKey,
-        on_end: Callable[[int, TargetResult], None],
     ) -> None:
         self._transport = transport
         self._request = request
         self._route = route
-        self._on_end = on_end
         self._token_by_number: dict[int, object] = {}
 
     def send(
-        self, number: int, target: Target, reason: str, single: bool = False, once: bool = False
+        self,
+        number: int,
+        target: Target,
+        reason: str,
+        on_end: Callable[[int, TargetResult], None],
+        single: bool = False,
+        once: bool = False,
     ) -> None:
         """Send the request to a target; `on_end` is called unless it is withdrawn."""
+
+        def end(result: TargetResult) -> None:
+            self._token_by_number.pop(number, None)
+            on_end(number, result)
+
         token = self._token_by_number[number] = object()
         attempt = TargetAttempt(token, self._request, target, self._route, reason, single, once)
-        self._transport.send(attempt, lambda result: self._ended(number, result))
+        self._transport.send(attempt, end)
 
     def withdraw(self, number: int, target: Target) -> None:
         """Withdraw a request."""
         token = self._token_by_number.pop(number)
         self._transport.withdraw(token, target, self._request.fingerprint)
 
-    def _ended(self, number: int, result: TargetResult) -> None:
-        self._token_by_number.pop(number, None)
-        self._on_end(number, result)
-
 
 class GatherRun:
     """Executes the commands of one scatter-gather query."""
@@ -101,9 +106,7 @@
     ) -> None:
         self.task = task
         self._gather = task.gather
-        self._requests = _OutstandingRequests(
-            transport, task.request, task.gather.plan.route, self._ended
-        )
+        self._requests = _OutstandingRequests(transport, task.request, task.gather.plan.route)
         self._groups = groups
         self._on_done = on_done
         self._on_part = on_part
@@ -117,8 +120,7 @@
     def cancel(self) -> None:
         """Stop since nobody waits any more."""
         self.perform(self._gather.cancel())
-        self._timer.stop()
-        self._groups.forget(self)
+        self._close()
 
     def perform(self, commands: list[GatherCommand]) -> None:
         """Execute commands and set the timer for the next tick."""
@@ -126,7 +128,7 @@
         for command in commands:
             match command:
                 case SendPart(number, _, target, reason):
-                    self._requests.send(number, target, reason)
+                    self._requests.send(number, target, reason, self._ended)
                 case CancelPart(number, target):
                     self._requests.withdraw(number, target)
                 case SendGroup():
@@ -143,12 +145,17 @@
                 case Gathered() | GatherFailed():
                     done = command
         if done is not None:
-            self._timer.stop()
-            self._groups.forget(self)
+            self._close()
             self._on_done(done)
         elif not self._gather.ended:
             self._timer.set(self._gather.next_wake())
 
+    def _close(self) -> None:
+        """Drop what refers back to this run, so that its state is freed at once."""
+        self._timer.close()
+        self._on_part = self._on_declined = None
+        self._groups.forget(self)
+
     def _tick(self) -> None:
         self.perform(self._gather.tick(steady_now()))
 
@@ -172,7 +179,7 @@
         on_done: Callable[[SingleAnswered | SingleFailed], None],
     ) -> None:
         self._single = single
-        self._requests = _OutstandingRequests(transport, request, single.plan.route, self._ended)
+        self._requests = _OutstandingRequests(transport, request, single.plan.route)
         self._on_done = on_done
         self._timer = Timer(self._tick)
 
@@ -183,7 +190,7 @@
     def cancel(self) -> None:
         """Stop since nobody waits any more."""
         self._perform(self._single.cancel())
-        self._timer.stop()
+        self._timer.close()
 
     def _tick(self) -> None:
         self._perform(self._single.tick(steady_now()))
@@ -197,13 +204,13 @@
             match command:
                 case SendSingle(number, target, reason):
                     once = not self._single.plan.repeatable
-                    self._requests.send(number, target, reason, single=True, once=once)
+                    self._requests.send(number, target, reason, self._ended, single=True, once=once)
                 case CancelSingle(number, target):
                     self._requests.withdraw(number, target)
                 case SingleAnswered() | SingleFailed():
                     done = command
         if done is not None:
-            self._timer.stop()
+            self._timer.close()
             self._on_done(done)
         elif not self._single.ended:
             self._timer.set(self._single.next_wake())
--- a/trackwheel/relay/timer.py
+++ b/trackwheel/relay/timer.py
@@ -15,12 +15,14 @@
     """Calls an action at a time that can be changed."""
 
     def __init__(self, action: Callable[[], None]) -> None:
-        self._action = action
+        self._action: Callable[[], None] | None = action
         self._handle: asyncio.TimerHandle | None = None
 
     def set(self, at: float) -> None:
         """Schedule the action for `at` (steady seconds), replacing any earlier schedule."""
         self.stop()
+        if self._action is None:
+            return
         delay_s = max(0.0, at - steady_now())
         loop = asyncio.get_running_loop()
         if delay_s > MAX_SLEEP_S:
@@ -33,3 +35,8 @@
         if self._handle is not None:
             self._handle.cancel()
             self._handle = None
+
+    def close(self) -> None:
+        """Stop for good and drop the action, which mostly refers back to the timer's owner."""
+        self.stop()
+        self._action = None
