Load package metadata and the environment's proxies only when they are used

Cause: websockets imports importlib.metadata for the version of its development copies and urllib.request for proxies from the environment; with them come e-mail, zip, csv and HTTP modules. A box uses neither.

Change: placeholders with a module __getattr__ (PEP 562) stand in until an attribute is used. Ruled out: importlib.util.LazyLoader, which any import statement loads at once in Python 3.11; the same for tokenize, which anyio uses at its import.

--- a/trackwheel/entry/__main__.py
+++ b/trackwheel/entry/__main__.py
@@ -3,10 +3,12 @@
 import os
 from pathlib import Path
 
+from trackwheel.entry.deferred_modules import defer_modules
 from trackwheel.entry.signals import block_signals
 
 if __name__ == "__main__":
     block_signals()
+    defer_modules()
 
     from trackwheel.entry.run import run_entry
     from trackwheel.platform.settings import SETTINGS_VARIABLE
