Read addresses without the settings of the product's own path

Cause: split_address lived beside the INI settings, so that a box on the platform imported configparser for it. Change: a module of its own; only import lines change elsewhere.

--- a/tests/entry/test_imports.py
+++ b/tests/entry/test_imports.py
@@ -31,6 +31,7 @@
 """
 UNUSED = (
     "aiohttp",
+    "configparser",
     "cryptography",
     "docopt",
     "http.client",
@@ -39,6 +40,8 @@
     "trackwheel.app",
     "trackwheel.dispatch",
     "trackwheel.gateway",
+    "trackwheel.ini",
+    "trackwheel.settings",
     "trackwheel.storage.clients",
     "trackwheel.tls",
     "urllib.request",
--- a/trackwheel/entry/run.py
+++ b/trackwheel/entry/run.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from trackwheel.addresses import split_address
 from trackwheel.clock import steady_now
 from trackwheel.entry.box import EntryBox
 from trackwheel.entry.const import (
@@ -23,7 +24,6 @@
 from trackwheel.garbage import tune_garbage_collection
 from trackwheel.http1.server import ServerConnection, ServerState
 from trackwheel.platform.settings import read_settings
-from trackwheel.settings import split_address
 
 
 async def run_entry_box(path: Path) -> None:
--- a/trackwheel/files/parse.py
+++ b/trackwheel/files/parse.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from typing import Final
 
+from trackwheel.addresses import split_address
 from trackwheel.files.const import (
     CONF_CONNECTIONS,
     CONF_DEADLINE,
@@ -47,7 +48,6 @@
     parse_positive,
     parse_words,
 )
-from trackwheel.settings import split_address
 
 _DIGEST: Final = re.compile(r"^[0-9a-f]{64}$")
 _NAME: Final = re.compile(r"^[A-Za-z0-9][A-Za-z0-9_.-]{0,63}$")
--- a/trackwheel/peers/certificate.py
+++ b/trackwheel/peers/certificate.py
@@ -2,8 +2,8 @@
 
 from typing import TypedDict
 
+from trackwheel.addresses import split_address
 from trackwheel.peers.models import PeerIdentity
-from trackwheel.settings import split_address
 
 COMMON_NAME = "commonName"
 IP_ADDRESS = "IP Address"
--- a/trackwheel/peers/hub.py
+++ b/trackwheel/peers/hub.py
@@ -13,6 +13,7 @@
 from websockets.asyncio.server import ServerConnection, serve
 from websockets.exceptions import ConnectionClosed, InvalidHandshake, InvalidURI
 
+from trackwheel.addresses import split_address
 from trackwheel.clock import steady_now
 from trackwheel.http1.sockets import set_tcp_options
 from trackwheel.peers.certificate import certificate_matches
@@ -28,7 +29,6 @@
 )
 from trackwheel.peers.link import LOG, Outbox, run_link
 from trackwheel.peers.models import Hello, PeerIdentity
-from trackwheel.settings import split_address
 
 Handler = Callable[[PeerIdentity, Any], None]
 
--- a/trackwheel/platform/decode.py
+++ b/trackwheel/platform/decode.py
@@ -7,6 +7,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from trackwheel.addresses import split_address
 from trackwheel.directory.models import TargetEntry
 from trackwheel.errors import TrackwheelError
 from trackwheel.groups.keys import key_digest
@@ -21,7 +22,6 @@
     WeightedService,
 )
 from trackwheel.routing.table import index_routes
-from trackwheel.settings import split_address
 from trackwheel.units import MILLISECONDS
 
 
--- a/trackwheel/platform/settings.py
+++ b/trackwheel/platform/settings.py
@@ -3,11 +3,11 @@
 from pathlib import Path
 from typing import Final, NamedTuple
 
+from trackwheel.addresses import split_address
 from trackwheel.errors import Problem, TrackwheelError
 from trackwheel.relay.models import Place
 from trackwheel.selection.budget import RetryBudgetLimits
 from trackwheel.selection.cold import ColdLimitMargin
-from trackwheel.settings import split_address
 from trackwheel.units import MILLISECONDS
 
 SETTINGS_VARIABLE: Final = "TRACKWHEEL_CONFIG"
--- a/trackwheel/platform/store.py
+++ b/trackwheel/platform/store.py
@@ -9,6 +9,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from trackwheel.addresses import split_address
 from trackwheel.clock import steady_now
 from trackwheel.directory.models import (
     EntryRemoved,
@@ -47,7 +48,6 @@
     PREFIX_TARGETS,
 )
 from trackwheel.routing.models import RouteTable
-from trackwheel.settings import split_address
 from trackwheel.telemetry.events import EventLog
 from trackwheel.units import MILLISECONDS
 
--- a/trackwheel/relay/transport.py
+++ b/trackwheel/relay/transport.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple, Protocol
 
+from trackwheel.addresses import split_address
 from trackwheel.http1.models import ExchangeOutcome, ExchangeResult, Request, Response
 from trackwheel.http1.pool import Job, TargetPool
 from trackwheel.relay.models import (
@@ -16,7 +17,6 @@
     Wire,
 )
 from trackwheel.selection.target_selector import TargetAvailability, TargetSelector
-from trackwheel.settings import split_address
 from trackwheel.telemetry.events import EventLog
 from trackwheel.units import MILLISECONDS
 
--- a/trackwheel/settings.py
+++ b/trackwheel/settings.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 from typing import Final, NamedTuple
 
+from trackwheel.addresses import split_address
 from trackwheel.ini import IniError, IniReader, InvalidIniError, parse_duration, parse_words
 
 SECTION_BOX: Final = "box"
@@ -79,14 +80,6 @@
     drain_s: float
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return host and port of `host:port`; raise ValueError when it is not one."""
-    host, separator, port = address.rpartition(":")
-    if not separator or not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise ValueError("an address is written IP:PORT")
-    return host.strip("[]"), int(port)
-
-
 def _parse_address(text: str) -> str:
     split_address(text)
     return text
