Load logbook with the first log message

Cause: the links' log was made at the import, and logbook's handlers with it (gzip, JSON, its own compiled part), on boxes that write events and hardly ever a log message.

--- a/tests/entry/test_imports.py
+++ b/tests/entry/test_imports.py
@@ -37,6 +37,7 @@
     "http.client",
     "httpx",
     "importlib.metadata",
+    "logbook",
     "trackwheel.app",
     "trackwheel.dispatch",
     "trackwheel.gateway",
--- a/trackwheel/telemetry/logs.py
+++ b/trackwheel/telemetry/logs.py
@@ -3,8 +3,11 @@
 import json
 import os
 import sys
+from functools import cached_property
+from typing import TYPE_CHECKING
 
-import logbook
+if TYPE_CHECKING:
+    import logbook
 
 
 class Log:
@@ -12,7 +15,13 @@
 
     def __init__(self, component: str) -> None:
         self._component = component
-        self._logger = logbook.Logger(component)
+
+    @cached_property
+    def _logger(self) -> "logbook.Logger":
+        # A box on the platform writes events and hardly ever a log message.
+        import logbook  # noqa: PLC0415
+
+        return logbook.Logger(self._component)
 
     def debug(self, message: str) -> None:
         """Log a detail for developers."""
@@ -47,7 +56,7 @@
             self.dropped += 1
 
 
-def _format_json(record: logbook.LogRecord, handler: object) -> str:
+def _format_json(record: "logbook.LogRecord", handler: object) -> str:
     fields = {
         "time": record.time.isoformat() + "Z",
         "level": record.level_name.lower(),
@@ -59,6 +68,8 @@
 
 def set_up_logs(log_format: str, level: str) -> None:
     """Send logs to standard error in the configured format."""
+    import logbook  # noqa: PLC0415
+
     prefix = "{record.time:%Y-%m-%dT%H:%M:%S.%f} {record.level_name} [{record.channel}] "
     handler = logbook.StreamHandler(
         DroppingStream(sys.stderr.fileno()),
