--- a/bench/memory.py
+++ b/bench/memory.py
@@ -6,10 +6,11 @@
 import sysconfig
 import tempfile
 import time
+from http import HTTPStatus
 from pathlib import Path
 from typing import Final, NamedTuple
 
-from bench.processes import anonymous_bytes
+from bench.processes import anonymous_bytes, cpu_seconds
 from bench.report import Report
 from standins.entry_fleet import EntryFleet
 
@@ -35,7 +36,9 @@
     "trackwheel.entry.run",
 )
 """Modules of the entry's path, each imported after the ones before it."""
-IMPORT_PROBE: Final = """\
+POLL_S: Final = 0.005
+DEFER: Final = "from trackwheel.entry.deferred_modules import defer_modules; defer_modules()"
+IMPORT_PROBE: Final = f"""\
 import sys
 
 def anonymous_kib():
@@ -43,6 +46,7 @@
         return next(int(line.split()[1]) for line in rollup if line.startswith("Anonymous:"))
 
 print("interpreter", anonymous_kib(), len(sys.modules))
+{DEFER}
 for name in sys.argv[1:]:
     __import__(name)
     print(name, anonymous_kib(), len(sys.modules))
@@ -57,6 +61,14 @@
     modules: int
 
 
+class StartStep(NamedTuple):
+    """Hold when a box reached a step, from its start on, and its processor time until then."""
+
+    name: str
+    at_s: float
+    cpu_s: float
+
+
 def _run_bare(code: str, *arguments: str) -> str:
     """Run code as the platform runs a box: without `site`, with compiled modules."""
     packages = sysconfig.get_path("purelib")
@@ -75,11 +87,37 @@
 
 def import_cpu_s(starts: int) -> float:
     """Return the lowest processor time of the imports, over several starts."""
-    code = "import time, trackwheel.entry.run, uvloop, anyio._backends._asyncio"
+    code = f"{DEFER}; import time, trackwheel.entry.run, uvloop, anyio._backends._asyncio"
     code += "; print(time.process_time())"
     return min(float(_run_bare(code)) for _ in range(starts))
 
 
+def start_steps() -> list[StartStep]:
+    """Return the steps of a start in a calm fleet with a full directory."""
+    with (
+        tempfile.TemporaryDirectory(prefix="trackwheel-bench-") as folder,
+        EntryFleet(["a"], Path(folder)) as fleet,
+    ):
+        (box,) = fleet.boxes
+        for number in range(SHARDS * TARGETS_EACH):
+            fleet.add_entry(f"i-{number}", f"shard-{number % SHARDS}")
+        fleet.add_target("lookup-a", "lookup")
+        fleet.configure([{"name": "l", "path_prefix": "/l/", "service": "lookup"}])
+        started = time.monotonic()
+        fleet.start(box)
+        steps: list[StartStep] = []
+        for name, reached in (
+            ("listens", lambda: "started" in fleet.log(box)),
+            ("ready", lambda: fleet.ready(box)),
+            ("first answer", lambda: fleet.ask(box, "/l/1").status_code == HTTPStatus.OK),
+        ):
+            while not reached():
+                time.sleep(POLL_S)
+            at_s, cpu_s = time.monotonic() - started, cpu_seconds(fleet.pid(box))
+            steps.append(StartStep(name, at_s, cpu_s))
+    return steps
+
+
 def running_steps() -> list[Step]:
     """Return what a box holds at the start, with a directory, and after queries."""
     with (
@@ -132,12 +170,17 @@
         held = step.anonymous_bytes
     rows.append(("held in the end", f"{held / MIB:.1f} MiB"))
     rows.append(("processor time of the imports", f"{cpu_s * 1000:.0f} ms"))
+    starting = start_steps()
+    for start in starting:
+        text = f"{start.at_s * 1000:.0f} ms, {start.cpu_s * 1000:.0f} ms of processor time"
+        rows.append((f"start: {start.name}", text))
     figures = {
         "interpreter_mib": imported[0].anonymous_bytes / MIB,
         "imported_mib": imported[-1].anonymous_bytes / MIB,
         "modules": float(imported[-1].modules),
         "running_mib": running[-1].anonymous_bytes / MIB,
         "import_cpu_ms": cpu_s * 1000,
+        "first_answer_cpu_ms": starting[-1].cpu_s * 1000,
     }
     samples = {"starts": starts, "queries": QUERIES}
     return Report("memory", 0, "the interpreter alone", figures, samples, rows, [])
