--- a/bench/memory.py
+++ b/bench/memory.py
@@ -6,6 +6,7 @@
 import sysconfig
 import tempfile
 import time
+from collections.abc import Callable
 from http import HTTPStatus
 from pathlib import Path
 from typing import Final, NamedTuple
@@ -103,14 +104,15 @@
             fleet.add_entry(f"i-{number}", f"shard-{number % SHARDS}")
         fleet.add_target("lookup-a", "lookup")
         fleet.configure([{"name": "l", "path_prefix": "/l/", "service": "lookup"}])
+        check_by_step: dict[str, Callable[[], bool]] = {
+            "listens": lambda: "started" in fleet.log(box),
+            "ready": lambda: fleet.ready(box),
+            "first answer": lambda: fleet.ask(box, "/l/1").status_code == HTTPStatus.OK,
+        }
         started = time.monotonic()
         fleet.start(box)
         steps: list[StartStep] = []
-        for name, reached in (
-            ("listens", lambda: "started" in fleet.log(box)),
-            ("ready", lambda: fleet.ready(box)),
-            ("first answer", lambda: fleet.ask(box, "/l/1").status_code == HTTPStatus.OK),
-        ):
+        for name, reached in check_by_step.items():
             while not reached():
                 time.sleep(POLL_S)
             at_s, cpu_s = time.monotonic() - started, cpu_seconds(fleet.pid(box))
