--- a/trackwheel/delegation/inbound_groups.py
+++ b/trackwheel/delegation/inbound_groups.py
@@ -53,7 +53,7 @@
 
     def cancel(self) -> None:
         """Stop; the sender no longer waits."""
-        self._timer.stop()
+        self._timer.close()
         if self._run is not None:
             self._run.cancel()
 
@@ -70,7 +70,7 @@
 
     def finish(self, not_run: Sequence[str]) -> None:
         """Send the remaining parts, and the shards that no target has run, in a final message."""
-        self._timer.stop()
+        self._timer.close()
         self._not_run = not_run
         self._report(True)
 
