Read a key and find its group in one place for both ways in

The product's own path had its own digest, look-up and scheme parsing beside those of the platform's path: its scheme was case-sensitive, of two credentials the first one counted, and a request without a key was looked up as the empty key. Both now read credentials, digest and look up in groups/keys.py.

tests/files/test_joined.py drew digests such as '0', which the parser of the files does not let through; it draws the same four keys as 64 digits now.

tests/groups, tests/files, tests/gateway pass.

--- a/tests/files/test_joined.py
+++ b/tests/files/test_joined.py
@@ -21,7 +21,7 @@
 
 
 def group(name: str, key: int, services: list[str]) -> GroupSpec:
-    return GroupSpec(name, str(key), 1.0, tuple(services))
+    return GroupSpec(name, f"{key:064x}", 1.0, tuple(services))
 
 
 def service(name: str, port: int) -> ServiceSpec:
--- a/tests/gateway/test_http.py
+++ b/tests/gateway/test_http.py
@@ -14,7 +14,7 @@
 KEY = "secret-key"
 GROUP = GroupSpec("clerks", hashlib.sha256(KEY.encode()).hexdigest(), 1.0, ("s",))
 SERVICE = ServiceSpec("s", 2, 25, 0.006, 0.05, 0.99, Policy(1.0, 1.0, 1.0), ())
-IN_FORCE = InForce(1, {"clerks": GROUP}, {GROUP.key_sha256: GROUP}, {"s": SERVICE}, {})
+IN_FORCE = InForce(1, {"clerks": GROUP}, {GROUP.key_digest: GROUP}, {"s": SERVICE}, {})
 
 
 class Broken:
--- a/trackwheel/files/models.py
+++ b/trackwheel/files/models.py
@@ -40,6 +40,11 @@
     share: float
     services: tuple[str, ...]
 
+    @property
+    def key_digest(self) -> bytes:
+        """Return the digest of its key, as `trackwheel.groups.keys` computes it."""
+        return bytes.fromhex(self.key_sha256)
+
 
 class OperatorsFile(NamedTuple):
     """Hold one checked file."""
@@ -80,7 +85,7 @@
 
     revision: int
     group_by_name: dict[str, GroupSpec]
-    group_by_key_sha256: dict[str, GroupSpec]
+    group_by_key_digest: dict[bytes, GroupSpec]
     service_by_name: dict[str, ServiceSpec]
     policy_by_group_and_service: dict[tuple[str, str], Policy]
 
--- a/trackwheel/files/parse.py
+++ b/trackwheel/files/parse.py
@@ -239,8 +239,8 @@
         for name, group in file.group_by_name.items():
             if joined.group_by_name.get(name) is group:
                 del joined.group_by_name[name]
-            if joined.group_by_key_sha256.get(group.key_sha256) is group:
-                del joined.group_by_key_sha256[group.key_sha256]
+            if joined.group_by_key_digest.get(group.key_digest) is group:
+                del joined.group_by_key_digest[group.key_digest]
         for name, service in file.service_by_name.items():
             if joined.service_by_name.get(name) is service:
                 del joined.service_by_name[name]
@@ -257,7 +257,7 @@
         return InForce(
             revision,
             dict(joined.group_by_name),
-            dict(joined.group_by_key_sha256),
+            dict(joined.group_by_key_digest),
             dict(joined.service_by_name),
             dict(joined.policy_by_group_and_service),
         )
@@ -277,10 +277,10 @@
         section = f"{KIND_GROUP} {group.name}"
         if group.name in self.joined.group_by_name:
             self._fail(file, section, "another file declares this group", "Rename one of them")
-        if group.key_sha256 in self.joined.group_by_key_sha256:
+        if group.key_digest in self.joined.group_by_key_digest:
             self._fail(file, section, "another group has the same key", "Give each its own key")
         self.joined.group_by_name[group.name] = group
-        self.joined.group_by_key_sha256[group.key_sha256] = group
+        self.joined.group_by_key_digest[group.key_digest] = group
 
     def _add_service(self, file: OperatorsFile, service: ServiceSpec) -> None:
         section = f"{KIND_TARGETS} {service.name}"
--- a/trackwheel/gateway/http.py
+++ b/trackwheel/gateway/http.py
@@ -1,6 +1,5 @@
 """The HTTP API for callers, described in docs/CALLERS.md."""
 
-import hashlib
 from collections.abc import Awaitable, Callable
 from typing import Final
 
@@ -37,13 +36,14 @@
     execution_response,
     retry_headers,
 )
+from trackwheel.groups.keys import find_group, read_key
 from trackwheel.telemetry.burn import Burn
 from trackwheel.telemetry.logs import Log
 from trackwheel.web import no_lifespan
 
 LOG = Log("gateway")
 
-BEARER: Final = "Bearer "
+KEY_SCHEME: Final = b"bearer"
 
 
 class CallersApp:
@@ -96,15 +96,14 @@
 
     def _group(self, request: Request) -> GroupSpec:
         """Return the group that the caller's key belongs to."""
-        header = request.headers.get("authorization", "")
-        key = header.removeprefix(BEARER) if header.startswith(BEARER) else ""
+        credentials = [value for name, value in request.headers.raw if name == b"authorization"]
+        key = read_key(credentials, KEY_SCHEME)
         if not self._ready():
             remedy = "Retry later or use another box"
             raise refusal(
                 Code.NOT_READY, "admit", "no configuration has been loaded yet", remedy, 1.0
             )
-        digest = hashlib.sha256(key.encode()).hexdigest()
-        group = self._in_force().group_by_key_sha256.get(digest)
+        group = find_group(self._in_force().group_by_key_digest, key) if key is not None else None
         if group is None:
             remedy = "Send `Authorization: Bearer KEY` with your group's key"
             raise refusal(Code.UNAUTHENTICATED, "admit", "no group has this key", remedy)
--- a/trackwheel/platform/wire.py
+++ b/trackwheel/platform/wire.py
@@ -1,5 +1,6 @@
 """Translation between the platform's headers and the types of the relay."""
 
+from trackwheel.groups.keys import read_key
 from trackwheel.groups.models import Precedence
 from trackwheel.http1.models import Headers, Request, Response, header
 from trackwheel.platform.load import LoadReader, parse_number
@@ -55,10 +56,7 @@
     def read_key(self, request: Request) -> bytes | None:
         """Return the key of a client's request; None without exactly one of the known scheme."""
         credentials = [value for name, value in request.headers if name == HEADER_KEY]
-        if len(credentials) != 1:
-            return None
-        scheme, _, key = credentials[0].partition(b" ")
-        return key.strip() or None if scheme.lower() == KEY_SCHEME else None
+        return read_key(credentials, KEY_SCHEME)
 
     def with_group(
         self, request: CallerRequest, group: str, precedence: Precedence
