Refuse by the key at the edge, and release each check's ticket once

A configuration's groups could be badly written: a name with an end of line would have written a header, null lists and rates failed the version. A key in two groups belongs to the first, so that all boxes agree. A request whose route and group have no region in common is refused before checks take anything of it, with Retry-After. A client that left while a check decided was not logged; a ticket of a request withdrawn during its check was not released; a check that decided twice would have passed the next one. Requests are counted by group and outcome; the counts of groups that are gone are dropped, in the registry too.

tests/groups, tests/platform, tests/relay pass.

--- a/trackwheel/entry/figures.py
+++ b/trackwheel/entry/figures.py
@@ -39,6 +39,12 @@
         ("kind",),
         lambda: box.relay.ended_by_kind,
     )
+    figures.add_counters(
+        "group_requests_total",
+        "Requests by group and outcome",
+        ("group", "kind"),
+        lambda: box.relay.group_counts.number_by_group_and_kind,
+    )
     figures.add_counters(
         "target_sends_total",
         "Requests sent to targets, by reason and distance",
--- a/trackwheel/platform/decode.py
+++ b/trackwheel/platform/decode.py
@@ -69,12 +69,13 @@
 
 
 class _Tenant(msgspec.Struct):
-    name: str
-    api_keys: list[str] = []
+    # Sent in a header of each request, so it must have no control characters.
+    name: Annotated[str, msgspec.Meta(pattern=r"\A[^\x00-\x1f\x7f]+\Z")]
+    api_keys: list[str] | None = None
     priority: int | None = None
     # Limits over all boxes together; 0 means no limit.
-    rate_per_s: float = 0.0
-    burst: float = 0.0
+    rate_per_s: float | None = None
+    burst: float | None = None
     allowed_regions: list[str] | None = None
 
 
@@ -146,17 +147,26 @@
 
 
 def _groups(tenants: list[_Tenant]) -> GroupTable:
+    """Return the table of groups.
+
+    The first entry of a name, and the first group of a key, count: the result must be the same at
+    each box, and a key in two groups must not shut out the callers of both.
+    """
     group_by_name: dict[str, Group] = {}
     group_by_key_digest: dict[bytes, Group] = {}
     for tenant in tenants:
-        limit = GroupLimit(tenant.rate_per_s, tenant.burst) if tenant.rate_per_s > 0.0 else None
-        homes = frozenset(tenant.allowed_regions or ())
-        group = group_by_name[tenant.name] = Group(tenant.name, tenant.priority, homes, limit)
-        for key in tenant.api_keys:
-            group_by_key_digest[key_digest(key.encode())] = group
+        group = group_by_name.setdefault(tenant.name, _group(tenant))
+        for key in tenant.api_keys or ():
+            group_by_key_digest.setdefault(key_digest(key.encode()), group)
     return GroupTable(group_by_name, group_by_key_digest)
 
 
+def _group(tenant: _Tenant) -> Group:
+    rate_per_s, burst = tenant.rate_per_s or 0.0, tenant.burst or 0.0
+    limit = GroupLimit(rate_per_s, max(0.0, burst)) if rate_per_s > 0.0 else None
+    return Group(tenant.name, tenant.priority, frozenset(tenant.allowed_regions or ()), limit)
+
+
 def _route(route: _Route) -> Route:
     services = tuple(WeightedService(part.service, part.weight) for part in route.split)
     if route.service:
--- a/trackwheel/relay/entry_checks.py
+++ b/trackwheel/relay/entry_checks.py
@@ -43,7 +43,10 @@
     """Decides whether a request may go on to targets."""
 
     def start(self, request: EntryRequest, decide: Decide) -> EntryTicket:
-        """Check a request; `decide` is called once, during this call or later."""
+        """Check a request; `decide` is called once, during this call or later.
+
+        A check keeps nothing of a request that it refuses: that ticket is not called again.
+        """
 
 
 class EntryPassage:
@@ -80,23 +83,27 @@
         if check is None:
             self._decide(None)
             return
-        decided = False
+        decided = refused = False
 
         def decide(refusal: EntryRefusal | None) -> None:
-            nonlocal decided
-            if self._ended:
+            nonlocal decided, refused
+            # A second decision must not count as that of the next check.
+            if self._ended or decided:
                 return
+            decided = True
             if refusal is not None:
+                refused = True
                 self._pending = None
                 self.end(ran=False)
                 self._decide(refusal)
-                return
-            decided = True
-            if self._pending is not None:
+            elif self._pending is not None:
                 self._pass_pending()
 
         ticket = check.start(self._request, decide)
+        if refused:
+            return
         if self._ended:
+            ticket.withdraw()
             return
         self._pending = ticket
         if decided:
--- a/trackwheel/relay/service.py
+++ b/trackwheel/relay/service.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from collections.abc import Callable, Sequence
 from http import HTTPStatus
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from trackwheel.clock import steady_now
 from trackwheel.delegation.grouping import GroupPlanner
@@ -12,8 +12,9 @@
 from trackwheel.gathering.gather import CRASHES_TARGETS, Gather
 from trackwheel.gathering.gather_models import Gathered, GatherFailed, GatherPlan
 from trackwheel.gathering.merge import merge_records
+from trackwheel.groups.counts import GroupCounts
 from trackwheel.groups.keys import KeyProblem, identify
-from trackwheel.groups.models import Group, GroupTable, precedence
+from trackwheel.groups.models import Group, precedence
 from trackwheel.http1.models import Request
 from trackwheel.http1.server import Exchange
 from trackwheel.quarantine.service import Quarantine
@@ -40,6 +41,13 @@
 from trackwheel.telemetry.figures import Figures
 from trackwheel.units import MILLISECONDS
 
+CAUSE_BY_KEY_PROBLEM: Final = {
+    KeyProblem.MISSING: "key_missing",
+    KeyProblem.UNKNOWN: "key_unknown",
+}
+CAUSE_KEY_NOT_YET: Final = "key_not_yet_known"
+CAUSE_HOMES: Final = "no_common_home"
+
 
 class _Serving(NamedTuple):
     """A client's request that is being served, with the configuration it began with."""
@@ -90,6 +98,7 @@
         self._log = log
         self._figures = figures
         self.ended_by_kind: Counter[tuple[str]] = Counter()
+        self.group_counts = GroupCounts()
         self._round_robin = WeightedRoundRobin()
         self._table: RouteTable | None = None
         self._startup_queue = StartupQueue(self.handle, self._refuse_without_routes)
@@ -99,6 +108,7 @@
     def set_table(self, table: RouteTable) -> None:
         """Set the configuration; requests in progress keep the one they started with."""
         self._table = table
+        self.group_counts.set_groups(table.groups.group_by_name if table.groups else ())
         self._startup_queue.release()
 
     def set_peers(self, peers: tuple[PeerBox, ...], gathers: bool) -> None:
@@ -126,8 +136,10 @@
             return
         group: Group | None = None
         if table.groups is not None:
-            identified = self._identify(request, caller, route, table.groups, exchange)
+            identified = identify(table.groups, self._wire.read_key(request), route.public)
             if isinstance(identified, KeyProblem):
+                refusal = self._key_refusal(identified)
+                self._refuse_entry(caller, route, table.version, refusal, exchange)
                 return
             group = identified
             order = precedence(group, route.priority)
@@ -136,57 +148,64 @@
             return
         self._check(EntryRequest(caller, route, group), table.version, exchange)
 
-    def _identify(
-        self,
-        request: Request,
-        caller: CallerRequest,
-        route: Route,
-        groups: GroupTable,
-        exchange: Exchange,
-    ) -> Group | None | KeyProblem:
-        """Return the group of a request, None for a public one, or the problem that refuses it."""
-        identified = identify(groups, self._wire.read_key(request), route.public)
-        if not isinstance(identified, KeyProblem):
-            return identified
-        # A newer configuration may have the key.
-        status, retry_after_s = HTTPStatus.UNAUTHORIZED, None
-        if identified is KeyProblem.UNKNOWN and not self._is_current():
-            status, retry_after_s = HTTPStatus.SERVICE_UNAVAILABLE, NO_ROUTES_RETRY_AFTER_S
-        refusal = EntryRefusal(status, "key", identified.value, retry_after_s)
-        self._refuse_entry(caller, route, refusal, exchange)
-        return identified
+    def _key_refusal(self, problem: KeyProblem) -> EntryRefusal:
+        """Return the refusal of a request for its key."""
+        if problem is KeyProblem.UNKNOWN and not self._is_current():
+            # A client does not repeat a request after 401, and a newer configuration may have the
+            # key.
+            return EntryRefusal(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                CAUSE_KEY_NOT_YET,
+                "the key is not known here yet",
+                NO_ROUTES_RETRY_AFTER_S,
+            )
+        return EntryRefusal(HTTPStatus.UNAUTHORIZED, CAUSE_BY_KEY_PROBLEM[problem], problem.value)
 
     def _check(self, request: EntryRequest, version: int, exchange: Exchange) -> None:
         """Serve a request that passes all checks; refuse another one."""
         caller, route, group = request
+        homes = combine_homes(route.homes, group.homes if group else frozenset())
+        if homes is None:
+            no_home = EntryRefusal(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                CAUSE_HOMES,
+                "no region may serve both the route and the group",
+                NO_ROUTES_RETRY_AFTER_S,
+            )
+            self._refuse_entry(caller, route, version, no_home, exchange)
+            return
 
         def decide(refusal: EntryRefusal | None) -> None:
             if refusal is not None:
-                self._refuse_entry(caller, route, refusal, exchange)
-                return
-            homes = combine_homes(route.homes, group.homes if group else frozenset())
-            if homes is None:
-                passage.end(ran=False)
-                reason = "no region may serve both the route and the group"
-                no_home = EntryRefusal(HTTPStatus.SERVICE_UNAVAILABLE, "homes", reason)
-                self._refuse_entry(caller, route, no_home, exchange)
+                self._refuse_entry(caller, route, version, refusal, exchange)
                 return
             self._serve(_Serving(caller, route, homes, version, exchange, passage))
 
+        def client_left() -> None:
+            passage.withdraw()
+            self._log_client_left(caller, route)
+
         passage = EntryPassage(self._checks, request, decide)
-        exchange.on_disconnect = passage.withdraw
+        exchange.on_disconnect = client_left
         passage.start()
 
     def _refuse_entry(
-        self, caller: CallerRequest, route: Route, refusal: EntryRefusal, exchange: Exchange
+        self,
+        caller: CallerRequest,
+        route: Route,
+        version: int,
+        refusal: EntryRefusal,
+        exchange: Exchange,
     ) -> None:
         """Refuse a request for which no target was asked."""
-        self.ended_by_kind[(refusal.cause,)] += 1
+        self._count_end(caller, refusal.cause)
         self._log.write(
             "refused",
             id=caller.request_id,
             route=route.name,
             group=caller.group,
+            version=version,
+            took_ms=_age_ms(caller),
             status=int(refusal.status),
             cause=refusal.cause,
             reason=refusal.reason,
@@ -207,7 +226,7 @@
         retry_after_s = self._quarantine.retry_after_s(caller.fingerprint)
         if retry_after_s <= 0.0:
             return False
-        self.ended_by_kind[("held",)] += 1
+        self._count_end(caller, "held")
         self._log.write(
             "held_request",
             id=caller.request_id,
@@ -307,13 +326,23 @@
         """Cancel the request of a client that disconnected before the response."""
         run.cancel()
         serving.passage.end(ran=True)
-        caller = serving.caller
-        self.ended_by_kind[("client_left",)] += 1
-        age_ms = (steady_now() - caller.http.arrived) * MILLISECONDS
+        self._log_client_left(serving.caller, serving.route)
+
+    def _log_client_left(self, caller: CallerRequest, route: Route) -> None:
+        self._count_end(caller, "client_left")
+        group = {"group": caller.group} if caller.group else {}
         self._log.write(
-            "client_left", id=caller.request_id, route=serving.route.name, took_ms=round(age_ms, 1)
+            "client_left",
+            id=caller.request_id,
+            route=route.name,
+            took_ms=_age_ms(caller),
+            **group,
         )
 
+    def _count_end(self, caller: CallerRequest, kind: str) -> None:
+        self.ended_by_kind[(kind,)] += 1
+        self.group_counts.add(caller.group, kind)
+
     def _plan_query(self, serving: _Serving) -> GatherPlan:
         now = steady_now()
         caller, route, key = serving.caller, serving.route, serving.key
@@ -395,11 +424,16 @@
             case SingleFailed(ran, late, reason):
                 kind = "given_up_ran" if ran else "given_up_not_run"
                 self._log.write("given_up", ran=ran, late=late, reason=reason, **common)
-        self.ended_by_kind[(kind,)] += 1
+        self._count_end(request, kind)
         if serving.homes and kind == "given_up_not_run":
             self.ended_by_kind[("without_home",)] += 1
 
 
+def _age_ms(caller: CallerRequest) -> float:
+    """Return how long ago a request arrived (milliseconds)."""
+    return round((steady_now() - caller.http.arrived) * MILLISECONDS, 1)
+
+
 def _answer_at(caller: CallerRequest, route: Route) -> float:
     """Return the last moment to answer within the target latency (monotonic seconds)."""
     margin_s = RESPONSE_MARGIN_S
--- a/trackwheel/telemetry/figures.py
+++ b/trackwheel/telemetry/figures.py
@@ -57,6 +57,13 @@
         for gauge, reading in self._readings:
             gauge.set({}, reading())
         for counter, labels, counts in self._counts:
+            # Label values that are no longer counted must not stay in the registry.
+            counter.values.clear()
             for values, number in counts().items():
-                counter.set(dict(zip(labels, values, strict=True)), number)
+                counter.set(dict(zip(labels, map(_escape, values), strict=True)), number)
         return render(self._registry, ["text/plain"])
+
+
+def _escape(label: str) -> str:
+    """Return a label value in the text format, which the renderer writes as it is."""
+    return label.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
