Show refusals and groups in explain and report, and test real boxes with keys

The cause and group of a refused request were in its log line only. explain names them; report has a table of the groups and of refusals by cause.

--- a/standins/entry_fleet.py
+++ b/standins/entry_fleet.py
@@ -203,9 +203,12 @@
             new.runs, new.run_times = old.runs, old.run_times
 
     def configure(
-        self, routes: list[dict[str, Any]], services: Sequence[dict[str, Any]] = ()
+        self,
+        routes: list[dict[str, Any]],
+        services: Sequence[dict[str, Any]] = (),
+        groups: Sequence[dict[str, Any]] | None = None,
     ) -> int:
-        """Put a configuration in force and return its version."""
+        """Put a configuration in force and return its version; without `groups` it names none."""
         self.version = next(self._versions)
         config = {
             "version": self.version,
@@ -218,6 +221,8 @@
                 "idle_timeout_ms": 15000,
             },
         }
+        if groups is not None:
+            config["tenants"] = list(groups)
         self.content = json.dumps(config).encode()
         self.put("op/config", self.content)
         return self.version
@@ -261,17 +266,26 @@
         return self._process_by_name[place.name].wait(timeout_s)
 
     def ask(
-        self, place: EntryPlace, path: str, deadline_ms: int = 2000, **options: Any
+        self,
+        place: EntryPlace,
+        path: str,
+        deadline_ms: int = 2000,
+        key: str = "",
+        client: httpx.Client | None = None,
+        **options: Any,
     ) -> httpx.Response:
-        """Send one request as a client would."""
+        """Send one request as a client would, over the connection of a `client` if one is given."""
         headers = {
             "Host": HOST,
             "X-Attempt-Id": uuid.uuid4().hex[:16],
             "X-Deadline-Ms": str(deadline_ms),
+            **({"Authorization": f"Token {key}"} if key else {}),
+            **options.pop("headers", {}),
         }
         method = "POST" if "content" in options else "GET"
         url = f"http://{place.front}{path}"
-        return httpx.request(method, url, headers=headers, timeout=10.0, **options)
+        send = client.request if client is not None else httpx.request
+        return send(method, url, headers=headers, timeout=10.0, **options)
 
     def log(self, place: EntryPlace) -> str:
         """Return what a box has written."""
--- a/standins/shard_target.py
+++ b/standins/shard_target.py
@@ -26,6 +26,8 @@
         self.fault = ""
         self.runs: list[str] = []
         self.run_times: list[float] = []
+        self.headers_by_run: list[dict[str, str]] = []
+        """The headers of each request that ran, with names in lower case."""
         self.left = 0
         self.born_ms = int(time.time() * 1000)
         self.cold_ms = 0
@@ -105,6 +107,7 @@
             return web.Response(status=503, headers={"X-Not-Executed": "1"})
         self.runs.append(attempt)
         self.run_times.append(time.monotonic())
+        self.headers_by_run.append({name.lower(): text for name, text in request.headers.items()})
         body = await request.read()
         if self.ends_under and self.ends_under in request.path:
             self.ran_ending_by_path.setdefault(request.path, []).append(time.monotonic())
--- a/trackwheel/log_commands.py
+++ b/trackwheel/log_commands.py
@@ -47,6 +47,8 @@
         "spans": [row._asdict() for row in report.spans],
         "reasons": [[*key, times] for key, times in report.reasons.most_common()],
         "failures": [[*key, times] for key, times in report.failures.most_common()],
+        "groups": [row._asdict() for row in report.groups],
+        "refusals": [[*key, times] for key, times in report.refusals.most_common()],
         "left_out_lines": report.left_out_lines,
     }
 
--- a/trackwheel/telemetry/report.py
+++ b/trackwheel/telemetry/report.py
@@ -27,6 +27,18 @@
     p99_ms: float
 
 
+class GroupRow(NamedTuple):
+    """How the requests of one group ended."""
+
+    group: str
+    asked: int
+    in_time: int
+    late: int
+    refused: int
+    failed: int
+    left: int
+
+
 class BoxRow(NamedTuple):
     """What one box did, summed over its restarts in the logs."""
 
@@ -61,6 +73,8 @@
     reasons: Counter[tuple[str, str]]
     failures: Counter[tuple[str, str]]
     left_out_lines: int
+    groups: list[GroupRow]
+    refusals: Counter[tuple[str, str]]
 
 
 class _ProcessCounts(NamedTuple):
@@ -96,6 +110,12 @@
             if line.event == "target_failed"
         ),
         left_out_lines=sum(int(line.fields.get("left_out", 0)) for line in ordered),
+        groups=_groups(ends),
+        refusals=Counter(
+            (str(line.fields.get("group", "")), str(line.fields.get("cause", "")))
+            for line in ends
+            if line.event == "refused"
+        ),
     )
 
 
@@ -106,6 +126,8 @@
         return "late" if aim_ms is not None and line.fields["took_ms"] > aim_ms else "in_time"
     if line.event == "given_up":
         return "failed" if line.fields.get("ran") else "refused"
+    if line.event == "refused":
+        return "refused"
     return "left" if line.event == "client_left" else ""
 
 
@@ -137,6 +159,27 @@
     )
 
 
+def _groups(ends: list[LogLine]) -> list[GroupRow]:
+    """Return a row for each group; requests that belong to none are in none."""
+    kinds_by_group: dict[str, Counter[str]] = {}
+    for line in ends:
+        group = str(line.fields.get("group", ""))
+        if group:
+            kinds_by_group.setdefault(group, Counter())[_classify_end(line)] += 1
+    return [
+        GroupRow(
+            group,
+            kinds.total(),
+            kinds["in_time"],
+            kinds["late"],
+            kinds["refused"],
+            kinds["failed"],
+            kinds["left"],
+        )
+        for group, kinds in sorted(kinds_by_group.items())
+    ]
+
+
 def _quantile(ordered: list[float], share: float) -> float:
     return ordered[min(len(ordered) - 1, int(len(ordered) * share))] if ordered else 0.0
 
--- a/trackwheel/telemetry/report_page.py
+++ b/trackwheel/telemetry/report_page.py
@@ -5,11 +5,19 @@
 from html import escape
 from typing import Any, Final, NamedTuple
 
-from trackwheel.telemetry.report import INTERVAL_S, BoxRow, FleetReport, IntervalRow, RouteRow
+from trackwheel.telemetry.report import (
+    INTERVAL_S,
+    BoxRow,
+    FleetReport,
+    GroupRow,
+    IntervalRow,
+    RouteRow,
+)
 
 MAX_SHOWN_BOXES: Final = 12
 """Busiest boxes that the text report lists; the page lists all."""
 MAX_SHOWN_REASONS: Final = 12
+MAX_SHOWN_GROUPS: Final = 20
 BAR_WIDTH: Final = 6
 PLOT_HEIGHT: Final = 120
 OUTCOME_COLOURS: Final = (
@@ -68,6 +76,7 @@
             ("route", "reason", "times"),
             _rows_by_count(report.reasons),
         ),
+        *_group_tables(report),
         Table(
             "failed at targets, by outcome and cause of the send",
             ("outcome", "why sent", "times"),
@@ -78,6 +87,20 @@
     ]
 
 
+def _group_tables(report: FleetReport) -> list[Table]:
+    """Return the tables of a fleet whose callers belong to groups, none for another one."""
+    tables: list[Table] = []
+    if report.groups:
+        most_refused = sorted(report.groups, key=lambda row: row.refused, reverse=True)
+        rows = most_refused[:MAX_SHOWN_GROUPS]
+        tables.append(Table("requests by group, most refused first", GroupRow._fields, rows))
+    if report.refusals:
+        rows_by_cause = _rows_by_count(report.refusals)
+        title = "refused before a target was asked, by group and cause"
+        tables.append(Table(title, ("group", "cause", "times"), rows_by_cause))
+    return tables
+
+
 def _rows_by_count(counter: Counter[tuple[str, str]]) -> list[tuple[str, str, int]]:
     return [(*key, times) for key, times in counter.most_common(MAX_SHOWN_REASONS)]
 
--- a/trackwheel/telemetry/timeline.py
+++ b/trackwheel/telemetry/timeline.py
@@ -11,6 +11,8 @@
     "given_up",
     "client_left",
     "no_route",
+    "refused",
+    "held_request",
 )
 """Events with which the box that received a request logs how it ended."""
 
@@ -92,6 +94,15 @@
             return f"the client left {took}"
         case "no_route":
             return f"version {end.fields.get('version')} has no route for {end.fields.get('path')}"
+        case "refused":
+            group = end.fields.get("group")
+            whose = f" of group {group}" if group else ""
+            status, refusal = end.fields.get("status"), end.fields.get("cause")
+            return f"refused {took}{whose}, {status} {refusal}: {end.fields.get('reason')}"
+        case "held_request":
+            return (
+                f"refused at once, targets crashed under it: held for {end.fields.get('left_s')} s"
+            )
         case "given_up":
             ran = "targets may have run it" if end.fields.get("ran") else "no target ran it"
             return f"given up {took}, {ran}: {_reason(lines, end)}"
