Give the clients of the soak keys, and take one away while it is in use

Nothing outside the tests of single parts checked that targets learn the group of the key, and that a key ends on open connections while boxes, links and the store are disturbed. Checks of their own notice both; each is seen to fail in tests/soak/test_checks.py.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -4,17 +4,20 @@
 from collections.abc import Iterable, Iterator, Mapping
 from math import inf
 
-from soak.clients import Told
+from soak.clients import Told, key_of
 from soak.const import (
     CONTACT_S,
     CUT_SLACK_S,
     DEADLINE_S,
     DRAIN_S,
     ENDS_TO_KNOW,
+    GROUP_BY_KEY,
+    KEY_IN_FORCE_S,
     LATE_S,
     LEAST_COVERAGE,
     REPEATS_AFTER,
     SHARDS,
+    TAKEN_KEY,
     TOP_K,
 )
 from soak.fleet import BOX_TROUBLE, SoakFleet
@@ -35,6 +38,7 @@
         *_check_versions(fleet, told),
         *_check_drains(fleet),
         *_check_endings(fleet),
+        *_check_keys(fleet, told),
     ]
 
 
@@ -134,6 +138,37 @@
             yield f"drain: {instance} got work {last - left_at:.2f} s after its notice"
 
 
+def _check_keys(fleet: SoakFleet, told: Iterable[Told]) -> Iterator[str]:
+    """Targets learn the group of the key, not the key, and a key that is taken away ends."""
+    for target in fleet.target_by_instance.values():
+        for headers in target.headers_by_run:
+            key = _key(headers.get("x-attempt-id", ""))
+            if headers.get("x-tenant") != GROUP_BY_KEY.get(key, "clerks"):
+                yield f"key: {target.instance} was told another group: {headers}"
+            if "authorization" in headers:
+                yield f"key: {target.instance} was told the key: {headers}"
+    taken_at = fleet.key_taken_at
+    for one in told:
+        may_be_refused = _key(one.request_id) == TAKEN_KEY and one.ended > taken_at
+        if one.status == 401 and not may_be_refused:
+            yield f"key: refused though its key is there: {one}"
+    trouble = (*BOX_TROUBLE, Kind.BOX_STOP, *OF_STORE, *OF_LINK)
+    for one in told:
+        late = one.began > taken_at + KEY_IN_FORCE_S and _key(one.request_id) == TAKEN_KEY
+        begin = one.began - KEY_IN_FORCE_S
+        if late and one.status == 200 and not fleet.disturbed(begin, one.ended, *trouble):
+            yield f"key: taken away {one.began - taken_at:.2f} s before and still good: {one}"
+
+
+def _key(request_id: str) -> str:
+    """Return the key of the client that sent a request, by its id."""
+    try:
+        return key_of(int(request_id[:4], 16))
+    except ValueError:
+        # A request that ends targets.
+        return key_of(0)
+
+
 def _check_endings(fleet: SoakFleet) -> Iterator[str]:
     """Requests that end targets go to few more once boxes in touch can know them."""
     trouble = (*BOX_TROUBLE, Kind.BOX_STOP, *OF_STORE, *OF_LINK)
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -11,11 +11,14 @@
 
 from soak.const import (
     CLIENT_PAUSE_S,
+    CLIENTS,
     DEADLINE_S,
     ENDING_FIRST_S,
     ENDING_PAUSE_S,
+    GROUP_BY_KEY,
     MISSES_UNTIL_OUT,
     READY_PERIOD_S,
+    TAKEN_KEY,
 )
 from standins.entry_fleet import HOST, EntryPlace
 from trackwheel.units import MILLISECONDS
@@ -34,6 +37,12 @@
     body: bytes
 
 
+def key_of(number: int) -> str:
+    """Return the key of a client; the last one has that which is taken away."""
+    keys = tuple(GROUP_BY_KEY)
+    return TAKEN_KEY if number == CLIENTS - 1 else keys[number % len(keys)]
+
+
 class Balancer:
     """Send new connections to boxes that call themselves ready, as the users' platform does.
 
@@ -100,7 +109,8 @@
         request_id = f"{self._number:04x}{self._sent:012x}"
         began = time.monotonic()
         try:
-            status, headers, body = await _exchange(session, place, kind, request_id)
+            key = key_of(self._number)
+            status, headers, body = await _exchange(session, place, kind, request_id, key)
         except (aiohttp.ClientError, TimeoutError, OSError):
             status, headers, body = 0, {}, b""
         ended = time.monotonic()
@@ -109,12 +119,14 @@
 
 
 async def _exchange(
-    session: aiohttp.ClientSession, place: EntryPlace, kind: str, request_id: str
+    session: aiohttp.ClientSession, place: EntryPlace, kind: str, request_id: str, key: str
 ) -> tuple[int, dict[str, str], bytes]:
     """Return the status, headers and body of the answer to one request."""
     headers = {
         "Host": HOST,
         "X-Attempt-Id": request_id,
+        "Authorization": f"Token {key}",
+        "X-Tenant": "forged",
         "X-Deadline-Ms": str(int(DEADLINE_S * MILLISECONDS)),
     }
     url = f"http://{place.front}/{kind}/x"
@@ -135,5 +147,6 @@
         while time.monotonic() < until:
             number += 1
             with suppress(aiohttp.ClientError, TimeoutError, OSError):
-                await _exchange(session, balancer.pick(), path, f"{path[0]}{number:015x}")
+                request_id = f"{path[0]}{number:015x}"
+                await _exchange(session, balancer.pick(), path, request_id, key_of(0))
             await asyncio.sleep(random.expovariate(1.0 / ENDING_PAUSE_S))
--- a/soak/const.py
+++ b/soak/const.py
@@ -42,3 +42,11 @@
 ENDS_TO_KNOW: Final = 3
 REPEATS_AFTER: Final = 3
 """So many ends nobody can prevent; so many more, `CONTACT_S` later, are borne."""
+GROUP_BY_KEY: Final = {"clerks-key": "clerks", "drivers-key": "drivers"}
+"""The groups of the clients that keep their keys."""
+TAKEN_KEY: Final = "second-clerks-key"
+"""A second key of the clerks, of one client; it is taken away while that sends."""
+KEY_TAKEN_SHARE: Final = 0.4
+"""Part of a run after which that happens."""
+KEY_IN_FORCE_S: Final = 5.0
+"""How long after it a box in touch may accept the key: the platform's bound for a version."""
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -7,7 +7,15 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from soak.const import GRACE_S, LEAST_COVERAGE, SHARDS, TOP_K, WRITTEN_AGAIN_S
+from soak.const import (
+    GRACE_S,
+    GROUP_BY_KEY,
+    LEAST_COVERAGE,
+    SHARDS,
+    TAKEN_KEY,
+    TOP_K,
+    WRITTEN_AGAIN_S,
+)
 from soak.plan import OF_LINK, Fault, Kind
 from soak.proxy import Proxy
 from standins.entry_fleet import EntryFleet, EntryPlace
@@ -46,6 +54,7 @@
         self.left_at_by_instance: dict[str, float] = {}
         self.removed: set[str] = set()
         self.put_at_by_version: dict[int, float] = {}
+        self.key_taken_at = float("inf")
         self._busy: set[str] = set()
 
     def reach(self, name: str, address: str) -> str:
@@ -80,9 +89,18 @@
     def change_routes(self) -> None:
         """Put a configuration in force whose version a path tells."""
         probe = {**LOOKUP, "name": "v", "path_prefix": f"/v{self.version + 1}/"}
-        self.configure([QUERY, LOOKUP, ONCE, probe])
+        keys_by_group = {group: [key] for key, group in GROUP_BY_KEY.items()}
+        if self.key_taken_at == float("inf"):
+            keys_by_group["clerks"].append(TAKEN_KEY)
+        groups = [{"name": name, "api_keys": keys} for name, keys in keys_by_group.items()]
+        self.configure([QUERY, LOOKUP, ONCE, probe], groups=groups)
         self.put_at_by_version[self.version] = time.monotonic()
 
+    def take_key_away(self) -> None:
+        """Put a configuration in force that lacks one client's key."""
+        self.key_taken_at = time.monotonic()
+        self.change_routes()
+
     def disturbed(self, begin: float, end: float, *kinds: Kind, subject: str = "") -> bool:
         """Return whether one of some kinds of fault fell into a time."""
         return any(
--- a/soak/run.py
+++ b/soak/run.py
@@ -8,8 +8,8 @@
 from typing import NamedTuple
 
 from soak.checks import check_all
-from soak.clients import Balancer, Client, Told, send_ending
-from soak.const import CLIENTS, ENDING_PATHS, SHARDS
+from soak.clients import Balancer, Client, Told, key_of, send_ending
+from soak.const import CLIENTS, ENDING_PATHS, KEY_TAKEN_SHARE, SHARDS
 from soak.fleet import SoakFleet
 from soak.plan import draw_faults
 from standins.entry_fleet import EntryPlace
@@ -55,12 +55,18 @@
         for path in endings:
             tasks.create_task(send_ending(seed, path, balancer, until))
         tasks.create_task(fleet.run(faults))
+        tasks.create_task(_take_key_away(fleet, KEY_TAKEN_SHARE * seconds))
         tasks.create_task(balancer.run(until))
         for client in clients:
             tasks.create_task(client.run(until, lambda: fleet.version))
     return told
 
 
+async def _take_key_away(fleet: SoakFleet, after_s: float) -> None:
+    await asyncio.sleep(after_s)
+    fleet.take_key_away()
+
+
 def _check_end(fleet: SoakFleet) -> list[str]:
     """After the faults every box is ready and covers every shard that has a target left."""
     broken: list[str] = []
@@ -75,7 +81,7 @@
 def _check_box(fleet: SoakFleet, place: EntryPlace, lost: int) -> list[str]:
     if not fleet.ready(place):
         return [f"end: {place.name} is not ready"]
-    answer = fleet.ask(place, "/q/x")
+    answer = fleet.ask(place, "/q/x", key=key_of(0))
     missing = answer.headers.get("x-missing-parts", "0")
     if lost <= 2 and (answer.status_code != 200 or int(missing) > lost):
         return [f"end: {place.name} says {answer.status_code} and lacks {missing} of {lost}"]
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -6,7 +6,7 @@
 
 from soak.checks import check_all
 from soak.clients import Told
-from soak.const import SHARDS, TOP_K
+from soak.const import CLIENTS, SHARDS, TOP_K
 from soak.fleet import SoakFleet, Span
 from soak.plan import Kind
 from standins.shard_target import ShardTarget
@@ -140,3 +140,54 @@
     if excused:
         fleet.spans.append(Span(Kind.STORE_DOWN, "", 5.0, 5.5))
     assert bool(check_all(fleet, [])) is (found and not excused)
+
+
+LAST_CLIENT = f"{CLIENTS - 1:04x}000000000001"
+
+
+@pytest.mark.parametrize(
+    ("answer", "found"),
+    [
+        pytest.param(told("l", 401), "key: refused though its key is there", id="right-key"),
+        pytest.param(
+            told("l", 401, request_id=LAST_CLIENT), "key: refused though", id="before-it-is-taken"
+        ),
+        pytest.param(told("l", 401, 21.0, request_id=LAST_CLIENT), "", id="taken"),
+        pytest.param(told("v1", 200, 24.0, request_id=LAST_CLIENT), "", id="within-the-bound"),
+        pytest.param(told("v1", 200, 26.0, request_id=LAST_CLIENT), "still good", id="too-long"),
+    ],
+)
+def test_key_that_is_refused_or_accepted_wrongly_is_noticed(
+    fleet: SoakFleet, answer: Told, found: str
+) -> None:
+    fleet.key_taken_at = 20.0
+    broken = [line for line in check_all(fleet, [answer]) if line.startswith("key")]
+    assert bool(broken) is bool(found)
+    assert found in "".join(broken)
+
+
+def test_taken_key_is_excused_by_a_store_that_is_down(fleet: SoakFleet) -> None:
+    fleet.key_taken_at = 20.0
+    fleet.spans.append(Span(Kind.STORE_DOWN, "", 19.0, 23.0))
+    answer = told("v1", 200, 26.0, request_id=LAST_CLIENT)
+    assert not [line for line in check_all(fleet, [answer]) if line.startswith("key")]
+
+
+@pytest.mark.parametrize(
+    ("headers", "found"),
+    [
+        ({"x-tenant": "clerks"}, ""),
+        ({"x-tenant": "forged"}, "another group"),
+        ({}, "another group"),
+        ({"x-tenant": "clerks", "authorization": "Token k"}, "the key"),
+    ],
+    ids=["told", "forged", "untold", "key"],
+)
+def test_target_that_is_told_wrongly_is_noticed(
+    fleet: SoakFleet, headers: dict[str, str], found: str
+) -> None:
+    target = fleet.target_by_instance["lookup-0"]
+    target.headers_by_run.append({"x-attempt-id": "0000000000000001", **headers})
+    broken = check_all(fleet, [])
+    assert bool(broken) is bool(found)
+    assert found in "".join(broken)
