--- a/tests/telemetry/test_figures.py
+++ b/tests/telemetry/test_figures.py
@@ -26,3 +26,21 @@
     text = figures.render()[0].decode()
     assert text.count("trackwheel_request_seconds_count") <= MAX_ROUTES + 2
     assert 'route="other"' in text
+
+
+def test_labels_that_are_no_longer_counted_are_dropped() -> None:
+    figures = Figures()
+    counts = Counter({("gone", "whole"): 3, ("stays", "whole"): 1})
+    figures.add_counters("group_requests_total", "Requests", ("group", "kind"), lambda: counts)
+    assert "gone" in figures.render()[0].decode()
+    del counts["gone", "whole"]
+    text = figures.render()[0].decode()
+    assert "gone" not in text
+    assert 'group="stays"' in text
+
+
+def test_labels_are_escaped() -> None:
+    figures = Figures()
+    counts = Counter({('a"b\\c', "whole"): 3})
+    figures.add_counters("group_requests_total", "Requests", ("group", "kind"), lambda: counts)
+    assert r'group="a\"b\\c"' in figures.render()[0].decode()
--- a/tests/telemetry/test_report.py
+++ b/tests/telemetry/test_report.py
@@ -8,7 +8,7 @@
 import pytest
 
 from trackwheel.cli import main
-from trackwheel.telemetry.report import BoxRow, IntervalRow, RouteRow, make_report
+from trackwheel.telemetry.report import BoxRow, GroupRow, IntervalRow, RouteRow, make_report
 from trackwheel.telemetry.report_page import render_report, render_report_page
 from trackwheel.telemetry.timeline import LogLine, read_log
 
@@ -110,3 +110,27 @@
 def test_missing_file_is_reported(capsys: pytest.CaptureFixture[str]) -> None:
     assert main(["report", "/nothing/here"]) == 1
     assert "/nothing/here" in capsys.readouterr().err
+
+
+def test_groups_and_causes_of_refusals_are_shown() -> None:
+    lines = [
+        end(0.1, group="clerks"),
+        end(0.2, "given_up", ran=True, reason="time is up", group="clerks"),
+        end(0.3, "refused", group="clerks", cause="limit", status=429),
+        end(0.4, "refused", group="", cause="key_unknown", status=401),
+        end(0.5, "client_left", group="drivers"),
+    ]
+    report = make_report(lines)
+    assert report.groups == [
+        GroupRow("clerks", 3, 1, 0, 1, 1, 0),
+        GroupRow("drivers", 1, 0, 0, 0, 0, 1),
+    ]
+    assert report.refusals == {("clerks", "limit"): 1, ("", "key_unknown"): 1}
+    assert report.routes[0].refused == 2
+    for text in (render_report(report), render_report_page(report)):
+        assert "requests by group" in text
+        assert "key_unknown" in text
+
+
+def test_report_of_callers_without_groups_has_no_tables_of_groups() -> None:
+    assert "by group" not in render_report(make_report(LINES))
--- a/tests/telemetry/test_timeline.py
+++ b/tests/telemetry/test_timeline.py
@@ -15,6 +15,9 @@
 {"at":11.0,"box":"front-1","event":"client_left","id":"d","took_ms":300.0}
 {"at":11.0,"box":"front-1","event":"no_route","id":"e","path":"/x/","version":7}
 {"at":11.0,"box":"front-1","event":"query_whole","id":"f","took_ms":20.0}
+{"at":11.0,"box":"front-1","event":"refused","id":"j","group":"clerks","status":429,"cause":"limit","reason":"the limit is reached","took_ms":0.4}
+{"at":11.0,"box":"front-1","event":"refused","id":"k","group":"","status":401,"cause":"key_unknown","reason":"the key belongs to no group","took_ms":0.1}
+{"at":11.0,"box":"front-1","event":"held_request","id":"l","left_s":12.5}
 {"at":11.0,"box":"front-2","event":"group_end","id":"g","shards":6,"missing":1}
 a line of another program
 {"at":11.0,"box":"front-2","event":"group_e
@@ -32,6 +35,9 @@
         ("f", "answered after 20.0 ms"),
         ("g", "no box wrote its end: the box that took it ended, or left the line out"),
         ("i", "given up at once, no target ran it: no configuration is known yet"),
+        ("j", "refused after 0.4 ms of group clerks, 429 limit: the limit is reached"),
+        ("k", "refused after 0.1 ms, 401 key_unknown: the key belongs to no group"),
+        ("l", "refused at once, targets crashed under it: held for 12.5 s"),
         ("h", "no box wrote of it: another id, or its lines were left out (`left_out`)"),
     ],
 )
@@ -49,5 +55,5 @@
 
 
 def test_lines_of_other_programs_are_skipped() -> None:
-    assert len(read_log(LOG)) == 11
+    assert len(read_log(LOG)) == 14
     assert read_log("") == []
