--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -68,6 +68,11 @@
 READINGS = "tests/directory/test_readings.py::"
 WIRE = "tests/platform/test_wire.py::"
 ENTRY = "tests/whole/test_entry.py::"
+KEYS = "tests/groups/test_keys.py::"
+GROUPS = "tests/platform/test_groups.py::"
+CHECKS = "tests/relay/test_entry_checks.py::"
+IDENTIFIED = "tests/relay/test_identification.py::"
+KEYED = "tests/whole/test_groups.py::"
 
 SNAPSHOT = "one snapshot"
 COVERAGE = "true coverage"
@@ -92,6 +97,8 @@
 FOREIGN = "an entry of another writer names no target, and the others hold"
 BUDGET = "repeats stay within the budget of all boxes together"
 GONE = "work of a client that left is cancelled"
+IDENTITY = "a request is its key's group's, and nobody else learns the key"
+RELEASED = "what a check keeps of a request is released once"
 PAUSE = "a pause is no overload: work that can be done in time is not refused"
 
 ROWS = (
@@ -1661,4 +1668,113 @@
             "if False:",
         ),
     ),
+    Row(
+        PLATFORM,
+        IDENTITY,
+        "credentials that are missing, double, of another scheme or odd",
+        KEYS + "test_key_is_read_from_exactly_one_credential",
+        Mutant("trackwheel/groups/keys.py", "if len(credentials) != 1:", "if not credentials:"),
+    ),
+    Row(
+        PLATFORM,
+        IDENTITY,
+        "a client names a group, or sends a key to a public route",
+        GROUPS + "test_target_is_told_the_group_by_this_box_alone",
+        Mutant(
+            "trackwheel/platform/wire.py",
+            "if pair[0] not in (HEADER_KEY, HEADER_GROUP)",
+            "if pair[0] != HEADER_KEY",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        IDENTITY,
+        "a key in two groups",
+        GROUPS + "test_key_in_two_groups_belongs_to_the_first",
+        Mutant(
+            "trackwheel/platform/decode.py",
+            "group_by_key_digest.setdefault(key_digest(key.encode()), group)",
+            "group_by_key_digest[key_digest(key.encode())] = group",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        IDENTITY,
+        "a group whose name would end a header",
+        GROUPS + "test_configuration_with_broken_groups_is_rejected_whole",
+        Mutant(
+            "trackwheel/platform/decode.py",
+            "    name: Annotated[str, msgspec.Meta(pattern=",
+            "    name: str\n    _unused: Annotated[str | None, msgspec.Meta(pattern=",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        IDENTITY,
+        "an unknown key at a box that may be behind",
+        IDENTIFIED + "test_request_is_refused_at_once_for_its_key",
+        Mutant(
+            "trackwheel/relay/service.py",
+            "if problem is KeyProblem.UNKNOWN and not self._is_current():",
+            "if False:",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        IDENTITY,
+        "requests that wait while a box starts",
+        IDENTIFIED + "test_request_that_waits_for_a_configuration_is_identified_by_it",
+    ),
+    Row(
+        PLATFORM,
+        IDENTITY,
+        "real boxes, peers, failing targets and a client that names another group",
+        KEYED + "test_targets_learn_the_group_from_the_box_and_nobody_the_key",
+        Mutant(
+            "trackwheel/delegation/outbound_groups.py",
+            "            group=request.group,\n",
+            "",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        IDENTITY,
+        "a key is taken away under open connections, also in a storm of versions",
+        KEYED + "test_key_taken_away_ends_on_open_connections",
+        Mutant(
+            "trackwheel/groups/keys.py",
+            "return find_group(table.group_by_key_digest, key) or KeyProblem.UNKNOWN",
+            "return find_group(table.group_by_key_digest, key) or next(\n"
+            "        iter(table.group_by_name.values())\n    )",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        IN_HOMES,
+        "a group with homes, at every box and at peers",
+        KEYED + "test_homes_of_a_group_bind_at_every_box_and_peer",
+        Mutant(
+            "trackwheel/relay/service.py",
+            "group.homes if group else frozenset()",
+            "frozenset()",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        RELEASED,
+        "checks that decide at once, later, twice, after the client has left",
+        CHECKS + "test_each_ticket_is_released_once",
+        Mutant(
+            "trackwheel/relay/entry_checks.py",
+            "if self._ended or decided:",
+            "if self._ended:",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        RELEASED,
+        "a request is withdrawn while its check begins",
+        CHECKS + "test_ticket_of_a_request_withdrawn_during_the_check_is_released",
+        Mutant("trackwheel/relay/entry_checks.py", "            ticket.withdraw()\n", ""),
+    ),
 )
--- a/trackwheel/relay/service.py
+++ b/trackwheel/relay/service.py
@@ -231,6 +231,7 @@
             "held_request",
             id=caller.request_id,
             route=route.name,
+            group=caller.group,
             fingerprint=caller.fingerprint.hex(),
             left_s=round(retry_after_s, 1),
         )
