Count groups' limits over all boxes

Cause: a group's limit in the configuration was read and not enforced. Change: boxes delegate their parts of all limits to a counting box of their failure domain, which grants tokens and gets gifts from those of other domains (docs/design/group-limits.md).

--- a/trackwheel/entry/box.py
+++ b/trackwheel/entry/box.py
@@ -27,6 +27,8 @@
 from trackwheel.fleet.service import FleetService
 from trackwheel.http1.models import Request, Response
 from trackwheel.http1.server import Exchange, ServerState
+from trackwheel.limits.models import LIMIT_MESSAGES
+from trackwheel.limits.service import GroupLimits
 from trackwheel.peers.codec import Codec
 from trackwheel.peers.hub import Hub
 from trackwheel.peers.models import PeerIdentity
@@ -58,6 +60,7 @@
     *RELAY_MESSAGES,
     *DOWN_REPORT_MESSAGES,
     *QUARANTINE_MESSAGES,
+    *LIMIT_MESSAGES,
 )
 
 
@@ -123,6 +126,13 @@
             self.quarantine,
             self.log,
         )
+        self.limits = GroupLimits(
+            self.hub,
+            settings.limits,
+            len(settings.region_by_failure_domain),
+            int.from_bytes(os.urandom(6)),
+            self.log,
+        )
         self.relay = RelayService(
             wire,
             self.selector,
@@ -134,6 +144,7 @@
             self.figures,
             place,
             settings.peers,
+            checks=(self.limits,),
             is_current=lambda: bool(self.directory.synced_via(steady_now())),
         )
         self.clients = ServerState(
@@ -158,6 +169,7 @@
                 self.quarantine,
                 self.clients,
                 self.log,
+                self.limits,
             ),
         )
 
@@ -203,6 +215,7 @@
             for box in other_boxes
             if box.address in gatherers and box.place.failure_domain == own.failure_domain
         )
+        self.limits.set_members(members, gatherers, own)
         now = steady_now()
         self.budget.set_members(len(members), now)
         domains = (box.place.failure_domain for box in boxes if box.address in gatherers)
@@ -211,6 +224,7 @@
 
     def _apply_routes(self, table: RouteTable) -> None:
         self.fleet.set_files_revision(table.version)
+        self.limits.set_groups(table.groups)
         self.relay.set_table(table)
         self._set_connection_limits()
         self._set_shards()
--- a/trackwheel/entry/figures.py
+++ b/trackwheel/entry/figures.py
@@ -5,6 +5,7 @@
 from trackwheel.directory.service import DirectoryService
 from trackwheel.fleet.service import FleetService
 from trackwheel.http1.server import ServerState
+from trackwheel.limits.service import GroupLimits
 from trackwheel.peers.hub import Hub
 from trackwheel.platform.load import LoadReader
 from trackwheel.quarantine.service import Quarantine
@@ -28,6 +29,7 @@
     quarantine: Quarantine
     clients: ServerState
     log: EventLog
+    limits: GroupLimits
 
 
 def add_figures(figures: Figures, box: CountedParts) -> None:
@@ -51,7 +53,29 @@
         ("outcome",),
         lambda: box.transport.ended_by_outcome,
     )
+    figures.add_counters(
+        "group_requests_total",
+        "Requests of groups with a limit, by group and decision",
+        ("group", "decision"),
+        lambda: box.limits.counted,
+    )
+    figures.add_gauges(
+        "group_tokens",
+        "Tokens of groups that are counted at this box",
+        "group",
+        box.limits.tokens_by_group,
+    )
     for name, text, reading in (
+        (
+            "limit_counter_in_touch",
+            "1 if the counting box of the failure domain answers",
+            lambda: float(box.limits.counter_in_touch),
+        ),
+        (
+            "limit_parts",
+            "Part of all limits that is delegated to this box",
+            lambda: box.limits.counting.parts.sum,
+        ),
         ("routes_version", "Version of the active configuration", lambda: float(directory.version)),
         ("store_in_step", "1 if the store answered recently", lambda: float(directory.synced)),
         (
--- /dev/null
+++ b/trackwheel/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits of groups, counted over all boxes."""
--- a/trackwheel/platform/settings.py
+++ b/trackwheel/platform/settings.py
@@ -4,6 +4,7 @@
 from typing import Final, NamedTuple
 
 from trackwheel.errors import Problem, TrackwheelError
+from trackwheel.limits.budget import LimitMargin
 from trackwheel.relay.models import Place
 from trackwheel.selection.budget import RetryBudgetLimits
 from trackwheel.selection.cold import ColdLimitMargin
@@ -36,6 +37,8 @@
     drain_s: float
     budget: RetryBudgetLimits
     cold: ColdLimitMargin
+    limits: LimitMargin | None = None
+    """Margin above the limits of groups; None where limits are not enforced."""
 
 
 class _SettingsReader:
@@ -127,6 +130,7 @@
             reader.positive("bounds.warmup_overshoot", 1.0),
             reader.optional("bounds.warmup_slack", 0.0),
         ),
+        limits=_read_limit_margin(reader),
     )
     if reader.problems:
         raise SettingsError(Problem("bad_settings", "read", file, "; ".join(reader.problems)))
@@ -143,5 +147,16 @@
     return parse_settings(str(path), text)
 
 
+def _read_limit_margin(reader: _SettingsReader) -> LimitMargin | None:
+    """Return the margin above groups' limits; None without all of its settings."""
+    keys = ("bounds.quota_window_s", "bounds.quota_overshoot", "bounds.quota_slack")
+    if not all(reader.value_by_key.get(key) for key in keys):
+        return None
+    window, overshoot, slack = keys
+    return LimitMargin(
+        reader.positive(window, 1.0), reader.optional(overshoot, 0.0), reader.optional(slack, 0.0)
+    )
+
+
 def _split_list(text: str) -> tuple[str, ...]:
     return tuple(word.strip() for word in text.split(",") if word.strip())
--- a/trackwheel/telemetry/figures.py
+++ b/trackwheel/telemetry/figures.py
@@ -13,6 +13,8 @@
 OTHER_ROUTES: Final = "other"
 
 GaugeReader = Callable[[], float]
+LabelReader = Callable[[], Mapping[str, float]]
+"""Returns readings by the value of a label."""
 CounterReader = Callable[[], Mapping[Any, int]]
 """Returns counts by label values, a tuple of strings."""
 
@@ -30,6 +32,7 @@
         )
         self._routes: set[str] = set()
         self._readings: list[tuple[Gauge, GaugeReader]] = []
+        self._label_readings: list[tuple[Gauge, str, LabelReader]] = []
         self._counts: list[tuple[Counter, tuple[str, ...], CounterReader]] = []
 
     def observe_request(self, route: str, took_s: float) -> None:
@@ -45,6 +48,11 @@
         gauge = Gauge(f"trackwheel_{name}", text, registry=self._registry)
         self._readings.append((gauge, reading))
 
+    def add_gauges(self, name: str, text: str, label: str, readings: LabelReader) -> None:
+        """Register gauges by the value of a label that are read at each rendering."""
+        gauge = Gauge(f"trackwheel_{name}", text, registry=self._registry)
+        self._label_readings.append((gauge, label, readings))
+
     def add_counters(
         self, name: str, text: str, labels: tuple[str, ...], counts: CounterReader
     ) -> None:
@@ -56,6 +64,9 @@
         """Return all metrics as text, and the response headers."""
         for gauge, reading in self._readings:
             gauge.set({}, reading())
+        for gauge, label, readings in self._label_readings:
+            for value, number in readings().items():
+                gauge.set({label: value}, number)
         for counter, labels, counts in self._counts:
             for values, number in counts().items():
                 counter.set(dict(zip(labels, values, strict=True)), number)
