--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -78,3 +78,21 @@
     with pytest.raises(SettingsError) as caught:
         parse_settings("s.conf", "")
     assert str(caught.value).count("remedy") >= 9
+
+
+@pytest.mark.parametrize(
+    ("lines", "margin"),
+    [
+        pytest.param("", None, id="none"),
+        pytest.param("bounds.quota_window_s=5\nbounds.quota_overshoot=0.1\n", None, id="not-all"),
+        pytest.param(
+            "bounds.quota_window_s=5\nbounds.quota_overshoot=0.1\nbounds.quota_slack=20\n",
+            (5.0, 0.1, 20.0),
+            id="all",
+        ),
+    ],
+)
+def test_limits_need_all_their_settings(
+    lines: str, margin: tuple[float, float, float] | None
+) -> None:
+    assert parse_settings("s.conf", GOOD + lines).limits == margin
