--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -68,6 +68,8 @@
 READINGS = "tests/directory/test_readings.py::"
 WIRE = "tests/platform/test_wire.py::"
 ENTRY = "tests/whole/test_entry.py::"
+LIMIT_SHARES = "tests/limits/test_shares.py::"
+LIMIT_LOADS = "tests/limits/test_loads.py::"
 
 SNAPSHOT = "one snapshot"
 COVERAGE = "true coverage"
@@ -77,6 +79,7 @@
 AT_ONCE = "given up on: final answer at once, with when to come back"
 LEAVING = "a leaving target gets no new work"
 IN_TIME = "what the operator writes is in force everywhere in time"
+LIMITED = "a group's limit counts over all boxes, and below it nothing is refused"
 SET_BACK = "a store that comes back from an older copy takes nothing back"
 STOP = "a planned stop cuts off nothing"
 SHARE = "fair shares"
@@ -1661,4 +1664,46 @@
             "if False:",
         ),
     ),
+    Row(
+        PLATFORM,
+        LIMITED,
+        "a delegation arrives after its sender went to another counting box",
+        LIMIT_SHARES + "test_a_delegation_counts_from_its_stamp",
+        Mutant(
+            "trackwheel/limits/shares.py",
+            "until = echo.at + DELEGATION_VALID_S",
+            "until = now + DELEGATION_VALID_S",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        LIMITED,
+        "all of a group's load comes through one box",
+        LIMIT_LOADS + "test_nothing_is_refused_below_a_limit",
+        Mutant(
+            "trackwheel/limits/counting_box.py",
+            "pause_s = max(bucket.gift_period_s, in_flight_s)",
+            "pause_s = bucket.gift_period_s",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        LIMITED,
+        "the limit is lowered far below what is sent",
+        LIMIT_LOADS + "test_lowered_limit_binds_within_a_window",
+        Mutant(
+            "trackwheel/limits/counting_box.py", "bucket.budget = budget", "bucket.budget.capacity"
+        ),
+    ),
+    Row(
+        PLATFORM,
+        LIMITED,
+        "all boxes restart while a group is far over its limit",
+        LIMIT_LOADS + "test_bound_holds_over_all_boxes_in_touch_or_not",
+        Mutant(
+            "trackwheel/limits/shares.py",
+            "if not (delegation.settled or settled or self._confirmed_members):",
+            "if False:",
+        ),
+    ),
 )
