Prove by a table that boxes which know few others do not count

Cause: with the mechanism out, test_bound_holds_over_all_boxes_in_touch_or_not still passed: there, boxes know the fleet before they delegate. The row names the table of the mechanism instead; the test stays.

--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -1698,8 +1698,8 @@
     Row(
         PLATFORM,
         LIMITED,
-        "all boxes restart while a group is far over its limit",
-        LIMIT_LOADS + "test_bound_holds_over_all_boxes_in_touch_or_not",
+        "all boxes of a failure domain restart and know few others",
+        LIMIT_SHARES + "test_a_young_box_counts_once_the_fleet_is_known",
         Mutant(
             "trackwheel/limits/shares.py",
             "if not (delegation.settled or settled or self._confirmed_members):",
