--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -69,6 +69,9 @@
 WIRE = "tests/platform/test_wire.py::"
 START = "tests/relay/test_service.py::"
 ENTRY = "tests/whole/test_entry.py::"
+LIMITED = "a group's limit counts over all boxes, and below it nothing is refused"
+LIMIT_LOADS = "tests/limits/test_loads.py::"
+LIMIT_SHARES = "tests/limits/test_shares.py::"
 KEYS = "tests/groups/test_keys.py::"
 GROUPS = "tests/platform/test_groups.py::"
 CHECKS = "tests/relay/test_entry_checks.py::"
@@ -1813,4 +1816,46 @@
         CHECKS + "test_ticket_of_a_request_withdrawn_during_the_check_is_released",
         Mutant("trackwheel/relay/entry_checks.py", "            ticket.withdraw()\n", ""),
     ),
+    Row(
+        PLATFORM,
+        LIMITED,
+        "a delegation arrives after its sender went to another counting box",
+        LIMIT_SHARES + "test_a_delegation_counts_from_its_stamp",
+        Mutant(
+            "trackwheel/limits/shares.py",
+            "until = echo.at + DELEGATION_VALID_S",
+            "until = now + DELEGATION_VALID_S",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        LIMITED,
+        "all of a group's load comes through one box",
+        LIMIT_LOADS + "test_nothing_is_refused_below_a_limit",
+        Mutant(
+            "trackwheel/limits/counting_box.py",
+            "pause_s = max(bucket.gift_period_s, in_flight_s)",
+            "pause_s = bucket.gift_period_s",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        LIMITED,
+        "the limit is lowered far below what is sent",
+        LIMIT_LOADS + "test_lowered_limit_binds_within_a_window",
+        Mutant(
+            "trackwheel/limits/counting_box.py", "bucket.budget = budget", "bucket.budget.capacity"
+        ),
+    ),
+    Row(
+        PLATFORM,
+        LIMITED,
+        "all boxes of a failure domain restart and know few others",
+        LIMIT_SHARES + "test_a_young_box_counts_once_the_fleet_is_known",
+        Mutant(
+            "trackwheel/limits/shares.py",
+            "if not (delegation.settled or settled or self._confirmed_members):",
+            "if False:",
+        ),
+    ),
 )
