Count a domain's parts at once when all boxes start

Callers saw: after a loss of all boxes at once, a group at 0.62 of its limit (6 a second over 72 boxes) had 6 to 14 of some 26 requests refused in the first six seconds. Cause: no delegated part counts before boxes know the fleet, four seconds after their start; until then each counting box granted one request a window. Now counting boxes that learn from all the others that all have just started count half of their domains' parts from their start on, so that two views of the fleet keep to the bound together. test_nothing_is_refused_below_a_limit_after_all_boxes_start failed before for the group of 6 a second. New loads for the bound: two views after a start, boxes that restart within a second, and half of each domain that restarts and is cut off at once.

--- a/tests/limits/test_loads.py
+++ b/tests/limits/test_loads.py
@@ -1,6 +1,7 @@
 """Named loads against the limits of a fleet: who is refused below a limit, what passes above it."""
 
 from collections.abc import Callable
+from functools import partial
 
 import pytest
 
@@ -98,6 +99,16 @@
     fleet.after(2.0, lambda: restart_all(fleet))
 
 
+def restart_all_within_a_second(fleet: Fleet) -> None:
+    for number in range(24):
+        fleet.after(fleet.random.random(), partial(fleet.start, number))
+
+
+def restart_and_cut_half_of_each_domain(fleet: Fleet) -> None:
+    restart_half_of_each_domain(fleet)
+    cut_across_domains(fleet)
+
+
 FAULTS = [
     cut_a_third,
     cut_across_domains,
@@ -107,6 +118,8 @@
     restart_half_of_each_domain,
     restart_all,
     restart_all_again,
+    restart_all_within_a_second,
+    restart_and_cut_half_of_each_domain,
 ]
 
 
@@ -128,6 +141,23 @@
     assert_bound(fleet, limit)
 
 
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize("apart_s", [1.5, 2.5, 3.5])
+@pytest.mark.parametrize("limit", [SMALL, MEDIUM, LARGE])
+def test_bound_holds_while_boxes_that_start_have_two_views(
+    limit: GroupLimit, apart_s: float, seed: int
+) -> None:
+    """Load: all boxes start; each half of them knows only itself for some seconds."""
+    fleet = fleet_of(limit, seed)
+    fleet.load("g", max(20.0, 4.4 * limit.rate_per_s), SETTLED_S + 14.0)
+    fleet.run(SETTLED_S + 5.0)
+    fleet.set_unknown(frozenset(f"box-{n}" for n in range(12)))
+    restart_all(fleet)
+    fleet.after(apart_s, lambda: fleet.set_unknown(frozenset()))
+    fleet.run(SETTLED_S + 14.0)
+    assert_bound(fleet, limit)
+
+
 @pytest.mark.parametrize("seed", range(3))
 @pytest.mark.parametrize(
     "fault", [kill_counting_box, freeze_counting_box, restart_half, restart_half_of_each_domain]
@@ -146,6 +176,28 @@
     assert worst <= 0.62, f"{worst} in the worst second, {len(refused)} in all, {fleet.basis}"
 
 
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize(
+    ("limit", "per_s"),
+    [
+        pytest.param(GroupLimit(9.6, 9.0), 6.0, id="six-a-second"),
+        pytest.param(GroupLimit(0.32, 1.0), 0.2, id="one-in-five-seconds"),
+    ],
+)
+def test_nothing_is_refused_below_a_limit_after_all_boxes_start(
+    limit: GroupLimit, per_s: float, seed: int
+) -> None:
+    """Load: 72 boxes start together; a group at 0.62 of its limit for the next six seconds."""
+    fleet = Fleet(6, 72, {"g": limit}, seed)
+    fleet.run(0.5)
+    for number in range(72):
+        fleet.start(number)
+    fleet.load("g", per_s, 6.5)
+    fleet.run(6.6)
+    refused = [round(at - 0.5, 2) for at in fleet.refused.get("g", [])]
+    assert refused == [], f"{len(fleet.admitted.get('g', []))} admitted, {fleet.basis}"
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_lowered_limit_binds_within_a_window(seed: int) -> None:
     """Load: a group at a tenth of the rate it was allowed finds it lowered to a fifth of that."""
--- a/trackwheel/limits/bucket.py
+++ b/trackwheel/limits/bucket.py
@@ -35,6 +35,7 @@
         self.left_by_giver: dict[str, float] = {}
         self.gifts_received = 0.0
         self.counted_elsewhere = False
+        self.givers_that_start = 0
         self._tokens = 0.0
         self._accrued = 0.0
         self._started = 0.0
--- a/trackwheel/limits/const.py
+++ b/trackwheel/limits/const.py
@@ -24,6 +24,11 @@
 """Age from which a box knows the fleet: two probe periods."""
 MEMBER_MEMORY_S: Final = 600.0
 """Time for which a lost box still counts among those that divide a limit."""
+COUNT_AT_START_PART: Final = 0.5
+"""Part of the limits that counts while all boxes start: two views of the fleet, each with its own
+counting boxes, count the whole together."""
+COUNT_AT_START_UNTIL_S: Final = SETTLE_S + 2.0 * DELEGATION_PERIOD_S
+"""Age until which it does so: all boxes have delegated by then."""
 PRESUMED_MEMBERS_S: Final = 60.0
 """Age until which a box presumes boxes in the failure domains of which it knows none."""
 ANSWER_TIMEOUT_S: Final = 0.045
--- a/trackwheel/limits/counting_box.py
+++ b/trackwheel/limits/counting_box.py
@@ -6,12 +6,15 @@
 from trackwheel.limits.budget import LimitBudget
 from trackwheel.limits.const import (
     ASK_AHEAD_S,
+    COUNT_AT_START_PART,
+    COUNT_AT_START_UNTIL_S,
     GIFT_PERIOD_S,
     GIFT_ROUNDING,
     GIFT_WAIT_S,
     MAX_GIFT_PERIOD_S,
     MAX_RETRY_AFTER_S,
     MAX_SHORT_TOLD,
+    SETTLE_S,
     SHORT_MEMORY_S,
 )
 from trackwheel.limits.models import (
@@ -35,6 +38,8 @@
     def __init__(self, life: int, window_s: float, domains: int, now: float) -> None:
         self._window_s = window_s
         self._domains = domains
+        self._started_at = now
+        self._is_counter = False
         self.parts = DelegatedParts(life, now)
         self._budget_by_group: Mapping[str, LimitBudget] = {}
         self._bucket_by_group: dict[str, Bucket] = {}
@@ -72,9 +77,12 @@
             bucket.budget = budget
         self._budget_by_group = budget_by_group
 
-    def set_others(self, addresses: tuple[str, ...]) -> None:
-        """Set the counting boxes of the other failure domains."""
+    def set_others(self, addresses: tuple[str, ...], is_counter: bool, now: float) -> None:
+        """Set the counting boxes of the other failure domains, and whether this box is one."""
         self._others = addresses
+        self._is_counter = is_counter
+        if not is_counter:
+            self.parts.end_start(now)
 
     def delegate(self, address: str, message: Delegation, now: float) -> list[SendLimit]:
         """Count a box's part and tell it which groups are short."""
@@ -102,14 +110,22 @@
         return commands + self._answer(ask.group, now)
 
     def ask_gift(self, address: str, ask: GiftAsk, now: float) -> list[SendLimit]:
-        """Give tokens to the counting box of another failure domain."""
+        """Give tokens to the counting box of another failure domain.
+
+        A box that starts asks in turn, to learn whether the others start as well.
+        """
         given = left = 0.0
+        commands: list[SendLimit] = []
         if ask.group in self._budget_by_group:
             self.parts.advance(now)
             bucket = self._settled(ask.group, now)
             given = bucket.give(max(0.0, ask.tokens), now)
             left = bucket.spare(now)
-        return [SendLimit(address, Gift(ask.ask_id, ask.group, given, left, self.parts.members))]
+            lately = now < bucket.gift_asked_at + MAX_GIFT_PERIOD_S
+            if self._starts(now) and not self.parts.counts_at_start and not lately:
+                commands = self._ask_gifts(ask.group, 0.0, bucket, now)
+        gift = Gift(ask.ask_id, ask.group, given, left, self.parts.members, self._starts(now))
+        return [SendLimit(address, gift), *commands]
 
     def receive_gift(self, address: str, gift: Gift, now: float) -> list[SendLimit]:
         """Use a gift; ask its giver for the rest if it has more."""
@@ -124,7 +140,10 @@
         bucket.gifts_received += gift.tokens
         bucket.left_by_giver[address] = gift.left
         bucket.counted_elsewhere |= gift.members > 0
+        bucket.givers_that_start += gift.starts
         self.parts.confirm(gift.members)
+        if bucket.givers_that_start == self._domains - 1 and self._starts(now):
+            self._count_at_start(bucket, now)
         commands = self._answer(gift.group, now)
         if bucket.gift_asks:
             return commands
@@ -139,6 +158,20 @@
             commands += self._answer(group, now)
         return commands
 
+    def _starts(self, now: float) -> bool:
+        """Return whether this counting box started lately and knows of no delegated part."""
+        is_young = now - self._started_at < SETTLE_S
+        return self._is_counter and is_young and not self.parts.known
+
+    def _count_at_start(self, bucket: Bucket, now: float) -> None:
+        """Count the domain's parts: the counting boxes of all domains have started lately."""
+        part = COUNT_AT_START_PART / self._domains
+        until = self._started_at + COUNT_AT_START_UNTIL_S
+        if self.parts.count_at_start(part, self._started_at, until, now):
+            bucket.settle(self.parts, now)
+            # The others had nothing to give before and count now too: ask again without a pause.
+            bucket.gift_wanted = 0.0
+
     def _settled(self, group: str, now: float) -> Bucket:
         bucket = self._bucket_by_group.get(group)
         if bucket is None:
@@ -154,6 +187,7 @@
             return []
         bucket.gift_asked_at, bucket.gifts_received = now, 0.0
         bucket.counted_elsewhere = False
+        bucket.givers_that_start = 0
         bucket.gift_asks.clear()
         bucket.left_by_giver.clear()
         bucket.gift_wanted = missing
--- a/trackwheel/limits/service.py
+++ b/trackwheel/limits/service.py
@@ -136,7 +136,8 @@
         counter = counter_by_domain.get(own.failure_domain)
         boxes = Counter(member.failure_domain for member in self._members.values())
         self.delegator.set_members(dict(boxes), counter.address if counter else "", now)
-        self.counting.set_others(tuple(m.address for m in others))
+        is_counter = counter is not None and counter.address == own.address
+        self.counting.set_others(tuple(m.address for m in others), is_counter, now)
         counters = ((counter,) if counter else ()) + tuple(others)
         self._counters = tuple(m.address for m in counters)
         self._set_counters()
--- a/trackwheel/limits/shares.py
+++ b/trackwheel/limits/shares.py
@@ -26,13 +26,16 @@
         self._members = 0
         self._confirmed_members = 0
         self._next_expiry = float("inf")
+        self._at_start = 0.0
+        self._at_start_until = float("inf")
         self.accrued = 0.0
         self.started = 0.0
 
     @property
     def sum(self) -> float:
         """Return the sum of the delegated parts, 1 for the whole fleet."""
-        return min(1.0, len(self._part_by_box) / self._members) if self._part_by_box else 0.0
+        boxes = len(self._part_by_box)
+        return max(self._at_start, min(1.0, boxes / self._members) if boxes else 0.0)
 
     @property
     def boxes(self) -> int:
@@ -74,6 +77,36 @@
             self._confirmed_members = members
             self._count_members()
 
+    @property
+    def known(self) -> bool:
+        """Return whether this or another counting box counts delegated parts."""
+        return bool(self._part_by_box or self._confirmed_members)
+
+    @property
+    def counts_at_start(self) -> bool:
+        """Return whether a part counts that no box has delegated, or has done so in this life."""
+        return self._at_start_until != float("inf")
+
+    def count_at_start(self, part: float, since: float, until: float, now: float) -> bool:
+        """Count a part that no box has delegated, from a past time on; once in a life.
+
+        It brings its start parts twice over, as boxes do that settle twice. Returns whether the
+        part was added.
+        """
+        self.advance(now)
+        if self.counts_at_start or not since <= now < until:
+            return False
+        self.accrued += part * (now - since)
+        self.started += 2.0 * part
+        self._at_start, self._at_start_until = part, until
+        self._next_expiry = min(self._next_expiry, until)
+        return True
+
+    def end_start(self, now: float) -> None:
+        """Count delegated parts only."""
+        self.advance(now)
+        self._at_start = 0.0
+
     def advance(self, now: float) -> None:
         """Integrate up to a time; parts end when their delegation does."""
         while self._next_expiry <= now:
@@ -81,9 +114,12 @@
             expiry = self._next_expiry
             for box in [box for box, part in self._part_by_box.items() if part.until <= expiry]:
                 del self._part_by_box[box]
-            self._next_expiry = min(
-                (part.until for part in self._part_by_box.values()), default=float("inf")
-            )
+            if expiry >= self._at_start_until:
+                self._at_start = 0.0
+            ends = [part.until for part in self._part_by_box.values()]
+            if self._at_start:
+                ends.append(self._at_start_until)
+            self._next_expiry = min(ends, default=float("inf"))
             self._count_members()
         self._integrate(now)
 
