Count held requests as refused in the report

The report left them out, so a group all of whose requests are held seemed to have asked nothing. They now count as refused, with the cause "held". The test failed before.

--- a/tests/telemetry/test_report.py
+++ b/tests/telemetry/test_report.py
@@ -132,5 +132,14 @@
         assert "key_unknown" in text
 
 
+def test_held_requests_count_as_refused() -> None:
+    """A group all of whose requests are held would otherwise seem to have asked nothing."""
+    lines = [end(0.1, group="clerks"), line("a", 0.2, "held_request", route="r", group="clerks")]
+    report = make_report(lines)
+    assert report.groups == [GroupRow("clerks", 2, 1, 0, 1, 0, 0)]
+    assert report.refusals == {("clerks", "held"): 1}
+    assert report.routes[0].refused == 1
+
+
 def test_report_of_callers_without_groups_has_no_tables_of_groups() -> None:
     assert "by group" not in render_report(make_report(LINES))
--- a/trackwheel/telemetry/report.py
+++ b/trackwheel/telemetry/report.py
@@ -7,6 +7,10 @@
 from trackwheel.telemetry.timeline import LogLine
 
 ANSWER_EVENTS: Final = ("query_whole", "query_partial", "request_end")
+HELD_EVENT: Final = "held_request"
+REFUSAL_EVENTS: Final = ("refused", HELD_EVENT)
+"""Ends of requests that were refused before any target was asked."""
+CAUSE_HELD: Final = "held"
 INTERVAL_S: Final = 2.0
 """Width of one interval of the time series (seconds)."""
 CONNECTION_FAILED: Final = "not_sent"
@@ -112,9 +116,9 @@
         left_out_lines=sum(int(line.fields.get("left_out", 0)) for line in ordered),
         groups=_groups(ends),
         refusals=Counter(
-            (str(line.fields.get("group", "")), str(line.fields.get("cause", "")))
+            (str(line.fields.get("group", "")), _refusal_cause(line))
             for line in ends
-            if line.event == "refused"
+            if line.event in REFUSAL_EVENTS
         ),
     )
 
@@ -126,11 +130,15 @@
         return "late" if aim_ms is not None and line.fields["took_ms"] > aim_ms else "in_time"
     if line.event == "given_up":
         return "failed" if line.fields.get("ran") else "refused"
-    if line.event == "refused":
+    if line.event in REFUSAL_EVENTS:
         return "refused"
     return "left" if line.event == "client_left" else ""
 
 
+def _refusal_cause(line: LogLine) -> str:
+    return CAUSE_HELD if line.event == HELD_EVENT else str(line.fields.get("cause", ""))
+
+
 def _routes(ends: list[LogLine]) -> list[RouteRow]:
     ends_by_route: dict[str, list[LogLine]] = {}
     for line in ends:
