Drop the trailers of a request

The parser hands trailers to the same callback as headers: a key after the body was accepted, and trailers were not counted against the limit of header bytes. The test failed before.

--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -170,3 +170,20 @@
 )
 def test_encoding(response: Response, head_only: bool, keep_alive: bool, expected: bytes) -> None:
     assert encode_response(response, head_only, keep_alive) == expected
+
+
+def test_trailers_are_not_headers(run: Run) -> None:
+    """A key or the name of a group after the body was not seen by what stands before this box."""
+
+    async def scenario() -> None:
+        async with RecordingServer() as server:
+            await send_raw(
+                server.port,
+                b"POST /a HTTP/1.1\r\nHost: h\r\n" + CLOSE + b"Transfer-Encoding: chunked\r\n\r\n",
+                b"1\r\na\r\n0\r\nAuthorization: Token k1\r\nX-Tenant: g\r\n\r\n",
+            )
+            (request,) = server.requests
+            assert not {b"authorization", b"x-tenant"} & {name for name, _ in request.headers}
+            assert request.body == b"a"
+
+    run(scenario())
--- a/trackwheel/http1/server.py
+++ b/trackwheel/http1/server.py
@@ -162,8 +162,9 @@
         self._url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header."""
-        self._headers.append((name.lower(), value))
+        """Add a header; trailers, which follow the body, are dropped."""
+        if not self._headers_done:
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Check the announced body size and confirm `Expect: 100-continue`."""
