End the ticket of a request withdrawn just after its check passed

Where a check passed a request and the client left before the check had returned its ticket, the ticket was withdrawn as if the check had not decided, which is against EntryTicket. The test failed before; the row's mutant follows the code.

--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -1775,6 +1775,10 @@
         RELEASED,
         "a request is withdrawn while its check begins",
         CHECKS + "test_ticket_of_a_request_withdrawn_during_the_check_is_released",
-        Mutant("trackwheel/relay/entry_checks.py", "            ticket.withdraw()\n", ""),
+        Mutant(
+            "trackwheel/relay/entry_checks.py",
+            "                ticket.withdraw()\n",
+            "                pass\n",
+        ),
     ),
 )
--- a/tests/relay/test_entry_checks.py
+++ b/tests/relay/test_entry_checks.py
@@ -132,6 +132,23 @@
     assert events == ["c0 withdrawn"]
 
 
+def test_ticket_of_a_request_withdrawn_after_its_check_has_passed_is_ended() -> None:
+    events: list[str] = []
+    passages: list[EntryPassage] = []
+
+    class Passes:
+        """Passes the request and then loses its client, before the ticket is returned."""
+
+        def start(self, request: EntryRequest, decide: Decide) -> Ticket:
+            decide(None)
+            passages[0].withdraw()
+            return Ticket("c0", events)
+
+    passages.append(EntryPassage([Passes()], REQUEST, lambda refusal: events.append("decided")))
+    passages[0].start()
+    assert events == ["c0 ended"]
+
+
 def test_second_check_does_not_begin_before_the_first_has_passed() -> None:
     passage = Passage(["wait", "pass"])
     assert passage.checks[1].decide is None
--- a/trackwheel/relay/entry_checks.py
+++ b/trackwheel/relay/entry_checks.py
@@ -103,7 +103,10 @@
         if refused:
             return
         if self._ended:
-            ticket.withdraw()
+            if decided:
+                ticket.end(ran=False)
+            else:
+                ticket.withdraw()
             return
         self._pending = ticket
         if decided:
