Read a key and the name of a group as a header carries them

A key with blanks around it in the configuration was refused with 401 for ever, since a header cannot hold them. A group named with blanks at its ends was told to targets under another name, perhaps that of another group; such a version is now rejected.

The mutant of the row about names did not import (TypeError from msgspec), so that any test would have failed under it; it now leaves out the pattern alone.

--- a/tests/platform/test_groups.py
+++ b/tests/platform/test_groups.py
@@ -81,6 +81,9 @@
         pytest.param([{**GOOD, "name": ""}], id="empty-name"),
         pytest.param([{**GOOD, "name": "a\r\nx-tenant: b"}], id="name-with-a-header"),
         pytest.param([{**GOOD, "name": "a\n"}], id="name-with-an-end-of-line"),
+        pytest.param([{**GOOD, "name": " "}], id="blank-name"),
+        pytest.param([{**GOOD, "name": " clerks"}], id="name-after-a-blank"),
+        pytest.param([{**GOOD, "name": "clerks "}], id="name-before-a-blank"),
         pytest.param([{**GOOD, "api_keys": "k1"}], id="keys-no-list"),
         pytest.param([{**GOOD, "api_keys": [1]}], id="key-a-number"),
         pytest.param([{**GOOD, "priority": "high"}], id="priority-text"),
@@ -148,6 +151,15 @@
     assert find_group(table.group_by_key_digest, "schlüssel".encode()) is not None
 
 
+@pytest.mark.parametrize("key", [" k1", "k1 ", "\tk1 "])
+def test_blanks_around_a_key_do_not_count(key: str) -> None:
+    """A request's header cannot hold them, so a key kept with them would be refused for ever."""
+    table = groups({**GOOD, "api_keys": [key]})
+    given = WIRE.read_key(request((b"authorization", b"Token " + key.encode())))
+    assert given == b"k1"
+    assert find_group(table.group_by_key_digest, given) is not None
+
+
 def test_huge_list_is_decoded() -> None:
     table = groups(*({**GOOD, "name": f"g{n}", "api_keys": [f"k{n}"]} for n in range(20_000)))
     assert len(table.group_by_name) == len(table.group_by_key_digest) == 20_000
--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -1693,8 +1693,8 @@
         GROUPS + "test_key_in_two_groups_belongs_to_the_first",
         Mutant(
             "trackwheel/platform/decode.py",
-            "group_by_key_digest.setdefault(key_digest(key.encode()), group)",
-            "group_by_key_digest[key_digest(key.encode())] = group",
+            "group_by_key_digest.setdefault(key_digest(key.encode().strip()), group)",
+            "group_by_key_digest[key_digest(key.encode().strip())] = group",
         ),
     ),
     Row(
@@ -1705,7 +1705,7 @@
         Mutant(
             "trackwheel/platform/decode.py",
             "    name: Annotated[str, msgspec.Meta(pattern=",
-            "    name: str\n    _unused: Annotated[str | None, msgspec.Meta(pattern=",
+            "    name: Annotated[str, msgspec.Meta(min_length=1, description=",
         ),
     ),
     Row(
--- a/trackwheel/platform/decode.py
+++ b/trackwheel/platform/decode.py
@@ -69,8 +69,9 @@
 
 
 class _Tenant(msgspec.Struct):
-    # Sent in a header of each request, so it must have no control characters.
-    name: Annotated[str, msgspec.Meta(pattern=r"\A[^\x00-\x1f\x7f]+\Z")]
+    # Sent in a header of each request, so it must have no control characters, and no blanks at its
+    # ends, which the receiver would remove.
+    name: Annotated[str, msgspec.Meta(pattern=r"\A(?! )[^\x00-\x1f\x7f]+(?<! )\Z")]
     api_keys: list[str] | None = None
     priority: int | None = None
     # Limits over all boxes together; 0 means no limit.
@@ -157,7 +158,8 @@
     for tenant in tenants:
         group = group_by_name.setdefault(tenant.name, _group(tenant))
         for key in tenant.api_keys or ():
-            group_by_key_digest.setdefault(key_digest(key.encode()), group)
+            # As `read_key` reads it: blanks around a key do not count.
+            group_by_key_digest.setdefault(key_digest(key.encode().strip()), group)
     return GroupTable(group_by_name, group_by_key_digest)
 
 
