Do not call a key unknown where a newer version has been told of

A box in sync a moment ago answered 401 to a key of a newer version although a peer's beacon had told it of that version and only the push was late or lost; a client does not repeat after 401. It now answers 503 until it has the version. The test failed with the former rule.

--- a/tests/directory/test_service.py
+++ b/tests/directory/test_service.py
@@ -125,6 +125,24 @@
     assert isinstance(FakeSource().decode_routes(read(1).content), Success)
 
 
+@pytest.mark.parametrize("how", ["beacon", "peer"])
+def test_box_that_is_told_of_a_newer_version_does_not_know_the_newest(how: str) -> None:
+    """It was in sync a moment ago; the push of the newer version is late or lost."""
+    service, _, _ = make_service()
+    service.apply_operator_state(read(7))
+    assert not service.knows_newest_version(steady_now())
+    service._receive_beacon(PEER, DirectoryBeacon(7, 0, PEER.address))
+    assert service.knows_newest_version(steady_now())
+    if how == "beacon":
+        service._receive_beacon(PEER, DirectoryBeacon(8, 0, PEER.address))
+    else:
+        service.peer_version("10.9.0.1:1", 8)
+    assert service.synced_via(steady_now())
+    assert not service.knows_newest_version(steady_now())
+    service.apply_operator_state(read(8))
+    assert service.knows_newest_version(steady_now())
+
+
 ENTRY = TargetEntry("i-1", "s", "10.0.0.9:1", "here-a", 2, False, 0.0, 5)
 
 
--- a/trackwheel/directory/service.py
+++ b/trackwheel/directory/service.py
@@ -69,6 +69,7 @@
         self._on_routes: list[Callable[[RouteTable], None]] = []
         self._on_targets: list[Callable[[dict[str, tuple[Target, ...]]], None]] = []
         self.table: RouteTable | None = None
+        self._newest_heard_version = 0
         hub.register(DirectoryBeacon, self._receive_beacon)
         hub.register(DirectoryAsk, self._receive_ask)
         hub.register(RoutesPush, self._receive_routes)
@@ -114,6 +115,10 @@
             return self._own_address
         return self._peer_sync.synced_peer(now)
 
+    def knows_newest_version(self, now: float) -> bool:
+        """Return whether this box is in sync and no peer has told of a newer version."""
+        return bool(self.synced_via(now)) and self.version >= self._newest_heard_version
+
     def set_peers(
         self, before: Sequence[str], domain_peers: Iterable[str], remote_watchers: Iterable[str]
     ) -> None:
@@ -130,6 +135,7 @@
         Targets are requested from it only while no watcher is heard of: one of the own domain sends
         them too.
         """
+        self._newest_heard_version = max(self._newest_heard_version, version)
         if version > self.version:
             no_watcher = self._election.should_watch(steady_now()) and not self.synced
             self._send_ask(address, targets_wanted=no_watcher)
@@ -235,6 +241,7 @@
 
     def _receive_beacon(self, sender: PeerIdentity, beacon: DirectoryBeacon) -> None:
         self._merge_evacuations(beacon.evacuations, sender.box_id)
+        self._newest_heard_version = max(self._newest_heard_version, beacon.routes_version)
         now = steady_now()
         if sender.failure_domain == self._hub.identity.failure_domain:
             self._election.receive_beacon(
--- a/trackwheel/entry/box.py
+++ b/trackwheel/entry/box.py
@@ -134,7 +134,7 @@
             self.figures,
             place,
             settings.peers,
-            is_current=lambda: bool(self.directory.synced_via(steady_now())),
+            is_current=lambda: self.directory.knows_newest_version(steady_now()),
         )
         self.clients = ServerState(
             self.relay.handle,
