--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -1721,8 +1721,8 @@
         GROUPS + "test_key_in_two_groups_belongs_to_the_first",
         Mutant(
             "trackwheel/platform/decode.py",
-            "group_by_key_digest.setdefault(key_digest(key.encode()), group)",
-            "group_by_key_digest[key_digest(key.encode())] = group",
+            "group_by_key_digest.setdefault(key_digest(key.encode().strip()), group)",
+            "group_by_key_digest[key_digest(key.encode().strip())] = group",
         ),
     ),
     Row(
@@ -1733,7 +1733,7 @@
         Mutant(
             "trackwheel/platform/decode.py",
             "    name: Annotated[str, msgspec.Meta(pattern=",
-            "    name: str\n    _unused: Annotated[str | None, msgspec.Meta(pattern=",
+            "    name: Annotated[str, msgspec.Meta(min_length=1, description=",
         ),
     ),
     Row(
@@ -1814,7 +1814,11 @@
         RELEASED,
         "a request is withdrawn while its check begins",
         CHECKS + "test_ticket_of_a_request_withdrawn_during_the_check_is_released",
-        Mutant("trackwheel/relay/entry_checks.py", "            ticket.withdraw()\n", ""),
+        Mutant(
+            "trackwheel/relay/entry_checks.py",
+            "                ticket.withdraw()\n",
+            "                pass\n",
+        ),
     ),
     Row(
         PLATFORM,
--- a/trackwheel/entry/figures.py
+++ b/trackwheel/entry/figures.py
@@ -72,7 +72,7 @@
         lambda: box.transport.ended_by_outcome,
     )
     figures.add_counters(
-        "group_requests_total",
+        "limited_requests_total",
         "Requests of groups with a limit, by group and decision",
         ("group", "decision"),
         lambda: box.limits.counted,
