Let requests wait at the box for a target with room, and tell refused callers when to return

Cause: the platform's path sent everything to targets at once, where it waits in the order of arrival; the priority of a route or group was used by nothing, groups had no shares, and Retry-After was 0.2 s whatever was believed of the targets.

Change: where the configuration names groups, each box keeps what a target has no room for in a line, ordered by precedence, fair share of groups and deadline; a precedence served less than half as often as all goes first. Late requests come last, those that cannot end in time are dropped, withdrawn ones cost the target nothing. Retry-After follows what is believed of the worst needed shard and what others were told.

The seven new rows of tests/proofs.py hold and fail without their mechanism. Without groups nothing waits (test_without_groups_everything_is_sent_at_once).

tests/telemetry/test_event_names.py fails, here and before: `refused` is written and not on the page.

--- /dev/null
+++ b/tests/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the order and refusal of requests where targets have too little room."""
--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -68,6 +68,9 @@
 READINGS = "tests/directory/test_readings.py::"
 WIRE = "tests/platform/test_wire.py::"
 ENTRY = "tests/whole/test_entry.py::"
+TARGET_LINE = "tests/admission/test_target_line.py::"
+TARGET_LINES = "tests/admission/test_target_lines.py::"
+RETURNS = "tests/admission/test_return_times.py::"
 
 SNAPSHOT = "one snapshot"
 COVERAGE = "true coverage"
@@ -80,6 +83,7 @@
 SET_BACK = "a store that comes back from an older copy takes nothing back"
 STOP = "a planned stop cuts off nothing"
 SHARE = "fair shares"
+ORDER = "what waits for a target is served in the callers' order, and nobody is starved"
 IN_FORCE = "an accepted file is in force everywhere and never reverts"
 MEMBERSHIP = "the fleet mends itself"
 IN_HOMES = "a route's requests stay in its homes"
@@ -1661,4 +1665,77 @@
             "if False:",
         ),
     ),
+    Row(
+        PLATFORM,
+        ORDER,
+        "an urgent burst over bulk that waits for a target",
+        TARGET_LINE + "test_urgent_burst_overtakes_waiting_bulk",
+        Mutant(
+            "trackwheel/admission/precedence_queue.py",
+            "key=lambda p: (not self._shares.is_starved(p), p)",
+            "key=lambda p: not self._shares.is_starved(p)",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        ORDER,
+        "urgent requests alone take all that fits, as much bulk comes",
+        TARGET_LINE + "test_bulk_is_not_starved_by_urgent_requests_at_twice_what_fits",
+        Mutant(
+            "trackwheel/admission/precedence_queue.py",
+            "key=lambda p: (not self._shares.is_starved(p), p)",
+            "key=lambda p: p",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        ORDER,
+        "one group at seven times its usual beside 77 others",
+        TARGET_LINE + "test_group_at_seven_times_its_usual_costs_the_others_nothing",
+        Mutant(
+            "trackwheel/admission/precedence_queue.py",
+            "    queue.push(request, GROUP_SHARE)",
+            '    queue.push(request._replace(group=""), GROUP_SHARE)',
+        ),
+    ),
+    Row(
+        PLATFORM,
+        ORDER,
+        "bulk alone at twice what fits",
+        TARGET_LINE + "test_bulk_at_twice_what_fits_is_still_answered_in_time",
+        Mutant(
+            "trackwheel/admission/precedence_queue.py",
+            "for request in queue.drop_before(now + expected_s):",
+            "for request in queue.drop_before(0.0):",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        ORDER,
+        "connections to a target fall silent while others wait for it",
+        TARGET_LINE + "test_silent_requests_do_not_keep_others_from_the_target",
+        Mutant(
+            "trackwheel/admission/target_line.py",
+            "if sent.holds_until > now)",
+            "if sent.holds_until)",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        LEAVING,
+        "it is excluded, or its entry goes, while requests wait for it",
+        TARGET_LINES + "test_target_that_leaves_gets_nothing_that_waits",
+        Mutant(
+            "trackwheel/admission/target_lines.py",
+            "for queued in line.take_waiting(now) if line is not None else ():",
+            "for queued in ():",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        AT_ONCE,
+        "callers that return at once, at a target that serves one each 20 ms",
+        RETURNS + "test_callers_that_are_refused_at_once_return_one_after_the_other",
+        Mutant("trackwheel/admission/return_times.py", "+ ahead * outlook.pace_s", ""),
+    ),
 )
--- /dev/null
+++ b/trackwheel/admission/target_lines.py
@@ -0,0 +1,146 @@
+"""The lines of requests at all targets of one box, and what became of the requests."""
+
+from collections import Counter
+from collections.abc import Callable, Hashable, Iterable
+from typing import NamedTuple
+
+from trackwheel.admission.models import Drop, LineCommand, Send, WaitingRequest
+from trackwheel.admission.target_line import TargetLine
+from trackwheel.relay.models import CallerRequest, Incarnation, Target
+from trackwheel.telemetry.events import EventLog
+from trackwheel.telemetry.figures import Figures
+from trackwheel.units import MILLISECONDS
+
+
+class LineRequest(NamedTuple):
+    """A request for a target; `send` sends it, `refuse` ends it without having sent it.
+
+    `answer_at` is the last moment to answer within the target latency, `end_at` the last moment to
+    answer at all (monotonic seconds).
+    """
+
+    token: Hashable
+    caller: CallerRequest
+    target: Target
+    route: str
+    answer_at: float
+    end_at: float
+    send: Callable[[], None]
+    refuse: Callable[[], None]
+
+
+class TargetLines:
+    """Sends requests to targets in the order of their lines, or at once while not enabled."""
+
+    def __init__(
+        self, slots: Callable[[Target, float], int], log: EventLog, figures: Figures
+    ) -> None:
+        self._slots = slots
+        self._log = log
+        self._figures = figures
+        self._line_by_incarnation: dict[Incarnation, TargetLine] = {}
+        self._waiting_by_token: dict[Hashable, LineRequest] = {}
+        self.enabled = False
+        self.waited_by_outcome: Counter[tuple[str, str, str]] = Counter()
+        """Requests that had to wait, by route, group and what became of them."""
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of waiting requests."""
+        return len(self._waiting_by_token)
+
+    def submit(self, request: LineRequest, now: float) -> None:
+        """Send a request when its target has room for it."""
+        if not self.enabled:
+            request.send()
+            return
+        target, caller = request.target, request.caller
+        line = self._line_by_incarnation.setdefault(target.incarnation, TargetLine())
+        queued = WaitingRequest(
+            request.token,
+            caller.group,
+            caller.precedence,
+            request.answer_at,
+            request.end_at,
+            now,
+        )
+        self._waiting_by_token[request.token] = request
+        self._perform(line, line.submit(queued, self._slots(target, now), now), now)
+
+    def ended(self, token: Hashable, target: Target, answered: bool, now: float) -> None:
+        """Handle the end of a request that was sent, or its withdrawal."""
+        line = self._line_by_incarnation.get(target.incarnation)
+        if line is not None:
+            self._perform(line, line.ended(token, self._slots(target, now), answered, now), now)
+
+    def withdraw(self, token: Hashable, target: Target, now: float) -> bool:
+        """Withdraw a request; return whether it had not been sent yet."""
+        line = self._line_by_incarnation.get(target.incarnation)
+        if line is None:
+            return False
+        # One that was dropped has no entry in its line any more.
+        waiting = self._waiting_by_token.pop(token, None)
+        queued = line.withdraw(token, now)
+        if waiting is not None and queued is not None:
+            self._record(waiting, queued, line, "withdrawn", now)
+        return waiting is not None
+
+    def retain(self, incarnations: set[Incarnation], now: float) -> None:
+        """Drop the lines of all other targets; what waits there is refused."""
+        self.refuse_waiting(self._line_by_incarnation.keys() - incarnations, now)
+        for incarnation in self._line_by_incarnation.keys() - incarnations:
+            if not self._line_by_incarnation[incarnation].in_flight:
+                del self._line_by_incarnation[incarnation]
+
+    def refuse_waiting(self, incarnations: Iterable[Incarnation], now: float) -> None:
+        """Refuse the requests that wait for targets which get no new work."""
+        for incarnation in incarnations:
+            line = self._line_by_incarnation.get(incarnation)
+            for queued in line.take_waiting(now) if line is not None else ():
+                request = self._waiting_by_token.pop(queued.key, None)
+                if line is not None and request is not None:
+                    self._record(request, queued, line, "refused", now)
+                    request.refuse()
+
+    def _perform(self, line: TargetLine, commands: list[LineCommand], now: float) -> None:
+        for command in commands:
+            match command:
+                case Send(queued):
+                    request = self._waiting_by_token.pop(queued.key, None)
+                    if request is None:
+                        continue
+                    if queued.since < now:
+                        self._record(request, queued, line, "sent", now)
+                    request.send()
+                case Drop(queued):
+                    # Whoever asked withdraws it, which is due within the time of one answer.
+                    request = self._waiting_by_token.get(queued.key)
+                    if request is not None:
+                        self._record(request, queued, line, "dropped", now)
+
+    def _record(
+        self,
+        request: LineRequest,
+        queued: WaitingRequest,
+        line: TargetLine,
+        outcome: str,
+        now: float,
+    ) -> None:
+        """Count and log what became of a request that had to wait."""
+        waited_s = now - queued.since
+        caller = request.caller
+        self.waited_by_outcome[request.route, caller.group, outcome] += 1
+        self._figures.observe_wait(request.route, waited_s)
+        self._log.write(
+            "target_wait",
+            id=caller.request_id,
+            route=request.route,
+            group=caller.group,
+            target=request.target.instance,
+            outcome=outcome,
+            waited_ms=round(waited_s * MILLISECONDS, 1),
+            left_ms=round((request.end_at - now) * MILLISECONDS, 1),
+            late=now > request.answer_at,
+            in_flight=line.in_flight,
+            waiting=line.waiting,
+        )
--- a/trackwheel/entry/box.py
+++ b/trackwheel/entry/box.py
@@ -6,6 +6,8 @@
 from itertools import chain
 from typing import Final
 
+from trackwheel.admission.outlooks import RefusalAdvisor
+from trackwheel.admission.target_lines import TargetLines
 from trackwheel.clock import steady_now
 from trackwheel.delegation.gatherers import choose_gatherers
 from trackwheel.delegation.inbound_groups import InboundGroups
@@ -107,7 +109,8 @@
         self.budget = RetryBudget(settings.budget, now)
         self.cold_limiter = ColdTargetLimiter(settings.cold, self.budget.sharers)
         self.selector = TargetSelector(place, os.getpid(), self.cold_limiter)
-        self.transport = TargetTransport(wire, self.selector, steady_now, self.log)
+        self.lines = TargetLines(self.selector.slots, self.log, self.figures)
+        self.transport = TargetTransport(wire, self.selector, steady_now, self.log, self.lines)
         self.down_reports = DownReportExchange(
             self.hub, DownReports(self.selector), self.transport, self.log
         )
@@ -134,6 +137,7 @@
             self.figures,
             place,
             settings.peers,
+            advisor=RefusalAdvisor(self.selector, os.getpid(), self.log),
             is_current=lambda: bool(self.directory.synced_via(steady_now())),
         )
         self.clients = ServerState(
@@ -150,6 +154,7 @@
             CountedParts(
                 self.relay,
                 self.transport,
+                self.lines,
                 self.directory,
                 self.fleet,
                 self.budget,
@@ -212,6 +217,7 @@
     def _apply_routes(self, table: RouteTable) -> None:
         self.fleet.set_files_revision(table.version)
         self.relay.set_table(table)
+        self.lines.enabled = table.groups is not None
         self._set_connection_limits()
         self._set_shards()
 
--- a/trackwheel/entry/figures.py
+++ b/trackwheel/entry/figures.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from trackwheel.admission.target_lines import TargetLines
 from trackwheel.directory.service import DirectoryService
 from trackwheel.fleet.service import FleetService
 from trackwheel.http1.server import ServerState
@@ -20,6 +21,7 @@
 
     relay: RelayService
     transport: TargetTransport
+    lines: TargetLines
     directory: DirectoryService
     fleet: FleetService
     budget: RetryBudget
@@ -51,6 +53,12 @@
         ("outcome",),
         lambda: box.transport.ended_by_outcome,
     )
+    figures.add_counters(
+        "target_waits_total",
+        "Requests that waited for room at their target, by route, group and outcome",
+        ("route", "group", "outcome"),
+        lambda: box.lines.waited_by_outcome,
+    )
     for name, text, reading in (
         ("routes_version", "Version of the active configuration", lambda: float(directory.version)),
         ("store_in_step", "1 if the store answered recently", lambda: float(directory.synced)),
@@ -77,6 +85,11 @@
             lambda: float(box.quarantine.held_count),
         ),
         ("peer_bytes", "Bytes sent to other boxes", lambda: float(box.hub.bytes_sent)),
+        (
+            "target_waiting",
+            "Requests that wait for room at their targets",
+            lambda: float(box.lines.waiting),
+        ),
         ("under_way", "Requests in flight", lambda: float(box.clients.busy)),
         ("lines_dropped", "Dropped log lines", lambda: float(box.log.dropped)),
     ):
--- a/trackwheel/relay/runs.py
+++ b/trackwheel/relay/runs.py
@@ -12,12 +12,13 @@
     GatherCommand,
     Gathered,
     GatherFailed,
+    GatherPlan,
     PeerSilent,
     SendGroup,
     SendPart,
 )
 from trackwheel.gathering.merge import top_records
-from trackwheel.relay.models import CallerRequest, Outcome, Part, RouteKey, Target, TargetResult
+from trackwheel.relay.models import CallerRequest, Outcome, Part, Target, TargetResult
 from trackwheel.relay.single import (
     CancelSingle,
     SendSingle,
@@ -25,6 +26,7 @@
     SingleAnswered,
     SingleCommand,
     SingleFailed,
+    SinglePlan,
 )
 from trackwheel.relay.timer import Timer
 from trackwheel.relay.transport import TargetAttempt, TargetTransport
@@ -60,12 +62,12 @@
         self,
         transport: TargetTransport,
         request: CallerRequest,
-        route: RouteKey,
+        plan: GatherPlan | SinglePlan,
         on_end: Callable[[int, TargetResult], None],
     ) -> None:
         self._transport = transport
         self._request = request
-        self._route = route
+        self._plan = plan
         self._on_end = on_end
         self._token_by_number: dict[int, object] = {}
 
@@ -74,7 +76,18 @@
     ) -> None:
         """Send the request to a target; `on_end` is called unless it is withdrawn."""
         token = self._token_by_number[number] = object()
-        attempt = TargetAttempt(token, self._request, target, self._route, reason, single, once)
+        plan = self._plan
+        attempt = TargetAttempt(
+            token,
+            self._request,
+            target,
+            plan.route,
+            reason,
+            single,
+            once,
+            plan.answer_at,
+            plan.end_at,
+        )
         self._transport.send(attempt, lambda result: self._ended(number, result))
 
     def withdraw(self, number: int, target: Target) -> None:
@@ -102,7 +115,7 @@
         self.task = task
         self._gather = task.gather
         self._requests = _OutstandingRequests(
-            transport, task.request, task.gather.plan.route, self._ended
+            transport, task.request, task.gather.plan, self._ended
         )
         self._groups = groups
         self._on_done = on_done
@@ -172,7 +185,7 @@
         on_done: Callable[[SingleAnswered | SingleFailed], None],
     ) -> None:
         self._single = single
-        self._requests = _OutstandingRequests(transport, request, single.plan.route, self._ended)
+        self._requests = _OutstandingRequests(transport, request, single.plan, self._ended)
         self._on_done = on_done
         self._timer = Timer(self._tick)
 
--- a/trackwheel/relay/service.py
+++ b/trackwheel/relay/service.py
@@ -5,6 +5,7 @@
 from http import HTTPStatus
 from typing import NamedTuple
 
+from trackwheel.admission.outlooks import RefusalAdvisor
 from trackwheel.clock import steady_now
 from trackwheel.delegation.grouping import GroupPlanner
 from trackwheel.delegation.outbound_groups import OutboundGroups
@@ -12,6 +13,7 @@
 from trackwheel.gathering.gather import CRASHES_TARGETS, Gather
 from trackwheel.gathering.gather_models import Gathered, GatherFailed, GatherPlan
 from trackwheel.gathering.merge import merge_records
+from trackwheel.gathering.shards import max_missing_shards
 from trackwheel.groups.keys import KeyProblem, identify
 from trackwheel.groups.models import Group, GroupTable, precedence
 from trackwheel.http1.models import Request
@@ -50,6 +52,7 @@
     version: int
     exchange: Exchange
     passage: EntryPassage
+    has_groups: bool
 
     @property
     def key(self) -> RouteKey:
@@ -62,6 +65,7 @@
 
     `checks` decide one after the other whether a request may go on to targets. `is_current` tells
     whether the configuration known here is the newest one, so that a key which it lacks is unknown.
+    Where the configuration names groups, the `advisor` tells refused callers when to return.
     """
 
     def __init__(
@@ -78,7 +82,9 @@
         address: str,
         checks: Sequence[EntryCheck] = (),
         is_current: Callable[[], bool] = lambda: True,
+        advisor: RefusalAdvisor | None = None,
     ) -> None:
+        self._advisor = advisor
         self._checks = checks
         self._is_current = is_current
         self._wire = wire
@@ -134,7 +140,7 @@
             caller = self._wire.with_group(caller, group.name if group else "", order)
         if self._refuse_held(caller, route, exchange):
             return
-        self._check(EntryRequest(caller, route, group), table.version, exchange)
+        self._check(EntryRequest(caller, route, group), table, exchange)
 
     def _identify(
         self,
@@ -156,7 +162,7 @@
         self._refuse_entry(caller, route, refusal, exchange)
         return identified
 
-    def _check(self, request: EntryRequest, version: int, exchange: Exchange) -> None:
+    def _check(self, request: EntryRequest, table: RouteTable, exchange: Exchange) -> None:
         """Serve a request that passes all checks; refuse another one."""
         caller, route, group = request
 
@@ -171,7 +177,10 @@
                 no_home = EntryRefusal(HTTPStatus.SERVICE_UNAVAILABLE, "homes", reason)
                 self._refuse_entry(caller, route, no_home, exchange)
                 return
-            self._serve(_Serving(caller, route, homes, version, exchange, passage))
+            has_groups = table.groups is not None
+            self._serve(
+                _Serving(caller, route, homes, table.version, exchange, passage, has_groups)
+            )
 
         passage = EntryPassage(self._checks, request, decide)
         exchange.on_disconnect = passage.withdraw
@@ -252,7 +261,9 @@
                 serving.exchange.respond(self._wire.single_answer(result.answer))
                 return
             warm_in_s = self._selector.warm_in_s(plan.service, plan.route, steady_now())
-            self._refuse(serving.exchange, result, max(RETRY_AFTER_S, warm_in_s))
+            usual_s = max(RETRY_AFTER_S, warm_in_s)
+            retry_after_s = self._retry_after_s(serving, result, (plan.service,), usual_s)
+            self._refuse(serving.exchange, result, retry_after_s)
 
         single = Single(plan, self._selector, self._budget)
         run = SingleRun(serving.caller, single, self._transport, done)
@@ -288,7 +299,8 @@
         def done(result: Gathered | GatherFailed) -> None:
             self._end(serving, result)
             if isinstance(result, GatherFailed):
-                self._refuse(exchange, result)
+                retry_after_s = self._retry_after_s(serving, result, route.shards, RETRY_AFTER_S)
+                self._refuse(exchange, result, retry_after_s)
                 return
             answer = self._wire.gathered_answer(
                 caller.request_id,
@@ -332,6 +344,24 @@
             gate=self._quarantine.gate(caller.fingerprint),
         )
 
+    def _retry_after_s(
+        self,
+        serving: _Serving,
+        failed: GatherFailed | SingleFailed,
+        services: Sequence[str],
+        usual_s: float,
+    ) -> float:
+        """Return the Retry-After of a failed request to some services.
+
+        It is `usual_s` where the configuration names no groups.
+        """
+        if self._advisor is None or not serving.has_groups or failed.ran:
+            return usual_s
+        max_missing = max_missing_shards(len(services), serving.route.least_coverage)
+        return self._advisor.retry_after_s(
+            serving.caller, services, serving.key, max_missing, steady_now()
+        )
+
     def _refuse(
         self,
         exchange: Exchange,
--- a/trackwheel/selection/target_selector.py
+++ b/trackwheel/selection/target_selector.py
@@ -103,6 +103,11 @@
         """Return the number of this box's requests that the target has not answered yet."""
         return len(self._record(target).in_flight_by_token)
 
+    def slots(self, target: Target, now: float) -> int:
+        """Return how many requests a target runs at once, as it told last."""
+        load = self._record(target).load(now)
+        return target.slots if load is None else load.slots
+
     def sent(self, target: Target, token: object, route: RouteKey, now: float) -> None:
         """Record that a request was sent to a target."""
         record = self._record(target)
