Put what an answer can do without behind what others need

Cause: once a query has enough shards, its requests that still wait at targets only add to its coverage, and hold up queries that have not enough.

--- a/tests/admission/test_target_line.py
+++ b/tests/admission/test_target_line.py
@@ -122,6 +122,25 @@
     assert sent(line.ended("first-1", SLOTS, False, 1.1)) == ["late"]
 
 
+def test_request_that_an_answer_can_do_without_goes_last() -> None:
+    """A tenth of targets slow: one query has enough without this shard, the next one has not."""
+    line = filled_line()
+    line.submit(request("enough", URGENT, deadline=0.1), SLOTS, 0.0)
+    line.submit(request("needed"), SLOTS, 0.01)
+    line.demote("enough")
+    assert sent(line.ended("first-0", SLOTS, False, 0.02)) == ["needed"]
+    assert sent(line.ended("first-1", SLOTS, False, 0.03)) == ["enough"]
+
+
+def test_request_that_an_answer_can_do_without_is_dropped_at_the_target_latency() -> None:
+    """The same, while the target gets no room until the answer has been sent without it."""
+    line = filled_line()
+    line.submit(request("enough", deadline=0.1), SLOTS, 0.0)
+    line.demote("enough")
+    commands = line.ended("first-0", SLOTS, False, 0.11)
+    assert commands == [Drop(request("enough", deadline=0.1))]
+
+
 def test_request_that_cannot_end_in_time_is_dropped() -> None:
     """A target stands still until nobody waits any more."""
     line = filled_line()
--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -1709,6 +1709,17 @@
             "for request in queue.drop_before(0.0):",
         ),
     ),
+    Row(
+        PLATFORM,
+        ORDER,
+        "a query has enough without a shard whose target is slow, another one has not",
+        TARGET_LINE + "test_request_that_an_answer_can_do_without_goes_last",
+        Mutant(
+            "trackwheel/admission/precedence_queue.py",
+            "        _push(self._late, request)\n\n    def withdraw",
+            "        _push(self._in_time, request)\n\n    def withdraw",
+        ),
+    ),
     Row(
         PLATFORM,
         ORDER,
--- a/trackwheel/admission/precedence_queue.py
+++ b/trackwheel/admission/precedence_queue.py
@@ -3,7 +3,8 @@
 Requests that can still be answered within their target latency come first, those of the smallest
 precedence before others, unless another precedence is starved. Within one precedence, groups share
 the slot time equally, and the earliest deadline comes first within a group. Requests that are
-already late follow: their callers still get an answer, but nobody else becomes late for them.
+already late follow: their callers still get an answer, but nobody else becomes late for them. Those
+that an answer can do without wait with them, until their target latency.
 """
 
 from collections.abc import Hashable
@@ -25,6 +26,7 @@
         self._late: _Queues = {}
         self._shares = ServedShares()
         self._waiting_by_key: dict[Hashable, WaitingRequest] = {}
+        self._optional: set[Hashable] = set()
 
     def __len__(self) -> int:
         return len(self._waiting_by_key)
@@ -41,6 +43,14 @@
         self._waiting_by_key[request.key] = request
         _push(self._in_time, request)
 
+    def demote(self, key: Hashable) -> None:
+        """Put a request behind the others: the answer is possible without it."""
+        request = self._waiting_by_key.get(key)
+        if request is None or self._in_time[request.precedence].remove(key) is None:
+            return
+        self._optional.add(key)
+        _push(self._late, request)
+
     def withdraw(self, key: Hashable, now: float) -> WaitingRequest | None:
         """Remove a request that is no longer needed; return it if it was waiting."""
         request = self._waiting_by_key.pop(key, None)
@@ -48,7 +58,7 @@
             return None
         if self._in_time[request.precedence].remove(key) is None:
             self._late[request.precedence].remove(key)
-            self._shares.count(request.precedence, False, now)
+            self._count_lost(request, now)
         return request
 
     def count_sent(self, request: WaitingRequest, now: float) -> None:
@@ -66,7 +76,7 @@
                 dropped += late.drop_before(now + expected_s)
         for request in dropped:
             del self._waiting_by_key[request.key]
-            self._shares.count(request.precedence, False, now)
+            self._count_lost(request, now)
         return dropped
 
     def pop(self, expected_s: float, now: float) -> WaitingRequest | None:
@@ -76,9 +86,17 @@
         if queue is None or request is None:
             return None
         queue.remove_idle(now)
+        self._optional.discard(request.key)
         self._shares.count(request.precedence, True, now)
         return self._waiting_by_key.pop(request.key)
 
+    def _count_lost(self, request: WaitingRequest, now: float) -> None:
+        """Count a request that was not sent, unless its caller has an answer without it."""
+        if request.key in self._optional:
+            self._optional.discard(request.key)
+            return
+        self._shares.count(request.precedence, False, now)
+
     def _next_queue(self, queues: _Queues) -> FairQueue[WaitingRequest] | None:
         """Return the queue of a starved precedence, else of the smallest one."""
         filled = [precedence for precedence, queue in queues.items() if len(queue)]
--- a/trackwheel/admission/target_line.py
+++ b/trackwheel/admission/target_line.py
@@ -55,6 +55,10 @@
             self._service_time.add(sent.sent_at, now - sent.sent_at, now)
         return self._fill(slots, now)
 
+    def demote(self, key: Hashable) -> None:
+        """Put a waiting request behind the others: the answer is possible without it."""
+        self._queue.demote(key)
+
     def withdraw(self, key: Hashable, now: float) -> WaitingRequest | None:
         """Remove a request that is not needed any more; return it if it was not sent yet."""
         return self._queue.withdraw(key, now)
--- a/trackwheel/admission/target_lines.py
+++ b/trackwheel/admission/target_lines.py
@@ -73,6 +73,12 @@
         if line is not None:
             self._perform(line, line.ended(token, self._slots(target, now), answered, now), now)
 
+    def demote(self, token: Hashable, target: Target) -> None:
+        """Put a waiting request behind the others: the answer is possible without it."""
+        line = self._line_by_incarnation.get(target.incarnation)
+        if line is not None:
+            line.demote(token)
+
     def withdraw(self, token: Hashable, target: Target, now: float) -> bool:
         """Withdraw a request; return whether it had not been sent yet."""
         line = self._line_by_incarnation.get(target.incarnation)
--- a/trackwheel/relay/runs.py
+++ b/trackwheel/relay/runs.py
@@ -1,6 +1,6 @@
 """Runners that perform the I/O for the decision logic of one request."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import NamedTuple, Protocol
 
 from trackwheel.clock import steady_now
@@ -95,6 +95,11 @@
         token = self._token_by_number.pop(number)
         self._transport.withdraw(token, target, self._request.fingerprint)
 
+    def demote(self, target_by_number: Mapping[int, Target]) -> None:
+        """Put outstanding requests behind others where they still wait."""
+        for number, target in target_by_number.items():
+            self._transport.demote(self._token_by_number[number], target)
+
     def _ended(self, number: int, result: TargetResult) -> None:
         self._token_by_number.pop(number, None)
         self._on_end(number, result)
@@ -122,6 +127,7 @@
         self._on_part = on_part
         self._on_declined = on_declined
         self._timer = Timer(self._tick)
+        self._demoted = False
 
     def start(self) -> None:
         """Begin."""
@@ -170,6 +176,9 @@
         if result.outcome is Outcome.OK and result.answer is not None:
             part = Part(result.signature, top_records(result.answer.body, self._gather.plan.top_k))
         self.perform(self._gather.part_ended(number, result, part, steady_now()))
+        if part is not None and not self._demoted and self._gather.is_answer_possible:
+            self._demoted = True
+            self._requests.demote(self._gather.outstanding())
         if part is not None and self._on_part is not None:
             self._on_part()
 
--- a/trackwheel/relay/transport.py
+++ b/trackwheel/relay/transport.py
@@ -181,6 +181,11 @@
         )
         self._lines.submit(line_request, sent_at)
 
+    def demote(self, token: object, target: Target) -> None:
+        """Put a request that still waits here behind others: the answer is possible without it."""
+        if self._lines is not None:
+            self._lines.demote(token, target)
+
     def withdraw(self, token: object, target: Target, fingerprint: bytes) -> None:
         """Withdraw a request."""
         now = self._clock()
