--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -70,6 +70,7 @@
 ENTRY = "tests/whole/test_entry.py::"
 TARGET_LINE = "tests/admission/test_target_line.py::"
 TARGET_LINES = "tests/admission/test_target_lines.py::"
+OUTLOOKS = "tests/admission/test_outlooks.py::"
 RETURNS = "tests/admission/test_return_times.py::"
 
 SNAPSHOT = "one snapshot"
@@ -1749,4 +1750,15 @@
         RETURNS + "test_callers_that_are_refused_at_once_return_one_after_the_other",
         Mutant("trackwheel/admission/return_times.py", "+ ahead * outlook.pace_s", ""),
     ),
+    Row(
+        PLATFORM,
+        AT_ONCE,
+        "a shard that the answer needs sheds, or refuses connections",
+        OUTLOOKS + "test_callers_return_when_the_worst_needed_shard_has_room",
+        Mutant(
+            "trackwheel/admission/outlooks.py",
+            "max(0.0, choice.rests_until - now, choice.expected_s - choice.usual_s)",
+            "0.0",
+        ),
+    ),
 )
