Look at a line again when silent requests stop holding room

Cause: where all that a target has got fell silent and nothing more came for it, what waited was looked at by nobody until its caller gave up; a request that may run only once has no second target that would end its wait. Change: one timer for each line that waits. Measured: test_line_is_looked_at_when_silent_requests_stop_holding_room, which fails without the timer.

--- a/tests/admission/test_target_line.py
+++ b/tests/admission/test_target_line.py
@@ -161,6 +161,19 @@
     ] or (sent(line.submit(request("fourth", deadline=0.4), SLOTS, 0.22)))
 
 
+def test_next_look_at_a_line_lies_ahead() -> None:
+    """One of three connections is silent, the others hold room later than it."""
+    line = TargetLine()
+    for number in range(SLOTS + EXTRA_IN_FLIGHT):
+        line.submit(request(f"first-{number}", deadline=(0.2, 0.3, 0.4)[number]), SLOTS, 0.0)
+    assert line.next_room_at(0.0) == float("inf")
+    for number in range(2):
+        line.submit(request(f"waiting-{number}", deadline=9.0), SLOTS, 0.1)
+    assert line.next_room_at(0.1) == 0.2
+    assert sent(line.fill(SLOTS, 0.25)) == ["waiting-0"]
+    assert line.next_room_at(0.25) == 0.3
+
+
 def test_full_line_sends_at_once() -> None:
     """Ten times what a line holds: it is bounded, and the rest goes as without a line."""
     line = filled_line()
--- a/tests/admission/test_target_lines.py
+++ b/tests/admission/test_target_lines.py
@@ -1,5 +1,6 @@
 """The lines of all targets of a box: what is sent, refused, withdrawn, counted and logged."""
 
+from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any
 
@@ -26,7 +27,13 @@
         self.refused: list[str] = []
         log: Any = SimpleNamespace(write=lambda kind, **fields: self.events.append((kind, fields)))
         figures: Any = SimpleNamespace(observe_wait=lambda route, waited_s: None)
-        self.lines = TargetLines(lambda target, now: SLOTS, log, figures)
+        self.wakes: list[tuple[float, Callable[[float], None]]] = []
+        self.lines = TargetLines(
+            lambda target, now: SLOTS,
+            lambda at, action: self.wakes.append((at, action)),
+            log,
+            figures,
+        )
         self.lines.enabled = enabled
 
     def submit(self, name: str, precedence: Precedence = BULK, now: float = 0.0) -> None:
@@ -102,6 +109,19 @@
     assert not fixture.lines.waiting
 
 
+def test_line_is_looked_at_when_silent_requests_stop_holding_room() -> None:
+    """All connections to a target fall silent, and no further request comes."""
+    fixture = Fixture()
+    first = fixture.fill()
+    assert not fixture.wakes
+    fixture.submit("waiting", now=0.1)
+    fixture.submit("second", now=0.1)
+    ((at, look),) = fixture.wakes
+    look(at + 0.001)
+    assert fixture.sent == [*first, "waiting", "second"]
+    assert len(fixture.wakes) == 1
+
+
 def test_dropped_request_still_counts_as_not_sent() -> None:
     """It was dropped since it could not end in time; whoever asked withdraws it afterwards."""
     fixture = Fixture()
--- a/trackwheel/admission/target_line.py
+++ b/trackwheel/admission/target_line.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Hashable
+from math import inf
 from typing import NamedTuple
 
 from trackwheel.admission.const import EXTRA_IN_FLIGHT, HOLD_SERVICE_TIMES, MAX_WAITING
@@ -41,19 +42,41 @@
 
     def submit(self, request: WaitingRequest, slots: int, now: float) -> list[LineCommand]:
         """Add a request for a target with a number of slots."""
-        commands = self._fill(slots, now)
+        commands = self.fill(slots, now)
         if len(self._queue) < MAX_WAITING and (len(self._queue) or not self._room(slots, now)):
             self._queue.push(request)
             return commands
         self._queue.count_sent(request, now)
         return [*commands, self._send(request, now)]
 
+    def next_room_at(self, now: float) -> float:
+        """Return when a request at the target stops holding room while others wait."""
+        if not len(self._queue):
+            return inf
+        holding = (sent.holds_until for sent in self._sent_by_key.values())
+        return min((until for until in holding if until > now), default=inf)
+
+    def fill(self, slots: int, now: float) -> list[LineCommand]:
+        """Send what the target has room for by now."""
+        if not len(self._queue):
+            return []
+        expected_s = self._service_time.mean_s
+        commands: list[LineCommand] = [
+            Drop(request) for request in self._queue.drop_expired(expected_s, now)
+        ]
+        for _ in range(self._room(slots, now)):
+            request = self._queue.pop(expected_s, now)
+            if request is None:
+                break
+            commands.append(self._send(request, now))
+        return commands
+
     def ended(self, key: Hashable, slots: int, answered: bool, now: float) -> list[LineCommand]:
         """Handle the end of a request that was sent, or its withdrawal."""
         sent = self._sent_by_key.pop(key, None)
         if sent is not None and answered:
             self._service_time.add(sent.sent_at, now - sent.sent_at, now)
-        return self._fill(slots, now)
+        return self.fill(slots, now)
 
     def demote(self, key: Hashable) -> None:
         """Put a waiting request behind the others: the answer is possible without it."""
@@ -70,21 +93,6 @@
             self._queue.withdraw(request.key, now)
         return waiting
 
-    def _fill(self, slots: int, now: float) -> list[LineCommand]:
-        """Send what the target has room for."""
-        if not len(self._queue):
-            return []
-        expected_s = self._service_time.mean_s
-        commands: list[LineCommand] = [
-            Drop(request) for request in self._queue.drop_expired(expected_s, now)
-        ]
-        for _ in range(self._room(slots, now)):
-            request = self._queue.pop(expected_s, now)
-            if request is None:
-                break
-            commands.append(self._send(request, now))
-        return commands
-
     def _send(self, request: WaitingRequest, now: float) -> Send:
         hold_s = max(
             request.deadline - request.since, HOLD_SERVICE_TIMES * self._service_time.mean_s
--- a/trackwheel/admission/target_lines.py
+++ b/trackwheel/admission/target_lines.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable, Hashable, Iterable
+from math import inf
 from typing import NamedTuple
 
 from trackwheel.admission.models import Drop, LineCommand, Send, WaitingRequest
@@ -29,12 +30,22 @@
     refuse: Callable[[], None]
 
 
+WakeAt = Callable[[float, Callable[[float], None]], None]
+"""Calls an action at a time, with the time by then (monotonic seconds)."""
+
+
 class TargetLines:
     """Sends requests to targets in the order of their lines, or at once while not enabled."""
 
     def __init__(
-        self, slots: Callable[[Target, float], int], log: EventLog, figures: Figures
+        self,
+        slots: Callable[[Target, float], int],
+        wake_at: WakeAt,
+        log: EventLog,
+        figures: Figures,
     ) -> None:
+        self._wake_at = wake_at
+        self._awaiting_room: set[Incarnation] = set()
         self._slots = slots
         self._log = log
         self._figures = figures
@@ -66,6 +77,7 @@
         )
         self._waiting_by_token[request.token] = request
         self._perform(line, line.submit(queued, self._slots(target, now), now), now)
+        self._await_room(line, target, now)
 
     def ended(self, token: Hashable, target: Target, answered: bool, now: float) -> None:
         """Handle the end of a request that was sent, or its withdrawal."""
@@ -108,6 +120,20 @@
                     self._record(request, queued, line, "refused", now)
                     request.refuse()
 
+    def _await_room(self, line: TargetLine, target: Target, now: float) -> None:
+        """Look at a line again once its target has room, even if no request ends there."""
+        room_at = line.next_room_at(now)
+        if room_at == inf or target.incarnation in self._awaiting_room:
+            return
+
+        def look(now: float) -> None:
+            self._awaiting_room.discard(target.incarnation)
+            self._perform(line, line.fill(self._slots(target, now), now), now)
+            self._await_room(line, target, now)
+
+        self._awaiting_room.add(target.incarnation)
+        self._wake_at(room_at, look)
+
     def _perform(self, line: TargetLine, commands: list[LineCommand], now: float) -> None:
         for command in commands:
             match command:
--- a/trackwheel/entry/box.py
+++ b/trackwheel/entry/box.py
@@ -3,6 +3,7 @@
 import os
 import time
 from collections import Counter
+from collections.abc import Callable
 from itertools import chain
 from typing import Final
 
@@ -44,6 +45,7 @@
 from trackwheel.relay.models import Place, Target
 from trackwheel.relay.outcomes import report_outcomes
 from trackwheel.relay.service import RelayService
+from trackwheel.relay.timer import Timer
 from trackwheel.relay.transport import TargetTransport
 from trackwheel.routing.models import Limits, RouteTable
 from trackwheel.selection.budget import RetryBudget
@@ -109,7 +111,7 @@
         self.budget = RetryBudget(settings.budget, now)
         self.cold_limiter = ColdTargetLimiter(settings.cold, self.budget.sharers)
         self.selector = TargetSelector(place, os.getpid(), self.cold_limiter)
-        self.lines = TargetLines(self.selector.slots, self.log, self.figures)
+        self.lines = TargetLines(self.selector.slots, _wake_at, self.log, self.figures)
         self.transport = TargetTransport(wire, self.selector, steady_now, self.log, self.lines)
         self.down_reports = DownReportExchange(
             self.hub, DownReports(self.selector), self.transport, self.log
@@ -268,6 +270,10 @@
         exchange.respond(Response(200 if self.ready else 503, (), b""))
 
 
+def _wake_at(at: float, action: Callable[[float], None]) -> None:
+    Timer(lambda: action(steady_now())).set(at)
+
+
 def _own_member(identity: PeerIdentity, speed: float) -> Member:
     # The wall-clock time in milliseconds lets a new boot take precedence over the previous one of
     # the same address.
