Send nothing that was quarantined while it waited for a target

Cause: the gate of a request is asked when a target is chosen; while it waits in a line, other boxes may report that targets end under it. Change: the gate is asked again before a request that has waited is sent. Measured: tests/admission/test_target_lines.py; the rows of the quarantine and of the line's timer in tests/proofs.py fail without their mechanism.

--- a/tests/admission/test_target_lines.py
+++ b/tests/admission/test_target_lines.py
@@ -12,7 +12,7 @@
 from trackwheel.admission.target_lines import LineRequest, TargetLines
 from trackwheel.groups.models import Precedence
 from trackwheel.http1.models import Request
-from trackwheel.relay.models import CallerRequest
+from trackwheel.relay.models import OPEN_GATE, CallerRequest, SendGate, SendPermission
 
 TARGET = target("t", "s")
 IN_FLIGHT = SLOTS + EXTRA_IN_FLIGHT
@@ -36,7 +36,13 @@
         )
         self.lines.enabled = enabled
 
-    def submit(self, name: str, precedence: Precedence = BULK, now: float = 0.0) -> None:
+    def submit(
+        self,
+        name: str,
+        precedence: Precedence = BULK,
+        now: float = 0.0,
+        gate: SendGate = OPEN_GATE,
+    ) -> None:
         http = Request(b"GET", b"/", (), b"", now)
         caller = CallerRequest(name, "h", "/", now + 2.0, http, b"", "g", precedence)
         request = LineRequest(
@@ -48,6 +54,7 @@
             now + 2.0,
             lambda: self.sent.append(name),
             lambda: self.refused.append(name),
+            gate,
         )
         self.lines.submit(request, now)
 
@@ -122,6 +129,18 @@
     assert len(fixture.wakes) == 1
 
 
+def test_request_that_is_quarantined_while_it_waits_is_not_sent() -> None:
+    """Other boxes have seen targets end under it; the next one that waits goes instead."""
+    fixture = Fixture()
+    first = fixture.fill()
+    gate: Any = SimpleNamespace(permission=lambda now: SendPermission.SHUT)
+    fixture.submit("crashes targets", URGENT, gate=gate)
+    fixture.submit("waiting")
+    fixture.lines.ended(first[0], TARGET, True, 0.05)
+    assert fixture.sent == [*first, "waiting"]
+    assert fixture.lines.waited_by_outcome["r", "g", "held"] == 1
+
+
 def test_dropped_request_still_counts_as_not_sent() -> None:
     """It was dropped since it could not end in time; whoever asked withdraws it afterwards."""
     fixture = Fixture()
--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -1743,6 +1743,24 @@
             "for queued in ():",
         ),
     ),
+    Row(
+        PLATFORM,
+        HELD,
+        "it is held while it waits for a target",
+        TARGET_LINES + "test_request_that_is_quarantined_while_it_waits_is_not_sent",
+        Mutant(
+            "trackwheel/admission/target_lines.py",
+            "if waited and request.gate.permission(now) is SendPermission.SHUT:",
+            "if False:",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        ORDER,
+        "all connections to a target fall silent and no further request comes",
+        TARGET_LINES + "test_line_is_looked_at_when_silent_requests_stop_holding_room",
+        Mutant("trackwheel/admission/target_lines.py", "self._wake_at(room_at, look)", "pass"),
+    ),
     Row(
         PLATFORM,
         AT_ONCE,
--- a/trackwheel/admission/target_lines.py
+++ b/trackwheel/admission/target_lines.py
@@ -7,7 +7,14 @@
 
 from trackwheel.admission.models import Drop, LineCommand, Send, WaitingRequest
 from trackwheel.admission.target_line import TargetLine
-from trackwheel.relay.models import CallerRequest, Incarnation, Target
+from trackwheel.relay.models import (
+    OPEN_GATE,
+    CallerRequest,
+    Incarnation,
+    SendGate,
+    SendPermission,
+    Target,
+)
 from trackwheel.telemetry.events import EventLog
 from trackwheel.telemetry.figures import Figures
 from trackwheel.units import MILLISECONDS
@@ -17,7 +24,7 @@
     """A request for a target; `send` sends it, `refuse` ends it without having sent it.
 
     `answer_at` is the last moment to answer within the target latency, `end_at` the last moment to
-    answer at all (monotonic seconds).
+    answer at all (monotonic seconds). `gate` decides whether it may be sent to targets at all.
     """
 
     token: Hashable
@@ -28,6 +35,7 @@
     end_at: float
     send: Callable[[], None]
     refuse: Callable[[], None]
+    gate: SendGate = OPEN_GATE
 
 
 WakeAt = Callable[[float, Callable[[float], None]], None]
@@ -141,15 +149,27 @@
                     request = self._waiting_by_token.pop(queued.key, None)
                     if request is None:
                         continue
-                    if queued.since < now:
-                        self._record(request, queued, line, "sent", now)
-                    request.send()
+                    self._send(request, queued, line, now)
                 case Drop(queued):
                     # Whoever asked withdraws it, which is due within the time of one answer.
                     request = self._waiting_by_token.get(queued.key)
                     if request is not None:
                         self._record(request, queued, line, "dropped", now)
 
+    def _send(
+        self, request: LineRequest, queued: WaitingRequest, line: TargetLine, now: float
+    ) -> None:
+        """Send a request, unless it was quarantined while it waited."""
+        waited = queued.since < now
+        if waited and request.gate.permission(now) is SendPermission.SHUT:
+            # Whoever asked ends it for the same reason.
+            self._record(request, queued, line, "held", now)
+            self.ended(request.token, request.target, False, now)
+            return
+        if waited:
+            self._record(request, queued, line, "sent", now)
+        request.send()
+
     def _record(
         self,
         request: LineRequest,
--- a/trackwheel/relay/runs.py
+++ b/trackwheel/relay/runs.py
@@ -87,6 +87,7 @@
             once,
             plan.answer_at,
             plan.end_at,
+            plan.gate,
         )
         self._transport.send(attempt, lambda result: self._ended(number, result))
 
--- a/trackwheel/relay/transport.py
+++ b/trackwheel/relay/transport.py
@@ -9,10 +9,12 @@
 from trackwheel.http1.models import ExchangeOutcome, ExchangeResult, Request, Response
 from trackwheel.http1.pool import NO_NEW_WORK, Job, TargetPool
 from trackwheel.relay.models import (
+    OPEN_GATE,
     CallerRequest,
     Incarnation,
     Outcome,
     RouteKey,
+    SendGate,
     Target,
     TargetResult,
     Wire,
@@ -53,7 +55,7 @@
     """One request to one target; `once` tells that it must not be run twice.
 
     `answer_at` is the last moment to answer within the target latency, `end_at` the last moment to
-    answer at all (monotonic seconds).
+    answer at all (monotonic seconds). `gate` decides whether it may be sent to targets at all.
     """
 
     token: object
@@ -65,6 +67,7 @@
     once: bool
     answer_at: float = inf
     end_at: float = inf
+    gate: SendGate = OPEN_GATE
 
 
 OnAttemptEnd = Callable[[TargetAttempt, Outcome, float], None]
@@ -178,6 +181,7 @@
             attempt.end_at,
             submit,
             refuse,
+            attempt.gate,
         )
         self._lines.submit(line_request, sent_at)
 
