--- a/tests/admission/test_outlooks.py
+++ b/tests/admission/test_outlooks.py
@@ -97,6 +97,7 @@
         for host, routes in table.routes_by_host.items()
     }
     relay.set_table(table._replace(routes_by_host=routes_by_host, groups=groups))
+    relay.targets_known()
     for _ in range(3):
         exchange: Any = SimpleNamespace(respond=answers.append, on_disconnect=None)
         relay.handle(HTTP, exchange)
--- a/tests/gathering/test_gather.py
+++ b/tests/gathering/test_gather.py
@@ -129,10 +129,11 @@
         now: float = 0.05,
         number: int = 0,
         ran: bool = True,
+        not_run: tuple[str, ...] = (),
     ) -> None:
         signatures = {shard: f"peer{number}-{shard}".encode() for shard in shards}
         records = [b"peer".ljust(16)]
-        self.take(self.gather.group_parts(number, signatures, records, final, ran, now))
+        self.take(self.gather.group_parts(number, signatures, records, final, ran, now, 0, not_run))
 
     def tick(self, now: float) -> None:
         self.take(self.gather.tick(now))
@@ -396,7 +397,7 @@
         session.tick(END_AT)
         assert isinstance(session.end, GatherFailed)
         assert session.end[:3] == (True, True, "time is up")
-        assert session.end.lacking == "s0: failed at s0-near, held back"
+        assert session.end.lacking == "s0: failed at s0-near, held back (retry_budget)"
 
     def test_shards_that_may_lack_leave_a_reserve(self, selector: TargetSelector) -> None:
         """Two of ten shards may be missing; the reserved repeat goes to the third that fails."""
--- a/trackwheel/relay/runs.py
+++ b/trackwheel/relay/runs.py
@@ -18,6 +18,7 @@
     SendPart,
 )
 from trackwheel.gathering.merge import top_records
+from trackwheel.relay.causes import Cause
 from trackwheel.relay.models import CallerRequest, Outcome, Part, Target, TargetResult
 from trackwheel.relay.single import (
     CancelSingle,
@@ -130,6 +131,11 @@
         self._timer = Timer(self._tick)
         self._demoted = False
 
+    @property
+    def waits_for(self) -> Cause | None:
+        """Return why there is no answer yet."""
+        return self._gather.waits_for
+
     def start(self) -> None:
         """Begin."""
         self.perform(self._gather.start(steady_now()))
@@ -199,6 +205,11 @@
         self._on_done = on_done
         self._timer = Timer(self._tick)
 
+    @property
+    def waits_for(self) -> Cause | None:
+        """Return why there is no answer yet."""
+        return self._single.waits_for
+
     def start(self) -> None:
         """Begin."""
         self._perform(self._single.start(steady_now()))
