--- a/tests/admission/test_return_times.py
+++ b/tests/admission/test_return_times.py
@@ -4,9 +4,11 @@
 
 import pytest
 
-from tests.admission.conftest import BULK, URGENT
 from trackwheel.admission.const import MAX_RETRY_AFTER_S, MIN_RETRY_AFTER_S, RETURN_JITTER
 from trackwheel.admission.return_times import ReturnTimes, ShardOutlook, worst_needed
+from trackwheel.groups.models import Precedence
+
+URGENT, BULK = Precedence(0, 0), Precedence(0, 1)
 
 BUSY = ShardOutlook(0.1, 0.02)
 
--- a/trackwheel/admission/__init__.py
+++ b/trackwheel/admission/__init__.py
@@ -1,1 +1,1 @@
-"""Order and refusal of requests where targets have too little room."""
+"""When callers that were refused for lack of room should return."""
--- a/trackwheel/dispatch/fair_queue.py
+++ b/trackwheel/dispatch/fair_queue.py
@@ -1,34 +1,19 @@
 """Start-time fair queueing among groups, earliest deadline first inside each group."""
 
 import itertools
-from bisect import bisect_left, bisect_right, insort
-from collections.abc import Hashable
+from bisect import bisect_right
 from operator import itemgetter
-from typing import Generic, Protocol, TypeVar
 
-from trackwheel.dispatch.const import GROUP_IDLE_S
-
-
-class QueuedWork(Protocol):
-    """Work that can be queued; `deadline` is monotonic seconds."""
-
-    @property
-    def key(self) -> Hashable:
-        """Return the identity of the work."""
-
-    @property
-    def group(self) -> str:
-        """Return the group that is charged for it."""
-
-    @property
-    def deadline(self) -> float:
-        """Return the time by which it should have been done."""
+from sortedcontainers import SortedList
 
+from trackwheel.dispatch.const import GROUP_IDLE_S
+from trackwheel.dispatch.models import Work, WorkKey
 
-W = TypeVar("W", bound=QueuedWork)
+QueueEntry = tuple[float, int, Work]
+"""Deadline, arrival number and work, sorted by the first two."""
 
 
-class _GroupQueue(Generic[W]):
+class _GroupQueue:
     """Queued work of one group and its finish tag in virtual time."""
 
     __slots__ = ("entries", "finish", "idle_since", "share")
@@ -36,56 +21,50 @@
     def __init__(self, share: float, finish: float) -> None:
         self.share = share
         self.finish = finish
-        self.entries: list[tuple[float, int, W]] = []
-        """Deadline, arrival number and work, sorted by the first two."""
+        self.entries: SortedList[QueueEntry] = SortedList()
         self.idle_since = 0.0
 
 
-def _order(entry: tuple[float, int, W]) -> tuple[float, int]:
-    return entry[:2]
-
-
-class FairQueue(Generic[W]):
+class FairQueue:
     """Order queued work so that each group receives slot time in proportion to its share."""
 
     def __init__(self) -> None:
-        self._queue_by_group: dict[str, _GroupQueue[W]] = {}
-        self._entry_by_key: dict[Hashable, tuple[float, int, W]] = {}
+        self._queue_by_group: dict[str, _GroupQueue] = {}
+        self._entry_by_key: dict[WorkKey, QueueEntry] = {}
         self._virtual_time = 0.0
         self._sequence = itertools.count()
 
     def __len__(self) -> int:
         return len(self._entry_by_key)
 
-    def __contains__(self, key: Hashable) -> bool:
+    def __contains__(self, key: WorkKey) -> bool:
         return key in self._entry_by_key
 
-    def works(self) -> list[W]:
-        """Return all queued work."""
-        return [work for _, _, work in self._entry_by_key.values()]
+    def keys(self) -> list[WorkKey]:
+        """Return the keys of all queued work."""
+        return list(self._entry_by_key)
 
-    def push(self, work: W, share: float) -> None:
+    def push(self, work: Work, share: float) -> None:
         """Add work and set the share of its group."""
         queue = self._queue_by_group.get(work.group)
         if queue is None:
             queue = self._queue_by_group[work.group] = _GroupQueue(share, self._virtual_time)
         queue.share = share
         entry = (work.deadline, next(self._sequence), work)
-        insort(queue.entries, entry, key=_order)
+        queue.entries.add(entry)
         self._entry_by_key[work.key] = entry
 
-    def remove(self, key: Hashable) -> W | None:
+    def remove(self, key: WorkKey) -> Work | None:
         """Remove work from the queue and return it, None if it is not queued."""
         entry = self._entry_by_key.pop(key, None)
         if entry is None:
             return None
-        entries = self._queue_by_group[entry[2].group].entries
-        del entries[bisect_left(entries, _order(entry), key=_order)]
+        self._queue_by_group[entry[2].group].entries.remove(entry)
         return entry[2]
 
-    def pop(self, cost_s: float, now: float) -> W | None:
+    def pop(self, cost_s: float, now: float) -> Work | None:
         """Remove and return the next work, and charge its group the expected cost."""
-        chosen: _GroupQueue[W] | None = None
+        chosen: _GroupQueue | None = None
         earliest = 0.0
         for queue in self._queue_by_group.values():
             if not queue.entries:
@@ -106,7 +85,7 @@
         if queue is not None:
             queue.finish += cost_s / queue.share
 
-    def drop_before(self, deadline: float) -> list[W]:
+    def drop_before(self, deadline: float) -> list[Work]:
         """Remove and return all work whose deadline is before a given time."""
         dropped = []
         for queue in self._queue_by_group.values():
@@ -114,7 +93,7 @@
                 dropped.append(self._pop_head(queue))
         return dropped
 
-    def drop_all(self) -> list[W]:
+    def drop_all(self) -> list[Work]:
         """Remove and return all work."""
         return self.drop_before(float("inf"))
 
@@ -146,7 +125,7 @@
             if not queue.entries and not owes and now - queue.idle_since > GROUP_IDLE_S:
                 del self._queue_by_group[group]
 
-    def _pop_head(self, queue: _GroupQueue[W]) -> W:
+    def _pop_head(self, queue: _GroupQueue) -> Work:
         work = queue.entries.pop(0)[2]
         del self._entry_by_key[work.key]
         return work
--- a/trackwheel/dispatch/target_scheduler.py
+++ b/trackwheel/dispatch/target_scheduler.py
@@ -54,7 +54,7 @@
     def __init__(self, target: str, service: ServiceSpec, now: float) -> None:
         self.target = target
         self.service = service.name
-        self._queue = FairQueue[Work]()
+        self._queue = FairQueue()
         seed = hash(target) & 0xFFFF
         self._limiter = Limiter(service.slots, service.connections, seed)
         self._ejection = Ejection()
@@ -125,7 +125,7 @@
 
     def keys_from(self, gateway: str) -> list[WorkKey]:
         """Return the keys of all queued and running work of a gateway."""
-        keys = [*self._run_by_key, *(work.key for work in self._queue.works())]
+        keys = [*self._run_by_key, *self._queue.keys()]
         return [key for key in keys if key.gateway == gateway]
 
     def offer(self, work: Work, share: float, now: float) -> list[DispatchCommand]:
--- a/trackwheel/entry/box.py
+++ b/trackwheel/entry/box.py
@@ -3,12 +3,10 @@
 import os
 import time
 from collections import Counter
-from collections.abc import Callable
 from itertools import chain
 from typing import Final
 
 from trackwheel.admission.outlooks import RefusalAdvisor
-from trackwheel.admission.target_lines import TargetLines
 from trackwheel.clock import steady_now
 from trackwheel.delegation.gatherers import choose_gatherers
 from trackwheel.delegation.inbound_groups import InboundGroups
@@ -47,7 +45,6 @@
 from trackwheel.relay.models import Place, Target
 from trackwheel.relay.outcomes import report_outcomes
 from trackwheel.relay.service import RelayService
-from trackwheel.relay.timer import Timer
 from trackwheel.relay.transport import TargetTransport
 from trackwheel.routing.models import Limits, RouteTable
 from trackwheel.selection.budget import RetryBudget
@@ -114,8 +111,7 @@
         self.budget = RetryBudget(settings.budget, now)
         self.cold_limiter = ColdTargetLimiter(settings.cold, self.budget.sharers)
         self.selector = TargetSelector(place, os.getpid(), self.cold_limiter)
-        self.lines = TargetLines(self.selector.slots, _wake_at, self.log, self.figures)
-        self.transport = TargetTransport(wire, self.selector, steady_now, self.log, self.lines)
+        self.transport = TargetTransport(wire, self.selector, steady_now, self.log)
         self.down_reports = DownReportExchange(
             self.hub, DownReports(self.selector), self.transport, self.log
         )
@@ -167,7 +163,6 @@
             CountedParts(
                 self.relay,
                 self.transport,
-                self.lines,
                 self.directory,
                 self.fleet,
                 self.budget,
@@ -233,7 +228,6 @@
         self.fleet.set_files_revision(table.version)
         self.limits.set_groups(table.groups)
         self.relay.set_table(table)
-        self.lines.enabled = table.groups is not None
         self._set_connection_limits()
         self._set_shards()
 
@@ -285,10 +279,6 @@
         exchange.respond(Response(200 if self.ready else 503, (), b""))
 
 
-def _wake_at(at: float, action: Callable[[float], None]) -> None:
-    Timer(lambda: action(steady_now())).set(at)
-
-
 def _own_member(identity: PeerIdentity, speed: float) -> Member:
     # The wall-clock time in milliseconds lets a new boot take precedence over the previous one of
     # the same address.
--- a/trackwheel/entry/figures.py
+++ b/trackwheel/entry/figures.py
@@ -2,7 +2,6 @@
 
 from typing import NamedTuple
 
-from trackwheel.admission.target_lines import TargetLines
 from trackwheel.directory.service import DirectoryService
 from trackwheel.fleet.service import FleetService
 from trackwheel.http1.server import ServerState
@@ -22,7 +21,6 @@
 
     relay: RelayService
     transport: TargetTransport
-    lines: TargetLines
     directory: DirectoryService
     fleet: FleetService
     budget: RetryBudget
@@ -79,12 +77,6 @@
         ("group", "decision"),
         lambda: box.limits.counted,
     )
-    figures.add_counters(
-        "target_waits_total",
-        "Requests that waited for room at their target, by route, group and outcome",
-        ("route", "group", "outcome"),
-        lambda: box.lines.waited_by_outcome,
-    )
     figures.add_gauges(
         "group_tokens",
         "Tokens of groups that are counted at this box",
@@ -127,11 +119,6 @@
             lambda: float(box.quarantine.held_count),
         ),
         ("peer_bytes", "Bytes sent to other boxes", lambda: float(box.hub.bytes_sent)),
-        (
-            "target_waiting",
-            "Requests that wait for room at their targets",
-            lambda: float(box.lines.waiting),
-        ),
         ("under_way", "Requests in flight", lambda: float(box.clients.busy)),
         ("lines_dropped", "Dropped log lines", lambda: float(box.log.dropped)),
     ):
--- a/trackwheel/gathering/gather.py
+++ b/trackwheel/gathering/gather.py
@@ -34,7 +34,7 @@
 from trackwheel.gathering.shard_requester import DECLINED, ShardRequester
 from trackwheel.gathering.shards import ShardTracker
 from trackwheel.relay.causes import Cause
-from trackwheel.relay.models import Outcome, Part, SendPermission, Target, TargetResult
+from trackwheel.relay.models import Outcome, Part, SendPermission, TargetResult
 from trackwheel.selection.budget import RetryBudget
 from trackwheel.selection.target_selector import TargetSelector
 
@@ -247,19 +247,6 @@
             times.append(self.plan.answer_at)
         return min(times)
 
-    @property
-    def is_answer_possible(self) -> bool:
-        """Return whether coverage is sufficient without the missing shards, while it goes on."""
-        return not self.ended and self._is_coverage_reached()
-
-    def outstanding(self) -> dict[int, Target]:
-        """Return the targets of the unanswered requests of this box, by token."""
-        return {
-            token: target
-            for shard in self._shards.all
-            for token, target in shard.attempts.target_by_token.items()
-        }
-
     @property
     def may_have_run(self) -> bool:
         """Return whether a target may have run any shard, asked by this box or a peer."""
--- a/trackwheel/http1/pool.py
+++ b/trackwheel/http1/pool.py
@@ -2,15 +2,13 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Final, NamedTuple
+from typing import NamedTuple
 
 from trackwheel.clock import steady_now
 from trackwheel.http1.client import Check, ClientConnection, OnResult
 from trackwheel.http1.const import AT_MOST_ONCE_MAX_IDLE_S, CONNECT_TIMEOUT_S
 from trackwheel.http1.models import ExchangeOutcome, ExchangeResult, Request
 
-NO_NEW_WORK: Final = "target is not accepting new work"
-
 
 class Job(NamedTuple):
     """An exchange to be sent; `build` creates the request once a connection is available.
@@ -63,7 +61,9 @@
         # One at a time, since a callback may cancel other exchanges.
         while self._waiting:
             job = self._waiting.pop(0)
-            job.on_result(ExchangeResult(ExchangeOutcome.NOT_SENT, None, NO_NEW_WORK))
+            job.on_result(
+                ExchangeResult(ExchangeOutcome.NOT_SENT, None, "target is not accepting new work")
+            )
 
     def close(self) -> None:
         """Close idle connections and cancel connection attempts; running exchanges continue."""
--- a/trackwheel/relay/runs.py
+++ b/trackwheel/relay/runs.py
@@ -1,6 +1,6 @@
 """Runners that perform the I/O for the decision logic of one request."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
 from trackwheel.clock import steady_now
@@ -12,14 +12,13 @@
     GatherCommand,
     Gathered,
     GatherFailed,
-    GatherPlan,
     PeerSilent,
     SendGroup,
     SendPart,
 )
 from trackwheel.gathering.merge import top_records
 from trackwheel.relay.causes import Cause
-from trackwheel.relay.models import CallerRequest, Outcome, Part, Target, TargetResult
+from trackwheel.relay.models import CallerRequest, Outcome, Part, RouteKey, Target, TargetResult
 from trackwheel.relay.single import (
     CancelSingle,
     SendSingle,
@@ -27,7 +26,6 @@
     SingleAnswered,
     SingleCommand,
     SingleFailed,
-    SinglePlan,
 )
 from trackwheel.relay.timer import Timer
 from trackwheel.relay.transport import TargetAttempt, TargetTransport
@@ -63,11 +61,11 @@
         self,
         transport: TargetTransport,
         request: CallerRequest,
-        plan: GatherPlan | SinglePlan,
+        route: RouteKey,
     ) -> None:
         self._transport = transport
         self._request = request
-        self._plan = plan
+        self._route = route
         self._token_by_number: dict[int, object] = {}
 
     def send(
@@ -86,19 +84,7 @@
             on_end(number, result)
 
         token = self._token_by_number[number] = object()
-        plan = self._plan
-        attempt = TargetAttempt(
-            token,
-            self._request,
-            target,
-            plan.route,
-            reason,
-            single,
-            once,
-            plan.answer_at,
-            plan.end_at,
-            plan.gate,
-        )
+        attempt = TargetAttempt(token, self._request, target, self._route, reason, single, once)
         self._transport.send(attempt, end)
 
     def withdraw(self, number: int, target: Target) -> None:
@@ -106,11 +92,6 @@
         token = self._token_by_number.pop(number)
         self._transport.withdraw(token, target, self._request.fingerprint)
 
-    def demote(self, target_by_number: Mapping[int, Target]) -> None:
-        """Put outstanding requests behind others where they still wait."""
-        for number, target in target_by_number.items():
-            self._transport.demote(self._token_by_number[number], target)
-
 
 class GatherRun:
     """Executes the commands of one scatter-gather query."""
@@ -126,13 +107,12 @@
     ) -> None:
         self.task = task
         self._gather = task.gather
-        self._requests = _OutstandingRequests(transport, task.request, task.gather.plan)
+        self._requests = _OutstandingRequests(transport, task.request, task.gather.plan.route)
         self._groups = groups
         self._on_done = on_done
         self._on_part = on_part
         self._on_declined = on_declined
         self._timer = Timer(self._tick)
-        self._demoted = False
 
     @property
     def waits_for(self) -> Cause | None:
@@ -190,9 +170,6 @@
         if result.outcome is Outcome.OK and result.answer is not None:
             part = Part(result.signature, top_records(result.answer.body, self._gather.plan.top_k))
         self.perform(self._gather.part_ended(number, result, part, steady_now()))
-        if part is not None and not self._demoted and self._gather.is_answer_possible:
-            self._demoted = True
-            self._requests.demote(self._gather.outstanding())
         if part is not None and self._on_part is not None:
             self._on_part()
 
@@ -208,7 +185,7 @@
         on_done: Callable[[SingleAnswered | SingleFailed], None],
     ) -> None:
         self._single = single
-        self._requests = _OutstandingRequests(transport, request, single.plan)
+        self._requests = _OutstandingRequests(transport, request, single.plan.route)
         self._on_done = on_done
         self._timer = Timer(self._tick)
 
--- a/trackwheel/relay/transport.py
+++ b/trackwheel/relay/transport.py
@@ -2,20 +2,16 @@
 
 from collections import Counter
 from collections.abc import Callable
-from math import inf
 from typing import Final, NamedTuple, Protocol
 
 from trackwheel.addresses import split_address
-from trackwheel.admission.target_lines import LineRequest, TargetLines
 from trackwheel.http1.models import ExchangeOutcome, ExchangeResult, Request, Response
-from trackwheel.http1.pool import NO_NEW_WORK, Job, TargetPool
+from trackwheel.http1.pool import Job, TargetPool
 from trackwheel.relay.models import (
-    OPEN_GATE,
     CallerRequest,
     Incarnation,
     Outcome,
     RouteKey,
-    SendGate,
     Target,
     TargetResult,
     Wire,
@@ -52,11 +48,7 @@
 
 
 class TargetAttempt(NamedTuple):
-    """One request to one target; `once` tells that it must not be run twice.
-
-    `answer_at` is the last moment to answer within the target latency, `end_at` the last moment to
-    answer at all (monotonic seconds). `gate` decides whether it may be sent to targets at all.
-    """
+    """One request to one target; `once` tells that it must not be run twice."""
 
     token: object
     request: CallerRequest
@@ -65,9 +57,6 @@
     reason: str
     single: bool
     once: bool
-    answer_at: float = inf
-    end_at: float = inf
-    gate: SendGate = OPEN_GATE
 
 
 OnAttemptEnd = Callable[[TargetAttempt, Outcome, float], None]
@@ -75,20 +64,9 @@
 
 
 class TargetTransport:
-    """Sends requests to targets and reports their outcomes to the selector.
-
-    With `lines`, requests may wait here until their target has room for them.
-    """
+    """Sends requests to targets and reports their outcomes to the selector."""
 
-    def __init__(
-        self,
-        wire: Wire,
-        selector: TargetSelector,
-        clock: Clock,
-        log: EventLog,
-        lines: TargetLines | None = None,
-    ) -> None:
-        self._lines = lines
+    def __init__(self, wire: Wire, selector: TargetSelector, clock: Clock, log: EventLog) -> None:
         self._wire = wire
         self._selector = selector
         self._clock = clock
@@ -116,8 +94,6 @@
 
     def close_unknown(self, incarnations: set[Incarnation]) -> None:
         """Close the idle connections to all other targets."""
-        if self._lines is not None:
-            self._lines.retain(incarnations, self._clock())
         for incarnation in [
             known for known in self._pool_by_incarnation if known not in incarnations
         ]:
@@ -127,9 +103,7 @@
                 del self._pool_by_incarnation[incarnation]
 
     def refuse_waiting(self, incarnations: set[Incarnation]) -> None:
-        """Refuse requests that wait for targets that get no new work."""
-        if self._lines is not None:
-            self._lines.refuse_waiting(incarnations, self._clock())
+        """Refuse requests that wait for a connection to targets that get no new work."""
         for incarnation in incarnations & self._pool_by_incarnation.keys():
             self._pool_by_incarnation[incarnation].refuse_waiting()
 
@@ -157,51 +131,18 @@
             for handler in self._on_attempt_end:
                 handler(attempt, result.outcome, sent_at)
             on_end(result)
-            if self._lines is not None:
-                answered = result.outcome is Outcome.OK
-                self._lines.ended(attempt.token, target, answered, self._clock())
 
-        def submit() -> None:
-            self._pool(target).submit(
-                Job(attempt.token, request.request_id, build, check, attempt.once, ended)
-            )
-
-        def refuse() -> None:
-            ended(ExchangeResult(ExchangeOutcome.NOT_SENT, None, NO_NEW_WORK))
-
-        if self._lines is None:
-            submit()
-            return
-        line_request = LineRequest(
-            attempt.token,
-            request,
-            target,
-            attempt.route.name,
-            attempt.answer_at,
-            attempt.end_at,
-            submit,
-            refuse,
-            attempt.gate,
+        self._pool(target).submit(
+            Job(attempt.token, request.request_id, build, check, attempt.once, ended)
         )
-        self._lines.submit(line_request, sent_at)
-
-    def demote(self, token: object, target: Target) -> None:
-        """Put a request that still waits here behind others: the answer is possible without it."""
-        if self._lines is not None:
-            self._lines.demote(token, target)
 
     def withdraw(self, token: object, target: Target, fingerprint: bytes) -> None:
         """Withdraw a request."""
-        now = self._clock()
-        self._selector.withdrawn(target, token, now)
-        if self._lines is not None and self._lines.withdraw(token, target, now):
-            return
+        self._selector.withdrawn(target, token, self._clock())
         pool = self._pool_by_incarnation.get(target.incarnation)
         if pool is not None and pool.cancel(token):
             for handler in self._on_withdrawn:
                 handler(fingerprint, target)
-        if self._lines is not None:
-            self._lines.ended(token, target, False, now)
 
     def _log_end(
         self,
--- a/trackwheel/telemetry/figures.py
+++ b/trackwheel/telemetry/figures.py
@@ -30,12 +30,6 @@
             buckets=list(BUCKETS_S),
             registry=self._registry,
         )
-        self._wait_seconds = Histogram(
-            "trackwheel_target_wait_seconds",
-            "Time that a request waited at this box for room at its target",
-            buckets=list(BUCKETS_S),
-            registry=self._registry,
-        )
         self._routes: set[str] = set()
         self._readings: list[tuple[Gauge, GaugeReader]] = []
         self._label_readings: list[tuple[Gauge, str, LabelReader]] = []
@@ -43,19 +37,11 @@
 
     def observe_request(self, route: str, took_s: float) -> None:
         """Record the duration of one client request (seconds)."""
-        self._seconds.observe({"route": self._label(route)}, took_s)
-
-    def observe_wait(self, route: str, waited_s: float) -> None:
-        """Record how long a request of a route waited for its target (seconds)."""
-        self._wait_seconds.observe({"route": self._label(route)}, waited_s)
-
-    def _label(self, route: str) -> str:
-        """Return the label of a route, the same one for all beyond `MAX_ROUTES`."""
         if route not in self._routes:
             if len(self._routes) >= MAX_ROUTES:
-                return OTHER_ROUTES
+                route = OTHER_ROUTES
             self._routes.add(route)
-        return route
+        self._seconds.observe({"route": route}, took_s)
 
     def add_gauge(self, name: str, text: str, reading: GaugeReader) -> None:
         """Register a gauge that is read at each rendering."""
