--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." && PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=. exec python3 review/2/case.py
