Log how many requests a stopping box cuts off

When a client's connection ended without an answer around a stop, the logs could not tell whether the platform had killed the box, the box had exited with requests in flight, or a target had broken off. The new line is written right before the exit: a box that was killed has none, and 'unanswered' counts the requests that it leaves.

--- a/tests/entry/test_run.py
+++ b/tests/entry/test_run.py
@@ -16,6 +16,10 @@
     def __init__(self) -> None:
         self.connections: set[str] = set()
 
+    @property
+    def busy(self) -> int:
+        return len(self.connections)
+
     def close_idle(self) -> None:
         self.connections.discard("idle")
 
@@ -39,7 +43,12 @@
 
 def make_box(clients: FakeClients, grace_s: float) -> Any:
     return SimpleNamespace(
-        settings=SimpleNamespace(grace_s=grace_s), clients=clients, busy=False, stop=lambda: None
+        settings=SimpleNamespace(grace_s=grace_s),
+        clients=clients,
+        inbound_groups=(),
+        busy=False,
+        stop=lambda: None,
+        log=SimpleNamespace(write=lambda event, **fields: None),
     )
 
 
--- a/trackwheel/entry/run.py
+++ b/trackwheel/entry/run.py
@@ -118,6 +118,12 @@
         client_server.close()
     box.clients.close_idle()
     await anyio.sleep(CLOSE_WAIT_S)
+    box.log.write(
+        "drained",
+        took_s=round(steady_now() - started_at, 2),
+        unanswered=box.clients.busy,
+        groups=len(box.inbound_groups),
+    )
 
 
 def run_entry(path: Path) -> None:
