Answer or refuse every request at a stopping box before its process ends

What callers saw: two of a failure domain's three boxes were stopped; new connections went on to reach them, since fewer than half of the domain's boxes were ready. Requests sent from some 4.4 s after SIGTERM (grace time 6 s) were passed to a target and ended with a closed connection, with 5 s of their time left. Where they may run only once, their callers could neither know whether they had run nor send them again.

Cause: nothing on the way of a request knew that its box would end. The drain waited for the last connection to close, which never came while new ones did, and at its end exited with whatever was in flight. A request was begun, sent again or left waiting as if the box went on for ever, and its target was told the client's deadline.

A drain that stops accepting would not do: requests that wait at an entry check, for the configuration, for a connection or for a retry would still be cut off, and the platform would still send connections.

Change: a stop sets the time of the last answer (0.3 s before the end of the grace time), which the relay's decisions share. Before a target gets a request, first or again, its answer has to fit into the time left: the expected response time of the target, and for a request that may run only once also the time of 95 in 100 recent answers, or the target latency while none is known. What does not fit is refused at once as not run, with the time until the box is gone. Targets are told to answer before that time, so that one still in a target's queue then comes back as not run. At the time of the last answer each request in progress is answered wherever it is: not run, or 502 if a target may have it; a query answers with what it has if that is enough. Connections that the kernel had accepted are read and refused before the listening socket closes.

Why it works: each request that was read is now in one of these states, and each of them has an answer before the process ends; what is sent late is what should arrive in time.

Test: test_request_at_a_stopping_box_is_answered_though_its_process_ends, one box, eight targets of 0.8 s, a request every 0.08 s.

The mutant of a planned stop follows the loop that it replaces. Fakes of a box and of an exchange got the new members; no assertion changed.

--- a/tests/entry/test_run.py
+++ b/tests/entry/test_run.py
@@ -47,7 +47,8 @@
         clients=clients,
         inbound_groups=(),
         busy=False,
-        stop=lambda: None,
+        stop=lambda answer_by: None,
+        end_requests=lambda: None,
         log=SimpleNamespace(write=lambda event, **fields: None),
     )
 
--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -79,6 +79,8 @@
 CHECKS = "tests/relay/test_entry_checks.py::"
 IDENTIFIED = "tests/relay/test_identification.py::"
 KEYED = "tests/whole/test_groups.py::"
+STOPPED = "tests/whole/test_stopping_box.py::"
+STOPPING = "tests/relay/test_stopping.py::"
 
 SERVED = "a request with time left is not given up for what passes soon"
 CAUSES = "each request that is not served names its cause"
@@ -1137,7 +1139,43 @@
         STOP,
         "requests under way and on a kept connection at a planned stop",
         ENTRY + "test_planned_stop_finishes_requests_in_flight",
-        Mutant("trackwheel/entry/run.py", "while steady_now() < end:", "while False:"),
+        Mutant(
+            "trackwheel/entry/run.py",
+            "while (left_s := answer_by - steady_now()) > 0.0:",
+            "while (left_s := 0.0) > 0.0:",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        STOP,
+        "new connections reach a stopping box until its process is gone",
+        STOPPED + "test_request_at_a_stopping_box_is_answered_though_its_process_ends",
+        Mutant("trackwheel/entry/run.py", "    box.end_requests()\n", "    pass\n"),
+    ),
+    Row(
+        PLATFORM,
+        STOP,
+        "a request that would take longer than its box runs, first sent or sent again",
+        STOPPING + "test_stopping_box_sends_only_what_its_target_can_answer_in_time",
+        Mutant(
+            "trackwheel/relay/single.py",
+            "fits=self._fit_check(now) if self.plan.stop.is_set else None,",
+            "fits=None,",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        STOP,
+        "requests that wait in a box for its configuration or a check while it stops",
+        STOPPING + "test_request_that_waits_in_a_stopping_box_is_refused_at_the_end",
+        Mutant("trackwheel/relay/service.py", "exchange.on_stop = stop", "pass"),
+    ),
+    Row(
+        PLATFORM,
+        NOT_RUN,
+        "a box ends while a request is at its target, or still waits for a connection to it",
+        STOPPING + "test_request_in_flight_at_the_end_says_truly_whether_it_may_have_run",
+        Mutant("trackwheel/relay/single.py", "for token in unsent:", "for token in ():"),
     ),
     Row(
         PLATFORM,
--- a/tests/relay/test_identification.py
+++ b/tests/relay/test_identification.py
@@ -56,6 +56,7 @@
         self.answers: list[Response] = []
         self.respond = self.answers.append
         self.on_disconnect: Any = None
+        self.on_stop: Any = None
 
 
 class Ticket:
--- a/trackwheel/entry/box.py
+++ b/trackwheel/entry/box.py
@@ -45,6 +45,7 @@
 from trackwheel.relay.models import Place, Target
 from trackwheel.relay.outcomes import report_outcomes
 from trackwheel.relay.service import RelayService
+from trackwheel.relay.stop_deadline import StopDeadline
 from trackwheel.relay.transport import TargetTransport
 from trackwheel.routing.models import Limits, RouteTable
 from trackwheel.selection.budget import RetryBudget
@@ -111,7 +112,10 @@
         self.budget = RetryBudget(settings.budget, now)
         self.cold_limiter = ColdTargetLimiter(settings.cold, self.budget.sharers)
         self.selector = TargetSelector(place, os.getpid(), self.cold_limiter)
-        self.transport = TargetTransport(wire, self.selector, steady_now, self.log)
+        self.stop_deadline = StopDeadline()
+        self.transport = TargetTransport(
+            wire, self.selector, steady_now, self.log, self.stop_deadline
+        )
         self.down_reports = DownReportExchange(
             self.hub, DownReports(self.selector), self.transport, self.log
         )
@@ -148,6 +152,7 @@
             advisor=RefusalAdvisor(self.selector, os.getpid(), self.log),
             checks=(self.limits,),
             is_current=lambda: self.directory.knows_newest_version(steady_now()),
+            stop=self.stop_deadline,
         )
         self.clients = ServerState(
             self.relay.handle,
@@ -185,12 +190,20 @@
         """Return whether client requests, or groups gathered for peers, are in flight."""
         return bool(self.clients.busy or self.inbound_groups)
 
-    def stop(self) -> None:
-        """Fail readiness checks, keep no client connection after its response, leave the fleet."""
+    def stop(self, answer_by: float) -> None:
+        """Fail readiness checks, keep no client connection after its response, leave the fleet.
+
+        Requests that cannot be answered by `answer_by` (monotonic seconds) are refused.
+        """
         self.stopping = True
+        self.stop_deadline.set(answer_by)
         self.clients.stopping = True
         self.fleet.leave()
 
+    def end_requests(self) -> None:
+        """Answer all requests of clients at once, with what is there."""
+        self.clients.end_requests()
+
     def _wire_parts(self) -> None:
         self.fleet.on_members(self._apply_members)
         self.fleet.on_revision(self.directory.peer_version)
--- a/trackwheel/entry/const.py
+++ b/trackwheel/entry/const.py
@@ -23,8 +23,14 @@
 MIN_CLIENT_DRAIN_S: Final = 3.2
 """Minimum time that a stopping box accepts clients, who are sent to it until two readiness checks
 have failed."""
+ANSWER_MARGIN_S: Final = 0.3
+"""Time between the last response of a stopping box and the platform's kill: enough to write all
+responses and to refuse the requests of connections that were accepted last."""
 STOP_MARGIN_S: Final = 0.15
-"""Time between the last response of a stopping box and the platform's kill."""
+"""Time between the end of the last connection of a stopping box and the platform's kill."""
+LAST_ACCEPT_S: Final = 0.02
+"""How long the listening socket stays open after the last response: connections that the kernel
+has accepted are read and refused; they would be reset when the socket closes."""
 CLOSE_WAIT_S: Final = 0.05
 STOP_POLL_PERIOD_S: Final = 0.05
 SUMMARY_PERIOD_S: Final = 10.0
--- a/trackwheel/entry/run.py
+++ b/trackwheel/entry/run.py
@@ -12,8 +12,10 @@
 from trackwheel.clock import steady_now
 from trackwheel.entry.box import EntryBox
 from trackwheel.entry.const import (
+    ANSWER_MARGIN_S,
     BACKLOG,
     CLOSE_WAIT_S,
+    LAST_ACCEPT_S,
     METRICS_VARIABLE,
     MIN_CLIENT_DRAIN_S,
     STOP_MARGIN_S,
@@ -97,16 +99,16 @@
 
 
 async def _drain(box: EntryBox, client_server: asyncio.Server) -> None:
-    """Serve clients until all have disconnected or the grace period ends.
+    """Serve clients until all have disconnected or the grace period ends; answer each request.
 
     New connections are accepted until none is open and nothing is in flight; then the listening
     socket is closed, and connections accepted just before are served as well.
     """
     started_at = steady_now()
-    end = started_at + box.settings.grace_s - STOP_MARGIN_S
-    box.stop()
-    while steady_now() < end:
-        await anyio.sleep(STOP_POLL_PERIOD_S)
+    answer_by = started_at + box.settings.grace_s - ANSWER_MARGIN_S
+    box.stop(answer_by)
+    while (left_s := answer_by - steady_now()) > 0.0:
+        await anyio.sleep(min(STOP_POLL_PERIOD_S, left_s))
         if steady_now() - started_at <= MIN_CLIENT_DRAIN_S:
             continue
         # A later request on an idle keep-alive connection could exceed the grace period.
@@ -116,6 +118,8 @@
         if not client_server.is_serving():
             break
         client_server.close()
+    else:
+        await _end_requests(box, client_server, started_at + box.settings.grace_s - STOP_MARGIN_S)
     box.clients.close_idle()
     await anyio.sleep(CLOSE_WAIT_S)
     box.log.write(
@@ -126,6 +130,16 @@
     )
 
 
+async def _end_requests(box: EntryBox, client_server: asyncio.Server, until: float) -> None:
+    """Answer what is in flight, and leave clients until `until` (monotonic seconds) to read it."""
+    box.end_requests()
+    await anyio.sleep(LAST_ACCEPT_S)
+    client_server.close()
+    while box.clients.connections and steady_now() < until:
+        box.clients.close_idle()
+        await anyio.sleep(LAST_ACCEPT_S)
+
+
 def run_entry(path: Path) -> None:
     """Run a box on the platform in the current process."""
     tune_garbage_collection()
--- a/trackwheel/gathering/gather.py
+++ b/trackwheel/gathering/gather.py
@@ -35,6 +35,7 @@
 from trackwheel.gathering.shards import ShardTracker
 from trackwheel.relay.causes import Cause
 from trackwheel.relay.models import Outcome, Part, SendPermission, TargetResult
+from trackwheel.relay.stop_deadline import STOPPING
 from trackwheel.selection.budget import RetryBudget
 from trackwheel.selection.target_selector import TargetSelector
 
@@ -232,12 +233,21 @@
         self._retry(now)
         return self._finish_if_done(now)
 
+    def stop(self, now: float) -> list[GatherCommand]:
+        """End with what was received, because this box stops."""
+        if not self.ended:
+            self._note_cause_at_aim(now)
+            if self.plan.partial or self._is_coverage_reached():
+                self._answer(STOPPING)
+            else:
+                self._fail(STOPPING, False, Cause.STOPPING)
+        return self._take_commands()
+
     def cancel(self) -> list[GatherCommand]:
         """Cancel all outstanding requests: the client is gone."""
         if not self.ended:
             self._end()
-        commands, self._commands = self._commands, []
-        return commands
+        return self._take_commands()
 
     def next_wake(self) -> float:
         """Return when `tick` is due next (monotonic seconds)."""
@@ -354,6 +364,9 @@
     def _finish_if_done(self, now: float) -> list[GatherCommand]:
         if not self.ended:
             self._check_end(now)
+        return self._take_commands()
+
+    def _take_commands(self) -> list[GatherCommand]:
         commands, self._commands = self._commands, []
         return commands
 
--- a/trackwheel/http1/pool.py
+++ b/trackwheel/http1/pool.py
@@ -43,6 +43,10 @@
         self._waiting.append(job)
         self._send_waiting()
 
+    def is_waiting(self, token: object) -> bool:
+        """Return whether an exchange still waits for a connection."""
+        return any(job.token is token for job in self._waiting)
+
     def cancel(self, token: object) -> bool:
         """Cancel an exchange; return whether it was already sent and its connection was closed."""
         connection = self._connection_by_token.pop(token, None)
--- a/trackwheel/http1/server.py
+++ b/trackwheel/http1/server.py
@@ -27,6 +27,13 @@
     @on_disconnect.setter
     def on_disconnect(self, handler: Callable[[], None]) -> None: ...
 
+    @property
+    def on_stop(self) -> Callable[[], None] | None:
+        """Return the callback that answers at once, for a server that stops."""
+
+    @on_stop.setter
+    def on_stop(self, handler: Callable[[], None]) -> None: ...
+
     def respond(self, response: Response) -> None:
         """Send the answer; ignored if one was already sent or the client has disconnected."""
 
@@ -54,6 +61,11 @@
         """Return the number of connections with a request in progress."""
         return sum(connection.busy for connection in self.connections)
 
+    def end_requests(self) -> None:
+        """Have every request in progress answered at once."""
+        for connection in tuple(self.connections):
+            connection.end_request()
+
     def close_idle(self) -> None:
         """Close idle connections, except new ones that may still send their first request."""
         opened_before = steady_now() - NEW_CONNECTION_GRACE_S
@@ -71,6 +83,7 @@
         self._keep_alive = keep_alive
         self._done = False
         self.on_disconnect: Callable[[], None] | None = None
+        self.on_stop: Callable[[], None] | None = None
 
     def respond(self, response: Response) -> None:
         """Write the answer unless the exchange has ended."""
@@ -79,14 +92,21 @@
         self._done = True
         # The handler refers to the request and through it to this exchange; without the cycle a
         # request's state is freed as soon as it ends.
-        self.on_disconnect = None
+        self.on_disconnect = self.on_stop = None
         self._connection.write_response(response, self._head_only, self._keep_alive)
 
+    def notify_stop(self) -> None:
+        """Have the handler answer at once."""
+        handler, self.on_stop = self.on_stop, None
+        if handler is not None:
+            handler()
+
     def notify_disconnect(self) -> None:
         """Notify the handler that the client has disconnected."""
         if self._done:
             return
         self._done = True
+        self.on_stop = None
         handler, self.on_disconnect = self.on_disconnect, None
         if handler is not None:
             handler()
@@ -229,6 +249,11 @@
             transport.resume_reading()
         self._handle_next()
 
+    def end_request(self) -> None:
+        """Have the request in progress answered at once, if there is one."""
+        if self._current is not None:
+            self._current.notify_stop()
+
     def close(self) -> None:
         """Close the connection after flushing the written data."""
         if self._transport is not None:
--- a/trackwheel/relay/causes.py
+++ b/trackwheel/relay/causes.py
@@ -31,6 +31,8 @@
     """A target has not answered yet."""
     PEER_SILENT = "peer_silent"
     """A peer has not reported yet."""
+    STOPPING = "stopping"
+    """This box stops before an answer could arrive."""
     SUSPECTED = "suspected"
     """It may be crashing targets, and answers that will tell are outstanding."""
 
--- a/trackwheel/relay/runs.py
+++ b/trackwheel/relay/runs.py
@@ -54,6 +54,11 @@
         """Drop the groups of a finished query."""
 
 
+class _OutstandingRequest(NamedTuple):
+    token: object
+    target: Target
+
+
 class _OutstandingRequests:
     """The outstanding requests of one run, by the numbers that its decision logic assigns."""
 
@@ -66,7 +71,7 @@
         self._transport = transport
         self._request = request
         self._route = route
-        self._token_by_number: dict[int, object] = {}
+        self._request_by_number: dict[int, _OutstandingRequest] = {}
 
     def send(
         self,
@@ -80,18 +85,27 @@
         """Send the request to a target; `on_end` is called unless it is withdrawn."""
 
         def end(result: TargetResult) -> None:
-            self._token_by_number.pop(number, None)
+            self._request_by_number.pop(number, None)
             on_end(number, result)
 
-        token = self._token_by_number[number] = object()
+        token = object()
+        self._request_by_number[number] = _OutstandingRequest(token, target)
         attempt = TargetAttempt(token, self._request, target, self._route, reason, single, once)
         self._transport.send(attempt, end)
 
     def withdraw(self, number: int, target: Target) -> None:
         """Withdraw a request."""
-        token = self._token_by_number.pop(number)
+        token = self._request_by_number.pop(number).token
         self._transport.withdraw(token, target, self._request.fingerprint)
 
+    def unsent(self) -> list[int]:
+        """Return the requests that still wait for a connection to their target."""
+        return [
+            number
+            for number, request in self._request_by_number.items()
+            if self._transport.is_waiting(request.token, request.target)
+        ]
+
 
 class GatherRun:
     """Executes the commands of one scatter-gather query."""
@@ -123,6 +137,10 @@
         """Begin."""
         self.perform(self._gather.start(steady_now()))
 
+    def stop(self) -> None:
+        """End with what was received, since this box stops."""
+        self.perform(self._gather.stop(steady_now()))
+
     def cancel(self) -> None:
         """Stop since nobody waits any more."""
         self.perform(self._gather.cancel())
@@ -198,6 +216,10 @@
         """Begin."""
         self._perform(self._single.start(steady_now()))
 
+    def stop(self) -> None:
+        """Fail the request, since this box stops."""
+        self._perform(self._single.stop(self._requests.unsent(), steady_now()))
+
     def cancel(self) -> None:
         """Stop since nobody waits any more."""
         self._perform(self._single.cancel())
--- a/trackwheel/relay/service.py
+++ b/trackwheel/relay/service.py
@@ -35,6 +35,7 @@
 from trackwheel.relay.runs import GatherRun, GatherTask, SingleRun
 from trackwheel.relay.single import Single, SingleAnswered, SingleFailed, SinglePlan
 from trackwheel.relay.startup_queue import StartupQueue
+from trackwheel.relay.stop_deadline import NO_STOP, STOPPING, StopDeadline
 from trackwheel.relay.timer import Timer
 from trackwheel.relay.transport import TargetTransport
 from trackwheel.routing.models import Route, RouteTable
@@ -76,6 +77,7 @@
     `checks` decide one after the other whether a request may go on to targets. `is_current` tells
     whether the configuration known here is the newest one, so that a key which it lacks is unknown.
     Where the configuration names groups, the `advisor` tells refused callers when to return.
+    After a stop signal, requests that would not be answered before `stop` are refused.
     """
 
     def __init__(
@@ -93,7 +95,9 @@
         checks: Sequence[EntryCheck] = (),
         is_current: Callable[[], bool] = lambda: True,
         advisor: RefusalAdvisor | None = None,
+        stop: StopDeadline = NO_STOP,
     ) -> None:
+        self._stop = stop
         self._advisor = advisor
         self._checks = checks
         self._is_current = is_current
@@ -142,6 +146,9 @@
         """Serve one client request."""
         table = self._table
         caller = self._wire.read_request(request)
+        if self._stop.has_passed(steady_now()):
+            self._refuse_stopping(caller, exchange)
+            return
         if table is None:
             self._wait_for_start(caller, exchange)
             return
@@ -216,8 +223,13 @@
             passage.withdraw()
             self._log_client_left(caller, route)
 
+        def stop() -> None:
+            passage.withdraw()
+            self._refuse_stopping(caller, exchange)
+
         passage = EntryPassage(self._checks, request, decide)
         exchange.on_disconnect = client_left
+        exchange.on_stop = stop
         passage.start()
 
     def _refuse_entry(
@@ -243,7 +255,31 @@
         )
         exchange.respond(self._wire.refusal(refusal.status, refusal.retry_after_s, refusal.reason))
 
+    def _refuse_stopping(self, caller: CallerRequest, exchange: Exchange) -> None:
+        """Refuse a request that has not run, because this box stops before it could answer."""
+        retry_after_s = self._stop.retry_after_s(steady_now())
+        self._count_end(caller, Cause.STOPPING)
+        self._count_not_served(Cause.STOPPING, False)
+        self._log.write(
+            "refused",
+            id=caller.request_id,
+            group=caller.group,
+            took_ms=_age_ms(caller),
+            status=int(HTTPStatus.SERVICE_UNAVAILABLE),
+            cause=Cause.STOPPING,
+            reason=STOPPING,
+        )
+        exchange.respond(
+            self._wire.refusal(HTTPStatus.SERVICE_UNAVAILABLE, retry_after_s, STOPPING)
+        )
+
     def _serve(self, serving: _Serving) -> None:
+        if serving.route.shards and not self._stop.leaves_time(
+            self._selector.high_s(serving.key, far=False), steady_now()
+        ):
+            serving.passage.end(ran=False)
+            self._refuse_stopping(serving.caller, serving.exchange)
+            return
         one_target = self._quarantine.start_trial(serving.caller.fingerprint)
         if not serving.route.shards:
             self._serve_single(serving, one_target)
@@ -292,10 +328,11 @@
             service=route.shards[0] if route.shards else self._round_robin.pick(route),
             repeatable=route.repeatable,
             max_attempts=1 if one_target else route.max_attempts,
-            answer_at=_answer_at(caller, route),
+            answer_at=min(_answer_at(caller, route), self._stop.target_deadline),
             end_at=_end_at(caller, route),
             # A trial's only attempt bypasses the gate that blocks other requests of its content.
             gate=OPEN_GATE if one_target else self._quarantine.gate(caller.fingerprint),
+            stop=self._stop,
         )
 
     def _serve_single(self, serving: _Serving, one_target: bool) -> None:
@@ -314,6 +351,7 @@
         single = Single(plan, self._selector, self._budget)
         run = SingleRun(serving.caller, single, self._transport, done)
         serving.exchange.on_disconnect = lambda: self._client_left(serving, run)
+        serving.exchange.on_stop = run.stop
         run.start()
 
     def _serve_after_trial(self, serving: _Serving) -> None:
@@ -321,10 +359,9 @@
         caller = serving.caller
 
         def done(result: SingleAnswered | SingleFailed) -> None:
-            if (
-                self._quarantine.gate(caller.fingerprint).permission(steady_now())
-                is SendPermission.OPEN
-            ):
+            gate = self._quarantine.gate(caller.fingerprint)
+            is_stopped = isinstance(result, SingleFailed) and result.cause is Cause.STOPPING
+            if gate.permission(steady_now()) is SendPermission.OPEN and not is_stopped:
                 self._serve_query(serving)
                 return
             failed = result
@@ -336,6 +373,7 @@
         single = Single(self._plan_single(serving, True), self._selector, self._budget)
         run = SingleRun(caller, single, self._transport, done)
         serving.exchange.on_disconnect = lambda: self._client_left(serving, run)
+        serving.exchange.on_stop = run.stop
         run.start()
 
     def _serve_query(self, serving: _Serving) -> None:
@@ -359,6 +397,7 @@
         task = GatherTask(caller, gather)
         run = GatherRun(task, self._transport, self._groups, done)
         exchange.on_disconnect = lambda: self._client_left(serving, run)
+        exchange.on_stop = run.stop
         run.start()
 
     def _client_left(self, serving: _Serving, run: GatherRun | SingleRun) -> None:
@@ -390,7 +429,7 @@
         now = steady_now()
         caller, route, key = serving.caller, serving.route, serving.key
         end_at = _end_at(caller, route)
-        answer_at = min(end_at, _answer_at(caller, route))
+        answer_at = min(end_at, _answer_at(caller, route), self._stop.target_deadline)
         return GatherPlan(
             route=key,
             shards=route.shards,
@@ -415,6 +454,8 @@
 
         It is `usual_s` where the configuration names no groups.
         """
+        if failed.cause is Cause.STOPPING:
+            return self._stop.retry_after_s(steady_now())
         if self._advisor is None or not serving.has_groups or failed.ran:
             return usual_s
         max_missing = max_missing_shards(len(services), serving.route.least_coverage)
--- a/trackwheel/relay/single.py
+++ b/trackwheel/relay/single.py
@@ -4,20 +4,23 @@
 One that may run at most once goes to a second target only if the first certainly did not run it.
 """
 
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from trackwheel.http1.models import Response
 from trackwheel.relay.causes import Cause
 from trackwheel.relay.models import OPEN_GATE, Outcome, RouteKey, SendGate, Target, TargetResult
+from trackwheel.relay.stop_deadline import NO_STOP, STOPPING, StopDeadline
 from trackwheel.selection.attempts import NEVER, Attempts, Refusal, hedge_time
 from trackwheel.selection.budget import RetryBudget
-from trackwheel.selection.target_selector import TargetSelector
+from trackwheel.selection.target_selector import Candidate, TargetSelector
 
 
 class SinglePlan(NamedTuple):
     """Parameters of one request; times are monotonic seconds.
 
-    `gate` decides whether it may be sent to targets at all.
+    `gate` decides whether it may be sent to targets at all; after a stop signal, it is sent only to
+    targets that can answer before `stop`.
     """
 
     route: RouteKey
@@ -27,6 +30,7 @@
     answer_at: float
     end_at: float
     gate: SendGate = OPEN_GATE
+    stop: StopDeadline = NO_STOP
 
 
 class SendSingle(NamedTuple):
@@ -80,8 +84,7 @@
     def start(self, now: float) -> list[SingleCommand]:
         """Send the request to the best target."""
         if not self._ask("first", now) and not self._wait_for_backoff(now):
-            lack = self._selector.no_target_reason(self.plan.service, self.plan.route, now)
-            self._fail(lack.value, False)
+            self._fail(self._lack(now), False)
         return self._take_commands()
 
     def target_ended(self, token: int, result: TargetResult, now: float) -> list[SingleCommand]:
@@ -117,6 +120,16 @@
                 self._fail("all targets refuse connections", False)
         return self._take_commands()
 
+    def stop(self, unsent: Iterable[int], now: float) -> list[SingleCommand]:
+        """Fail the request because this box stops; no target has received the `unsent` tokens."""
+        if self.ended:
+            return []
+        for token in unsent:
+            self._commands.append(CancelSingle(token, self._attempts.target_by_token[token]))
+            self._attempts.mark_failed(token, Outcome.NOT_SENT, now)
+        self._fail(STOPPING, False, Cause.STOPPING)
+        return self._take_commands()
+
     def cancel(self) -> list[SingleCommand]:
         """Cancel all outstanding requests: the client is gone."""
         if not self.ended:
@@ -148,7 +161,13 @@
         """Send the request to one more target; return False if none may be asked."""
         if now >= self.plan.end_at:
             return False
-        choices = self._attempts.choose(self._selector, self._budget, self.plan.route, now)
+        choices = self._attempts.choose(
+            self._selector,
+            self._budget,
+            self.plan.route,
+            now,
+            fits=self._fit_check(now) if self.plan.stop.is_set else None,
+        )
         if isinstance(choices, Refusal):
             return False
         token = self._next_token
@@ -160,6 +179,27 @@
         self._commands.append(SendSingle(token, target, reason))
         return True
 
+    def _fit_check(self, now: float) -> Callable[[Candidate], bool]:
+        """Return a check whether a target can answer before this box stops.
+
+        A request that may run only once needs more certainty: if it is cut off, its client can
+        neither know whether it ran nor send it again.
+        """
+
+        def fits(choice: Candidate) -> bool:
+            needed_s = choice.expected_s
+            if not self.plan.repeatable:
+                needed_s = max(needed_s, choice.high_s)
+            return self.plan.stop.leaves_time(needed_s, now)
+
+        return fits
+
+    def _lack(self, now: float) -> str:
+        """Return why no target was asked."""
+        if self._attempts.cause is Cause.STOPPING:
+            return STOPPING
+        return self._selector.no_target_reason(self.plan.service, self.plan.route, now).value
+
     def _give_up(self, result: TargetResult) -> None:
         """End with a target's error response, or else fail."""
         if self._failure is not None:
@@ -171,9 +211,9 @@
         self._end()
         self._commands.append(SingleAnswered(answer))
 
-    def _fail(self, reason: str, late: bool) -> None:
+    def _fail(self, reason: str, late: bool, cause: Cause | None = None) -> None:
         ran = self._attempts.ran or bool(self._attempts.target_by_token)
-        cause = self.waits_for
+        cause = cause or self.waits_for
         self._end()
         self._commands.append(SingleFailed(ran, late, reason, cause))
 
--- a/trackwheel/relay/startup_queue.py
+++ b/trackwheel/relay/startup_queue.py
@@ -34,6 +34,7 @@
             self._refuse(request, exchange)
             return
         exchange.on_disconnect = partial(self._client_left, exchange)
+        exchange.on_stop = partial(self._time_out, exchange)
         timer = asyncio.get_running_loop().call_later(wait_s, self._time_out, exchange)
         self._waiting_by_exchange[exchange] = _Waiting(request, timer)
 
--- a/trackwheel/relay/transport.py
+++ b/trackwheel/relay/transport.py
@@ -16,6 +16,7 @@
     TargetResult,
     Wire,
 )
+from trackwheel.relay.stop_deadline import NO_STOP, StopDeadline
 from trackwheel.selection.target_selector import TargetAvailability, TargetSelector
 from trackwheel.telemetry.events import EventLog
 from trackwheel.units import MILLISECONDS
@@ -64,9 +65,20 @@
 
 
 class TargetTransport:
-    """Sends requests to targets and reports their outcomes to the selector."""
+    """Sends requests to targets and reports their outcomes to the selector.
 
-    def __init__(self, wire: Wire, selector: TargetSelector, clock: Clock, log: EventLog) -> None:
+    Targets are told to answer before `stop`, when this box no longer waits for them.
+    """
+
+    def __init__(
+        self,
+        wire: Wire,
+        selector: TargetSelector,
+        clock: Clock,
+        log: EventLog,
+        stop: StopDeadline = NO_STOP,
+    ) -> None:
+        self._stop = stop
         self._wire = wire
         self._selector = selector
         self._clock = clock
@@ -116,7 +128,9 @@
         self.sent_by_reason[attempt.reason, distance] += 1
 
         def build() -> Request:
-            return self._wire.target_request(request, target.instance, self._clock())
+            deadline = min(request.deadline, self._stop.target_deadline)
+            bounded = request._replace(deadline=deadline)
+            return self._wire.target_request(bounded, target.instance, self._clock())
 
         def check(answer: Response) -> str:
             return self._wire.check_answer(request.request_id, answer)
@@ -136,6 +150,11 @@
             Job(attempt.token, request.request_id, build, check, attempt.once, ended)
         )
 
+    def is_waiting(self, token: object, target: Target) -> bool:
+        """Return whether a request still waits for a connection to its target."""
+        pool = self._pool_by_incarnation.get(target.incarnation)
+        return pool is not None and pool.is_waiting(token)
+
     def withdraw(self, token: object, target: Target, fingerprint: bytes) -> None:
         """Withdraw a request."""
         self._selector.withdrawn(target, token, self._clock())
--- a/trackwheel/selection/attempts.py
+++ b/trackwheel/selection/attempts.py
@@ -1,5 +1,6 @@
 """The attempts of one request, or of one shard of a query, within its limits and budget."""
 
+from collections.abc import Callable
 from enum import StrEnum
 from typing import Final
 
@@ -145,10 +146,12 @@
         route: RouteKey,
         now: float,
         needed: bool = True,
+        fits: Callable[[Candidate], bool] | None = None,
     ) -> list[Candidate] | Refusal:
         """Return the ranked targets, the first of which is charged to the budget, or a refusal.
 
-        `needed` tells that the answer fails without this attempt.
+        `needed` tells that the answer fails without this attempt; `fits`, if given, whether a
+        target can answer before this box stops.
         """
         self.cause = None
         permission = self._gate.permission(now)
@@ -161,16 +164,15 @@
             spent = Cause.SENDS if self._sends >= MAX_SENDS else Cause.ATTEMPTS
             return self._refuse(Refusal.NO_MORE, spent)
         choices = self._rank(selector, route, now)
-        if not choices and selector.may_ask_soon(self._service, route, now):
-            return self._refuse(Refusal.NOT_NOW, Cause.COLD)
         if not choices:
-            reason = selector.no_target_reason(self._service, route, now)
-            return self._refuse(Refusal.NO_MORE, _CAUSE_BY_REASON[reason])
+            return self._refuse_without_target(selector, route, now)
         reachable = [choice for choice in choices if choice.rests_until <= now]
         if not reachable:
             self.backoff_until = min(choice.rests_until for choice in choices)
             return self._refuse(Refusal.DOWN, Cause.UNREACHABLE)
-        choices = reachable
+        choices = reachable if fits is None else [choice for choice in reachable if fits(choice)]
+        if not choices:
+            return self._refuse(Refusal.NO_MORE, Cause.STOPPING)
         if self._is_in_refusal_backoff(choices, now):
             return self._refuse(Refusal.NOT_NOW, Cause.SHED)
         if not self._spend_budget(budget, now, needed):
@@ -178,6 +180,15 @@
             return self._refuse(refusal, Cause.RETRY_BUDGET)
         return choices
 
+    def _refuse_without_target(
+        self, selector: TargetSelector, route: RouteKey, now: float
+    ) -> Refusal:
+        """Return the refusal where no target may be asked."""
+        if selector.may_ask_soon(self._service, route, now):
+            return self._refuse(Refusal.NOT_NOW, Cause.COLD)
+        reason = selector.no_target_reason(self._service, route, now)
+        return self._refuse(Refusal.NO_MORE, _CAUSE_BY_REASON[reason])
+
     def _refuse(self, refusal: Refusal, cause: Cause) -> Refusal:
         self.cause = cause
         return refusal
--- a/trackwheel/selection/const.py
+++ b/trackwheel/selection/const.py
@@ -8,6 +8,9 @@
 RESPONSE_TIME_REFRESH_SAMPLES: Final = 8
 """New answers after which the usual response time is computed again."""
 
+HIGH_RESPONSE_TIME_QUANTILE: Final = 0.95
+"""Quantile of the response times that a request must have time for if it may run only once."""
+
 INITIAL_RESPONSE_TIME_SHARE: Final = 0.2
 """Usual response time before the first answer, as a share of the target latency."""
 
--- a/trackwheel/selection/response_times.py
+++ b/trackwheel/selection/response_times.py
@@ -1,21 +1,24 @@
-"""Typical response times of routes, for near and far targets."""
+"""Typical and high response times of routes, for near and far targets."""
 
 from collections import deque
 
 from trackwheel.selection.const import (
+    HIGH_RESPONSE_TIME_QUANTILE,
     INITIAL_RESPONSE_TIME_SHARE,
     RESPONSE_TIME_REFRESH_SAMPLES,
     RESPONSE_TIME_SAMPLES,
 )
 
 
-class MedianResponseTime:
-    """Median of the last response times (seconds)."""
+class ResponseTimeQuantiles:
+    """Median and high quantile of the last response times (seconds)."""
 
-    def __init__(self, first_guess_s: float) -> None:
+    def __init__(self, aim_s: float) -> None:
+        """Initialize with guesses for a route with the target latency `aim_s`."""
         self._samples: deque[float] = deque(maxlen=RESPONSE_TIME_SAMPLES)
         self._new = 0
-        self.usual_s = first_guess_s
+        self.usual_s = aim_s * INITIAL_RESPONSE_TIME_SHARE
+        self.high_s = aim_s
 
     def add(self, duration_s: float) -> None:
         """Add the response time of one successful answer."""
@@ -28,19 +31,18 @@
             self._new = 0
             ordered = sorted(self._samples)
             self.usual_s = ordered[len(ordered) // 2]
+            self.high_s = ordered[int(len(ordered) * HIGH_RESPONSE_TIME_QUANTILE)]
 
 
 class ResponseTimes:
-    """Median response times by route and distance."""
+    """Response times by route and distance."""
 
     def __init__(self) -> None:
-        self._median_by_key: dict[tuple[str, bool], MedianResponseTime] = {}
-
-    def get(self, route: str, far: bool, aim_s: float) -> MedianResponseTime:
-        """Return the median response time of a route's near or far targets."""
-        median = self._median_by_key.get((route, far))
-        if median is None:
-            median = self._median_by_key[(route, far)] = MedianResponseTime(
-                aim_s * INITIAL_RESPONSE_TIME_SHARE
-            )
-        return median
+        self._quantiles_by_key: dict[tuple[str, bool], ResponseTimeQuantiles] = {}
+
+    def get(self, route: str, far: bool, aim_s: float) -> ResponseTimeQuantiles:
+        """Return the response times of a route's near or far targets."""
+        quantiles = self._quantiles_by_key.get((route, far))
+        if quantiles is None:
+            quantiles = self._quantiles_by_key[(route, far)] = ResponseTimeQuantiles(aim_s)
+        return quantiles
--- a/trackwheel/selection/target_selector.py
+++ b/trackwheel/selection/target_selector.py
@@ -22,12 +22,13 @@
 class Candidate(NamedTuple):
     """One target with its expected response time (seconds); a last resort ranks behind all others.
 
-    `usual_s` is the usual response time at the target's distance. A target that refused a
-    connection gets no request before `rests_until` (monotonic seconds).
+    `usual_s` is the usual response time at the target's distance, `high_s` a high quantile of it.
+    A target that refused a connection gets no request before `rests_until` (monotonic seconds).
     """
 
     target: Target
     usual_s: float
+    high_s: float
     expected_s: float
     cost_s: float
     last_resort: bool
@@ -99,6 +100,10 @@
         """Return the usual response time of a route (seconds)."""
         return self._response_times.get(route.name, far, route.aim_s).usual_s
 
+    def high_s(self, route: RouteKey, far: bool) -> float:
+        """Return the time within which nearly all answers of a route arrive (seconds)."""
+        return self._response_times.get(route.name, far, route.aim_s).high_s
+
     def in_flight(self, target: Target) -> int:
         """Return the number of this box's requests that the target has not answered yet."""
         return len(self._record(target).in_flight_by_token)
@@ -309,7 +314,10 @@
         cost_s *= 1.0 + self._random.random() * COST_JITTER
         last_resort = target.presumed_gone or record.is_last_resort(now)
         usual_s = self._usual_s(target, route)
-        return Candidate(target, usual_s, expected_s, cost_s, last_resort, record.backoff_until)
+        high_s = self.high_s(route, self.is_far(target))
+        return Candidate(
+            target, usual_s, high_s, expected_s, cost_s, last_resort, record.backoff_until
+        )
 
     def _expected_s(
         self, target: Target, record: TargetRecord, route: RouteKey, now: float
