Leave the shards of peers to others when a stopping box cannot gather them

What callers saw: nothing measured; found by reading the paths that begin work at a stopping box. A box that others still delegate shards to (they learn of its stop by gossip, or not at all while they are cut off) asked its targets in its last moments and exited with them. The other box learnt so only from the lost link, and asked again after that.

Change: a group whose answer does not fit into the time left is declined whole, with the word that none of it has run, so that its sender asks elsewhere at once. At the time of the last answer, each group reports the parts that it has received and which shards have certainly not run.

Evidence: test_inbound_groups.py.

--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -81,6 +81,7 @@
 KEYED = "tests/whole/test_groups.py::"
 STOPPED = "tests/whole/test_stopping_box.py::"
 STOPPING = "tests/relay/test_stopping.py::"
+INBOUND = "tests/delegation/test_inbound_groups.py::"
 
 SERVED = "a request with time left is not given up for what passes soon"
 CAUSES = "each request that is not served names its cause"
@@ -1170,6 +1171,28 @@
         STOPPING + "test_request_that_waits_in_a_stopping_box_is_refused_at_the_end",
         Mutant("trackwheel/relay/service.py", "exchange.on_stop = stop", "pass"),
     ),
+    Row(
+        PLATFORM,
+        STOP,
+        "a peer delegates shards to a box in its last moments",
+        INBOUND + "test_stopping_box_declines_a_group_that_it_cannot_gather_in_time",
+        Mutant(
+            "trackwheel/delegation/inbound_groups.py",
+            "if not self._stop.leaves_time(self._selector.high_s(route, far=False), now):",
+            "if False:",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        STOP,
+        "a box ends while it gathers shards for a peer",
+        INBOUND + "test_stopping_box_reports_what_it_has_gathered_for_a_peer",
+        Mutant(
+            "trackwheel/delegation/inbound_groups.py",
+            "            self._run.stop()\n",
+            "            pass\n",
+        ),
+    ),
     Row(
         PLATFORM,
         NOT_RUN,
--- a/trackwheel/delegation/inbound_groups.py
+++ b/trackwheel/delegation/inbound_groups.py
@@ -18,9 +18,11 @@
 from trackwheel.peers.hub import Hub
 from trackwheel.peers.models import PeerIdentity
 from trackwheel.quarantine.service import Quarantine
+from trackwheel.relay.causes import Cause
 from trackwheel.relay.fingerprint import fingerprint
 from trackwheel.relay.models import CallerRequest, RouteKey
 from trackwheel.relay.runs import GatherRun, GatherTask, GroupSender
+from trackwheel.relay.stop_deadline import NO_STOP, StopDeadline
 from trackwheel.relay.timer import Timer
 from trackwheel.relay.transport import TargetTransport
 from trackwheel.selection.budget import RetryBudget
@@ -51,6 +53,11 @@
             self._timer.set(self._reports[0])
         run.start()
 
+    def stop(self) -> None:
+        """Report what was received, since this box stops."""
+        if self._run is not None:
+            self._run.stop()
+
     def cancel(self) -> None:
         """Stop; the sender no longer waits."""
         self._timer.close()
@@ -120,7 +127,10 @@
 
 
 class InboundGroups:
-    """Gathers groups of shards for peers."""
+    """Gathers groups of shards for peers.
+
+    After a stop signal, groups that would not be answered before `stop` are declined.
+    """
 
     def __init__(
         self,
@@ -131,7 +141,9 @@
         groups: GroupSender,
         quarantine: Quarantine,
         log: EventLog,
+        stop: StopDeadline = NO_STOP,
     ) -> None:
+        self._stop = stop
         self._hub = hub
         self._quarantine = quarantine
         self._selector = selector
@@ -147,6 +159,11 @@
     def __len__(self) -> int:
         return len(self._group_by_key)
 
+    def stop(self) -> None:
+        """Report to all peers what was received, since this box stops."""
+        for group in list(self._group_by_key.values()):
+            group.stop()
+
     def _receive_forward(self, sender: PeerIdentity, message: GroupForward) -> None:
         """Start to gather a group for a peer."""
         now = steady_now()
@@ -158,6 +175,10 @@
         if self._quarantine.is_held(task.request.fingerprint):
             self._reject_held(sender, message)
             return
+        route = task.gather.plan.route
+        if not self._stop.leaves_time(self._selector.high_s(route, far=False), now):
+            self._decline_all(sender, message)
+            return
         group = self._group_by_key[key] = _InboundGroup(sender, message, self._hub, now)
         run = GatherRun(
             task,
@@ -174,6 +195,16 @@
         self._quarantine.send_held_requests(sender.address)
         self._hub.send(sender.address, GroupParts(message.group_id, [], [], b"", True, False))
 
+    def _decline_all(self, sender: PeerIdentity, message: GroupForward) -> None:
+        """Leave all shards of a group to others: this box stops before it could answer."""
+        self._log.write(
+            "group_refused", id=message.request_id, peer=sender.box_id, cause=Cause.STOPPING
+        )
+        shards = list(range(len(message.shards)))
+        self._hub.send(sender.address, GroupDeclined(message.group_id, shards))
+        end = GroupParts(message.group_id, [], [], b"", True, False, 0, shards)
+        self._hub.send(sender.address, end)
+
     def _task(self, message: GroupForward, now: float) -> GatherTask:
         http = Request(message.method, message.target, tuple(message.headers), message.body, now)
         deadline = now + message.end_in_ms / MILLISECONDS
--- a/trackwheel/entry/box.py
+++ b/trackwheel/entry/box.py
@@ -130,6 +130,7 @@
             self.outbound_groups,
             self.quarantine,
             self.log,
+            self.stop_deadline,
         )
         self.limits = GroupLimits(
             self.hub,
@@ -201,7 +202,8 @@
         self.fleet.leave()
 
     def end_requests(self) -> None:
-        """Answer all requests of clients at once, with what is there."""
+        """Answer all requests of clients and peers at once, with what is there."""
+        self.inbound_groups.stop()
         self.clients.end_requests()
 
     def _wire_parts(self) -> None:
