Say that a peer's targets may have run a group that ends while they work

What callers saw: nothing measured; found while the end of a stopping box's groups was tested. A query that lacked the shards of such a group could be refused with 503, the word that nothing has run, while targets of the peer had it.

Cause: at the end of a gather its pending requests are withdrawn, and only then the last report asks whether any may have run: what was withdrawn no longer counted. It held for the end of the time as for a stop; a group with at least one answer or failure said it truly.

The shards listed as 'not_run' were right before: they are read before the withdrawal.

Why it works: the end keeps the answer from before the withdrawal.

--- a/tests/gathering/test_gather.py
+++ b/tests/gathering/test_gather.py
@@ -1,5 +1,7 @@
 """Scatter-gather queries: groups, hedged requests, retries, target latency and failure."""
 
+from collections.abc import Callable
+
 import pytest
 
 from tests.relay.conftest import HERE, OLD, ROUTE, THERE, target_result
@@ -20,6 +22,7 @@
     SendGroup,
     SendPart,
 )
+from trackwheel.relay.causes import Cause
 from trackwheel.relay.models import OPEN_GATE, Outcome, Part, SendGate
 from trackwheel.selection.budget import RetryBudget, RetryBudgetLimits
 from trackwheel.selection.const import MAX_SENDS
@@ -771,3 +774,41 @@
     for number, (found, ended_at) in enumerate([(quick, -0.96)] * 64 + [(slow, -0.6)] * 4):
         selector.sent(found, number, ROUTE, -1.0)
         selector.ended(found, number, Outcome.OK, None, ended_at)
+
+
+@pytest.mark.parametrize(
+    "end",
+    [
+        pytest.param(lambda gather: gather.tick(END_AT), id="time-is-up"),
+        pytest.param(lambda gather: gather.stop(0.05), id="box-stops"),
+    ],
+)
+def test_group_that_ends_with_requests_at_targets_says_that_they_may_have_run(
+    selector: TargetSelector, budget: RetryBudget, end: Callable[[Gather], list[GatherCommand]]
+) -> None:
+    """A peer reported that nothing had run, and its sender told the client so with a 503."""
+    session = Session(selector, budget, partial=True)
+    session.take(end(session.gather))
+    assert isinstance(session.end, Gathered)
+    assert session.end.missing == len(SHARDS)
+    assert session.gather.may_have_run
+
+
+@pytest.mark.parametrize(
+    ("received", "answered"), [(8, True), (7, False)], ids=["coverage-reached", "too-few"]
+)
+def test_query_of_a_stopping_box_ends_with_what_it_has(
+    selector: TargetSelector, budget: RetryBudget, received: int, answered: bool
+) -> None:
+    """A query in flight was cut off with its box, though it had enough shards for an answer."""
+    session = Session(selector, budget)
+    for shard in SHARDS[:received]:
+        session.answer(shard)
+    session.take(session.gather.stop(0.05))
+    assert session.open == {}
+    if answered:
+        assert isinstance(session.end, Gathered)
+        assert session.end.missing == len(SHARDS) - received
+    else:
+        assert isinstance(session.end, GatherFailed)
+        assert (session.end.ran, session.end.cause) == (True, Cause.STOPPING)
--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -1193,6 +1193,28 @@
             "            pass\n",
         ),
     ),
+    Row(
+        PLATFORM,
+        STOP,
+        "a query is in flight when its box has to end",
+        SHARDS + "test_query_of_a_stopping_box_ends_with_what_it_has",
+        Mutant(
+            "trackwheel/gathering/gather.py",
+            "if self.plan.partial or self._is_coverage_reached():",
+            "if self.plan.partial:",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        NOT_RUN,
+        "a group ends at a peer while its targets are at work",
+        SHARDS + "test_group_that_ends_with_requests_at_targets_says_that_they_may_have_run",
+        Mutant(
+            "trackwheel/gathering/gather.py",
+            "        self._ran_before_end = self.may_have_run\n",
+            "",
+        ),
+    ),
     Row(
         PLATFORM,
         NOT_RUN,
--- a/trackwheel/gathering/gather.py
+++ b/trackwheel/gathering/gather.py
@@ -63,6 +63,7 @@
         )
         self._requester = ShardRequester(plan, selector, budget, self._shards, self._groups)
         self._peers_ran = False
+        self._ran_before_end = False
         self._cause_at_aim: Cause | None = None
         """The cause of the shards that were missing at the target latency."""
         self._closed_connections = ClosedConnections()
@@ -260,8 +261,10 @@
     @property
     def may_have_run(self) -> bool:
         """Return whether a target may have run any shard, asked by this box or a peer."""
-        return self._peers_ran or any(
-            shard.is_pending or shard.attempts.ran for shard in self._shards.all
+        return (
+            self._ran_before_end
+            or self._peers_ran
+            or any(shard.is_pending or shard.attempts.ran for shard in self._shards.all)
         )
 
     def _handle_overdue_peer(self, number: int, now: float) -> None:
@@ -408,6 +411,8 @@
         return self._shards.describe_missing(MAX_LOGGED_SHARDS, self._groups.address)
 
     def _end(self) -> None:
+        # Withdrawing the pending requests forgets that targets had them.
+        self._ran_before_end = self.may_have_run
         self.ended = True
         for shard in self._shards.all:
             self._commands += self._requester.withdraw(shard)
