Answer pipelined requests of a stopping box before it closes their connection

What callers saw: nothing measured; found on the related path of kept connections. A client that had sent several requests at once got the answer to the one in progress with Connection: close, and no answer to those behind it, which the box had read whole. It may not repeat one that runs only once: a close says nothing about it.

Cause: a stopping box closes each connection after its next answer, whatever it has read behind it.

Evidence: test_stopping_server_answers_pipelined_requests_before_it_closes fails on the parent: one answer of three, then the end of the connection.

Why it works: the answer that announces the close is that of the last request that was read.

--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -5,8 +5,8 @@
 import pytest
 
 from tests.http1.conftest import RecordingServer, Run
-from trackwheel.http1.models import Response
-from trackwheel.http1.server import encode_response
+from trackwheel.http1.models import Request, Response
+from trackwheel.http1.server import Exchange, encode_response
 
 GET = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
 
@@ -125,6 +125,29 @@
     run(scenario())
 
 
+def test_stopping_server_answers_pipelined_requests_before_it_closes(run: Run) -> None:
+    """Requests that were read behind the one in progress were dropped with their connection."""
+    exchanges: list[Exchange] = []
+
+    def hold(request: Request, exchange: Exchange) -> None:
+        exchanges.append(exchange)
+
+    async def scenario() -> None:
+        async with RecordingServer(hold) as server:
+            reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+            writer.write(GET * 3)
+            await asyncio.sleep(0.02)
+            server.state.stopping = True
+            for number in range(3):
+                exchanges[number].respond(Response(200, (), b"%d" % number))
+            first, second, third = (await reader.read()).split(b"HTTP/1.1 200 OK\r\n")[1:]
+            assert b"connection: close" not in first + second
+            assert b"connection: close" in third
+            assert [one[-1:] for one in (first, second, third)] == [b"0", b"1", b"2"]
+
+    run(scenario())
+
+
 def test_stopping_server_closes_idle_connections_except_new_ones(run: Run) -> None:
     async def scenario() -> None:
         async with RecordingServer() as server:
--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -1193,6 +1193,17 @@
             "            pass\n",
         ),
     ),
+    Row(
+        PLATFORM,
+        STOP,
+        "pipelined requests wait behind the one in progress",
+        HTTP_CLIENT + "test_stopping_server_answers_pipelined_requests_before_it_closes",
+        Mutant(
+            "trackwheel/http1/server.py",
+            "(not self._state.stopping or bool(self._pipelined))",
+            "not self._state.stopping",
+        ),
+    ),
     Row(
         PLATFORM,
         STOP,
--- a/trackwheel/http1/server.py
+++ b/trackwheel/http1/server.py
@@ -239,7 +239,8 @@
         transport = self._transport
         if transport is None or transport.is_closing():
             return
-        keep_alive = keep_alive and not self._state.stopping
+        # The client may not repeat what it sent before it learns that the connection closes.
+        keep_alive = keep_alive and (not self._state.stopping or bool(self._pipelined))
         transport.write(encode_response(response, head_only, keep_alive))
         if not keep_alive:
             self._stop_timer()
