Refuse a request that is half read when a stopping box ends

A client that was still sending its request when the box ended had its connection closed without an answer, and could not know that nothing had run.

Cause: the end of a stop answered only requests that were read whole.

Change: whatever has begun to arrive is refused with 503 and when to come back, right before the last connections are closed. It is not waited for: a request that is not there by then has lost.

Evidence: test_request_that_is_half_read_at_the_end_of_a_stop_is_refused (headers, body); with the connection closed instead, as on the parent, both rows fail.

--- a/tests/entry/test_run.py
+++ b/tests/entry/test_run.py
@@ -20,6 +20,9 @@
     def busy(self) -> int:
         return len(self.connections)
 
+    def refuse_unread(self, retry_after_s: float) -> None:
+        pass
+
     def close_idle(self) -> None:
         self.connections.discard("idle")
 
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -148,6 +148,30 @@
     run(scenario())
 
 
+@pytest.mark.parametrize(
+    "sent",
+    [
+        pytest.param(b"GET /a HTTP/1.1\r\nHo", id="headers"),
+        pytest.param(b"POST /a HTTP/1.1\r\nContent-Length: 9\r\n\r\nab", id="body"),
+    ],
+)
+def test_request_that_is_half_read_at_the_end_of_a_stop_is_refused(run: Run, sent: bytes) -> None:
+    """Its connection was closed without a word, which tells no client that nothing has run."""
+
+    async def scenario() -> None:
+        async with RecordingServer() as server:
+            reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+            writer.write(sent)
+            await asyncio.sleep(0.02)
+            server.state.refuse_unread(0.2)
+            data = await reader.read()
+            assert data.startswith(b"HTTP/1.1 503 ")
+            assert b"retry-after: 0.20\r\n" in data
+            assert server.requests == []
+
+    run(scenario())
+
+
 def test_stopping_server_closes_idle_connections_except_new_ones(run: Run) -> None:
     async def scenario() -> None:
         async with RecordingServer() as server:
--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -1204,6 +1204,17 @@
             "not self._state.stopping",
         ),
     ),
+    Row(
+        PLATFORM,
+        STOP,
+        "a request is half read when its box has to end",
+        HTTP_CLIENT + "test_request_that_is_half_read_at_the_end_of_a_stop_is_refused",
+        Mutant(
+            "trackwheel/http1/server.py",
+            "            connection.refuse_unread(retry_after_s)",
+            "            connection.close()",
+        ),
+    ),
     Row(
         PLATFORM,
         STOP,
--- a/trackwheel/entry/run.py
+++ b/trackwheel/entry/run.py
@@ -26,6 +26,7 @@
 from trackwheel.garbage import tune_garbage_collection
 from trackwheel.http1.server import ServerConnection, ServerState
 from trackwheel.platform.settings import read_settings
+from trackwheel.relay.const import RETRY_AFTER_S
 
 
 async def run_entry_box(path: Path) -> None:
@@ -120,6 +121,7 @@
         client_server.close()
     else:
         await _end_requests(box, client_server, started_at + box.settings.grace_s - STOP_MARGIN_S)
+    box.clients.refuse_unread(RETRY_AFTER_S)
     box.clients.close_idle()
     await anyio.sleep(CLOSE_WAIT_S)
     box.log.write(
--- a/trackwheel/http1/server.py
+++ b/trackwheel/http1/server.py
@@ -66,6 +66,11 @@
         for connection in tuple(self.connections):
             connection.end_request()
 
+    def refuse_unread(self, retry_after_s: float) -> None:
+        """Refuse the requests of which only a part has been read."""
+        for connection in tuple(self.connections):
+            connection.refuse_unread(retry_after_s)
+
     def close_idle(self) -> None:
         """Close idle connections, except new ones that may still send their first request."""
         opened_before = steady_now() - NEW_CONNECTION_GRACE_S
@@ -255,6 +260,12 @@
         if self._current is not None:
             self._current.notify_stop()
 
+    def refuse_unread(self, retry_after_s: float) -> None:
+        """Refuse a request of which only a part has been read."""
+        if self._in_message:
+            retry_after = (b"retry-after", b"%.2f" % retry_after_s)
+            self._reject(HTTPStatus.SERVICE_UNAVAILABLE, (retry_after,))
+
     def close(self) -> None:
         """Close the connection after flushing the written data."""
         if self._transport is not None:
@@ -277,7 +288,7 @@
     def _header_timeout(self) -> None:
         self._reject(HTTPStatus.REQUEST_TIMEOUT)
 
-    def _reject(self, status: HTTPStatus) -> None:
+    def _reject(self, status: HTTPStatus, headers: Headers = ()) -> None:
         """Answer an incomplete request with an error status and close the connection."""
         if self._rejected or self._transport is None or self._transport.is_closing():
             return
@@ -285,7 +296,7 @@
         self._stop_timer()
         self._state.on_refused(status.value)
         if self._current is None:
-            self._transport.write(encode_response(Response(status, (), b""), False, False))
+            self._transport.write(encode_response(Response(status, headers, b""), False, False))
         self._transport.close()
 
     def _set_timer(self, delay_s: float, action: Callable[[], None]) -> None:
