Answer what a leaving box's drain time is too short for, on the project's own interface

With the default of 30 s it takes callers who keep their connections, since the drain goes on while anything is in flight and begins what still comes.

Cause: the same as on the platform: what is begun does not know when its box ends, and the end drops what is in flight.

Change: the time of the last answer, 0.3 s before the end of the drain time, bounds the deadline of each request that comes after the signal, so that owners refuse what does not fit, as they do for any deadline. At that time queries end with what they have, requests that run at most once are settled (not run without a permit, else unknown), and the wait for another box that issued an id ends as unknown. Later requests are refused as not ready, with when to come back.

Not changed: as the owner of targets, a leaving box still begins what other boxes have queued there; its targets go to other owners at the signal, and a lost owner is asked again or settled as unknown by the box that waits. The deadline class moved out of the relay, since both interfaces use it.

--- a/tests/delegation/test_inbound_groups.py
+++ b/tests/delegation/test_inbound_groups.py
@@ -19,9 +19,9 @@
 )
 from trackwheel.peers.models import PeerIdentity
 from trackwheel.relay.models import OPEN_GATE, Outcome, TargetResult
-from trackwheel.relay.stop_deadline import StopDeadline
 from trackwheel.selection.budget import RetryBudget
 from trackwheel.selection.target_selector import TargetSelector
+from trackwheel.stop_deadline import StopDeadline
 from trackwheel.units import MILLISECONDS
 
 SENDER = PeerIdentity("peer", "boot", "peer:1", "there", "there-a")
--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -81,6 +81,7 @@
 KEYED = "tests/whole/test_groups.py::"
 STOPPED = "tests/whole/test_stopping_box.py::"
 STOPPING = "tests/relay/test_stopping.py::"
+EXECUTIONS = "tests/gateway/test_stopping.py::"
 INBOUND = "tests/delegation/test_inbound_groups.py::"
 
 SERVED = "a request with time left is not given up for what passes soon"
@@ -446,6 +447,24 @@
         "work of 300 ms in flight",
         BOXES + "test_planned_stop_finishes_a_slow_query_in_flight",
     ),
+    Row(
+        LOAD,
+        STOP,
+        "queries that take longer than the drain time",
+        BOXES + "test_planned_stop_answers_what_its_drain_time_is_too_short_for",
+        Mutant("trackwheel/app.py", "    box.end_requests()\n", "    pass\n"),
+    ),
+    Row(
+        LOAD,
+        STOP,
+        "requests that run at most once, here and forwarded, when a box has to end",
+        EXECUTIONS + "test_stop_settles_what_is_in_progress",
+        Mutant(
+            "trackwheel/gateway/execution_runner.py",
+            "            self._apply(attempt, attempt.execution.expire())\n",
+            "            pass\n",
+        ),
+    ),
     Row(
         LOAD,
         MEMBERSHIP,
@@ -1151,6 +1170,13 @@
         STOP,
         "new connections reach a stopping box until its process is gone",
         STOPPED + "test_request_at_a_stopping_box_is_answered_though_its_process_ends",
+        Mutant("trackwheel/entry/box.py", "        self.stop_deadline.set(answer_by)\n", ""),
+    ),
+    Row(
+        PLATFORM,
+        STOP,
+        "a request takes longer than the grace time of its box",
+        STOPPED + "test_request_longer_than_the_grace_time_is_answered_at_its_end",
         Mutant("trackwheel/entry/run.py", "    box.end_requests()\n", "    pass\n"),
     ),
     Row(
--- a/tests/relay/test_stopping.py
+++ b/tests/relay/test_stopping.py
@@ -20,13 +20,12 @@
 from trackwheel.platform.load import LoadReader
 from trackwheel.platform.wire import PlatformWire
 from trackwheel.relay.causes import Cause
-from trackwheel.relay.const import RETRY_AFTER_S, TARGET_ANSWER_MARGIN_S
 from trackwheel.relay.models import Outcome
 from trackwheel.relay.service import RelayService
 from trackwheel.relay.single import SendSingle, Single, SingleFailed, SinglePlan
-from trackwheel.relay.stop_deadline import StopDeadline
 from trackwheel.selection.budget import RetryBudget
 from trackwheel.selection.target_selector import TargetSelector
+from trackwheel.stop_deadline import MIN_RETRY_AFTER_S, TARGET_ANSWER_MARGIN_S, StopDeadline
 
 USUAL_S, HIGH_S = 0.05, 0.15
 """Response times of most and of a tenth of the answers."""
@@ -199,7 +198,7 @@
     box.stop.set(steady_now())
     (answer,) = asyncio.run(box.ask()).answers
     assert answer.status == 503
-    assert float(header(answer.headers, b"retry-after") or b"0") >= RETRY_AFTER_S
+    assert float(header(answer.headers, b"retry-after") or b"0") >= MIN_RETRY_AFTER_S
     assert box.relay.not_served == {("stopping", "early"): 1}
     assert [(kind, fields["id"], fields["cause"]) for kind, fields in box.events] == [
         ("refused", "r1", "stopping")
--- a/tests/whole/test_box_faults.py
+++ b/tests/whole/test_box_faults.py
@@ -145,6 +145,29 @@
     assert results.answered == 1, results.codes
 
 
+def test_planned_stop_answers_what_its_drain_time_is_too_short_for(tmp_path: Path) -> None:
+    """Requests still in flight at the end of the drain time were cut off, whenever they came."""
+    path = write_file(tmp_path, [ServiceShape(SERVICE, 6, 2, deadline="4s", wait="4s")])
+    settings = "[fleet]\ndrain = 1500ms\n"
+    with SmallFleet(PLACES, [path], fleet_settings=settings) as fleet:
+        assert fleet.apply(path)["outcome"] == "accepted"
+        for replicas in target_addresses(fleet):
+            for address in replicas:
+                fleet.control(address, service_s=3.0)
+        leaving = fleet.boxes[0]
+        process = fleet.process_by_name[leaving.box_id]
+
+        async def stop(callers: Callers) -> None:
+            await asyncio.sleep(0.3)
+            fleet.signal_box(leaving, signal.SIGTERM)
+
+        queries = run_queries([leaving.callers], "clerks", SERVICE, 20, 1.5, stop)
+        assert queries.cut_off == []
+        assert queries.broken == []
+        assert queries.codes.total() == 30
+        assert process.wait(timeout=10) == 0, fleet.log(leaving.box_id)
+
+
 def send_once_requests(
     fleet: SmallFleet, count: int, rate: float, disturb: Callable[[Callers], Awaitable[None]]
 ) -> OnceReport:
--- a/tests/whole/test_stopping_box.py
+++ b/tests/whole/test_stopping_box.py
@@ -107,3 +107,18 @@
     assert [sent for sent in refused if sent.request_id in runs] == []
     assert all(sent.took_s < WORK_S / 2 and float(sent.retry_after) > 0 for sent in refused)
     assert '"cause":"stopping"' in fleet.log(box)
+
+
+def test_request_longer_than_the_grace_time_is_answered_at_its_end(fleet: EntryFleet) -> None:
+    """A request that was in flight at the signal was cut off at the end of the grace time."""
+    (box,) = fleet.boxes
+    for target in fleet.target_by_instance.values():
+        target.delay_s = GRACE_S * 2
+    with ThreadPoolExecutor() as threads:
+        pending = threads.submit(send, fleet, box, "unsafe", 0, 0.0)
+        time.sleep(0.3)
+        fleet.signal(box, signal.SIGTERM)
+        sent = pending.result()
+    assert sent.status == 502
+    assert GRACE_S - 0.5 < sent.took_s < GRACE_S + 0.5
+    assert fleet.wait_exit(box, 1.0) == 0
--- a/trackwheel/app.py
+++ b/trackwheel/app.py
@@ -33,6 +33,7 @@
 from trackwheel.quarantine.models import QUARANTINE_MESSAGES
 from trackwheel.quarantine.service import Quarantine
 from trackwheel.settings import Settings
+from trackwheel.stop_deadline import StopDeadline
 from trackwheel.storage.clients import HttpBoxList, HttpKeyValue
 from trackwheel.storage.held import KeyValueHeldStore
 from trackwheel.targets.client import AiohttpTargetClient
@@ -57,6 +58,8 @@
 QUARANTINE_LOG: Final = Log("quarantine")
 LEAVE_GRACE_S: Final = 2.0
 """How long a leaving box still serves callers whom the balancer sends to it."""
+ANSWER_MARGIN_S: Final = 0.3
+"""Time between the last answer of a leaving box and the end of its drain time."""
 IDLE_CHECK_S: Final = 0.05
 IDLE_CLOSE_S: Final = 0.2
 """How long connections on which nothing is under way may take to close at the end."""
@@ -121,6 +124,7 @@
         )
         self.metrics.add(lambda: box_samples(sampled))
         self.leaving = False
+        self.stop_deadline = StopDeadline()
         self._wire()
 
     def ready(self) -> bool:
@@ -140,6 +144,7 @@
             self.once,
             self.forwarder,
             self.burn,
+            self.stop_deadline,
         )
 
     def operators_app(self) -> OperatorsApp:
@@ -160,6 +165,18 @@
         """Return whether anything is in flight here."""
         return bool(self.queries.running or self.once.running or self.dispatch.busy)
 
+    def stop(self, answer_by: float) -> None:
+        """Leave the fleet; requests end by `answer_by` (monotonic seconds)."""
+        self.leaving = True
+        self.stop_deadline.set(answer_by)
+        self.fleet.leave()
+
+    def end_requests(self) -> None:
+        """Answer all requests of callers at once, with what is there."""
+        self.queries.stop()
+        self.once.stop()
+        self.forwarder.stop()
+
     async def close(self) -> None:
         """Close what the parts have open."""
         await self.client.close()
@@ -265,10 +282,13 @@
 async def _drain(box: Box) -> None:
     """Leave the fleet, let others take the targets, and finish what is in flight."""
     LOG.info("The box is leaving. It finishes what is in flight.")
-    box.leaving = True
-    box.fleet.leave()
     end = steady_now() + box.settings.drain_s
-    await anyio.sleep(min(LEAVE_GRACE_S, box.settings.drain_s))
+    answer_by = end - ANSWER_MARGIN_S
+    box.stop(answer_by)
+    await anyio.sleep(min(LEAVE_GRACE_S, max(0.0, answer_by - steady_now())))
+    while box.busy() and steady_now() < answer_by:
+        await anyio.sleep(IDLE_CHECK_S)
+    box.end_requests()
     while box.busy() and steady_now() < end:
         await anyio.sleep(IDLE_CHECK_S)
 
--- a/trackwheel/delegation/inbound_groups.py
+++ b/trackwheel/delegation/inbound_groups.py
@@ -22,11 +22,11 @@
 from trackwheel.relay.fingerprint import fingerprint
 from trackwheel.relay.models import CallerRequest, RouteKey
 from trackwheel.relay.runs import GatherRun, GatherTask, GroupSender
-from trackwheel.relay.stop_deadline import NO_STOP, StopDeadline
 from trackwheel.relay.timer import Timer
 from trackwheel.relay.transport import TargetTransport
 from trackwheel.selection.budget import RetryBudget
 from trackwheel.selection.target_selector import TargetSelector
+from trackwheel.stop_deadline import NO_STOP, StopDeadline
 from trackwheel.telemetry.events import EventLog
 from trackwheel.units import MILLISECONDS
 
--- a/trackwheel/entry/box.py
+++ b/trackwheel/entry/box.py
@@ -45,7 +45,6 @@
 from trackwheel.relay.models import Place, Target
 from trackwheel.relay.outcomes import report_outcomes
 from trackwheel.relay.service import RelayService
-from trackwheel.relay.stop_deadline import StopDeadline
 from trackwheel.relay.transport import TargetTransport
 from trackwheel.routing.models import Limits, RouteTable
 from trackwheel.selection.budget import RetryBudget
@@ -53,6 +52,7 @@
 from trackwheel.selection.down_report_exchange import DownReportExchange
 from trackwheel.selection.down_reports import DOWN_REPORT_MESSAGES, DownReports
 from trackwheel.selection.target_selector import TargetSelector
+from trackwheel.stop_deadline import StopDeadline
 from trackwheel.telemetry.events import EventLog
 from trackwheel.telemetry.figures import Figures
 
--- a/trackwheel/gateway/execution_runner.py
+++ b/trackwheel/gateway/execution_runner.py
@@ -117,6 +117,11 @@
         """Return new ids for a group."""
         return self._ledger.issue(group, count, steady_now())
 
+    def stop(self) -> None:
+        """Settle all attempts as at their deadline, because this box stops."""
+        for attempt in list(self._attempt_by_request_id.values()):
+            self._apply(attempt, attempt.execution.expire())
+
     async def run(self, request: ExecutionRequest) -> ExecutionResult:
         """Run or join a request with an id of this box; raise `CallerError` if it is refused."""
         content = msgspec.json.encode([request.service.name, request.routing_key, request.body])
--- a/trackwheel/gateway/forwarding.py
+++ b/trackwheel/gateway/forwarding.py
@@ -87,6 +87,11 @@
         finally:
             del self._pending_by_id[exchange_id]
 
+    def stop(self) -> None:
+        """Await no more responses of issuers, because this box stops."""
+        for pending in self._pending_by_id.values():
+            pending.ended.set()
+
     def _handle_forward(self, sender: PeerIdentity, forward: Forward) -> None:
         if self._tasks is not None and forward.issuer_boot == self._hub.identity.boot:
             self._tasks.start_soon(self._answer, sender.address, forward)
--- a/trackwheel/gateway/gather.py
+++ b/trackwheel/gateway/gather.py
@@ -122,6 +122,11 @@
                 self._resend_at_version(number, now)
         return self._advance(now)
 
+    def stop(self, now: float) -> list[GatherCommand]:
+        """End the query with what it has, because this box stops."""
+        self._hard_deadline = min(self._hard_deadline, now)
+        return self._advance(now)
+
     def cancel(self) -> None:
         """End the query after its caller has disconnected."""
         self.ended = True
--- a/trackwheel/gateway/http.py
+++ b/trackwheel/gateway/http.py
@@ -37,6 +37,7 @@
     retry_headers,
 )
 from trackwheel.groups.keys import find_group, read_key
+from trackwheel.stop_deadline import NO_STOP, STOPPING, StopDeadline
 from trackwheel.telemetry.burn import Burn
 from trackwheel.telemetry.logs import Log
 from trackwheel.web import no_lifespan
@@ -57,7 +58,10 @@
         executions: ExecutionRunner,
         forwarder: Forwarder,
         burn: Burn,
+        stop: StopDeadline = NO_STOP,
     ) -> None:
+        """Initialize; after a stop signal, requests that would end after `stop` end by then."""
+        self._stop = stop
         self._in_force = in_force
         self._ready = ready
         self._queries = queries
@@ -120,11 +124,25 @@
             raise refusal(Code.UNKNOWN_SERVICE, "admit", detail, "Check the service name")
         return service
 
+    def _time_for(self, deadline_s: float) -> float:
+        """Return the time for a request, bounded by the end of this box; refuse it without any."""
+        now = steady_now()
+        if self._stop.has_passed(now):
+            retry_s = self._stop.retry_after_s(now)
+            raise refusal(Code.NOT_READY, "admit", STOPPING, "Use another box", retry_s)
+        return min(deadline_s, self._stop.left_s(now))
+
+    def _bounded(self, policy: Policy) -> Policy:
+        """Return the policy with deadlines before the end of this box."""
+        return policy._replace(
+            deadline_s=self._time_for(policy.deadline_s), wait_s=self._time_for(policy.wait_s)
+        )
+
     async def _query(self, request: Request, group: GroupSpec) -> Response:
         body = await read_body(request, QueryBody)
         service = self._service(group, body.service)
         policy = self._in_force().policy(group.name, service)
-        policy = _with_deadline(policy, body.deadline_ms)
+        policy = self._bounded(_with_deadline(policy, body.deadline_ms))
         started = steady_now()
         outcome = "internal"
         try:
@@ -154,7 +172,8 @@
             detail = "an at-most-once request needs an id"
             raise refusal(Code.ID_MISSING, "admit", detail, remedy)
         service = self._service(group, body.service)
-        policy = _with_deadline(self._in_force().policy(group.name, service), body.deadline_ms)
+        policy = self._in_force().policy(group.name, service)
+        policy = self._bounded(_with_deadline(policy, body.deadline_ms))
         execution = ExecutionRequest(
             body.id, group.name, service, body.key, body.body, policy.wait_s
         )
@@ -199,7 +218,7 @@
                 service,
                 forward.routing_key,
                 forward.body,
-                forward.deadline_ms / 1000,
+                self._time_for(forward.deadline_ms / 1000),
             )
             response = execution_response(await self._executions.run(execution))
         except CallerError as error:
--- a/trackwheel/gateway/queries.py
+++ b/trackwheel/gateway/queries.py
@@ -74,6 +74,10 @@
     instance: int
 
 
+class _BoxStops(NamedTuple):
+    """Event: the box answers what is in flight."""
+
+
 class _RunningQuery:
     """A query in progress."""
 
@@ -81,7 +85,7 @@
         self.gather = gather
         self.service = service
         self.trace = trace
-        self.inbox: Inbox[SubrequestResult] = Inbox()
+        self.inbox: Inbox[SubrequestResult | _BoxStops] = Inbox()
         self.sent_by_nonce: dict[int, _SentSubrequest] = {}
         self.max_queue_delay_s = 0.0
         self.shed = False
@@ -149,6 +153,11 @@
         """Return the size of each concurrency window by group and service."""
         return self._admission.sizes()
 
+    def stop(self) -> None:
+        """End all queries with what they have, because this box stops."""
+        for running in self._running_by_id.values():
+            running.inbox.put(_BoxStops())
+
     async def run(
         self, group: str, service: ServiceSpec, policy: Policy, query: str
     ) -> QueryResult:
@@ -215,7 +224,10 @@
             now = steady_now()
             commands = []
             for event in events:
-                commands += gather.handle_result(event, now)
+                if isinstance(event, _BoxStops):
+                    commands += gather.stop(now)
+                else:
+                    commands += gather.handle_result(event, now)
             commands += gather.tick(now)
 
     def _apply(
--- a/trackwheel/gathering/gather.py
+++ b/trackwheel/gathering/gather.py
@@ -35,9 +35,9 @@
 from trackwheel.gathering.shards import ShardTracker
 from trackwheel.relay.causes import Cause
 from trackwheel.relay.models import Outcome, Part, SendPermission, TargetResult
-from trackwheel.relay.stop_deadline import STOPPING
 from trackwheel.selection.budget import RetryBudget
 from trackwheel.selection.target_selector import TargetSelector
+from trackwheel.stop_deadline import STOPPING
 
 CRASHES_TARGETS: Final = "targets end under it"
 """Failure reason of a quarantined query."""
--- a/trackwheel/relay/const.py
+++ b/trackwheel/relay/const.py
@@ -12,10 +12,6 @@
 FINAL_MARGIN_S: Final = 0.02
 """Margin between the last possible answer and the client's deadline."""
 
-TARGET_ANSWER_MARGIN_S: Final = 0.05
-"""Margin between the last useful answer of a target and the last answer of a stopping box: the way
-from the farthest target and the time to write the answer."""
-
 RETRY_AFTER_S: Final = 0.2
 """Retry-After of a refusal where nothing better is known."""
 
--- a/trackwheel/relay/service.py
+++ b/trackwheel/relay/service.py
@@ -35,13 +35,13 @@
 from trackwheel.relay.runs import GatherRun, GatherTask, SingleRun
 from trackwheel.relay.single import Single, SingleAnswered, SingleFailed, SinglePlan
 from trackwheel.relay.startup_queue import StartupQueue
-from trackwheel.relay.stop_deadline import NO_STOP, STOPPING, StopDeadline
 from trackwheel.relay.timer import Timer
 from trackwheel.relay.transport import TargetTransport
 from trackwheel.routing.models import Route, RouteTable
 from trackwheel.routing.table import WeightedRoundRobin, find_route
 from trackwheel.selection.budget import RetryBudget
 from trackwheel.selection.target_selector import TargetSelector
+from trackwheel.stop_deadline import NO_STOP, STOPPING, StopDeadline
 from trackwheel.telemetry.events import EventLog
 from trackwheel.telemetry.figures import Figures
 from trackwheel.units import MILLISECONDS
--- a/trackwheel/relay/single.py
+++ b/trackwheel/relay/single.py
@@ -10,10 +10,10 @@
 from trackwheel.http1.models import Response
 from trackwheel.relay.causes import Cause
 from trackwheel.relay.models import OPEN_GATE, Outcome, RouteKey, SendGate, Target, TargetResult
-from trackwheel.relay.stop_deadline import NO_STOP, STOPPING, StopDeadline
 from trackwheel.selection.attempts import NEVER, Attempts, Refusal, hedge_time
 from trackwheel.selection.budget import RetryBudget
 from trackwheel.selection.target_selector import Candidate, TargetSelector
+from trackwheel.stop_deadline import NO_STOP, STOPPING, StopDeadline
 
 
 class SinglePlan(NamedTuple):
--- a/trackwheel/relay/transport.py
+++ b/trackwheel/relay/transport.py
@@ -16,8 +16,8 @@
     TargetResult,
     Wire,
 )
-from trackwheel.relay.stop_deadline import NO_STOP, StopDeadline
 from trackwheel.selection.target_selector import TargetAvailability, TargetSelector
+from trackwheel.stop_deadline import NO_STOP, StopDeadline
 from trackwheel.telemetry.events import EventLog
 from trackwheel.units import MILLISECONDS
 
--- a/trackwheel/relay/stop_deadline.py
+++ b/trackwheel/stop_deadline.py
@@ -2,8 +2,10 @@
 
 from typing import Final
 
-from trackwheel.relay.const import RETRY_AFTER_S, TARGET_ANSWER_MARGIN_S
-
+TARGET_ANSWER_MARGIN_S: Final = 0.05
+"""Margin between the last useful answer of a target and the last answer of a stopping box: the way
+from the farthest target and the time to write the answer."""
+MIN_RETRY_AFTER_S: Final = 0.2
 STOPPING: Final = "this box is stopping"
 """Failure reason of a request that a stopping box cannot finish."""
 
@@ -31,6 +33,10 @@
         """Return whether no request can be served any more."""
         return now >= self._at
 
+    def left_s(self, now: float) -> float:
+        """Return the time until the last answer (seconds)."""
+        return self._at - now
+
     def leaves_time(self, needed_s: float, now: float) -> bool:
         """Return whether a target's answer that takes `needed_s` arrives in time."""
         return now + needed_s <= self.target_deadline
@@ -42,7 +48,7 @@
 
     def retry_after_s(self, now: float) -> float:
         """Return when a refused client may return: this box no longer takes its connection then."""
-        return max(RETRY_AFTER_S, self._at - now)
+        return max(MIN_RETRY_AFTER_S, self._at - now)
 
 
 NO_STOP: Final = StopDeadline()
