Count the grace time of a box that is stopped while it starts from its signal

What callers saw: nothing measured; found on the path of a box that is stopped before it has its first configuration. Signals are blocked until the box listens. The platform counts the grace time from the signal and kills at its end; the box counted it from the end of its start, up to a second later on the users' machines, and would be killed with requests in flight.

Cause: the moment of a blocked signal is not known, and the one of its delivery was taken for it.

Change: where a stop signal is pending at the end of the start, the grace time counts from the start of the blocking, the earliest moment at which it can have come. The drain then ends at most that much too early, for a box that had few clients yet.

--- a/tests/entry/test_run.py
+++ b/tests/entry/test_run.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from trackwheel.clock import steady_now
 from trackwheel.entry import run
 
 
@@ -56,6 +57,28 @@
     )
 
 
+def run_drain(box: Any, server: Any, stopped_s_ago: float) -> float:
+    """Return how long a drain takes whose signal came a while ago (seconds)."""
+
+    async def scenario() -> None:
+        asyncio.get_running_loop().call_later(0.35, box.clients.connections.discard, "busy")
+        await run._drain(box, server, steady_now() - stopped_s_ago)
+
+    started_at = time.monotonic()
+    asyncio.run(scenario())
+    return time.monotonic() - started_at
+
+
+def test_grace_period_counts_from_a_signal_that_came_while_the_box_started(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The platform killed a box that was stopped during its start before it had answered."""
+    monkeypatch.setattr(run, "MIN_CLIENT_DRAIN_S", 0.0)
+    clients = FakeClients()
+    clients.connections.add("for-ever")
+    assert run_drain(make_box(clients, 1.0), FakeServer(clients, None), 0.5) < 0.5
+
+
 @pytest.mark.parametrize(
     ("open_connection", "late_connection", "min_s", "max_s"),
     [
@@ -78,11 +101,5 @@
     if open_connection is not None:
         clients.connections.add(open_connection)
 
-    async def scenario() -> None:
-        asyncio.get_running_loop().call_later(0.35, clients.connections.discard, "busy")
-        server: Any = FakeServer(clients, late_connection)
-        await run._drain(make_box(clients, 1.0), server)
-
-    started_at = time.monotonic()
-    asyncio.run(scenario())
-    assert min_s <= time.monotonic() - started_at <= max_s
+    took_s = run_drain(make_box(clients, 1.0), FakeServer(clients, late_connection), 0.0)
+    assert min_s <= took_s <= max_s
--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -1114,8 +1114,8 @@
         ENTRY + "test_planned_stop_finishes_requests_in_flight",
         Mutant(
             "trackwheel/entry/run.py",
-            "            await _drain(box, client_server)\n",
-            "        await _drain(box, client_server)\n",
+            "            await _drain(box, client_server, earliest_stop or steady_now())\n",
+            "        await _drain(box, client_server, earliest_stop or steady_now())\n",
         ),
     ),
     Row(
@@ -1219,6 +1219,18 @@
             "            pass\n",
         ),
     ),
+    Row(
+        PLATFORM,
+        STOP,
+        "a stop signal comes while a box starts",
+        "tests/entry/test_run.py::"
+        "test_grace_period_counts_from_a_signal_that_came_while_the_box_started",
+        Mutant(
+            "trackwheel/entry/run.py",
+            "    answer_by = stopped_at + box",
+            "    answer_by = steady_now() + box",
+        ),
+    ),
     Row(
         PLATFORM,
         STOP,
--- a/trackwheel/cli.py
+++ b/trackwheel/cli.py
@@ -103,13 +103,14 @@
 
 
 def _entry(arguments: Arguments) -> int:
+    from trackwheel.clock import steady_now  # noqa: PLC0415
     from trackwheel.entry.run import run_entry  # noqa: PLC0415
     from trackwheel.platform.settings import SETTINGS_VARIABLE  # noqa: PLC0415
 
     path = arguments["SETTINGS"] or os.environ.get(SETTINGS_VARIABLE)
     if path is None:
         raise CommandError(f"no settings; name a file or set {SETTINGS_VARIABLE}")
-    run_entry(Path(path))
+    run_entry(Path(path), steady_now())
     return EXIT_DONE
 
 
--- a/trackwheel/entry/run.py
+++ b/trackwheel/entry/run.py
@@ -22,15 +22,18 @@
     STOP_POLL_PERIOD_S,
     SUMMARY_PERIOD_S,
 )
-from trackwheel.entry.signals import SIGNALS, unblock_signals
+from trackwheel.entry.signals import SIGNALS, is_stop_pending, unblock_signals
 from trackwheel.garbage import tune_garbage_collection
 from trackwheel.http1.server import ServerConnection, ServerState
 from trackwheel.platform.settings import read_settings
 from trackwheel.relay.const import RETRY_AFTER_S
 
 
-async def run_entry_box(path: Path) -> None:
-    """Run a box until a stop signal arrives, then drain it."""
+async def run_entry_box(path: Path, signals_blocked_at: float) -> None:
+    """Run a box until a stop signal arrives, then drain it.
+
+    Signals have been blocked since `signals_blocked_at` (monotonic seconds).
+    """
     box = EntryBox(read_settings(path))
     async with anyio.create_task_group() as tasks:
         await tasks.start(box.hub.run)
@@ -44,9 +47,11 @@
         box.log.write("started", boot=box.hub.identity.boot, domain=box.settings.place[1])
         # The handlers stay installed until the end: by default SIGHUP would terminate the process.
         with anyio.open_signal_receiver(*SIGNALS) as signals:
+            # The platform counts the grace period from when it sent the signal.
+            earliest_stop = signals_blocked_at if is_stop_pending() else None
             unblock_signals()
             await _wait_for_stop_signal(box, path, signals)
-            await _drain(box, client_server)
+            await _drain(box, client_server, earliest_stop or steady_now())
         tasks.cancel_scope.cancel()
     box.log.write("stopped")
 
@@ -99,18 +104,18 @@
         box.log.write("reload", path=str(path))
 
 
-async def _drain(box: EntryBox, client_server: asyncio.Server) -> None:
+async def _drain(box: EntryBox, client_server: asyncio.Server, stopped_at: float) -> None:
     """Serve clients until all have disconnected or the grace period ends; answer each request.
 
     New connections are accepted until none is open and nothing is in flight; then the listening
-    socket is closed, and connections accepted just before are served as well.
+    socket is closed, and connections accepted just before are served as well. The grace period runs
+    from `stopped_at` (monotonic seconds).
     """
-    started_at = steady_now()
-    answer_by = started_at + box.settings.grace_s - ANSWER_MARGIN_S
+    answer_by = stopped_at + box.settings.grace_s - ANSWER_MARGIN_S
     box.stop(answer_by)
     while (left_s := answer_by - steady_now()) > 0.0:
         await anyio.sleep(min(STOP_POLL_PERIOD_S, left_s))
-        if steady_now() - started_at <= MIN_CLIENT_DRAIN_S:
+        if steady_now() - stopped_at <= MIN_CLIENT_DRAIN_S:
             continue
         # A later request on an idle keep-alive connection could exceed the grace period.
         box.clients.close_idle()
@@ -120,13 +125,13 @@
             break
         client_server.close()
     else:
-        await _end_requests(box, client_server, started_at + box.settings.grace_s - STOP_MARGIN_S)
+        await _end_requests(box, client_server, stopped_at + box.settings.grace_s - STOP_MARGIN_S)
     box.clients.refuse_unread(RETRY_AFTER_S)
     box.clients.close_idle()
     await anyio.sleep(CLOSE_WAIT_S)
     box.log.write(
         "drained",
-        took_s=round(steady_now() - started_at, 2),
+        took_s=round(steady_now() - stopped_at, 2),
         unanswered=box.clients.busy,
         groups=len(box.inbound_groups),
     )
@@ -142,7 +147,7 @@
         await anyio.sleep(LAST_ACCEPT_S)
 
 
-def run_entry(path: Path) -> None:
-    """Run a box on the platform in the current process."""
+def run_entry(path: Path, signals_blocked_at: float) -> None:
+    """Run a box on the platform in the current process, which has blocked its signals."""
     tune_garbage_collection()
-    anyio.run(run_entry_box, path, backend_options={"use_uvloop": True})
+    anyio.run(run_entry_box, path, signals_blocked_at, backend_options={"use_uvloop": True})
--- a/trackwheel/entry/signals.py
+++ b/trackwheel/entry/signals.py
@@ -3,7 +3,8 @@
 import signal
 from typing import Final
 
-SIGNALS: Final = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+STOP_SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
+SIGNALS: Final = (*STOP_SIGNALS, signal.SIGHUP)
 """Signals whose default action terminates the process, with requests in flight."""
 
 
@@ -12,6 +13,11 @@
     signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
 
 
+def is_stop_pending() -> bool:
+    """Return whether a stop signal has arrived while signals were blocked."""
+    return not signal.sigpending().isdisjoint(STOP_SIGNALS)
+
+
 def unblock_signals() -> None:
     """Unblock signals; pending ones are delivered at once."""
     signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
