--- a/soak/const.py
+++ b/soak/const.py
@@ -20,6 +20,8 @@
 LONGEST_FAULT_S: Final = 3.0
 SET_BACK_SHARE: Final = 0.6
 """Part of the runs in which the store comes back from a copy once."""
+STOP_MANY_SHARE: Final = 0.6
+"""Part of the runs in which more than half of the boxes are stopped at once."""
 WRITTEN_AGAIN_S: Final = 0.4
 """How long after that the operator and the targets write again what it lacks."""
 SETTLE_S: Final = 6.0
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -143,6 +143,8 @@
             await self._let_leave(fault.subject)
         elif fault.kind is Kind.ROUTES:
             self.change_routes()
+        elif fault.kind is Kind.STOP_MANY:
+            await self._stop_many(fault)
         else:
             await self._disturb_target(fault)
 
@@ -161,6 +163,12 @@
             await asyncio.sleep(fault.for_s)
             await self._restart(place)
 
+    async def _stop_many(self, fault: Fault) -> None:
+        """Stop more than half of the boxes at once: all then get new connections to their end."""
+        names = [place.name for place in self.boxes][: len(self.boxes) // 2 + 1]
+        stops = [fault._replace(kind=Kind.BOX_STOP, subject=name) for name in names]
+        await asyncio.gather(*map(self._disturb, stops))
+
     async def _restart(self, place: EntryPlace) -> None:
         self.start(place)
         await asyncio.to_thread(self.wait_ready, place)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -12,6 +12,7 @@
     SET_BACK_SHARE,
     SETTLE_S,
     SHORTEST_FAULT_S,
+    STOP_MANY_SHARE,
 )
 
 
@@ -36,6 +37,7 @@
     TARGET_SLOW = "target-slow"
     TARGET_LEAVES = "target-leaves"
     ROUTES = "routes"
+    STOP_MANY = "stop-many"
 
 
 OF_BOX: Final = (Kind.BOX_KILL, Kind.BOX_STOP, Kind.BOX_FREEZE, Kind.BOX_RELOAD)
@@ -67,7 +69,8 @@
     random = Random(seed)
     last = max(FIRST_FAULT_S, seconds - SETTLE_S - LONGEST_FAULT_S)
     faults: list[Fault] = []
-    kinds = [kind for kind in Kind if kind is not Kind.STORE_SET_BACK]
+    once = (Kind.STORE_SET_BACK, Kind.STOP_MANY)
+    kinds = [kind for kind in Kind if kind not in once]
     for _ in range(int(FAULTS_PER_S * seconds)):
         kind = random.choice(kinds)
         subject = ""
@@ -83,4 +86,7 @@
         at = random.uniform(FIRST_FAULT_S, last)
         lost_s = random.uniform(SHORTEST_FAULT_S, LONGEST_FAULT_S)
         faults.append(Fault(at, lost_s, Kind.STORE_SET_BACK, ""))
+    if random.random() < STOP_MANY_SHARE:
+        at = random.uniform(FIRST_FAULT_S, last)
+        faults.append(Fault(at, SHORTEST_FAULT_S, Kind.STOP_MANY, ""))
     return sorted(faults)
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -1,4 +1,7 @@
-"""Seeds of the soak against real boxes: with requests that end targets, with a store set back."""
+"""Seeds of the soak against real boxes.
+
+With requests that end targets, with a store set back, with more than half of the boxes stopped.
+"""
 
 from pathlib import Path
 
--- a/tests/whole/test_stopping_box.py
+++ b/tests/whole/test_stopping_box.py
@@ -11,6 +11,7 @@
 import pytest
 
 from standins.entry_fleet import EntryFleet, EntryPlace
+from trackwheel.units import MILLISECONDS
 
 GRACE_S: Final = 4.0
 """Grace time of a box of the fleet."""
@@ -99,6 +100,14 @@
     assert fleet.wait_exit(box, 5.0) == 0
     runs = {run for target in fleet.target_by_instance.values() for run in target.runs}
     assert [sent for sent in results if sent.status == CUT_OFF and sent.request_id in runs] == []
+    told_to_end = [
+        run_at + int(headers["x-deadline-ms"]) / MILLISECONDS - stopped_at
+        for target in fleet.target_by_instance.values()
+        for run_at, headers in zip(target.run_times, target.headers_by_run, strict=True)
+        if run_at > stopped_at
+    ]
+    # Targets are told to answer while the box can still pass it on.
+    assert max(told_to_end) < GRACE_S
     # What fits into the time left is served.
     assert {sent.status for sent in results if sent.after_s < LAST_SURE_S} == {200}
     # What does not fit is refused at once, truthfully, with the time to come back.
--- a/trackwheel/relay/transport.py
+++ b/trackwheel/relay/transport.py
@@ -128,8 +128,10 @@
         self.sent_by_reason[attempt.reason, distance] += 1
 
         def build() -> Request:
-            deadline = min(request.deadline, self._stop.target_deadline)
-            bounded = request._replace(deadline=deadline)
+            bounded = request
+            if self._stop.is_set:
+                deadline = min(request.deadline, self._stop.target_deadline)
+                bounded = request._replace(deadline=deadline)
             return self._wire.target_request(bounded, target.instance, self._clock())
 
         def check(answer: Response) -> str:
--- a/trackwheel/selection/target_selector.py
+++ b/trackwheel/selection/target_selector.py
@@ -313,10 +313,15 @@
         cost_s = expected_s + (failure_cost + distance_cost) * route.aim_s
         cost_s *= 1.0 + self._random.random() * COST_JITTER
         last_resort = target.presumed_gone or record.is_last_resort(now)
-        usual_s = self._usual_s(target, route)
-        high_s = self.high_s(route, self.is_far(target))
+        times = self._response_times.get(route.name, self.is_far(target), route.aim_s)
         return Candidate(
-            target, usual_s, high_s, expected_s, cost_s, last_resort, record.backoff_until
+            target,
+            times.usual_s,
+            times.high_s,
+            expected_s,
+            cost_s,
+            last_resort,
+            record.backoff_until,
         )
 
     def _expected_s(
