Refuse only a half-read request that no other one precedes; word three comments

Found in reading the change: at the end of a stop, a half-read request behind one that was still in progress would have closed the connection under the latter without an answer.

--- a/trackwheel/http1/server.py
+++ b/trackwheel/http1/server.py
@@ -244,7 +244,7 @@
         transport = self._transport
         if transport is None or transport.is_closing():
             return
-        # The client may not repeat what it sent before it learns that the connection closes.
+        # After a close, the client of a pipelined request could not tell whether it has run.
         keep_alive = keep_alive and (not self._state.stopping or bool(self._pipelined))
         transport.write(encode_response(response, head_only, keep_alive))
         if not keep_alive:
@@ -262,7 +262,7 @@
 
     def refuse_unread(self, retry_after_s: float) -> None:
         """Refuse a request of which only a part has been read."""
-        if self._in_message:
+        if self._in_message and self._current is None:
             retry_after = (b"retry-after", b"%.2f" % retry_after_s)
             self._reject(HTTPStatus.SERVICE_UNAVAILABLE, (retry_after,))
 
--- a/trackwheel/stop_deadline.py
+++ b/trackwheel/stop_deadline.py
@@ -6,6 +6,7 @@
 """Margin between the last useful answer of a target and the last answer of a stopping box: the way
 from the farthest target and the time to write the answer."""
 MIN_RETRY_AFTER_S: Final = 0.2
+"""Shortest Retry-After of a stopping box."""
 STOPPING: Final = "this box is stopping"
 """Failure reason of a request that a stopping box cannot finish."""
 
