Count what a leaving box has forwarded to another one as in flight

What callers saw: a request that may run only once, sent to a leaving box with an id that another box had issued, was cut off some 2 s after SIGTERM, while its target worked for 3 s and the drain time was 30 s.

Cause: the drain waits while the box is busy, and counted queries, requests of its own ids and work at its targets, but not the requests whose issuer has yet to respond.

The issuer's side was right: it counts what is forwarded to it as running.

--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -454,6 +454,13 @@
         BOXES + "test_planned_stop_answers_what_its_drain_time_is_too_short_for",
         Mutant("trackwheel/app.py", "    box.end_requests()\n", "    pass\n"),
     ),
+    Row(
+        LOAD,
+        STOP,
+        "a leaving box waits for the box that issued a request's id",
+        BOXES + "test_planned_stop_awaits_the_box_that_a_request_was_forwarded_to",
+        Mutant("trackwheel/app.py", "            or self.forwarder.waiting\n", ""),
+    ),
     Row(
         LOAD,
         STOP,
--- a/tests/whole/test_box_faults.py
+++ b/tests/whole/test_box_faults.py
@@ -9,7 +9,7 @@
 import pytest
 
 from bench.load import Callers, Results, run_queries
-from bench.once import OnceReport, run_once_stream
+from bench.once import OnceReport, run_once_stream, send_once, take_ids
 from standins.file_maker import ServiceShape
 from standins.fleet import BoxPlace, SmallFleet, wait_until
 from tests.conftest import PLACES, write_file
@@ -168,6 +168,33 @@
         assert process.wait(timeout=10) == 0, fleet.log(leaving.box_id)
 
 
+def test_planned_stop_awaits_the_box_that_a_request_was_forwarded_to(tmp_path: Path) -> None:
+    """A leaving box did not count what it had forwarded to the box of its id, and cut it off."""
+    path = write_file(tmp_path, [ServiceShape(SERVICE, 6, 2, deadline="6s", wait="6s")])
+    with SmallFleet(PLACES, [path]) as fleet:
+        assert fleet.apply(path)["outcome"] == "accepted"
+        for replicas in target_addresses(fleet):
+            for address in replicas:
+                fleet.control(address, service_s=3.0)
+        leaving, issuer = fleet.boxes[:2]
+        report = OnceReport()
+
+        async def main() -> None:
+            callers = Callers([issuer.callers])
+            (request_id,) = await take_ids(callers, 1)
+            callers.set_addresses([leaving.callers])
+            fleet.signal_box(leaving, signal.SIGTERM)
+            # By then the targets have other owners, so that only the forward is in flight here.
+            await asyncio.sleep(0.7)
+            await send_once(callers, SERVICE, request_id, "pallet", report, repeats=1)
+            await callers.close()
+
+        asyncio.run(main())
+        assert list(report.last_told_by_id.values()) == ["done"]
+        process = fleet.process_by_name[leaving.box_id]
+        assert process.wait(timeout=10) == 0, fleet.log(leaving.box_id)
+
+
 def send_once_requests(
     fleet: SmallFleet, count: int, rate: float, disturb: Callable[[Callers], Awaitable[None]]
 ) -> OnceReport:
--- a/trackwheel/app.py
+++ b/trackwheel/app.py
@@ -163,7 +163,12 @@
 
     def busy(self) -> bool:
         """Return whether anything is in flight here."""
-        return bool(self.queries.running or self.once.running or self.dispatch.busy)
+        return bool(
+            self.queries.running
+            or self.once.running
+            or self.forwarder.waiting
+            or self.dispatch.busy
+        )
 
     def stop(self, answer_by: float) -> None:
         """Leave the fleet; requests end by `answer_by` (monotonic seconds)."""
--- a/trackwheel/gateway/forwarding.py
+++ b/trackwheel/gateway/forwarding.py
@@ -58,6 +58,11 @@
         hub.register(Forwarded, self._handle_forwarded)
         hub.on_link_lost(self._link_lost)
 
+    @property
+    def waiting(self) -> int:
+        """Return the number of forwarded requests that await a response."""
+        return len(self._pending_by_id)
+
     def issued_elsewhere(self, request_id: str) -> bool:
         """Return whether an id was issued by another boot than that of this box."""
         parsed = parse_id(request_id)
