Name a box's boot in the ids of the groups that it delegates

What callers saw: after a loss of power a client got 200 with the signatures of targets that had answered another request.

Cause: a box numbered the groups of shards that it delegates from 0 in each boot, and took a peer's messages about them by number and address. The peer's link to the earlier boot outlives a loss of power; when the next boot opens its own link first, the peer never loses its last link to the address and goes on with the earlier groups. Their parts reach the next boot and are taken for the group that has the same number there.

Change: the id of a group names the boot. Why it works: a message about a group of another boot has an id that this boot has given to none.

Test: test_parts_for_an_earlier_boot_of_a_box_are_not_used, fails on the parent.

--- a/tests/delegation/test_group_forward.py
+++ b/tests/delegation/test_group_forward.py
@@ -23,20 +23,8 @@
 CODEC = Codec(RELAY_MESSAGES)
 
 
-class SendingHub(FakeHub):
-    """Records what is sent."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.sent: list[Any] = []
-
-    def send(self, address: str, message: object) -> bool:
-        self.sent.append(message)
-        return True
-
-
 def forward(caller: CallerRequest, selector: TargetSelector, budget: RetryBudget) -> GroupForward:
-    hub = SendingHub()
+    hub = FakeHub()
     log: Any = SimpleNamespace(write=lambda kind, **fields: None)
     groups = OutboundGroups(hub, WIRE, log)  # type: ignore[arg-type]
     route = ROUTE._replace(homes=frozenset({"here"}))
--- a/tests/delegation/test_inbound_groups.py
+++ b/tests/delegation/test_inbound_groups.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from tests.delegation.test_group_forward import SendingHub
+from tests.delegation.test_outbound_groups import FakeHub
 from tests.relay.conftest import ROUTE, target_result
 from trackwheel.clock import steady_now
 from trackwheel.delegation.inbound_groups import InboundGroups
@@ -71,7 +71,7 @@
     """A box that gathers groups for peers, and what it has sent to them."""
 
     def __init__(self, selector: TargetSelector, budget: RetryBudget) -> None:
-        self.hub = SendingHub()
+        self.hub = FakeHub()
         self.transport = FakeTransport()
         self.stop = StopDeadline()
         hub: Any = self.hub
--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -83,6 +83,7 @@
 STOPPING = "tests/relay/test_stopping.py::"
 EXECUTIONS = "tests/gateway/test_stopping.py::"
 INBOUND = "tests/delegation/test_inbound_groups.py::"
+OUTBOUND = "tests/delegation/test_outbound_groups.py::"
 
 SERVED = "a request with time left is not given up for what passes soon"
 CAUSES = "each request that is not served names its cause"
@@ -1639,6 +1640,17 @@
         READINGS + "test_box_that_lost_a_change_for_any_reason_is_told_everything",
         Mutant("trackwheel/directory/service.py", "self._divergence.record_mismatch(now)", "False"),
     ),
+    Row(
+        PLATFORM,
+        OWN,
+        "a box restarts while a peer gathers shards for it",
+        OUTBOUND + "test_parts_for_an_earlier_boot_of_a_box_are_not_used",
+        Mutant(
+            "trackwheel/delegation/outbound_groups.py",
+            'f"{self._hub.identity.boot}-{next(self._numbers)}"',
+            "str(next(self._numbers))",
+        ),
+    ),
     Row(
         PLATFORM,
         IN_TIME,
--- a/trackwheel/delegation/outbound_groups.py
+++ b/trackwheel/delegation/outbound_groups.py
@@ -74,7 +74,8 @@
     def send_group(self, run: GatherRun, command: SendGroup) -> None:
         """Send a group to its peer."""
         now = steady_now()
-        group_id = str(next(self._numbers))
+        # A peer may still report groups of an earlier boot of this box, at the same address.
+        group_id = f"{self._hub.identity.boot}-{next(self._numbers)}"
         self._group_by_id[group_id] = _OutboundGroup(run, command, now)
         self._hub.send(
             command.group.address, self._forward_message(group_id, run.task, command, now)
