Number asks for tokens so that no answer to an earlier boot counts

What callers saw: nothing that is known. A grant or gift to an earlier boot was taken for the answer to a later ask, and its tokens were used until the lease of that ask ended, which is later than their own: a group could get more than its limit for a moment.

The answer to an earlier boot then has a number that is not waited for.

Test: tests/limits/test_boots.py, both tests fail on the parent.

--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -1651,6 +1651,20 @@
             "str(next(self._numbers))",
         ),
     ),
+    Row(
+        PLATFORM,
+        LIMITED,
+        "a box restarts while a grant of tokens is on its way to it",
+        "tests/limits/test_boots.py::test_grant_to_an_earlier_boot_of_a_box_is_not_used",
+        Mutant("trackwheel/limits/entry_limiter.py", "self._ask_ids = seed", "self._ask_ids = 0"),
+    ),
+    Row(
+        PLATFORM,
+        LIMITED,
+        "a counting box restarts while a gift is on its way to it",
+        "tests/limits/test_boots.py::test_gift_to_an_earlier_boot_of_a_counting_box_is_not_used",
+        Mutant("trackwheel/limits/counting_box.py", "self._ask_ids = life", "self._ask_ids = 0"),
+    ),
     Row(
         PLATFORM,
         IN_TIME,
--- a/trackwheel/limits/counting_box.py
+++ b/trackwheel/limits/counting_box.py
@@ -32,7 +32,8 @@
 class CountingBox:
     """Decides on asks for tokens; every box has one, used while others delegate to it.
 
-    `life` differs between two lives of a box, so that no stamp of an earlier one counts.
+    `life` differs between two lives of a box, so that no stamp of an earlier one counts, and no
+    gift to it: asks are numbered from it.
     """
 
     def __init__(self, life: int, window_s: float, domains: int, now: float) -> None:
@@ -44,7 +45,7 @@
         self._budget_by_group: Mapping[str, LimitBudget] = {}
         self._bucket_by_group: dict[str, Bucket] = {}
         self._others: tuple[str, ...] = ()
-        self._ask_ids = 0
+        self._ask_ids = life
         self._refused_at_by_group: dict[str, float] = {}
         self._waiting_groups: set[str] = set()
 
--- a/trackwheel/limits/entry_limiter.py
+++ b/trackwheel/limits/entry_limiter.py
@@ -45,7 +45,11 @@
 
 
 class EntryLimiter:
-    """Decides on the requests of groups with a limit that arrive at one box."""
+    """Decides on the requests of groups with a limit that arrive at one box.
+
+    `seed` differs between two boots of a box: asks are numbered from it, so that no grant to an
+    earlier boot counts.
+    """
 
     def __init__(self, window_s: float, seed: int) -> None:
         self._window_s = window_s
@@ -55,7 +59,7 @@
         self._asking: set[str] = set()
         self._counters: tuple[str, ...] = ()
         self._silent_until_by_address: dict[str, float] = {}
-        self._ask_ids = 0
+        self._ask_ids = seed
 
     @property
     def next_wake(self) -> float:
