Send over the older of two links to a peer when the newer one ends

What callers saw: nothing that is known; other boxes take over from a peer that is not heard, and queries go around one that does not accept.

Cause: both boxes may open a link, and the links share one queue of messages. Each waiting sender replaced the event that tells of a new message, so that only the newer link was ever woken. When it ended, nothing woke the older one: messages to that peer were queued and not sent until the older link ended too.

Change: the queue knows its links. The newest one sends; when it ends, the one before it is woken and goes on. Waking all of them would not do: after a loss of power the oldest link leads to an earlier boot of the peer, and what is sent there is lost.

Test: test_message_is_sent_over_the_newest_link_that_is_left; "newer-ends" fails on the parent.

--- a/tests/peers/test_link.py
+++ b/tests/peers/test_link.py
@@ -1,9 +1,12 @@
 """Messages on a link: splitting into frames within the size limit."""
 
+from typing import Any
+
 import anyio
 import pytest
 from websockets.asyncio.client import connect
 from websockets.asyncio.server import ServerConnection, serve
+from websockets.exceptions import ConnectionClosedOK
 
 from trackwheel.dispatch.models import DISPATCH_MESSAGES, Outcome, SubAnswer
 from trackwheel.peers.codec import Codec, Message
@@ -84,3 +87,51 @@
 def test_oversized_message_does_not_close_the_link() -> None:
     messages = [answer(0, 10), answer(1, MAX_FRAME_BYTES), answer(2, 10)]
     assert anyio.run(send_over_link, messages, 2) == [0, 2]
+
+
+class FakeSocket:
+    """Counts the frames that are sent, until it is closed."""
+
+    def __init__(self) -> None:
+        self.sent = 0
+        self.closed = anyio.Event()
+
+    async def send(self, frame: bytes) -> None:
+        self.sent += 1
+
+    async def recv(self, decode: bool) -> bytes:
+        await self.closed.wait()
+        raise ConnectionClosedOK(None, None)
+
+
+@pytest.mark.parametrize(
+    ("ended", "sent"),
+    [
+        pytest.param(None, [0, 2], id="none-ends"),
+        pytest.param(0, [0, 2], id="older-ends"),
+        pytest.param(1, [1, 1], id="newer-ends"),
+    ],
+)
+def test_message_is_sent_over_the_newest_link_that_is_left(
+    ended: int | None, sent: list[int]
+) -> None:
+    """Messages stayed in the queue: after the newer of two links ended, the older sent nothing."""
+
+    async def scenario() -> list[int]:
+        outbox, sockets = Outbox(), [FakeSocket(), FakeSocket()]
+        async with anyio.create_task_group() as tasks:
+            socket: Any
+            for socket in sockets:
+                tasks.start_soon(run_link, socket, PEER, outbox, CODEC, RecordingReceiver())
+                await anyio.wait_all_tasks_blocked()
+            outbox.put(answer(0, 10))
+            await anyio.wait_all_tasks_blocked()
+            if ended is not None:
+                sockets[ended].closed.set()
+                await anyio.wait_all_tasks_blocked()
+            outbox.put(answer(1, 10))
+            await anyio.wait_all_tasks_blocked()
+            tasks.cancel_scope.cancel()
+        return [socket.sent for socket in sockets]
+
+    assert anyio.run(scenario) == sent
--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -1665,6 +1665,17 @@
         "tests/limits/test_boots.py::test_gift_to_an_earlier_boot_of_a_counting_box_is_not_used",
         Mutant("trackwheel/limits/counting_box.py", "self._ask_ids = life", "self._ask_ids = 0"),
     ),
+    Row(
+        FLEET,
+        MEMBERSHIP,
+        "one of two links to a peer ends",
+        "tests/peers/test_link.py::test_message_is_sent_over_the_newest_link_that_is_left",
+        Mutant(
+            "trackwheel/peers/link.py",
+            "            del self._wakeup_by_link[link]\n            self._wake_newest()\n",
+            "            pass\n",
+        ),
+    ),
     Row(
         PLATFORM,
         IN_TIME,
--- a/trackwheel/peers/link.py
+++ b/trackwheel/peers/link.py
@@ -1,6 +1,8 @@
 """A link to one peer: an outbox, and a reader and a writer task on one WebSocket."""
 
 from collections import deque
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import Protocol
 
 import anyio
@@ -29,11 +31,15 @@
 
 
 class Outbox:
-    """Bounded queue of messages to one peer, read in batches by its link."""
+    """Bounded queue of messages to one peer, read in batches by the newest link to it.
+
+    Both boxes may open a link, and a peer that has restarted opens another one while the one to its
+    earlier boot is not known to be broken.
+    """
 
     def __init__(self) -> None:
         self._queue: deque[Message] = deque()
-        self._not_empty = anyio.Event()
+        self._wakeup_by_link: dict[object, anyio.Event] = {}
         self.bytes_sent = 0
 
     def put(self, message: Message) -> bool:
@@ -41,7 +47,7 @@
         if len(self._queue) >= MAX_QUEUED_MESSAGES:
             return False
         self._queue.append(message)
-        self._not_empty.set()
+        self._wake_newest()
         return True
 
     def clear(self) -> int:
@@ -50,14 +56,33 @@
         self._queue.clear()
         return dropped
 
-    async def take(self) -> list[Message]:
-        """Wait for messages and return up to one frame's worth of them."""
-        while not self._queue:
-            self._not_empty = anyio.Event()
-            await self._not_empty.wait()
+    @contextmanager
+    def attached(self) -> Iterator[object]:
+        """Attach a link, which `take` identifies; an older link goes on when it is detached."""
+        link = object()
+        self._wakeup_by_link[link] = anyio.Event()
+        try:
+            yield link
+        finally:
+            del self._wakeup_by_link[link]
+            self._wake_newest()
+
+    async def take(self, link: object) -> list[Message]:
+        """Wait until there are messages for a link; return up to one frame's worth of them."""
+        while not self._queue or link is not self._newest_link():
+            wakeup = self._wakeup_by_link[link] = anyio.Event()
+            await wakeup.wait()
         count = min(len(self._queue), MAX_MESSAGES_PER_FRAME)
         return [self._queue.popleft() for _ in range(count)]
 
+    def _newest_link(self) -> object:
+        return next(reversed(self._wakeup_by_link), None)
+
+    def _wake_newest(self) -> None:
+        newest = self._newest_link()
+        if newest is not None:
+            self._wakeup_by_link[newest].set()
+
 
 def _encode_frames(codec: Codec, messages: list[Message]) -> list[bytes]:
     """Encode messages as frames; log and drop any that exceeds the frame limit."""
@@ -81,7 +106,7 @@
 
     async def write() -> None:
         while True:
-            for frame in _encode_frames(codec, await outbox.take()):
+            for frame in _encode_frames(codec, await outbox.take(link)):
                 outbox.bytes_sent += len(frame)
                 await socket.send(frame)
 
@@ -101,6 +126,7 @@
             await socket.close(CLOSE_CODE_INVALID_FRAME, "frame not understood")
         tasks.cancel_scope.cancel()
 
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(run_until_closed, "write")
-        tasks.start_soon(run_until_closed, "read")
+    with outbox.attached() as link:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(run_until_closed, "write")
+            tasks.start_soon(run_until_closed, "read")
