Refuse what waits for a connection to a target that is gone

What callers saw: requests that may run only once were run by targets up to 4 s after their entries had gone, where 3 s are allowed: at addresses that other services may have by then.

Cause: a request waits in the pool of its target while all connections are in use. The pool of a target that leaves refuses what waits. A target whose entry goes without notice is forgotten 1.5 s later; then only its idle connections were closed, and what waited was sent as others became free.

Change: what waits at a target that is forgotten is refused as not sent, and goes elsewhere if it can. Why it works: nothing is left in the pool that a free connection could take.

Test: test_waiting_request_is_not_sent_to_a_target_that_is_gone, fails on the parent.

--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -1676,6 +1676,17 @@
             "            pass\n",
         ),
     ),
+    Row(
+        PLATFORM,
+        LEAVING,
+        "an entry goes without notice while requests wait for a connection to its target",
+        "tests/relay/test_transport.py::test_waiting_request_is_not_sent_to_a_target_that_is_gone",
+        Mutant(
+            "trackwheel/relay/transport.py",
+            "            pool.refuse_waiting()\n            pool.close()\n",
+            "            pool.close()\n",
+        ),
+    ),
     Row(
         PLATFORM,
         IN_TIME,
--- a/trackwheel/relay/transport.py
+++ b/trackwheel/relay/transport.py
@@ -105,11 +105,15 @@
         self._members = max(1, members)
 
     def close_unknown(self, incarnations: set[Incarnation]) -> None:
-        """Close the idle connections to all other targets."""
+        """Close the idle connections to all other targets; requests that wait for one are refused.
+
+        They would be sent as connections become free, seconds after a target has gone.
+        """
         for incarnation in [
             known for known in self._pool_by_incarnation if known not in incarnations
         ]:
             pool = self._pool_by_incarnation[incarnation]
+            pool.refuse_waiting()
             pool.close()
             if pool.unused:
                 del self._pool_by_incarnation[incarnation]
