Ask another failure domain for targets when the own watcher's word is old

What callers saw: queries were sent to targets of a failure domain for up to 5 s after these had said that they leave (3 s are allowed), by a box that reached the store and all other boxes.

Cause: the box that reads the store for its domain was cut off from it and from the other domains. It notices when its watch times out, up to 2.8 s after the last answer, and says until then that it is in sync; the next box begins to read 2 s after that, or 4 s where a further box has lost the store.

Change: a watcher's word says how old its targets are. A box whose targets are older than the longest time between two answers of the store asks the watchers of the other domains in turn, ten times in the drain time, until the word of its own is fresh again. The first four boxes of a domain ask, and pass on what they learn but a configuration, which is large and known through gossip: a watcher would have links to all boxes otherwise. Why it works: those watchers know a change 0.6 s after it at the latest, and two of three of them may be silent. The order in which boxes begin to read the store stays as it was, and so does the number of calls in an outage. Shorter delays would take a slow store for a lost one, or make the calls of an outage grow with the fleet.

--- a/tests/directory/memory_fleet.py
+++ b/tests/directory/memory_fleet.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from trackwheel.clock import steady_now
+from trackwheel.directory.const import STORE_TIMEOUT_S
 from trackwheel.directory.models import (
     Evacuation,
     OperatorStateRead,
@@ -36,11 +37,16 @@
 
 
 class MemoryStore:
-    """Hold the operator's evacuations; some boxes may be unable to reach it."""
+    """Hold targets and the operator's evacuations; some boxes may be unable to reach it.
+
+    Calls of boxes in `rejected` fail at once, calls of those in `silent` when they time out.
+    """
 
     def __init__(self) -> None:
         self.revision = 2
         self.rejected: set[str] = set()
+        self.silent: set[str] = set()
+        self.entry_by_instance = {entry.instance: entry for entry in ENTRIES}
         self.evacuated: dict[str, int] = {}
         self._updates: list[Evacuation] = []
         self._changed = asyncio.Event()
@@ -56,6 +62,18 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def start_leaving(self, instance: str) -> None:
+        """Write that a target is leaving."""
+        self.revision += 1
+        entry = self.entry_by_instance[instance]
+        self.entry_by_instance[instance] = entry._replace(leaving=True, revision=self.revision)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def entries_after(self, revision: int) -> list[TargetEntry]:
+        """Return the entries written after a revision."""
+        return [entry for entry in self.entry_by_instance.values() if entry.revision > revision]
+
     def updates_after(self, revision: int) -> tuple[Evacuation, ...]:
         """Return the changes after a revision."""
         return tuple(update for update in self._updates if update.revision > revision)
@@ -75,14 +93,17 @@
         self._store = store
         self._address = address
 
-    @property
-    def _reachable(self) -> bool:
+    async def _is_answered(self) -> bool:
+        """Return whether the store answers a call that it has received."""
+        if self._address in self._store.silent:
+            await anyio.sleep(STORE_TIMEOUT_S)
+            return False
         return self._address not in self._store.rejected
 
     async def read_operator_state(
         self, copy: bool = False
     ) -> Result[OperatorStateRead, TrackwheelError]:
-        if not self._reachable:
+        if not await self._is_answered():
             return Failure(UNREACHABLE)
         updates = tuple(
             Evacuation(domain, True, revision) for domain, revision in self._store.evacuated.items()
@@ -97,23 +118,25 @@
     ) -> Result[OperatorStateRead, TrackwheelError]:
         if not self._store.updates_after(after):
             await self._store.wait(wait_s)
-        if not self._reachable:
+        if not await self._is_answered():
             return Failure(UNREACHABLE)
         updates = self._store.updates_after(after)
         return Success(OperatorStateRead(None, b"", self._store.revision, False, updates))
 
     async def read_targets(self, copy: bool = False) -> Result[TargetsRead, TrackwheelError]:
-        if not self._reachable:
+        if not await self._is_answered():
             return Failure(UNREACHABLE)
-        return Success(TargetsRead(None, ENTRIES, [], 1))
+        return Success(TargetsRead(None, self._store.entries_after(0), [], self._store.revision))
 
     async def watch_targets(
         self, after: int, wait_s: float
     ) -> Result[TargetsRead, TrackwheelError]:
-        await anyio.sleep(wait_s)
-        return (
-            Success(TargetsRead(after, [], [], after)) if self._reachable else Failure(UNREACHABLE)
-        )
+        if not self._store.entries_after(after):
+            await self._store.wait(wait_s)
+        if not await self._is_answered():
+            return Failure(UNREACHABLE)
+        entries = self._store.entries_after(after)
+        return Success(TargetsRead(after, entries, [], self._store.revision))
 
     def decode_routes(self, content: bytes) -> Result[RouteTable, TrackwheelError]:
         return decode_routes(content)
@@ -177,10 +200,14 @@
 
 
 class MemoryFleet:
-    """Boxes of several failure domains that share one store."""
+    """Boxes of several failure domains that share one store.
+
+    Boxes in `cut_off` reach those of their own failure domain only.
+    """
 
     def __init__(self, boxes: int, loss: float = 0.0) -> None:
         self.store = MemoryStore()
+        self.cut_off: set[str] = set()
         self.loss = loss
         self.random = random.Random(boxes)
         self.box_by_address: dict[str, MemoryBox] = {}
@@ -210,7 +237,8 @@
     def deliver(self, sender: PeerIdentity, address: str, message: Any) -> None:
         """Deliver a message to its box, if there is one."""
         box = self.box_by_address.get(address)
-        if box is not None:
+        is_cut = {sender.address, address} & self.cut_off
+        if box is not None and not (is_cut and box.domain != sender.failure_domain):
             box.hub.handler_by_type[type(message)](sender, message)
 
     async def run(self, tasks: anyio.abc.TaskGroup) -> None:
--- a/tests/directory/test_service.py
+++ b/tests/directory/test_service.py
@@ -1,6 +1,7 @@
 """What watchers send to their peers, and when a box reads the store or asks a peer."""
 
 import json
+import zlib
 from typing import Any
 
 import anyio
@@ -29,6 +30,7 @@
 
 OWN = PeerIdentity("box-1", "boot", "10.0.0.1:1", "here", "here-a")
 PEER = PeerIdentity("box-2", "boot", "10.0.0.2:1", "here", "here-a")
+FAR = PeerIdentity("box-9", "boot", "10.9.0.1:1", "there", "there-a")
 
 
 class FakeHub:
@@ -213,6 +215,31 @@
     assert DirectoryAsk(3, 6, True) in anyio.run(scenario)
 
 
+def test_box_with_old_targets_passes_on_targets_but_no_configuration() -> None:
+    """Load: the watcher is cut off; four boxes would send a large configuration to all others."""
+    drain_s = 0.2
+
+    async def scenario() -> list[Any]:
+        service, hub, _ = make_service(drain_s=drain_s, first=False)
+        service.set_peers([PEER.address], [PEER.address, "10.0.0.3:1"], [FAR.address])
+        service._receive_targets(PEER, TargetsPush(0, 6, [ENTRY], []))
+        await anyio.sleep(drain_s)
+        hub.sent.clear()
+        service._receive_targets(
+            FAR, TargetsPush(6, 7, [ENTRY._replace(leaving=True, revision=7)], [])
+        )
+        push = RoutesPush(7, zlib.compress(read(7).content))
+        service._receive_routes(FAR, push)
+        assert service.version == push.version
+        return hub.sent
+
+    sent = anyio.run(scenario)
+    assert [(address, type(message)) for address, message in sent] == [
+        (PEER.address, TargetsPush),
+        ("10.0.0.3:1", TargetsPush),
+    ]
+
+
 class ManyChanges(FakeSource):
     """Fail once, then return changes in several answers, as after an outage of the store."""
 
--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -1687,6 +1687,29 @@
             "            pool.close()\n",
         ),
     ),
+    Row(
+        PLATFORM,
+        LEAVING,
+        "the box that reads the store for a failure domain loses the store and the other domains",
+        "tests/directory/test_cut_off_watcher.py::"
+        "test_box_in_touch_learns_of_a_leaving_target_in_time",
+        Mutant(
+            "trackwheel/directory/service.py",
+            "address = self._remote_watchers.due(age_s, now)",
+            'address = ""',
+        ),
+    ),
+    Row(
+        PLATFORM,
+        LEAVING,
+        "two of three watchers of other failure domains do not answer",
+        "tests/directory/test_targets_age.py::test_two_of_three_remote_watchers_may_be_silent",
+        Mutant(
+            "trackwheel/directory/const.py",
+            "REMOTE_ASK_PERIOD_FRACTION: Final = 0.1",
+            "REMOTE_ASK_PERIOD_FRACTION: Final = 0.3",
+        ),
+    ),
     Row(
         PLATFORM,
         IN_TIME,
--- a/trackwheel/directory/const.py
+++ b/trackwheel/directory/const.py
@@ -65,6 +65,12 @@
 TARGETS_WATCH_PAUSE_FRACTION: Final = 0.2
 """Pause between two watches of the targets, as a fraction of the time in which a leaving target
 gets its last work; heartbeats end each watch within a second, and each call is paid for."""
+REMOTE_ASK_PERIOD_FRACTION: Final = 0.1
+"""How often a box whose targets are too old asks a watcher of another failure domain, as a fraction
+of the time in which a leaving target gets its last work: two of three may not answer."""
+REMOTE_ASKERS: Final = 4
+"""Boxes of a failure domain that ask watchers of other ones and pass on what they learn: all but
+one of them may be cut off, and the links of a watcher grow with the number of domains only."""
 COMPRESSION_LEVEL: Final = 1
 """Fastest level of zlib: a megabyte of routes would occupy a link of 10 Mbit/s for a second for
 each peer."""
--- a/trackwheel/directory/models.py
+++ b/trackwheel/directory/models.py
@@ -119,7 +119,8 @@
     that of a peer which the store answers and with which the sender has caught up, or empty. All
     evacuations are included: there are few, mostly none, and a lost push of them is made up for.
     `targets_digest` differs where two boxes at one revision hold different targets. `synced_ago_s`
-    is how long ago the beacon of that peer arrived (seconds).
+    is how long ago the beacon of that peer arrived (seconds), `targets_age_s` for how long changes
+    of targets may be unknown to the sender (seconds).
     """
 
     routes_version: int
@@ -128,6 +129,7 @@
     evacuations: list[Evacuation] = []
     targets_digest: int = 0
     synced_ago_s: float = 0.0
+    targets_age_s: float = 0.0
 
 
 class DirectoryAsk(NamedTuple):
--- a/trackwheel/directory/peer_notifier.py
+++ b/trackwheel/directory/peer_notifier.py
@@ -22,8 +22,9 @@
 class PeerNotifier:
     """Notify the boxes of the own failure domain and the watchers of the others.
 
-    `synced_via` returns the box through which this one is in sync, `beacon` builds the beacon, both
-    for a time (monotonic seconds).
+    `synced_via` returns the box through which this one is in sync, `beacon` builds the beacon,
+    `asks_elsewhere` returns whether this box asks other failure domains for changes; all for a time
+    (monotonic seconds).
     """
 
     def __init__(
@@ -33,12 +34,14 @@
         log: EventLog,
         synced_via: Callable[[float], str],
         beacon: Callable[[float], DirectoryBeacon],
+        asks_elsewhere: Callable[[float], bool],
     ) -> None:
         self._hub = hub
         self._election = election
         self._log = log
         self._synced_via = synced_via
         self._beacon = beacon
+        self._asks_elsewhere = asks_elsewhere
         self._domain_peers: tuple[str, ...] = ()
         self._remote_watchers: tuple[str, ...] = ()
         self._is_watching = False
@@ -60,8 +63,13 @@
         self._send(update, self._domain_peers)
 
     def forward(self, update: Update) -> None:
-        """Forward an update of another box while this one is a watcher."""
-        if self._election.should_watch(steady_now()):
+        """Forward an update of another box while this one is a watcher or asks elsewhere.
+
+        Only a watcher forwards a configuration: it is large, and gossip tells of it too.
+        """
+        now = steady_now()
+        is_large = isinstance(update, RoutesPush)
+        if self._election.should_watch(now) or (self._asks_elsewhere(now) and not is_large):
             self.broadcast(update)
 
     async def run(self) -> None:
--- a/trackwheel/directory/service.py
+++ b/trackwheel/directory/service.py
@@ -31,6 +31,7 @@
 from trackwheel.directory.store_reader import StoreReader
 from trackwheel.directory.sync_status import LagDetector, PeerSync, SyncPosition
 from trackwheel.directory.targets import TargetDirectory
+from trackwheel.directory.targets_age import RemoteWatcherRotation, TargetsAge
 from trackwheel.directory.watcher_election import WatcherElection
 from trackwheel.errors import Problem, TrackwheelError
 from trackwheel.peers.hub import Hub
@@ -64,8 +65,12 @@
         self._reader = StoreReader(source, targets, election, self, log, drain_s)
         self._lag = LagDetector(self._reader.targets_pause_s)
         self._peer_sync = PeerSync()
+        self._targets_age = TargetsAge(steady_now())
+        self._remote_watchers = RemoteWatcherRotation(self._own_address, drain_s)
         self._divergence = DivergenceDetector(2 * self._reader.targets_pause_s)
-        self._notifier = PeerNotifier(hub, election, log, self.synced_via, self._beacon)
+        self._notifier = PeerNotifier(
+            hub, election, log, self.synced_via, self._beacon, self._asks_remote_watchers
+        )
         self._on_routes: list[Callable[[RouteTable], None]] = []
         self._on_targets: list[Callable[[dict[str, tuple[Target, ...]]], None]] = []
         self.table: RouteTable | None = None
@@ -127,7 +132,9 @@
         Watchers of other domains read the store too; one that cannot asks for what it lacks.
         """
         self._election.set_predecessors(before)
-        self._notifier.set_peers(domain_peers, remote_watchers)
+        watchers = tuple(remote_watchers)
+        self._notifier.set_peers(domain_peers, watchers)
+        self._remote_watchers.set_peers(len(before), watchers)
 
     def peer_version(self, address: str, version: int) -> None:
         """Handle the version that a peer, often in another region, has in force.
@@ -146,6 +153,7 @@
             tasks.start_soon(self._reader.run)
             tasks.start_soon(self._notifier.run)
             tasks.start_soon(self._expire)
+            tasks.start_soon(self._ask_remote_watchers)
 
     def apply_operator_state(self, read: OperatorStateRead) -> int | None:
         """Apply a read or a change of the operator's keys.
@@ -170,11 +178,14 @@
     def apply_targets(self, read: TargetsRead) -> int:
         """Apply a read or changes of targets; return the revision from which to watch on."""
         before = self._targets.known_revision
-        changed = self._targets.apply(read, steady_now())
+        now = steady_now()
+        changed = self._targets.apply(read, now)
+        if not read.more:
+            self._targets_age.record_answer(now)
         if changed:
             self._targets_changed("store")
         if changed or self._targets.known_revision > before:
-            push = self._targets.changes_since(before, steady_now())
+            push = self._targets.changes_since(before, now)
             self._log_read(read, push)
             self._notifier.broadcast(push)
         return read.as_of
@@ -234,6 +245,7 @@
         before = self._targets.known_revision
         changed = self._targets.apply_push(push, steady_now())
         self._peer_sync.record_progress(self._position)
+        self._targets_age.record_progress(self._targets.known_revision)
         if changed:
             self._targets_changed(sender.box_id)
         if changed or self._targets.known_revision > before:
@@ -251,6 +263,9 @@
             self._peer_sync.record_peer(
                 sender.address, beacon.routes_version, beacon.targets_revision, now, self._position
             )
+        self._targets_age.record_peer(
+            beacon.targets_revision, now - beacon.targets_age_s, self._targets.known_revision
+        )
         self._compare(sender, beacon, now)
         behind = self._lag.should_ask(
             self._targets.known_revision, beacon.targets_revision, self.synced, now
@@ -338,6 +353,7 @@
             self._evacuations.latest,
             self._targets.digest.value,
             0.0 if synced_via == self._own_address else peer_age_s,
+            self._targets_age.age_s(now),
         )
 
     async def _expire(self) -> None:
@@ -346,3 +362,24 @@
             now = steady_now()
             if self._targets.next_expiry() <= now and self._targets.expire(now):
                 self._targets_changed("expiry")
+
+    def _asks_remote_watchers(self, now: float) -> bool:
+        """Return whether the targets known here are too old, so that this box asks for changes.
+
+        A box that has just started knows none yet, and would be sent all.
+        """
+        return self._targets.known_revision > 0 and self._remote_watchers.asks(
+            self._targets_age.age_s(now)
+        )
+
+    async def _ask_remote_watchers(self) -> None:
+        while True:
+            await anyio.sleep(POLL_PERIOD_S)
+            now = steady_now()
+            if not self._asks_remote_watchers(now):
+                continue
+            age_s = self._targets_age.age_s(now)
+            address = self._remote_watchers.due(age_s, now)
+            if address:
+                self._log.write("targets_asked", peer=address, age_s=round(age_s, 2))
+                self._send_ask(address, targets_wanted=True)
