Know the boot of a target before it gets work after a crash

What callers saw: on the product's own path, a request that crashes targets was run twice more by targets after its third crash (504 instead of 503 at once), where one of the three crashes had been the second one of a target within a second.

Cause: a crash counts once for an address and a boot. The owner learns the boot from answers and, each second, from the health page; a target that was back at once and crashed again before the next reading had the boot of the first crash.

Change: a connection that breaks without an answer makes the owner read the health page, and no more work is sent until it has been read, for at most a second. Why it works: a request that is sent after a crash goes to a boot that has been read after it.

--- a/tests/dispatch/test_target_scheduler.py
+++ b/tests/dispatch/test_target_scheduler.py
@@ -74,6 +74,17 @@
     assert any(isinstance(command, SendQuery | Refuse) for command in commands)
 
 
+def test_boot_of_a_target_is_known_before_it_gets_work_after_a_crash() -> None:
+    """A request that crashed a target twice within a second was not held after three crashes."""
+    session = SchedulerSession()
+    work, _ = session.offer()
+    assert session.end(work, Outcome.FAILED, 0.01, boot="") == [CheckHealth("t")]
+    waiting, commands = session.offer(now=0.02)
+    assert commands == []
+    commands = session.scheduler.apply_health_page(True, "boot2", False, 0.03)
+    assert commands == [SendQuery(waiting)]
+
+
 SIGNS: list[tuple[str, Callable[[SchedulerSession, Work], Commands]]] = [
     ("answer", lambda s, w: s.end(w, Outcome.OK, 0.01, leaving=True)),
     ("refusal", lambda s, w: s.end(w, Outcome.LEAVING, 0.01, leaving=True)),
--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -1611,6 +1611,17 @@
         "tests/whole/test_crashing_query.py::test_request_that_crashed_three_targets_is_refused",
         Mutant("trackwheel/dispatch/guard.py", "case TargetClosedError():", "case MemoryError():"),
     ),
+    Row(
+        PLATFORM,
+        HELD,
+        "own path: a target crashes a second time before its new boot was read",
+        LINE + "test_boot_of_a_target_is_known_before_it_gets_work_after_a_crash",
+        Mutant(
+            "trackwheel/dispatch/target_scheduler.py",
+            "[] if event.target_boot else self._reread_health_page(now)",
+            "[]",
+        ),
+    ),
     Row(
         PLATFORM,
         LEAVING,
--- a/trackwheel/dispatch/target_scheduler.py
+++ b/trackwheel/dispatch/target_scheduler.py
@@ -326,12 +326,25 @@
         if event.outcome is Outcome.SHED:
             self._limiter.record_shed(now)
             return []
-        if event.outcome is Outcome.FAILED and self._ejection.record_failure(now):
-            return self._apply_ejection(now)
+        if event.outcome is Outcome.FAILED:
+            commands = [] if event.target_boot else self._reread_health_page(now)
+            ejected = self._ejection.record_failure(now)
+            return commands + (self._apply_ejection(now) if ejected else [])
         if event.outcome is Outcome.LATE and self._record_stall(run, event.service_s, now):
             return self._apply_ejection(now)
         return []
 
+    def _reread_health_page(self, now: float) -> list[DispatchCommand]:
+        """Send no more work until the health page tells whether the target has restarted.
+
+        A request that crashes a target twice counts as two crashes only if both boots are known.
+        """
+        if self._cold:
+            return []
+        self._cold = True
+        self._next_health_check_at = now + HEALTH_PERIOD_S
+        return [CheckHealth(self.target)]
+
     def _record_stall(self, run: _Run, elapsed_s: float, now: float) -> bool:
         """Record a stall if the request held its slot for too long; return whether it ejected."""
         if elapsed_s <= self._limiter.service_time.stall_threshold_s:
