End an answer that exceeds its limits, on the users' platform

A target that sends bytes without end, in a head or a body, was received until the deadline of its request. It took up to a gigabyte in three seconds; a box above its memory limit is killed with all its requests.

Cause: ClientConnection limited neither the head nor the body of an answer, nor interim answers, chunk framing and trailers. Pools of targets and calls on the store use it.

What exceeds one ends the exchange at once as `oversized`, which counts as broken everywhere and is told apart in log, counters and `explain`. The body is kept in one buffer, since one-byte pieces took a multiple of their size.

Why it works: received bytes that are not body are counted as they arrive, whatever part they belong to, so that no form of a head is left; the body is counted as it is kept. Many answers below the limit of one share a limit, and the largest ends first, so that sound answers go on.

Answers of 8 MB, declared, unframed, in chunks of 16 bytes or behind 256 headers, still pass, and so does a page of the store with five values of 1 MiB.

--- a/tests/gathering/test_gather.py
+++ b/tests/gathering/test_gather.py
@@ -223,6 +223,7 @@
         pytest.param(Outcome.NOT_SENT, False, id="no-connection"),
         pytest.param(Outcome.FAILED, True, id="failed"),
         pytest.param(Outcome.BROKEN, True, id="broken"),
+        pytest.param(Outcome.OVERSIZED, True, id="oversized"),
     ],
 )
 def test_query_that_cannot_succeed_fails_at_once(
@@ -279,7 +280,8 @@
 
 
 @pytest.mark.parametrize(
-    "outcome", [Outcome.NOT_RUN, Outcome.FAILED, Outcome.BROKEN, Outcome.ELSEWHERE]
+    "outcome",
+    [Outcome.NOT_RUN, Outcome.FAILED, Outcome.BROKEN, Outcome.OVERSIZED, Outcome.ELSEWHERE],
 )
 def test_failed_shard_is_asked_again_at_once(
     selector: TargetSelector, budget: RetryBudget, outcome: Outcome
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,6 +7,7 @@
 import pytest
 from returns.result import Failure, Success
 
+from standins.endless_server import FORM_BY_NAME, EndlessServer
 from standins.metadata_store import MetadataStore
 from trackwheel.directory.models import HistoryGoneError
 from trackwheel.directory.revisions import era_of, store_revision_of
@@ -104,3 +105,35 @@
         await running.stop()
 
     anyio.run(scenario)
+
+
+@pytest.mark.parametrize("form", ["headers", "interim-answers", "chunked-body", "body-until-close"])
+def test_answer_of_the_store_without_end_is_a_failure(form: str) -> None:
+    """A watcher received such an answer until its time-out, and it took the memory of the box."""
+
+    async def scenario() -> None:
+        async with EndlessServer(FORM_BY_NAME[form]) as server:
+            client = StoreClient(f"127.0.0.1:{server.port}", 5.0, NoLog())  # type: ignore[arg-type]
+            with anyio.fail_after(2.0):
+                result = await client.watch_targets(7, 1.0)
+        assert isinstance(result, Failure)
+        assert "bytes" in str(result.failure()) or "headers" in str(result.failure())
+        assert client.oversized_answers == 1
+
+    anyio.run(scenario)
+
+
+def test_page_with_the_largest_values_is_read() -> None:
+    """The largest value is 1 MiB by the settings; the store sends some in one answer."""
+
+    async def scenario() -> None:
+        store = MetadataStore()
+        running = await store.start("127.0.0.1:0")
+        client = StoreClient(running.address, 5.0, NoLog())  # type: ignore[arg-type]
+        for number in range(5):
+            store.put(f"held/{number}", b"v" * 1_048_576)
+        items = (await client.read_items("held/")).unwrap()
+        assert [len(value) for value in items.values()] == [1_048_576] * 5
+        await running.stop()
+
+    anyio.run(scenario)
--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -55,6 +55,7 @@
 REPEATS = "tests/selection/test_budget.py::"
 CHOICE = "tests/selection/test_target_selector.py::"
 HTTP_TARGET = "tests/http1/test_client.py::"
+ANSWER_LIMITS = "tests/http1/test_answer_limits.py::"
 HTTP_CLIENT = "tests/http1/test_server.py::"
 DIRECTORY = "tests/directory/test_targets.py::"
 WATCHING = "tests/directory/test_watcher_election.py::"
@@ -94,6 +95,7 @@
 AT_MOST_ONCE = "at most once"
 AT_ONCE = "given up on: final answer at once, with when to come back"
 LEAVING = "a leaving target gets no new work"
+BOUNDED = "no target and no store can take the memory of a box"
 IN_TIME = "what the operator writes is in force everywhere in time"
 SET_BACK = "a store that comes back from an older copy takes nothing back"
 STOP = "a planned stop cuts off nothing"
@@ -1721,6 +1723,28 @@
             "REMOTE_ASK_PERIOD_FRACTION: Final = 0.3",
         ),
     ),
+    Row(
+        PLATFORM,
+        BOUNDED,
+        "an answer without end, in each part of a head or a body",
+        ANSWER_LIMITS + "test_answer_without_end_is_ended_at_once",
+        Mutant(
+            "trackwheel/http1/client.py",
+            "elif exceeded := self._exceeded_limit():",
+            'elif exceeded := "":',
+        ),
+    ),
+    Row(
+        PLATFORM,
+        BOUNDED,
+        "many answers at once, each below the limit of one",
+        ANSWER_LIMITS + "test_many_endless_answers_share_their_memory",
+        Mutant(
+            "trackwheel/http1/answer_limits.py",
+            "while self.held_bytes > self._total_bytes:",
+            "while False:",
+        ),
+    ),
     Row(
         PLATFORM,
         IN_TIME,
--- a/tests/relay/test_single.py
+++ b/tests/relay/test_single.py
@@ -18,7 +18,7 @@
 from trackwheel.selection.target_selector import TargetSelector
 
 NOT_RUN = [Outcome.NOT_RUN, Outcome.ELSEWHERE, Outcome.NOT_SENT]
-MAY_HAVE_RUN = [Outcome.FAILED, Outcome.CLOSED, Outcome.BROKEN]
+MAY_HAVE_RUN = [Outcome.FAILED, Outcome.CLOSED, Outcome.BROKEN, Outcome.OVERSIZED]
 
 
 class Session:
--- a/tests/selection/test_target_selector.py
+++ b/tests/selection/test_target_selector.py
@@ -89,6 +89,7 @@
         pytest.param(Outcome.FAILED, 1, False, id="one-failure"),
         pytest.param(Outcome.FAILED, EJECT_AFTER_FAILURES, True, id="failures-in-a-row"),
         pytest.param(Outcome.BROKEN, EJECT_AFTER_FAILURES, True, id="broken-in-a-row"),
+        pytest.param(Outcome.OVERSIZED, EJECT_AFTER_FAILURES, True, id="oversized-in-a-row"),
         pytest.param(Outcome.NOT_RUN, 8, False, id="shedding-is-no-fault"),
     ],
 )
--- a/trackwheel/entry/box.py
+++ b/trackwheel/entry/box.py
@@ -26,6 +26,7 @@
 from trackwheel.entry.figures import CountedParts, add_figures
 from trackwheel.fleet.models import FLEET_MESSAGES, Member, Status
 from trackwheel.fleet.service import FleetService
+from trackwheel.http1.answer_limits import AnswerLimits
 from trackwheel.http1.models import Request, Response
 from trackwheel.http1.server import Exchange, ServerState
 from trackwheel.limits.models import LIMIT_MESSAGES
@@ -98,7 +99,8 @@
             seed=os.getpid(),
             watchers_per_domain=WATCHERS_PER_DOMAIN,
         )
-        self.store = StoreClient(settings.store, STORE_TIMEOUT_S, self.log)
+        self.answer_limits = AnswerLimits(settings.memory_bytes)
+        self.store = StoreClient(settings.store, STORE_TIMEOUT_S, self.log, self.answer_limits)
         self.directory = DirectoryService(
             self.hub,
             self.store,
@@ -114,7 +116,7 @@
         self.selector = TargetSelector(place, os.getpid(), self.cold_limiter)
         self.stop_deadline = StopDeadline()
         self.transport = TargetTransport(
-            wire, self.selector, steady_now, self.log, self.stop_deadline
+            wire, self.selector, steady_now, self.log, self.stop_deadline, self.answer_limits
         )
         self.down_reports = DownReportExchange(
             self.hub, DownReports(self.selector), self.transport, self.log
@@ -178,6 +180,8 @@
                 self.clients,
                 self.log,
                 self.limits,
+                self.store,
+                self.answer_limits,
             ),
         )
 
--- a/trackwheel/entry/figures.py
+++ b/trackwheel/entry/figures.py
@@ -4,10 +4,12 @@
 
 from trackwheel.directory.service import DirectoryService
 from trackwheel.fleet.service import FleetService
+from trackwheel.http1.answer_limits import AnswerLimits
 from trackwheel.http1.server import ServerState
 from trackwheel.limits.service import GroupLimits
 from trackwheel.peers.hub import Hub
 from trackwheel.platform.load import LoadReader
+from trackwheel.platform.store import StoreClient
 from trackwheel.quarantine.service import Quarantine
 from trackwheel.relay.service import RelayService
 from trackwheel.relay.transport import TargetTransport
@@ -30,6 +32,8 @@
     clients: ServerState
     log: EventLog
     limits: GroupLimits
+    store: StoreClient
+    answer_limits: AnswerLimits
 
 
 def add_figures(figures: Figures, box: CountedParts) -> None:
@@ -101,6 +105,16 @@
             "Calls to the store",
             lambda: float(directory.store_calls + box.quarantine.store_calls),
         ),
+        (
+            "store_answers_oversized",
+            "Answers of the store that exceeded the size limits",
+            lambda: float(box.store.oversized_answers),
+        ),
+        (
+            "answer_bytes_held",
+            "Bytes of unfinished answers of targets and of the store",
+            lambda: float(box.answer_limits.held_bytes),
+        ),
         ("members", "Known boxes", lambda: float(len(box.fleet.members))),
         ("repeats_denied", "Repeats denied by the retry budget", lambda: float(box.budget.denied)),
         (
--- a/trackwheel/http1/call.py
+++ b/trackwheel/http1/call.py
@@ -2,18 +2,24 @@
 
 import asyncio
 
+from trackwheel.http1.answer_limits import AnswerLimits
 from trackwheel.http1.client import ClientConnection
 from trackwheel.http1.models import ExchangeOutcome, ExchangeResult, Request, Response
 
 
 async def call_once(
-    host: str, port: int, request: Request, connect_timeout_s: float, timeout_s: float
+    host: str,
+    port: int,
+    request: Request,
+    connect_timeout_s: float,
+    timeout_s: float,
+    answer_limits: AnswerLimits,
 ) -> ExchangeResult:
     """Open a connection, send one request, receive its answer and close the connection.
 
     A time-out or a network error gives a result that is broken, or not sent if it came first.
     """
-    connection = ClientConnection(lambda _: None)
+    connection = ClientConnection(lambda _: None, answer_limits)
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(connect_timeout_s):
--- a/trackwheel/http1/client.py
+++ b/trackwheel/http1/client.py
@@ -9,10 +9,14 @@
 import httptools
 
 from trackwheel.clock import steady_now
+from trackwheel.http1.answer_limits import AnswerLimits
 from trackwheel.http1.const import (
     BODILESS_STATUSES,
     DEFAULT_MAX_IDLE_S,
     KEEP_ALIVE_MARGIN_S,
+    MAX_FRAMING_BYTES,
+    MAX_HEAD_BYTES,
+    MAX_HEADERS,
     MAX_RECENT_REQUEST_IDS,
     TARGET_USER_TIMEOUT_MS,
 )
@@ -42,11 +46,14 @@
     """Send requests to one target and receive their answers, one at a time.
 
     A connection is reused only if the last answer was read completely, no bytes followed it, and
-    the target keeps the connection alive.
+    the target keeps the connection alive. An answer that exceeds the limits ends it at once.
     """
 
-    def __init__(self, on_closed: Callable[["ClientConnection"], None]) -> None:
+    def __init__(
+        self, on_closed: Callable[["ClientConnection"], None], limits: AnswerLimits
+    ) -> None:
         self._on_closed = on_closed
+        self._limits = limits
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._on_result: OnResult | None = None
@@ -56,7 +63,12 @@
         self._closed = False
         self._status = 0
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
+        self._body = bytearray()
+        self._received_bytes = 0
+        self._body_bytes = 0
+        self._is_chunked = False
+        self._oversized = ""
+        """Which limit the answer exceeds, empty if none."""
         self._close_delimited = False
         self._response_started = False
         self.idle_since = 0.0
@@ -86,19 +98,29 @@
         self._check = check
         self._head_only = request.method == b"HEAD"
         self._response_started = False
+        self._received_bytes = self._body_bytes = 0
+        self._is_chunked = False
         self._transport.write(encode_request(request))
 
     def abandon(self) -> None:
         """Close without waiting for the answer; most targets then cancel the request."""
         self._on_result = self._check = self._parser = None
+        self._headers, self._body = [], bytearray()
         self._close()
 
+    def end_oversized(self, detail: str) -> None:
+        """Close the connection and end the exchange, since its answer is too large."""
+        self._close()
+        self._result = ExchangeResult(ExchangeOutcome.OVERSIZED, None, detail)
+        self._report_result()
+
     def data_received(self, data: bytes) -> None:
         """Feed the parser; close the connection on data outside an exchange."""
         if self._on_result is None or self._parser is None:
             self._close()
             return
         self._response_started = True
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -108,7 +130,23 @@
                 self._result = ExchangeResult(
                     ExchangeOutcome.BROKEN, None, f"invalid HTTP response: {error}"
                 )
-        self._report_result()
+        if self._result is not None:
+            self._report_result()
+        elif exceeded := self._exceeded_limit():
+            self.end_oversized(exceeded)
+        else:
+            self._limits.hold(self, self._received_bytes)
+
+    def _exceeded_limit(self) -> str:
+        """Return which limit the unfinished answer exceeds, empty if none."""
+        if self._oversized:
+            return self._oversized
+        other_bytes = self._received_bytes - self._body_bytes
+        if not self._is_chunked:
+            return f"head over {MAX_HEAD_BYTES} bytes" if other_bytes > MAX_HEAD_BYTES else ""
+        if other_bytes > MAX_HEAD_BYTES + MAX_FRAMING_BYTES + self._body_bytes:
+            return f"chunk framing over {MAX_FRAMING_BYTES} bytes beyond its content"
+        return ""
 
     def eof_received(self) -> bool:
         """Complete an answer that is delimited by the end of the connection."""
@@ -137,13 +175,17 @@
             return
         self._status = 0
         self._headers = []
-        self._body = []
+        self._body = bytearray()
         self._close_delimited = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header."""
-        if self._result is None:
-            self._headers.append((name.lower(), value))
+        if self._result is not None:
+            return
+        if len(self._headers) >= MAX_HEADERS:
+            self._oversized = f"over {MAX_HEADERS} headers"
+            return
+        self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Determine how the end of the body is marked."""
@@ -151,30 +193,46 @@
         if self._result is not None:
             return
         self._status = self._parser.get_status_code()
+        if sum(len(name) + len(value) for name, value in self._headers) > MAX_HEAD_BYTES:
+            # The size of the received data also counts, but only while the answer is incomplete.
+            self._oversized = f"head over {MAX_HEAD_BYTES} bytes"
+            return
         if self._head_only and self._status >= _FIRST_FINAL_STATUS:
             self._complete(reusable=False)
             return
         names = {name for name, _ in self._headers}
-        framed = b"content-length" in names or b"transfer-encoding" in names
+        self._is_chunked = b"transfer-encoding" in names
+        framed = b"content-length" in names or self._is_chunked
         has_body = self._status not in BODILESS_STATUSES
         self._close_delimited = not framed and has_body and self._status >= _FIRST_FINAL_STATUS
+        length = header(tuple(self._headers), b"content-length")
+        if has_body and length is not None:
+            self._check_body_size(int(length))
 
     def on_body(self, body: bytes) -> None:
         """Add a chunk of the body."""
-        if self._result is None:
-            self._body.append(body)
+        if self._result is not None or self._oversized:
+            return
+        self._body_bytes += len(body)
+        self._check_body_size(self._body_bytes)
+        if not self._oversized:
+            self._body += body
+
+    def _check_body_size(self, size: int) -> None:
+        if size > self._limits.body_bytes:
+            self._oversized = f"body over {self._limits.body_bytes} bytes"
 
     def on_message_complete(self) -> None:
         """Complete the answer unless it is an interim response."""
         assert self._parser is not None
-        if self._result is not None or self._status < _FIRST_FINAL_STATUS:
+        if self._result is not None or self._oversized or self._status < _FIRST_FINAL_STATUS:
             return
         self._complete(reusable=self._parser.should_keep_alive() and not self._close_delimited)
 
     def _complete(self, reusable: bool) -> None:
         """Store the result; it is reported after all received data was parsed."""
         assert self._check is not None
-        answer = Response(self._status, tuple(self._headers), b"".join(self._body))
+        answer = Response(self._status, tuple(self._headers), bytes(self._body))
         mismatch = self._check(answer)
         if mismatch:
             self._close()
@@ -192,7 +250,9 @@
         if result is None:
             return
         self._result = self._on_result = self._check = self._parser = None
-        self._headers, self._body = [], []
+        self._headers, self._body = [], bytearray()
+        self._oversized = ""
+        self._limits.hold(self, 0)
         if on_result is not None:
             on_result(result)
 
@@ -200,6 +260,7 @@
         if self._closed:
             return
         self._closed = True
+        self._limits.hold(self, 0)
         if self._transport is not None:
             self._transport.abort()
         self._on_closed(self)
--- a/trackwheel/http1/models.py
+++ b/trackwheel/http1/models.py
@@ -36,13 +36,15 @@
 class ExchangeOutcome(StrEnum):
     """How an exchange with a target ended.
 
-    `CLOSED`: the target closed the connection before the first byte of an answer.
+    `CLOSED`: the target closed the connection before the first byte of an answer. `OVERSIZED`: the
+    target sent more bytes than an answer may have.
     """
 
     ANSWERED = "answered"
     NOT_SENT = "not_sent"
     CLOSED = "closed"
     BROKEN = "broken"
+    OVERSIZED = "oversized"
 
 
 class ExchangeResult(NamedTuple):
--- a/trackwheel/http1/pool.py
+++ b/trackwheel/http1/pool.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from trackwheel.clock import steady_now
+from trackwheel.http1.answer_limits import AnswerLimits
 from trackwheel.http1.client import Check, ClientConnection, OnResult
 from trackwheel.http1.const import AT_MOST_ONCE_MAX_IDLE_S, CONNECT_TIMEOUT_S
 from trackwheel.http1.models import ExchangeOutcome, ExchangeResult, Request
@@ -27,9 +28,12 @@
 class TargetPool:
     """Send requests to one target over a bounded number of connections."""
 
-    def __init__(self, host: str, port: int, limit: int) -> None:
+    def __init__(
+        self, host: str, port: int, limit: int, answer_limits: AnswerLimits | None = None
+    ) -> None:
         self._host = host
         self._port = port
+        self._answer_limits = answer_limits or AnswerLimits()
         self.limit = limit
         self._idle: list[ClientConnection] = []
         self._connecting: set[asyncio.Task[None]] = set()
@@ -139,7 +143,7 @@
 
     async def _connect(self) -> None:
         loop = asyncio.get_running_loop()
-        connection = ClientConnection(self._handle_closed)
+        connection = ClientConnection(self._handle_closed, self._answer_limits)
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await loop.create_connection(lambda: connection, self._host, self._port)
--- a/trackwheel/platform/settings.py
+++ b/trackwheel/platform/settings.py
@@ -5,6 +5,7 @@
 
 from trackwheel.addresses import split_address
 from trackwheel.errors import Problem, TrackwheelError
+from trackwheel.http1.const import DEFAULT_MEMORY_BYTES
 from trackwheel.limits.budget import LimitMargin
 from trackwheel.relay.models import Place
 from trackwheel.selection.budget import RetryBudgetLimits
@@ -13,6 +14,8 @@
 
 SETTINGS_VARIABLE: Final = "TRACKWHEEL_CONFIG"
 """Environment variable with the path of the settings file."""
+MEGABYTE: Final = 1_000_000
+"""Bytes of a megabyte in the settings; the smaller of the two usual units."""
 
 
 class SettingsError(TrackwheelError):
@@ -39,6 +42,8 @@
     cold: ColdLimitMargin
     limits: LimitMargin | None = None
     """Margin above the limits of groups; None where limits are not enforced."""
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
+    """Memory above which the platform kills the process."""
 
 
 class _SettingsReader:
@@ -131,6 +136,9 @@
             reader.optional("bounds.warmup_slack", 0.0),
         ),
         limits=_read_limit_margin(reader),
+        memory_bytes=int(
+            reader.positive("limits.memory_mb", DEFAULT_MEMORY_BYTES / MEGABYTE) * MEGABYTE
+        ),
     )
     if reader.problems:
         raise SettingsError(Problem("bad_settings", "read", file, "; ".join(reader.problems)))
--- a/trackwheel/platform/store.py
+++ b/trackwheel/platform/store.py
@@ -21,8 +21,9 @@
 )
 from trackwheel.directory.revisions import era_of, store_revision_of
 from trackwheel.errors import Problem, TrackwheelError
+from trackwheel.http1.answer_limits import AnswerLimits
 from trackwheel.http1.call import call_once
-from trackwheel.http1.models import Request, header
+from trackwheel.http1.models import ExchangeOutcome, Request, header
 from trackwheel.platform.decode import decode_routes, decode_target
 from trackwheel.platform.errors import store_error
 from trackwheel.platform.items import (
@@ -86,7 +87,15 @@
     runs each).
     """
 
-    def __init__(self, address: str, call_timeout_s: float, log: EventLog) -> None:
+    def __init__(
+        self,
+        address: str,
+        call_timeout_s: float,
+        log: EventLog,
+        answer_limits: AnswerLimits | None = None,
+    ) -> None:
+        self._answer_limits = answer_limits or AnswerLimits()
+        self.oversized_answers = 0
         self._address = address
         self._host, self._port = split_address(address)
         self._call_timeout_s = call_timeout_s
@@ -259,9 +268,16 @@
         # A new connection for each call: a pooled one that went silent while idle would cost each
         # call that picks it a timeout.
         end = await call_once(
-            self._host, self._port, request, self._call_timeout_s, self._call_timeout_s + wait_s
+            self._host,
+            self._port,
+            request,
+            self._call_timeout_s,
+            self._call_timeout_s + wait_s,
+            self._answer_limits,
         )
         if end.answer is None:
+            if end.outcome is ExchangeOutcome.OVERSIZED:
+                self.oversized_answers += 1
             return Failure(store_error(UNAVAILABLE, step, self._address, end.detail))
         status = end.answer.status
         era = round(parse_number(header(end.answer.headers, HEADER_ERA) or b"") or 0)
--- a/trackwheel/relay/models.py
+++ b/trackwheel/relay/models.py
@@ -75,7 +75,8 @@
     """How one request to one target ended.
 
     `CLOSED`: the target closed the connection during the request without any answer, possibly
-    because it crashed. `ELSEWHERE`: another target answered at the address.
+    because it crashed. `ELSEWHERE`: another target answered at the address. `OVERSIZED`: it sent
+    more bytes than an answer may have.
     """
 
     OK = "ok"
@@ -85,6 +86,7 @@
     NOT_SENT = "not_sent"
     CLOSED = "closed"
     BROKEN = "broken"
+    OVERSIZED = "oversized"
 
 
 NOTHING_RAN = frozenset({Outcome.NOT_RUN, Outcome.ELSEWHERE, Outcome.NOT_SENT})
--- a/trackwheel/relay/transport.py
+++ b/trackwheel/relay/transport.py
@@ -5,6 +5,7 @@
 from typing import Final, NamedTuple, Protocol
 
 from trackwheel.addresses import split_address
+from trackwheel.http1.answer_limits import AnswerLimits
 from trackwheel.http1.models import ExchangeOutcome, ExchangeResult, Request, Response
 from trackwheel.http1.pool import Job, TargetPool
 from trackwheel.relay.models import (
@@ -32,6 +33,7 @@
     ExchangeOutcome.NOT_SENT: Outcome.NOT_SENT,
     ExchangeOutcome.CLOSED: Outcome.CLOSED,
     ExchangeOutcome.BROKEN: Outcome.BROKEN,
+    ExchangeOutcome.OVERSIZED: Outcome.OVERSIZED,
 }
 """Outcomes of requests that ended without an answer."""
 
@@ -77,8 +79,10 @@
         clock: Clock,
         log: EventLog,
         stop: StopDeadline = NO_STOP,
+        answer_limits: AnswerLimits | None = None,
     ) -> None:
         self._stop = stop
+        self._answer_limits = answer_limits or AnswerLimits()
         self._wire = wire
         self._selector = selector
         self._clock = clock
@@ -218,7 +222,9 @@
         pool = self._pool_by_incarnation.get(target.incarnation)
         if pool is None:
             host, port = split_address(target.address)
-            pool = self._pool_by_incarnation[target.incarnation] = TargetPool(host, port, 0)
+            pool = self._pool_by_incarnation[target.incarnation] = TargetPool(
+                host, port, 0, self._answer_limits
+            )
         allowed = self._limit_by_service.get(target.service, DEFAULT_CONNECTIONS * self._members)
         pool.limit = max(MIN_CONNECTIONS, int(allowed * CONNECTION_SHARE / self._members))
         return pool
