Limit the answers of the key-value service and of the box list

A service that answers without end took 512 MiB of a body and up to 1.2 GiB of memory from a box in three seconds, and one that answers slowly without end held a call forever.

Cause: httpx read whole bodies, and its time-outs apply to each read, not to the call.

Answers are asked for without compression, so that received bytes are bytes of the body.

--- a/tests/storage/test_clients.py
+++ b/tests/storage/test_clients.py
@@ -9,10 +9,12 @@
 from returns.result import Failure, Result, Success
 
 from standins.box_list import StandinBoxList
+from standins.endless_server import FORM_BY_NAME, EndlessServer
 from standins.fleet import free_ports
 from standins.http import listen
 from standins.key_value import StandinKeyValue
 from trackwheel.storage.clients import HttpBoxList, HttpKeyValue
+from trackwheel.storage.const import MAX_ANSWER_BYTES
 from trackwheel.storage.models import BoxList, StoredValue, WriteResult
 
 Test = Callable[[HttpKeyValue, StandinKeyValue], Coroutine[Any, Any, None]]
@@ -161,3 +163,20 @@
             await client.close()
 
     anyio.run(main)
+
+
+@pytest.mark.parametrize("pause_s", [0.0, 0.05], ids=["fast", "trickle"])
+@pytest.mark.parametrize("form", FORM_BY_NAME)
+def test_answer_without_end_is_a_failure(form: str, pause_s: float) -> None:
+    """Bodies took half a gigabyte, and an answer that trickled in never ended."""
+
+    async def main() -> None:
+        write_bytes = 200 if pause_s else 65_536
+        async with EndlessServer(FORM_BY_NAME[form], pause_s, write_bytes) as server:
+            client = HttpKeyValue(f"http://127.0.0.1:{server.port}", timeout_s=0.5)
+            with anyio.fail_after(3.0):
+                assert isinstance(await client.compare_and_swap("k", b"v", 1), Failure)
+            await client.close()
+        assert server.sent_bytes < 3 * MAX_ANSWER_BYTES
+
+    anyio.run(main)
--- a/trackwheel/storage/clients.py
+++ b/trackwheel/storage/clients.py
@@ -2,13 +2,16 @@
 
 import base64
 import binascii
+from typing import Final
 
+import anyio
 import httpx
 import msgspec
 from returns.result import Failure, Result, Success
 
 from trackwheel.storage.const import (
     CALL_TIMEOUT_S,
+    MAX_ANSWER_BYTES,
     STATUS_CONFLICT,
     STATUS_OK,
     WATCH_WAIT_S,
@@ -27,12 +30,46 @@
     revision: int
 
 
+class OversizedAnswerError(ValueError):
+    """Raised when an answer exceeds the limit."""
+
+
+_UNCOMPRESSED: Final = {"Accept-Encoding": "identity"}
+_CALL_ERRORS: Final = (httpx.HTTPError, TimeoutError, OversizedAnswerError)
+
+
+async def _exchange(
+    client: httpx.AsyncClient,
+    method: str,
+    url: str,
+    timeout_s: float,
+    *,
+    params: dict[str, str] | None = None,
+    json: object = None,
+) -> tuple[int, bytes]:
+    """Return the status and the body of an answer; raise one of `_CALL_ERRORS`.
+
+    The time-outs of httpx apply to each read, so an answer that trickles in would never end.
+    """
+    content = bytearray()
+    with anyio.fail_after(timeout_s):
+        async with client.stream(
+            method, url, params=params, json=json, timeout=timeout_s
+        ) as response:
+            async for part in response.aiter_raw():
+                content += part
+                if len(content) > MAX_ANSWER_BYTES:
+                    raise OversizedAnswerError(f"answer exceeds {MAX_ANSWER_BYTES} bytes")
+    return response.status_code, bytes(content)
+
+
 class HttpKeyValue:
     """Client of the key-value service, based on httpx."""
 
     def __init__(self, url: str, timeout_s: float = CALL_TIMEOUT_S) -> None:
         self._url = url
-        self._client = httpx.AsyncClient(timeout=timeout_s, trust_env=False)
+        self._timeout_s = timeout_s
+        self._client = httpx.AsyncClient(headers=_UNCOMPRESSED, trust_env=False)
         self.calls = 0
 
     async def close(self) -> None:
@@ -56,11 +93,13 @@
         self.calls += 1
         body = {"value": base64.b64encode(value).decode(), "if_revision": revision}
         try:
-            response = await self._client.put(f"{self._url}/kv/{key}", json=body)
-            if response.status_code not in (STATUS_OK, STATUS_CONFLICT):
-                return self._failure("compare_and_swap", f"status {response.status_code}")
-            reply = msgspec.json.decode(response.content, type=_WriteReply)
-        except (httpx.HTTPError, msgspec.DecodeError) as error:
+            status, content = await _exchange(
+                self._client, "PUT", f"{self._url}/kv/{key}", self._timeout_s, json=body
+            )
+            if status not in (STATUS_OK, STATUS_CONFLICT):
+                return self._failure("compare_and_swap", f"status {status}")
+            reply = msgspec.json.decode(content, type=_WriteReply)
+        except (*_CALL_ERRORS, msgspec.DecodeError) as error:
             return self._failure("compare_and_swap", error)
         return Success(WriteResult(reply.written, reply.revision))
 
@@ -69,14 +108,14 @@
     ) -> Result[StoredValue, PlatformError]:
         self.calls += 1
         try:
-            response = await self._client.get(
-                f"{self._url}{path}", params=parameters, timeout=timeout_s
+            status, content = await _exchange(
+                self._client, "GET", f"{self._url}{path}", timeout_s, params=parameters
             )
-            if response.status_code != STATUS_OK:
-                return self._failure(step, f"status {response.status_code}")
-            reply = msgspec.json.decode(response.content, type=_ReadReply)
+            if status != STATUS_OK:
+                return self._failure(step, f"status {status}")
+            reply = msgspec.json.decode(content, type=_ReadReply)
             value = base64.b64decode(reply.value or "", validate=True)
-        except (httpx.HTTPError, msgspec.DecodeError, binascii.Error) as error:
+        except (*_CALL_ERRORS, msgspec.DecodeError, binascii.Error) as error:
             return self._failure(step, error)
         return Success(StoredValue(value, reply.revision))
 
@@ -89,7 +128,7 @@
 
     def __init__(self, url: str) -> None:
         self._url = url
-        self._client = httpx.AsyncClient(timeout=CALL_TIMEOUT_S, trust_env=False)
+        self._client = httpx.AsyncClient(headers=_UNCOMPRESSED, trust_env=False)
 
     async def close(self) -> None:
         """Close all connections."""
@@ -98,10 +137,11 @@
     async def read(self) -> Result[BoxList, PlatformError]:
         """Return the current list."""
         try:
-            response = await self._client.get(f"{self._url}/boxes")
-            if response.status_code != STATUS_OK:
-                detail = f"status {response.status_code}"
-                return Failure(platform_error("box_list", self._url, detail))
-            return Success(msgspec.json.decode(response.content, type=BoxList))
-        except (httpx.HTTPError, msgspec.DecodeError) as error:
+            status, content = await _exchange(
+                self._client, "GET", f"{self._url}/boxes", CALL_TIMEOUT_S
+            )
+            if status != STATUS_OK:
+                return Failure(platform_error("box_list", self._url, f"status {status}"))
+            return Success(msgspec.json.decode(content, type=BoxList))
+        except (*_CALL_ERRORS, msgspec.DecodeError) as error:
             return Failure(platform_error("box_list", self._url, error))
