End endless answers of targets on the product's own path

Interim answers and chunk extensions without end were received until the deadline: 28 and 512 MiB in three seconds, with little memory but the time of the event loop.

Cause: aiohttp limits a head, and the client a body, but nothing limits what belongs to neither. Found on a path like that of the users' platform.

Change: a connection ends when one answer has taken 8 MB, twice the largest body. An answer over a limit of ours is an outcome of its own, which counts as a failure everywhere and shows in the counters and steps of a query (`oversized`), and as `oversized_answer` where a request may have run. Boxes tell each other outcomes: protocol version 10. What aiohttp itself refuses stays a failure; its detail names the limit.

Why it works: bytes are counted as they arrive, before the parser.

--- a/tests/dispatch/test_target_scheduler.py
+++ b/tests/dispatch/test_target_scheduler.py
@@ -173,18 +173,19 @@
     assert outcomes(session.offer(0.5)[1]) == [Outcome.LEAVING]
 
 
-def eject(session: SchedulerSession) -> float:
+def eject(session: SchedulerSession, outcome: Outcome = Outcome.FAILED) -> float:
     now = 0.0
     for _ in range(3):
         work, _ = session.offer(now)
         now += 0.01
-        session.end(work, Outcome.FAILED, now)
+        session.end(work, outcome, now)
     return now
 
 
-def test_failing_target_is_ejected_and_readmitted_after_a_trial() -> None:
+@pytest.mark.parametrize("outcome", [Outcome.FAILED, Outcome.OVERSIZED])
+def test_failing_target_is_ejected_and_readmitted_after_a_trial(outcome: Outcome) -> None:
     session = SchedulerSession()
-    now = eject(session)
+    now = eject(session, outcome)
     assert session.scheduler.ejected(now)
     _, commands = session.offer(now)
     assert outcomes(commands) == [Outcome.EJECTED]
--- a/tests/targets/test_client.py
+++ b/tests/targets/test_client.py
@@ -7,9 +7,14 @@
 import anyio.abc
 import pytest
 
+from standins.endless_server import FORM_BY_NAME, EndlessServer
 from trackwheel.targets.client import AiohttpTargetClient
-from trackwheel.targets.const import MAX_ANSWER_BYTES
-from trackwheel.targets.errors import TargetBrokenError, TargetUnreachableError
+from trackwheel.targets.const import MAX_ANSWER_BYTES, MAX_RECEIVED_BYTES
+from trackwheel.targets.errors import (
+    TargetBrokenError,
+    TargetOversizedError,
+    TargetUnreachableError,
+)
 
 BODY = b'{"nonce": "q.1"}'
 
@@ -155,3 +160,41 @@
         await target.closed.wait()
 
     with_target(test, response(b'{"half"', length=100))
+
+
+LIMITED_BY_THE_PARSER = {
+    "headers",
+    "short-headers",
+    "header-value",
+    "header-name",
+    "reason",
+    "interim-headers",
+    "trailers",
+    "trailer-value",
+}
+"""Forms that aiohttp itself refuses, as a broken answer whose detail names the limit."""
+
+
+@pytest.mark.parametrize("form", FORM_BY_NAME)
+def test_reply_without_end_is_ended(form: str) -> None:
+    """Interim answers and chunk extensions were received until the deadline."""
+    expected = TargetBrokenError if form in LIMITED_BY_THE_PARSER else TargetOversizedError
+
+    async def main() -> None:
+        client = AiohttpTargetClient()
+        async with EndlessServer(FORM_BY_NAME[form]) as server:
+            with anyio.fail_after(5.0), pytest.raises(expected):
+                await client.post(f"127.0.0.1:{server.port}", "/query", BODY, 1000.0)
+        assert server.sent_bytes < 3 * MAX_RECEIVED_BYTES
+        await client.close()
+
+    anyio.run(main)
+
+
+def test_largest_reply_is_received() -> None:
+    async def test(client: AiohttpTargetClient, address: str, target: RawTarget) -> None:
+        for _ in range(3):
+            reply = await client.get(address, "/health")
+            assert len(reply.body) == MAX_ANSWER_BYTES
+
+    with_target(test, response(b"r" * MAX_ANSWER_BYTES))
--- a/trackwheel/dispatch/exchange.py
+++ b/trackwheel/dispatch/exchange.py
@@ -25,7 +25,11 @@
 )
 from trackwheel.peers.hub import Hub
 from trackwheel.targets.const import HEALTH_TIMEOUT_S, PATH_EXECUTE, PATH_HEALTH, PATH_QUERY
-from trackwheel.targets.errors import TargetBrokenError, TargetUnreachableError
+from trackwheel.targets.errors import (
+    TargetBrokenError,
+    TargetOversizedError,
+    TargetUnreachableError,
+)
 from trackwheel.targets.models import HealthPage, TargetClient, TargetReply
 
 
@@ -78,7 +82,8 @@
                 outcome, holds = classify_query_reply(work, reply)
                 self._guard.record_reply(work, outcome, reply)
             except (TargetUnreachableError, TargetBrokenError) as error:
-                outcome = Outcome.FAILED
+                oversized = isinstance(error, TargetOversizedError)
+                outcome = Outcome.OVERSIZED if oversized else Outcome.FAILED
                 self._guard.record_failure(work, error)
         if self._scope_by_key.pop(work.key, None) is None:
             return
@@ -109,7 +114,9 @@
                 run, reason = RunOutcome.NOT_RUN, Outcome.FAILED
                 self._guard.record_failure(work, error)
             except TargetBrokenError as error:
-                run, reason = RunOutcome.UNKNOWN, "connection_broke"
+                oversized = isinstance(error, TargetOversizedError)
+                reason = "oversized_answer" if oversized else "connection_broke"
+                run = RunOutcome.UNKNOWN
                 self._guard.record_failure(work, error)
         outcome = outcome_of_run(run, reply)
         service_s = steady_now() - started
--- a/trackwheel/dispatch/models.py
+++ b/trackwheel/dispatch/models.py
@@ -14,6 +14,7 @@
     LEAVING = "leaving"
     EJECTED = "ejected"
     FAILED = "failed"
+    OVERSIZED = "oversized"
     UNKNOWN_TARGET = "unknown_target"
     NO_OWNER = "no_owner"
     HELD = "held"
--- a/trackwheel/dispatch/target_scheduler.py
+++ b/trackwheel/dispatch/target_scheduler.py
@@ -326,7 +326,7 @@
         if event.outcome is Outcome.SHED:
             self._limiter.record_shed(now)
             return []
-        if event.outcome is Outcome.FAILED:
+        if event.outcome in (Outcome.FAILED, Outcome.OVERSIZED):
             commands = [] if event.target_boot else self._reread_health_page(now)
             ejected = self._ejection.record_failure(now)
             return commands + (self._apply_ejection(now) if ejected else [])
--- a/trackwheel/peers/const.py
+++ b/trackwheel/peers/const.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-PROTOCOL_VERSION: Final = 9
+PROTOCOL_VERSION: Final = 10
 """Incremented whenever a message changes; boxes refuse links from other versions."""
 MAX_FRAME_BYTES: Final = 8_000_000
 """Largest frame before compression."""
--- a/trackwheel/targets/client.py
+++ b/trackwheel/targets/client.py
@@ -10,11 +10,16 @@
     HEADER_DRAINING,
     HEADER_RETRY_AFTER,
     HEADER_RUN,
-    KEEP_ALIVE_S,
     MAX_ANSWER_BYTES,
     RUN_NOT_EXECUTED,
 )
-from trackwheel.targets.errors import broken_error, closed_error, unreachable_error
+from trackwheel.targets.errors import (
+    broken_error,
+    closed_error,
+    oversized_error,
+    unreachable_error,
+)
+from trackwheel.targets.limited_connector import LimitedConnector, OversizedAnswerError
 from trackwheel.targets.models import TargetReply
 
 _SKIPPED_HEADERS: Final = ("User-Agent", "Accept-Encoding", "Accept")
@@ -24,11 +29,8 @@
     """Exchange requests over keep-alive connections; the owner limits their concurrency."""
 
     def __init__(self) -> None:
-        connector = aiohttp.TCPConnector(
-            limit=0, limit_per_host=0, keepalive_timeout=KEEP_ALIVE_S, use_dns_cache=False
-        )
         self._session = aiohttp.ClientSession(
-            connector=connector,
+            connector=LimitedConnector(),
             timeout=aiohttp.ClientTimeout(total=None),
             auto_decompress=False,
             skip_auto_headers=_SKIPPED_HEADERS,
@@ -61,14 +63,16 @@
             raise unreachable_error(target, error) from error
         except (aiohttp.ServerDisconnectedError, ConnectionResetError) as error:
             raise closed_error(target, error) from error
+        except OversizedAnswerError as error:
+            raise oversized_error(target, error) from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise broken_error(target, error) from error
         return _build_reply(response, content)
 
     async def _read(self, response: aiohttp.ClientResponse) -> bytes:
-        """Read the body; an oversized one raises `ValueError`, which closes the connection."""
+        """Read the body; an oversized one raises an error, which closes the connection."""
         if (response.content_length or 0) > MAX_ANSWER_BYTES:
-            raise ValueError(f"response body exceeds {MAX_ANSWER_BYTES} bytes")
+            raise OversizedAnswerError(f"response body exceeds {MAX_ANSWER_BYTES} bytes")
         if response.content_length is not None:
             return await response.read()
         parts = []
@@ -76,7 +80,7 @@
         async for part in response.content.iter_any():
             size += len(part)
             if size > MAX_ANSWER_BYTES:
-                raise ValueError(f"response body exceeds {MAX_ANSWER_BYTES} bytes")
+                raise OversizedAnswerError(f"response body exceeds {MAX_ANSWER_BYTES} bytes")
             parts.append(part)
         return b"".join(parts)
 
