Let a peer's revision that is never reached keep out no newer one

What callers saw: nothing that is known. A box that takes its targets for older than they are asks other failure domains in vain.

Cause: TargetsAge kept the first revision of a peer that this box has not reached, without an age. While that one was not reached, those of other peers did not count when they were. PeerSync drops its own after 1.5 s.

Change: it is replaced once it is as old. Why it works: the next beacon, half a second later, takes its place.

Test: test_revision_that_is_never_reached_keeps_out_no_newer_one, fails without the change.

--- a/tests/directory/test_targets_age.py
+++ b/tests/directory/test_targets_age.py
@@ -20,20 +20,20 @@
 
 def test_targets_of_a_peer_are_as_old_as_at_the_peer() -> None:
     age = TargetsAge(START)
-    age.record_peer(revision=5, known_until=START + 1.0, own_revision=5)
+    age.record_peer(revision=5, known_until=START + 1.0, own_revision=5, now=START + 2.0)
     assert age.age_s(START + 3.0) == pytest.approx(2.0)
 
 
 def test_beacon_that_comes_late_makes_targets_no_older() -> None:
     age = TargetsAge(START)
     age.record_answer(START + 2.0)
-    age.record_peer(revision=5, known_until=START + 1.0, own_revision=5)
+    age.record_peer(revision=5, known_until=START + 1.0, own_revision=5, now=START + 2.0)
     assert age.age_s(START + 3.0) == pytest.approx(1.0)
 
 
 def test_revision_of_a_peer_counts_once_it_is_reached() -> None:
     age = TargetsAge(START)
-    age.record_peer(revision=9, known_until=START + 2.0, own_revision=5)
+    age.record_peer(revision=9, known_until=START + 2.0, own_revision=5, now=START + 2.0)
     assert age.age_s(START + 3.0) == pytest.approx(3.0)
     age.record_progress(8)
     assert age.age_s(START + 3.0) == pytest.approx(3.0)
@@ -41,6 +41,15 @@
     assert age.age_s(START + 3.0) == pytest.approx(1.0)
 
 
+def test_revision_that_is_never_reached_keeps_out_no_newer_one() -> None:
+    """A box that had caught up with all peers but one went on to take its targets for old."""
+    age = TargetsAge(START)
+    age.record_peer(revision=90, known_until=START, own_revision=5, now=START)
+    age.record_peer(revision=6, known_until=START + 4.0, own_revision=5, now=START + 4.0)
+    age.record_progress(6)
+    assert age.age_s(START + 5.0) == pytest.approx(1.0)
+
+
 def test_all_remote_watchers_are_asked_in_turn_while_the_targets_are_too_old() -> None:
     """Load: an outage of the store for all boxes; each of them asks one watcher at a time."""
     rotation = RemoteWatcherRotation("own", DRAIN_S)
--- a/trackwheel/directory/service.py
+++ b/trackwheel/directory/service.py
@@ -264,7 +264,7 @@
                 sender.address, beacon.routes_version, beacon.targets_revision, now, self._position
             )
         self._targets_age.record_peer(
-            beacon.targets_revision, now - beacon.targets_age_s, self._targets.known_revision
+            beacon.targets_revision, now - beacon.targets_age_s, self._targets.known_revision, now
         )
         self._compare(sender, beacon, now)
         behind = self._lag.should_ask(
--- a/trackwheel/directory/targets_age.py
+++ b/trackwheel/directory/targets_age.py
@@ -2,8 +2,10 @@
 
 import zlib
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from trackwheel.directory.const import (
+    BEACON_LIFETIME_S,
     REMOTE_ASK_PERIOD_FRACTION,
     REMOTE_ASKERS,
     TARGETS_WATCH_PAUSE_FRACTION,
@@ -11,6 +13,14 @@
 )
 
 
+class _AheadPeer(NamedTuple):
+    """A revision of a peer that this box has not reached, and until when the peer knows all."""
+
+    revision: int
+    known_until: float
+    heard_at: float
+
+
 class TargetsAge:
     """Track until when this box knows all changes of targets (monotonic seconds).
 
@@ -20,8 +30,7 @@
 
     def __init__(self, now: float) -> None:
         self._known_until = now
-        self._ahead: tuple[int, float] | None = None
-        """A revision that this box has not reached, and until when a peer at it knows all."""
+        self._ahead: _AheadPeer | None = None
 
     def age_s(self, now: float) -> float:
         """Return for how long changes of targets may be unknown here (seconds)."""
@@ -31,17 +40,18 @@
         """Record that the store has returned all changes."""
         self._known_until = now
 
-    def record_peer(self, revision: int, known_until: float, own_revision: int) -> None:
+    def record_peer(self, revision: int, known_until: float, own_revision: int, now: float) -> None:
         """Record the revision of a peer, until when it knows all, and the own revision."""
         if own_revision >= revision:
             self._known_until = max(self._known_until, known_until)
-        elif self._ahead is None:
-            self._ahead = (revision, known_until)
+        elif self._ahead is None or now - self._ahead.heard_at >= BEACON_LIFETIME_S:
+            # One that is never reached must not keep out those of other peers.
+            self._ahead = _AheadPeer(revision, known_until, now)
 
     def record_progress(self, own_revision: int) -> None:
         """Record the new own revision."""
-        if self._ahead is not None and own_revision >= self._ahead[0]:
-            self._known_until = max(self._known_until, self._ahead[1])
+        if self._ahead is not None and own_revision >= self._ahead.revision:
+            self._known_until = max(self._known_until, self._ahead.known_until)
             self._ahead = None
 
 
