Refuse a watcher's word with an age below zero

What callers saw: nothing that is known. A box that gets such a word takes its targets, or the sender, for known until a moment far ahead: it asks no other failure domain, or never begins to read the store, and goes on with targets that have left.

Cause: the ages in a DirectoryBeacon were used as they came from the wire. Named for the age of targets; the one of the last contact, in the same message, had the same effect on the election of watchers.

Change: the word is ignored and logged, so that its sender counts as not heard. Why it works: nothing else puts these times into the future.

Test: test_beacon_with_an_age_below_zero_is_ignored, each case fails on the parent.

--- a/tests/directory/test_service.py
+++ b/tests/directory/test_service.py
@@ -145,6 +145,27 @@
     assert service.knows_newest_version(steady_now())
 
 
+@pytest.mark.parametrize(
+    "beacon",
+    [
+        pytest.param(DirectoryBeacon(0, 0, PEER.address, synced_ago_s=-1e9), id="synced"),
+        pytest.param(DirectoryBeacon(0, 0, PEER.address, targets_age_s=-1e9), id="targets"),
+        pytest.param(DirectoryBeacon(0, 0, PEER.address, synced_ago_s=float("nan")), id="nan"),
+    ],
+)
+def test_beacon_with_an_age_below_zero_is_ignored(beacon: DirectoryBeacon) -> None:
+    """One such beacon kept a box from asking others, or from reading the store, for good."""
+    service, _, log = make_service(first=False)
+    service.set_peers([PEER.address], [], [FAR.address])
+    service.apply_targets(TargetsRead(None, [ENTRY], [], 6))
+    revision = service._targets.known_revision
+    service._receive_beacon(PEER, beacon._replace(targets_revision=revision))
+    assert log.events[-1] == "peer_message_rejected"
+    later = steady_now() + 3600.0
+    assert service._asks_remote_watchers(later)
+    assert service._election.should_watch(later)
+
+
 ENTRY = TargetEntry("i-1", "s", "10.0.0.9:1", "here-a", 2, False, 0.0, 5)
 
 
--- a/trackwheel/directory/service.py
+++ b/trackwheel/directory/service.py
@@ -252,6 +252,10 @@
             self._notifier.forward(push)
 
     def _receive_beacon(self, sender: PeerIdentity, beacon: DirectoryBeacon) -> None:
+        if not (beacon.synced_ago_s >= 0.0 and beacon.targets_age_s >= 0.0):
+            # Ages below zero would make this box rely on the sender for good; NaN is refused too.
+            self._log.write("peer_message_rejected", peer=sender.box_id, message="DirectoryBeacon")
+            return
         self._merge_evacuations(beacon.evacuations, sender.box_id)
         self._newest_heard_version = max(self._newest_heard_version, beacon.routes_version)
         now = steady_now()
