Take a peer's restart for the loss of its earlier boot

What callers saw: after a loss of power, targets worked on for queries of a box that no longer knew of them, up to their deadlines, and queries waited for parts from a peer that had restarted until their time-outs.

Cause: handlers were told that a peer is lost when its last link closes. A link to the earlier boot stays open for seconds after a loss of power; when the next boot opens its own before, there is no last link.

Change: the first link of another boot from an address tells the handlers too. Why it works: a boot that has ended waits for nothing and will answer nothing, and nothing of the later one has arrived yet.

Test: test_link_of_a_later_boot_means_that_the_earlier_one_is_lost; "restarted" fails on the parent, "second-link" (both boxes may open one) holds on both.

--- a/tests/peers/test_hub.py
+++ b/tests/peers/test_hub.py
@@ -20,11 +20,11 @@
     client = None
 
 
-def make_hub(name: str) -> Hub:
+def make_hub(name: str, boot: str = "boot", address: str = "") -> Hub:
     with socket.socket() as sock:
         sock.bind(("127.0.0.1", 0))
         port = sock.getsockname()[1]
-    identity = PeerIdentity(name, "boot", f"127.0.0.1:{port}", "here", "here-a")
+    identity = PeerIdentity(name, boot, address or f"127.0.0.1:{port}", "here", "here-a")
     return Hub(identity, Codec(()), NoTls())
 
 
@@ -86,3 +86,37 @@
 
     anyio.run(scenario)
     assert lost == [address]
+
+
+@pytest.mark.parametrize(
+    ("boot", "expected_losses"), [("boot", 0), ("later", 1)], ids=["second-link", "restarted"]
+)
+def test_link_of_a_later_boot_means_that_the_earlier_one_is_lost(
+    boot: str, expected_losses: int
+) -> None:
+    """Targets worked on for a box that had lost power, whose link was still open.
+
+    The second hub of the peer has the address of the first one and only opens a link.
+    """
+    lost: list[str] = []
+
+    async def scenario() -> None:
+        own, earlier = make_hub("box-1"), make_hub("box-2")
+        later = make_hub("box-2", boot, earlier.identity.address)
+        own.on_link_lost(lost.append)
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(own.run)
+            await tasks.start(earlier.run)
+            earlier.open(own.identity.address)
+            with anyio.fail_after(5.0):
+                while not own.is_linked(earlier.identity.address):
+                    await anyio.sleep(0.01)
+            later._tasks = tasks
+            later.open(own.identity.address)
+            with anyio.fail_after(5.0):
+                while own._link_count_by_address[earlier.identity.address] < 2:
+                    await anyio.sleep(0.01)
+            assert lost == [earlier.identity.address] * expected_losses
+            tasks.cancel_scope.cancel()
+
+    anyio.run(scenario)
--- a/trackwheel/peers/hub.py
+++ b/trackwheel/peers/hub.py
@@ -56,6 +56,8 @@
         self._outbox_by_address: dict[str, Outbox] = {}
         self._retry_at_by_address: dict[str, float] = {}
         self._link_count_by_address: dict[str, int] = {}
+        self._boot_by_address: dict[str, str] = {}
+        """The boot of the newest link to each linked peer."""
         self._on_link_lost: list[Callable[[str], None]] = []
         self._tasks: anyio.abc.TaskGroup | None = None
         self._closed_link_bytes = 0
@@ -73,7 +75,11 @@
         self._handler_by_type[message_type] = handler
 
     def on_link_lost(self, handler: Callable[[str], None]) -> None:
-        """Call a handler with a peer's address when its last link is closed or cannot be opened."""
+        """Call a handler with a peer's address when its work for this box is lost.
+
+        Its last link was closed or cannot be opened, or the peer has restarted: after a loss of
+        power, links to its earlier boot stay open for seconds.
+        """
         self._on_link_lost.append(handler)
 
     def receive(self, sender: PeerIdentity, message: Message) -> None:
@@ -202,12 +208,16 @@
         address = peer.address
         set_tcp_options(socket.transport, LINK_USER_TIMEOUT_MS)
         self._link_count_by_address[address] = self._link_count_by_address.get(address, 0) + 1
+        if self._boot_by_address.setdefault(address, peer.boot) != peer.boot:
+            self._boot_by_address[address] = peer.boot
+            self._notify_link_lost(address)
         try:
             await run_link(socket, peer, outbox, self._codec, self)
         finally:
             self._link_count_by_address[address] -= 1
             if self._link_count_by_address[address] == 0:
                 del self._link_count_by_address[address]
+                del self._boot_by_address[address]
                 self._drop_peer(address, outbox)
 
     def _drop_peer(self, address: str, outbox: Outbox) -> None:
@@ -220,5 +230,8 @@
         if self._outbox_by_address.get(address) is outbox:
             del self._outbox_by_address[address]
         self._retry_at_by_address[address] = steady_now() + RECONNECT_DELAY_S
+        self._notify_link_lost(address)
+
+    def _notify_link_lost(self, address: str) -> None:
         for handler in self._on_link_lost:
             handler(address)
