Number probes so that no answer to an earlier boot counts

What callers saw: nothing that is known. Found while looking for further messages with a number of their own.

Cause: a box numbered its probes from 1 in each boot, and an answer counts by its number alone. A late answer to the earlier boot, over a link that outlived it, answered a probe of the next one, also one to another box: a box that had just died was found dead later.

Change: numbers start at a checksum of the boot. Why it works: the numbers of two boots do not meet.

Test: test_answer_to_a_probe_of_an_earlier_boot_does_not_hide_a_death, fails without the change.

--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -3,7 +3,7 @@
 import pytest
 
 from bench.virtual_fleet import TIMING, VirtualFleet
-from trackwheel.fleet.models import LeavingTarget, Status
+from trackwheel.fleet.models import Ack, LeavingTarget, Probe, Send, Status
 
 
 @pytest.mark.parametrize("count", [2, 3, 7, 40])
@@ -54,6 +54,26 @@
     assert boots == {"other"}
 
 
+def test_answer_to_a_probe_of_an_earlier_boot_does_not_hide_a_death() -> None:
+    """A killed box was found dead late: answers to an earlier boot had the numbers of its probes."""
+    fleet = VirtualFleet(2)
+    address, peer = fleet.box_by_address
+    commands = fleet.box_by_address[address].tick(fleet.now + 1.0)
+    probes = [c.message for c in commands if isinstance(c, Send) and isinstance(c.message, Probe)]
+    sender = fleet.box_by_address[peer].own
+    last = probes[-1].sequence
+    late = [Ack(number, sender, 0, 0, [], []) for number in range(last - 100, last)]
+    fleet.start(address, 0, (peer,), boot="later")
+    fleet.run(fleet.now + 3.0)
+    fleet.stopped.add(peer)
+    killed_at = fleet.now
+    while all(box != address or at < killed_at for at, box, _ in fleet.deaths):
+        assert fleet.now < killed_at + 2.0
+        for ack in late:
+            fleet.box_by_address[address].receive(peer, ack, fleet.now)
+        fleet.run(fleet.now + 0.1)
+
+
 def test_leaving_box_is_known_everywhere_within_a_second() -> None:
     fleet = VirtualFleet(7)
     box = fleet.box_by_address["10.0.0.4:82"]
--- a/trackwheel/fleet/membership.py
+++ b/trackwheel/fleet/membership.py
@@ -1,6 +1,7 @@
 """The decisions of the membership protocol (SWIM): probes, suspicion and gossip, without I/O."""
 
 import random
+import zlib
 from typing import NamedTuple
 
 from trackwheel.fleet.const import (
@@ -64,7 +65,8 @@
         self._expiry_by_leaving_target: dict[LeavingTarget, float] = {}
         self._seeds: tuple[str, ...] = ()
         self._files_revision = 0
-        self._sequence = 0
+        # An answer to a probe of an earlier boot must not count for one of this boot.
+        self._sequence = zlib.crc32(own.boot.encode())
         self._probes = ProbeTracker(timing.probe_timeout_s)
         self._suspected_until_by_address: dict[str, float] = {}
         self._died_at_by_address: dict[str, float] = {}
