Show the age of targets and the questions to other domains as metrics

An operator saw them in the log only. Gauges `targets_age_seconds` and `targets_asked`. Test: test_questions_to_other_domains_and_the_age_of_targets_are_counted.

--- a/tests/directory/test_service.py
+++ b/tests/directory/test_service.py
@@ -22,6 +22,7 @@
 )
 from trackwheel.directory.service import DirectoryService
 from trackwheel.directory.targets import TargetDirectory
+from trackwheel.directory.targets_age import TargetsAge
 from trackwheel.directory.watcher_election import WatcherElection
 from trackwheel.errors import Problem, TrackwheelError
 from trackwheel.peers.models import PeerIdentity
@@ -194,6 +195,22 @@
     assert kinds == ([TargetsPush] if wanted else [])
 
 
+def test_questions_to_other_domains_and_the_age_of_targets_are_counted() -> None:
+    """An operator saw them in the log only, while a box went on with old targets."""
+    service, hub, _ = make_service()
+    service.apply_targets(TargetsRead(None, [ENTRY], [], 6))
+    hub.sent.clear()
+    service._targets_age = TargetsAge(steady_now() - 10.0)
+
+    async def scenario() -> None:
+        with anyio.move_on_after(3 * POLL_PERIOD_S):
+            await service._ask_remote_watchers()
+
+    anyio.run(scenario)
+    assert service.targets_asked == len(hub.sent) == 1
+    assert 10.0 <= service.targets_age_s < 20.0
+
+
 class SilentTargets(FakeSource):
     """Answer the watch of the routes; that of the targets gets no answer after the first read."""
 
--- a/trackwheel/directory/service.py
+++ b/trackwheel/directory/service.py
@@ -73,6 +73,8 @@
         )
         self._on_routes: list[Callable[[RouteTable], None]] = []
         self._on_targets: list[Callable[[dict[str, tuple[Target, ...]]], None]] = []
+        self.targets_asked = 0
+        """How often this box has asked another failure domain for changes of targets."""
         self.table: RouteTable | None = None
         self._newest_heard_version = 0
         hub.register(DirectoryBeacon, self._receive_beacon)
@@ -101,6 +103,11 @@
         """Return whether the store has answered both watches of this box recently."""
         return self._reader.in_sync(steady_now())
 
+    @property
+    def targets_age_s(self) -> float:
+        """Return for how long changes of targets may be unknown here (seconds)."""
+        return self._targets_age.age_s(steady_now())
+
     @property
     def store_calls(self) -> int:
         """Return how many calls this box has made on the store."""
@@ -385,5 +392,6 @@
             age_s = self._targets_age.age_s(now)
             address = self._remote_watchers.due(age_s, now)
             if address:
+                self.targets_asked += 1
                 self._log.write("targets_asked", peer=address, age_s=round(age_s, 2))
                 self._send_ask(address, targets_wanted=True)
--- a/trackwheel/entry/figures.py
+++ b/trackwheel/entry/figures.py
@@ -105,6 +105,16 @@
             "Calls to the store",
             lambda: float(directory.store_calls + box.quarantine.store_calls),
         ),
+        (
+            "targets_age_seconds",
+            "Time for which changes of targets may be unknown",
+            lambda: directory.targets_age_s,
+        ),
+        (
+            "targets_asked",
+            "Questions to other failure domains for changes of targets",
+            lambda: float(directory.targets_asked),
+        ),
         (
             "store_answers_oversized",
             "Answers of the store that exceeded the size limits",
