Let the next four boxes of a domain ask when the first four are cut off

In a fleet of 60 boxes queries would go to targets of a domain for over 10 s after these had said that they leave (3 s are allowed), by boxes that reach the store and all other domains, where the first four boxes of their domain were cut off from both.

Cause: only the first four boxes ask watchers of other domains, so that their links do not grow with the fleet. Nobody asked when all four were cut off, and the takeover comes late: each box that has lost the store doubles its delay.

Change: the next four ask too, a tenth of the drain time later. Why it works: they ask only while the first four have passed on nothing, and still twice before the drain time has passed. The links of a watcher grow with the number of domains only; in an outage of the store for all, the questions double.

Test: test_box_in_touch_learns_of_a_leaving_target_in_time[first-askers], not within 10 s on the parent, within 3 s here.

--- a/tests/directory/test_cut_off_watcher.py
+++ b/tests/directory/test_cut_off_watcher.py
@@ -5,6 +5,7 @@
 
 from tests.directory.memory_fleet import MemoryFleet
 from trackwheel.clock import steady_now
+from trackwheel.directory.const import REMOTE_ASKERS
 
 DRAIN_S = 3.0
 """Time in which a leaving target may get its last work."""
@@ -36,6 +37,7 @@
         pytest.param(60, {"a:0"}, id="watcher"),
         pytest.param(60, {"a:0", "a:1"}, id="watcher-and-next"),
         pytest.param(60, {"a:0", "a:1", "b:0"}, id="and-watcher-of-another-domain"),
+        pytest.param(60, {f"a:{place}" for place in range(REMOTE_ASKERS)}, id="first-askers"),
     ],
 )
 def test_box_in_touch_learns_of_a_leaving_target_in_time(boxes: int, cut_off: set[str]) -> None:
--- a/tests/directory/test_targets_age.py
+++ b/tests/directory/test_targets_age.py
@@ -5,6 +5,7 @@
 from trackwheel.directory.const import (
     POLL_PERIOD_S,
     REMOTE_ASK_PERIOD_FRACTION,
+    REMOTE_ASKER_BATCHES,
     REMOTE_ASKERS,
     TARGETS_WATCH_PAUSE_FRACTION,
     TARGETS_WATCH_WAIT_FRACTION,
@@ -15,6 +16,7 @@
 DRAIN_S = 3.0
 ANSWER_S = 0.2
 """Time to open a link to the most distant box and to get its answer."""
+PERIOD_S = DRAIN_S * REMOTE_ASK_PERIOD_FRACTION
 MAX_AGE_S = DRAIN_S * (TARGETS_WATCH_PAUSE_FRACTION + TARGETS_WATCH_WAIT_FRACTION)
 
 
@@ -67,7 +69,8 @@
     [
         pytest.param(MAX_AGE_S - 0.01, 1, ["b"], id="as-old-as-between-two-answers"),
         pytest.param(2 * MAX_AGE_S, 1, [], id="one-failure-domain"),
-        pytest.param(2 * MAX_AGE_S, REMOTE_ASKERS, ["b"], id="others-ask"),
+        pytest.param(2 * MAX_AGE_S, REMOTE_ASKER_BATCHES * REMOTE_ASKERS, ["b"], id="others-ask"),
+        pytest.param(MAX_AGE_S + PERIOD_S - 0.01, REMOTE_ASKERS, ["b"], id="others-ask-first"),
     ],
 )
 def test_no_remote_watcher_is_asked(age_s: float, predecessors: int, watchers: list[str]) -> None:
--- a/trackwheel/directory/const.py
+++ b/trackwheel/directory/const.py
@@ -69,8 +69,11 @@
 """How often a box whose targets are too old asks a watcher of another failure domain, as a fraction
 of the time in which a leaving target gets its last work: two of three may not answer."""
 REMOTE_ASKERS: Final = 4
-"""Boxes of a failure domain that ask watchers of other ones and pass on what they learn: all but
-one of them may be cut off, and the links of a watcher grow with the number of domains only."""
+"""Boxes of a failure domain that ask watchers of other ones at once and pass on what they learn:
+all but one of them may be cut off."""
+REMOTE_ASKER_BATCHES: Final = 2
+"""How many times as many boxes ask in all, each batch a period later, in case the one before is cut
+off as a whole. The links of a watcher grow with the number of domains only."""
 COMPRESSION_LEVEL: Final = 1
 """Fastest level of zlib: a megabyte of routes would occupy a link of 10 Mbit/s for a second for
 each peer."""
--- a/trackwheel/directory/targets_age.py
+++ b/trackwheel/directory/targets_age.py
@@ -7,6 +7,7 @@
 from trackwheel.directory.const import (
     BEACON_LIFETIME_S,
     REMOTE_ASK_PERIOD_FRACTION,
+    REMOTE_ASKER_BATCHES,
     REMOTE_ASKERS,
     TARGETS_WATCH_PAUSE_FRACTION,
     TARGETS_WATCH_WAIT_FRACTION,
@@ -64,11 +65,15 @@
     leaving target may get work.
 
     Only the first boxes of a failure domain ask, and pass on what they learn: a watcher would have
-    links to all boxes of the fleet otherwise.
+    links to all boxes of the fleet otherwise. As many next ones ask one period later, when the
+    targets are still old: all of the first ones may be cut off.
     """
 
     def __init__(self, own_address: str, drain_s: float) -> None:
-        self._max_age_s = drain_s * (TARGETS_WATCH_PAUSE_FRACTION + TARGETS_WATCH_WAIT_FRACTION)
+        self._answer_period_s = drain_s * (
+            TARGETS_WATCH_PAUSE_FRACTION + TARGETS_WATCH_WAIT_FRACTION
+        )
+        self._max_age_s = self._answer_period_s
         self._period_s = drain_s * REMOTE_ASK_PERIOD_FRACTION
         # Boxes of one failure domain begin with different watchers.
         self._turn = zlib.crc32(own_address.encode())
@@ -77,7 +82,9 @@
 
     def set_peers(self, predecessor_count: int, watchers: Iterable[str]) -> None:
         """Set how many boxes precede this one, and the watchers of other failure domains."""
-        self._watchers = tuple(watchers) if predecessor_count < REMOTE_ASKERS else ()
+        batch = predecessor_count // REMOTE_ASKERS
+        self._max_age_s = self._answer_period_s + batch * self._period_s
+        self._watchers = tuple(watchers) if batch < REMOTE_ASKER_BATCHES else ()
 
     def asks(self, age_s: float) -> bool:
         """Return whether this box asks for changes while its targets are that old."""
