--- a/soak/const.py
+++ b/soak/const.py
@@ -22,6 +22,12 @@
 """Part of the runs in which the store comes back from a copy once."""
 STOP_MANY_SHARE: Final = 0.6
 """Part of the runs in which more than half of the boxes are stopped at once."""
+ENDLESS_SHARE: Final = 0.6
+"""Part of the runs in which several targets send answers without end for a while."""
+ENDLESS_TARGETS: Final = 4
+BOX_MEMORY_BYTES: Final = 200_000_000
+"""Most memory that a box may have held: its unfinished answers have a quarter of 256 MB, and their
+copies as much, beside what it holds without them."""
 WRITTEN_AGAIN_S: Final = 0.4
 """How long after that the operator and the targets write again what it lacks."""
 SETTLE_S: Final = 6.0
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from soak.const import (
+    ENDLESS_TARGETS,
     GRACE_S,
     GROUP_BY_KEY,
     LEAST_COVERAGE,
@@ -18,6 +19,7 @@
 )
 from soak.plan import OF_LINK, Fault, Kind
 from soak.proxy import Proxy
+from standins.endless_server import FORM_BY_NAME
 from standins.entry_fleet import EntryFleet, EntryPlace
 from standins.shard_target import ShardTarget
 
@@ -145,6 +147,8 @@
             self.change_routes()
         elif fault.kind is Kind.STOP_MANY:
             await self._stop_many(fault)
+        elif fault.kind is Kind.TARGETS_ENDLESS:
+            await self._let_answer_without_end(fault)
         else:
             await self._disturb_target(fault)
 
@@ -230,6 +234,16 @@
         await asyncio.sleep(fault.for_s)
         target.delay_s, target.fault = 0.0, ""
 
+    async def _let_answer_without_end(self, fault: Fault) -> None:
+        """Let several targets, each of another shard, answer without end in various forms."""
+        targets = [self.target_by_instance[f"{s}-west"] for s in SHARDS[:ENDLESS_TARGETS]]
+        forms = [*FORM_BY_NAME]
+        for number, target in enumerate(targets):
+            target.fault = forms[int(fault.at * 1000 + number * 7) % len(forms)]
+        await asyncio.sleep(fault.for_s)
+        for target in targets:
+            target.fault = ""
+
     async def _let_leave(self, instance: str) -> None:
         """Let a target say that it leaves, serve on for a while, and go from the store."""
         if instance in self.left_at_by_instance:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -6,6 +6,7 @@
 from typing import Final, NamedTuple
 
 from soak.const import (
+    ENDLESS_SHARE,
     FAULTS_PER_S,
     FIRST_FAULT_S,
     LONGEST_FAULT_S,
@@ -38,6 +39,7 @@
     TARGET_LEAVES = "target-leaves"
     ROUTES = "routes"
     STOP_MANY = "stop-many"
+    TARGETS_ENDLESS = "targets-endless"
 
 
 OF_BOX: Final = (Kind.BOX_KILL, Kind.BOX_STOP, Kind.BOX_FREEZE, Kind.BOX_RELOAD)
@@ -69,7 +71,7 @@
     random = Random(seed)
     last = max(FIRST_FAULT_S, seconds - SETTLE_S - LONGEST_FAULT_S)
     faults: list[Fault] = []
-    once = (Kind.STORE_SET_BACK, Kind.STOP_MANY)
+    once = (Kind.STORE_SET_BACK, Kind.STOP_MANY, Kind.TARGETS_ENDLESS)
     kinds = [kind for kind in Kind if kind not in once]
     for _ in range(int(FAULTS_PER_S * seconds)):
         kind = random.choice(kinds)
@@ -89,4 +91,7 @@
     if random.random() < STOP_MANY_SHARE:
         at = random.uniform(FIRST_FAULT_S, last)
         faults.append(Fault(at, SHORTEST_FAULT_S, Kind.STOP_MANY, ""))
+    if random.random() < ENDLESS_SHARE:
+        at = random.uniform(FIRST_FAULT_S, last)
+        faults.append(Fault(at, LONGEST_FAULT_S, Kind.TARGETS_ENDLESS, ""))
     return sorted(faults)
--- a/soak/run.py
+++ b/soak/run.py
@@ -9,7 +9,7 @@
 
 from soak.checks import check_all
 from soak.clients import Balancer, Client, Told, key_of, send_ending
-from soak.const import CLIENTS, ENDING_PATHS, KEY_TAKEN_SHARE, SHARDS
+from soak.const import BOX_MEMORY_BYTES, CLIENTS, ENDING_PATHS, KEY_TAKEN_SHARE, SHARDS
 from soak.fleet import SoakFleet
 from soak.plan import draw_faults
 from standins.entry_fleet import EntryPlace
@@ -75,6 +75,9 @@
     lost = sum(shard not in left for shard in SHARDS)
     for place in fleet.boxes:
         broken += _check_box(fleet, place, lost)
+        peak_bytes = fleet.peak_memory_bytes(place)
+        if peak_bytes > BOX_MEMORY_BYTES:
+            broken.append(f"memory: {place.name} held {peak_bytes} bytes")
     return broken
 
 
--- a/standins/endless_server.py
+++ b/standins/endless_server.py
@@ -7,6 +7,7 @@
 _OK: Final = b"HTTP/1.1 200 OK\r\n"
 _CHUNKED: Final = _OK + b"Transfer-Encoding: chunked\r\n\r\n"
 _WRITE_BYTES: Final = 65_536
+_FULL_BUFFER_PAUSE_S: Final = 0.001
 
 
 class Form(NamedTuple):
@@ -36,6 +37,16 @@
 """Answers without end, by the part that has none."""
 
 
+async def write_without_end(transport: asyncio.Transport, form: Form) -> None:
+    """Write an answer in one form over a connection until the client closes it."""
+    block = form.repeated * max(1, _WRITE_BYTES // len(form.repeated))
+    transport.write(form.start)
+    while not transport.is_closing():
+        if transport.get_write_buffer_size() < _WRITE_BYTES:
+            transport.write(block)
+        await asyncio.sleep(_FULL_BUFFER_PAUSE_S)
+
+
 class EndlessServer:
     """Answers each request in one form, as fast as it is read, and counts what it has sent.
 
--- a/standins/entry_fleet.py
+++ b/standins/entry_fleet.py
@@ -265,6 +265,12 @@
         """Return the id of a box's process."""
         return self._process_by_name[place.name].pid
 
+    def peak_memory_bytes(self, place: EntryPlace) -> int:
+        """Return the most memory that a box's running process has held."""
+        status = Path(f"/proc/{self.pid(place)}/status").read_text()
+        (line,) = (line for line in status.splitlines() if line.startswith("VmHWM:"))
+        return int(line.split()[1]) * 1024
+
     def wait_exit(self, place: EntryPlace, timeout_s: float) -> int:
         """Wait until a box has ended and return its exit code."""
         return self._process_by_name[place.name].wait(timeout_s)
--- a/standins/shard_target.py
+++ b/standins/shard_target.py
@@ -7,6 +7,7 @@
 
 from aiohttp import web
 
+from standins.endless_server import FORM_BY_NAME, write_without_end
 from standins.http import Running, listen
 
 RECORDS = 3
@@ -125,6 +126,9 @@
         }
         if self.fault == "error":
             return web.Response(status=500, headers=headers, body=b"failed")
+        if self.fault in FORM_BY_NAME:
+            assert request.transport is not None
+            await write_without_end(request.transport, FORM_BY_NAME[self.fault])
         if self.fault == "reset":
             assert request.transport is not None
             request.transport.abort()
