Prove the new limits and questions, and say which limit covers trailers

Rows for the first askers of a domain and for ages below zero, each with its mutant. The text of two constants: trailers count with the framing of chunks.

--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -1745,6 +1745,29 @@
             "while False:",
         ),
     ),
+    Row(
+        PLATFORM,
+        LEAVING,
+        "the first boxes of a failure domain, which ask others, are all cut off",
+        "tests/directory/test_cut_off_watcher.py::"
+        "test_box_in_touch_learns_of_a_leaving_target_in_time",
+        Mutant(
+            "trackwheel/directory/const.py",
+            "REMOTE_ASKER_BATCHES: Final = 2",
+            "REMOTE_ASKER_BATCHES: Final = 1",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        LEAVING,
+        "a watcher's word has an age below zero",
+        "tests/directory/test_service.py::test_beacon_with_an_age_below_zero_is_ignored",
+        Mutant(
+            "trackwheel/directory/service.py",
+            "if not (beacon.synced_ago_s >= 0.0 and beacon.targets_age_s >= 0.0):",
+            "if False:",
+        ),
+    ),
     Row(
         PLATFORM,
         IN_TIME,
--- a/trackwheel/http1/const.py
+++ b/trackwheel/http1/const.py
@@ -31,14 +31,14 @@
 NEW_CONNECTION_GRACE_S: Final = 0.3
 """A stopping server keeps new connections open this long to receive their first request."""
 MAX_HEAD_BYTES: Final = 65_536
-"""Limit on the status line and headers of an answer, with the interim answers before it and the
-trailers behind it. Common servers and proxies allow 8 to 64 KiB for a head."""
+"""Limit on the status line and headers of an answer, with the interim answers before it. Common
+servers and proxies allow 8 to 64 KiB for a head."""
 MAX_HEADERS: Final = 256
 """Limit on the header and trailer lines of an answer: a short one takes thirty times its size in
 memory."""
 MAX_FRAMING_BYTES: Final = 262_144
-"""Limit on chunk sizes and chunk extensions beyond the size of the body itself. Only chunks of a
-few bytes have more framing than content."""
+"""Limit on chunk sizes, chunk extensions and trailers beyond the size of the body itself. Only
+chunks of a few bytes have more framing than content."""
 DEFAULT_MEMORY_BYTES: Final = 256_000_000
 """Memory of a box whose settings name no limit."""
 BODY_SHARE_OF_MEMORY: Final = 1 / 16
