--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -1,7 +1,7 @@
 """Seeds of the soak against real boxes.
 
-With requests that end targets, with a store set back, with more than half of the boxes stopped, with
-targets that answer without end.
+With requests that end targets, with a store set back, with more than half of the boxes stopped, and
+with targets that answer without end.
 """
 
 from pathlib import Path
