--- a/tests/targets/test_client.py
+++ b/tests/targets/test_client.py
@@ -9,7 +9,7 @@
 
 from standins.endless_server import FORM_BY_NAME, EndlessServer
 from trackwheel.targets.client import AiohttpTargetClient
-from trackwheel.targets.const import MAX_ANSWER_BYTES, MAX_RECEIVED_BYTES
+from trackwheel.targets.const import MAX_ANSWER_BYTES
 from trackwheel.targets.errors import (
     TargetBrokenError,
     TargetOversizedError,
@@ -175,9 +175,16 @@
 """Forms that aiohttp itself refuses, as a broken answer whose detail names the limit."""
 
 
+SOCKET_BUFFERS_BYTES = 6_000_000
+"""What may be on the way between two processes on loopback."""
+
+
 @pytest.mark.parametrize("form", FORM_BY_NAME)
 def test_reply_without_end_is_ended(form: str) -> None:
-    """Interim answers and chunk extensions were received until the deadline."""
+    """Interim answers and chunk extensions were received until the deadline.
+
+    With a limit of 8 MB interim answers still took the event loop for over a second.
+    """
     expected = TargetBrokenError if form in LIMITED_BY_THE_PARSER else TargetOversizedError
 
     async def main() -> None:
@@ -185,7 +192,8 @@
         async with EndlessServer(FORM_BY_NAME[form]) as server:
             with anyio.fail_after(5.0), pytest.raises(expected):
                 await client.post(f"127.0.0.1:{server.port}", "/query", BODY, 1000.0)
-        assert server.sent_bytes < 3 * MAX_RECEIVED_BYTES
+        has_body = form in ("chunked-body", "one-chunk", "body-until-close")
+        assert server.sent_bytes < SOCKET_BUFFERS_BYTES + (MAX_ANSWER_BYTES if has_body else 0)
         await client.close()
 
     anyio.run(main)
--- a/trackwheel/targets/const.py
+++ b/trackwheel/targets/const.py
@@ -14,9 +14,6 @@
 PATH_HEALTH: Final = "/health"
 
 MAX_ANSWER_BYTES: Final = 4_000_000
-MAX_RECEIVED_BYTES: Final = 2 * MAX_ANSWER_BYTES
-"""Limit on all bytes received for one answer: interim answers, chunk framing and the body. Only
-chunks of a few bytes have more framing than content."""
 KEEP_ALIVE_S: Final = 60.0
 HEALTH_TIMEOUT_S: Final = 0.5
 """Short, because a health page is only a hint."""
