--- a/review/4/case.py
+++ b/review/4/case.py
@@ -52,7 +52,7 @@
 
 
 SWEEP = Kind("/sweep/", "GET", 2000, 1000)
-LOOKUP = Kind("/pallet/", "POST", 6000, 1000)
+LOOKUP = Kind("/pallet/", "POST", 3000, 500)
 ROUTES: list[dict[str, object]] = [
     {
         "name": "stock-sweep",
@@ -73,7 +73,7 @@
         "path_prefix": LOOKUP.path,
         "kind": "unsafe",
         "timeout_ms": LOOKUP.timeout_ms,
-        "target_latency_ms": 673,
+        "target_latency_ms": 200,
         "priority": 2,
         "max_attempts": 2,
         "service": "etikett",
@@ -116,24 +116,65 @@
             await asyncio.sleep(max(0.0, 1.0 - (time.monotonic() - asked_at)))
 
 
-class BackendProcess:
-    """The back ends, in a process of their own; notes when each request first ran."""
+class Backends:
+    """The back ends: sound ones in one process, those with the trouble in another one."""
 
     def __init__(self, case: Case) -> None:
-        self._case = case
+        muc, nue, aug = ZONES
         self.flag = case.folder / "trouble"
-        zones = list(ZONES)
-        services = {shard: zones[:2] for shard in SHARDS} | {"etikett": zones}
+        self.first_run_at: dict[str, float] = {}
+        """When each request first ran at a back end (monotonic seconds)."""
+        self.endless: list[str] = []
+        half = len(SHARDS) // 2
+        sound = {**dict.fromkeys(SHARDS[half:], [muc, nue]), "etikett": [muc, aug]}
+        faulty = {**dict.fromkeys(SHARDS[:half], [muc, nue]), "etikett": [nue]}
+        self._processes = [
+            BackendProcess(case, self, "sound", sound, 0.0),
+            BackendProcess(case, self, "faulty", faulty, TROUBLE_SHARE_X),
+        ]
+
+    async def write_entries(self, store: Store) -> None:
+        """Write the entries of the back ends at each heartbeat."""
+        sequence = 0
+        while True:
+            sequence += 1
+            for entry in [entry for process in self._processes for entry in process.entries]:
+                fields = {
+                    "service": entry["service"],
+                    "address": entry["address"],
+                    "zone": entry["zone"],
+                    "version": "v1",
+                    "slots": 8,
+                    "state": "ready",
+                    "warmup_left_ms": 0,
+                    "sequence": sequence,
+                }
+                store.put(f"servers/{entry['id']}", fields)
+            await asyncio.sleep(1.2)
+
+    def end(self) -> None:
+        """End the processes."""
+        for process in self._processes:
+            process.end()
+
+
+class BackendProcess:
+    """Some back ends in a process of their own."""
+
+    def __init__(
+        self, case: Case, backends: Backends, name: str, services: dict[str, list[str]], x: float
+    ) -> None:
+        self._case = case
+        self._backends = backends
         spec = {
-            "name": "b",
+            "name": name,
             "ip": case.new_ip(),
             "services": services,
             "work_s": 0.02,
             "records": 60,
-            "x": TROUBLE_SHARE_X,
-            "one_faulty_in": 2,
+            "x": x,
             "seed": random.random(),
-            "trouble": str(self.flag),
+            "trouble": str(backends.flag),
         }
         self._process = subprocess.Popen(
             [sys.executable, str(STANDINS / "backends.py"), json.dumps(spec)],
@@ -141,38 +182,17 @@
         )
         assert self._process.stdout is not None
         self.entries = json.loads(self._process.stdout.readline())
-        self.first_run_at: dict[str, float] = {}
-        self.endless: list[str] = []
         threading.Thread(target=self._read, daemon=True).start()
 
     def _read(self) -> None:
         assert self._process.stdout is not None
         for line in self._process.stdout:
             word, instance, attempt = line.decode().split()
-            self.first_run_at.setdefault(attempt, time.monotonic())
+            self._backends.first_run_at.setdefault(attempt, time.monotonic())
             if word == "endless":
-                self.endless.append(attempt)
+                self._backends.endless.append(attempt)
                 self._case.note(f"{instance} answers {attempt} without end")
 
-    async def write_entries(self, store: Store) -> None:
-        """Write the entries of the back ends at each heartbeat."""
-        sequence = 0
-        while True:
-            sequence += 1
-            for entry in self.entries:
-                fields = {
-                    "service": entry["service"],
-                    "address": entry["address"],
-                    "zone": entry["zone"],
-                    "version": "v1",
-                    "slots": 8,
-                    "state": "ready",
-                    "warmup_left_ms": 0,
-                    "sequence": sequence,
-                }
-                store.put(f"servers/{entry['id']}", fields)
-            await asyncio.sleep(1.2)
-
     def end(self) -> None:
         """End the process."""
         self._process.kill()
@@ -202,7 +222,7 @@
     """Return whether too many requests have no answer half a second after their time-out."""
     store = Store(case)
     await store.start()
-    backends = BackendProcess(case)
+    backends = Backends(case)
     try:
         beats = asyncio.create_task(backends.write_entries(store))
         await asyncio.sleep(0.1)
@@ -221,7 +241,7 @@
     return judge(case, ended, backends)
 
 
-async def send_load(case: Case, boxes: list[Box], backends: BackendProcess) -> list[Ended]:
+async def send_load(case: Case, boxes: list[Box], backends: Backends) -> list[Ended]:
     """Send requests before, during and after the trouble; return how they ended."""
     platform = Platform(case, boxes)
     questions = [asyncio.create_task(platform.ask(box)) for box in boxes]
@@ -248,7 +268,7 @@
     return ended
 
 
-def judge(case: Case, ended: list[Ended], backends: BackendProcess) -> bool:
+def judge(case: Case, ended: list[Ended], backends: Backends) -> bool:
     """Apply the rule to the requests for which a client waits until it has an answer.
 
     The client of a request that may be repeated leaves if it is not read within a third of its
--- a/review/standins-2/backends.py
+++ b/review/standins-2/backends.py
@@ -1,7 +1,8 @@
 """A process of back ends: `python3 backends.py SPEC` with a JSON object of their services.
 
 It prints a JSON list of the back ends with their addresses, and then a line for each run of a
-request. While the file that the SPEC names as `trouble` exists, some answers have no end.
+request. While the file that the SPEC names as `trouble` exists, the share `x` of the answers has no
+end.
 """
 
 import asyncio
@@ -15,20 +16,19 @@
 from harness import Message, answer_bytes, read_message
 
 CHUNK = b"5\r\nfail\n\r\n"
-BLOCK = CHUNK * 1000
-BYTES_PER_S = 25_000_000
-"""How fast an answer without end is sent: a fifth of the link of a machine."""
+BLOCK = CHUNK * 6_000
+BYTES_PER_S = 100_000_000
+"""How fast an answer without end is sent at most: less than the link of a machine takes."""
 LONGEST_S = 10.0
 
 
 class Server:
-    """One back end; `faulty` ones give the share `x` of their answers without an end."""
+    """One back end."""
 
-    def __init__(self, spec: dict[str, Any], service: str, instance: str, faulty: bool) -> None:
+    def __init__(self, spec: dict[str, Any], service: str, instance: str) -> None:
         self._spec = spec
         self.service = service
         self.instance = instance
-        self._faulty = faulty
         self._random = random.Random(f"{spec['seed']} {instance}")
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -48,7 +48,7 @@
             return
         print(f"run {self.instance} {attempt}", flush=True)
         await asyncio.sleep(self._spec["work_s"])
-        in_trouble = self._faulty and os.path.exists(self._spec["trouble"])
+        in_trouble = self._spec["x"] > 0.0 and os.path.exists(self._spec["trouble"])
         if in_trouble and self._random.random() < self._spec["x"]:
             print(f"endless {self.instance} {attempt}", flush=True)
             await self._write_without_end(writer)
@@ -78,7 +78,7 @@
         for zone in zones:
             number += 1
             instance = f"i-{spec['name']}{number}"
-            server = Server(spec, service, instance, number % spec["one_faulty_in"] == 0)
+            server = Server(spec, service, instance)
             listening = await asyncio.start_server(server.serve, spec["ip"], 0)
             port = listening.sockets[0].getsockname()[1]
             address = f"{spec['ip']}:{port}"
