Test crowds of clients that keep requests unfinished or answers unread

Clients that nobody controls ended a process: it ran out of memory. Thirteen crowds at one real box of 100 MB (or 500 descriptors): bodies in large and very small chunks that stop just short of their end, heads of very short lines, trailers, bodies behind and at a slow target, answers read slowly or not at all, the readiness address, idle connections. Judged: the process lives, its peak with the bytes unread in the kernel stays within the memory of its machine, a tenth of its sockets stays free, and an ordinary client is answered beside the crowd and after it.

The bounds are the settings of the test and hold before any change to the product.

--- a/standins/entry_fleet.py
+++ b/standins/entry_fleet.py
@@ -58,13 +58,14 @@
 class EntryFleet:
     """Start, disturb and stop a store, targets and boxes."""
 
-    def __init__(self, zones: list[str], folder: Path) -> None:
+    def __init__(self, zones: list[str], folder: Path, more_settings: str = "") -> None:
         self.store = MetadataStore()
         self.target_by_instance: dict[str, ShardTarget] = {}
         self._zone_by_instance: dict[str, str] = {}
         self.boxes: list[EntryPlace] = []
         self._zones = zones
         self._folder = folder
+        self._more_settings = more_settings
         self._process_by_name: dict[str, subprocess.Popen[bytes]] = {}
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
@@ -93,7 +94,7 @@
                 seeds=",".join(controls[:3]),
                 store=self.reach(f"store-of-{name}", self._store_running.address),
             )
-            (self._folder / f"{name}.conf").write_text(text)
+            (self._folder / f"{name}.conf").write_text(text + self._more_settings)
             self.boxes.append(
                 EntryPlace(name, zone, f"127.0.0.1:{front}", f"127.0.0.1:{readiness}")
             )
@@ -271,6 +272,14 @@
         (line,) = (line for line in status.splitlines() if line.startswith("VmHWM:"))
         return int(line.split()[1]) * 1024
 
+    def open_descriptors(self, place: EntryPlace) -> int:
+        """Return how many descriptors a box's running process has open."""
+        return len(os.listdir(f"/proc/{self.pid(place)}/fd"))
+
+    def runs(self, place: EntryPlace) -> bool:
+        """Return whether a box's process, once started, is still running."""
+        return self._process_by_name[place.name].poll() is None
+
     def wait_exit(self, place: EntryPlace, timeout_s: float) -> int:
         """Wait until a box has ended and return its exit code."""
         return self._process_by_name[place.name].wait(timeout_s)
--- a/standins/shard_target.py
+++ b/standins/shard_target.py
@@ -33,6 +33,8 @@
         self.born_ms = int(time.time() * 1000)
         self.cold_ms = 0
         self.load = "0,0,2,100"
+        self.filler = b""
+        """Sent at the end of each answer."""
         self.ends_under = ""
         """A part of paths; a request with it ends the target as soon as that runs it."""
         self.ended = False
@@ -132,4 +134,4 @@
         if self.fault == "reset":
             assert request.transport is not None
             request.transport.abort()
-        return web.Response(headers=headers, body=b"".join(self.records()) + body)
+        return web.Response(headers=headers, body=b"".join(self.records()) + body + self.filler)
