Time out a request that was begun behind another

A client that began a request while its previous one was in progress, and stopped short of its end, kept its connection and all that it had sent until it left: the timeouts start only where no request is in progress, and the end of that one started none. It starts one now (408).

--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -234,3 +234,24 @@
             assert request.body == b"a"
 
     run(scenario())
+
+
+def test_request_begun_behind_another_is_not_awaited_forever(run: Run) -> None:
+    """Its connection stayed open until the client left, with all that it had sent."""
+
+    exchanges: list[Exchange] = []
+
+    def hold(request: Request, exchange: Exchange) -> None:
+        exchanges.append(exchange)
+
+    async def scenario() -> None:
+        async with RecordingServer(hold) as server:
+            reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+            writer.write(GET + b"POST /b HTTP/1.1\r\nContent-Length: 9\r\n\r\nab")
+            await asyncio.sleep(0.02)
+            exchanges[0].respond(Response(200, (), b""))
+            first, second = (await reader.read()).split(b"HTTP/1.1 ")[1:]
+            assert first.startswith(b"200 ")
+            assert second.startswith(b"408 ")
+
+    run(scenario())
--- a/trackwheel/http1/server.py
+++ b/trackwheel/http1/server.py
@@ -217,7 +217,10 @@
         if self._current is not None:
             return
         if not self._pipelined:
-            if not self._reader.in_message:
+            if self._reader.in_message:
+                # No timeout runs for it while another request is in progress.
+                self._set_timer(self._state.limits().idle_s, self._header_timeout)
+            else:
                 self._set_timer(self._state.limits().idle_s, self.close)
             return
         self._stop_timer()
