Answer requests in progress before the refusal of one behind them

A client that sent an invalid or oversized request behind one that had been passed on lost the answer to that one: the refusal closed the connection at once, and the answer of the target was dropped. The refusal is kept now, and sent after the answers to the requests before it.

The three cases of the test failed before: the connection ended without any answer.

--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -255,3 +255,37 @@
             assert second.startswith(b"408 ")
 
     run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("behind", "status"),
+    [
+        pytest.param(b"nonsense\r\n\r\n", 400, id="not-http"),
+        pytest.param(b"POST /b HTTP/1.1\r\nContent-Length: 2000\r\n\r\n", 413, id="large-body"),
+        pytest.param(b"GET /b HTTP/1.1\r\nX: " + b"x" * 600, 431, id="large-headers"),
+    ],
+)
+def test_request_is_answered_before_the_refusal_of_one_behind_it(
+    run: Run, behind: bytes, status: int
+) -> None:
+    """The connection was closed at once, and the request that had been passed on got no answer."""
+    exchanges: list[Exchange] = []
+
+    def hold(request: Request, exchange: Exchange) -> None:
+        exchanges.append(exchange)
+
+    async def scenario() -> None:
+        async with RecordingServer(hold) as server:
+            reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+            writer.write(GET * 2)
+            await asyncio.sleep(0.02)
+            writer.write(behind)
+            await asyncio.sleep(0.02)
+            for number in range(2):
+                exchanges[number].respond(Response(200, (), b"%d" % number))
+            first, second, third = (await reader.read()).split(b"HTTP/1.1 ")[1:]
+            assert [one[:3] for one in (first, second)] == [b"200", b"200"]
+            assert third.startswith(b"%d " % status)
+            assert b"connection: close" in third
+
+    run(scenario())
--- a/trackwheel/http1/server.py
+++ b/trackwheel/http1/server.py
@@ -126,7 +126,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self._pipelined: deque[tuple[Request, bool]] = deque()
         self._current: _ServerExchange | None = None
-        self._rejected = False
+        self._refusal: Response | None = None
+        """Refuses the request that was read last; sent after the answers to those before it."""
         self.opened_at = steady_now()
 
     @property
@@ -154,7 +155,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Read requests; refuse an invalid or oversized one."""
-        if self._rejected:
+        if self._refusal is not None:
             return
         status = self._reader.feed(data)
         if status is not None:
@@ -186,7 +187,8 @@
         if transport is None or transport.is_closing():
             return
         # After a close, the client of a pipelined request could not tell whether it has run.
-        keep_alive = keep_alive and (not self._state.stopping or bool(self._pipelined))
+        behind = bool(self._pipelined) or self._refusal is not None
+        keep_alive = keep_alive and (behind or not self._state.stopping)
         transport.write(encode_response(response, head_only, keep_alive))
         if not keep_alive:
             self._stop_timer()
@@ -217,7 +219,9 @@
         if self._current is not None:
             return
         if not self._pipelined:
-            if self._reader.in_message:
+            if self._refusal is not None:
+                self._send_refusal()
+            elif self._reader.in_message:
                 # No timeout runs for it while another request is in progress.
                 self._set_timer(self._state.limits().idle_s, self._header_timeout)
             else:
@@ -233,14 +237,19 @@
         self._reject(HTTPStatus.REQUEST_TIMEOUT)
 
     def _reject(self, status: HTTPStatus, headers: Headers = ()) -> None:
-        """Answer an incomplete request with an error status and close the connection."""
-        if self._rejected or self._transport is None or self._transport.is_closing():
+        """Refuse the request that was read last, after the answers to the requests before it."""
+        if self._refusal is not None or self._transport is None or self._transport.is_closing():
             return
-        self._rejected = True
-        self._stop_timer()
+        self._refusal = Response(status, headers, b"")
         self._state.on_refused(status.value)
         if self._current is None:
-            self._transport.write(encode_response(Response(status, headers, b""), False, False))
+            self._send_refusal()
+
+    def _send_refusal(self) -> None:
+        """Send the refusal and close the connection."""
+        assert self._transport is not None and self._refusal is not None
+        self._stop_timer()
+        self._transport.write(encode_response(self._refusal, False, False))
         self._transport.close()
 
     def _set_timer(self, delay_s: float, action: Callable[[], None]) -> None:
