Read connections that send much in turns

A crowd that sent bodies in chunks of one byte kept the event loop from all other clients: for seconds nobody was answered, since up to 8 MB of one connection were parsed before the next one was read, with a callback for each byte of content. What was read at once also lay in memory.

A connection reads 16 KiB at a time into one shared buffer. Where the buffer was full, or held more than 256 chunks, reading pauses until its turn: four connections in one iteration of the event loop, in order. Clients that send little are read at once, beside them.

--- a/trackwheel/http1/const.py
+++ b/trackwheel/http1/const.py
@@ -49,3 +49,12 @@
 MIN_BODY_LIMIT_BYTES: Final = 8_000_000
 """Smallest limit on one body: a page of the store with its largest value, in base64, several
 times over."""
+READ_BYTES: Final = 16_384
+"""Most bytes read from a client's connection at once: a head within the usual limits."""
+MAX_CHUNKS_PER_READ: Final = 256
+"""A read with more chunks than this takes as long as those of many other clients."""
+READS_PER_TURN: Final = 4
+"""Connections with much to read that are read in one iteration of the event loop."""
+RECEIVE_BUFFER_BYTES: Final = 65_536
+"""Receive buffer of a client's connection. The kernel would grow it to megabytes, and what has
+arrived unread counts toward the memory of a box."""
--- a/trackwheel/http1/request_reader.py
+++ b/trackwheel/http1/request_reader.py
@@ -44,9 +44,12 @@
         self._url = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._body = bytearray()
+        self.chunks_read = 0
+        """Parts of bodies in the last data."""
 
-    def feed(self, data: bytes) -> HTTPStatus | None:
+    def feed(self, data: bytes | memoryview) -> HTTPStatus | None:
         """Parse data; return the status of the refusal if a request is invalid or too large."""
+        self.chunks_read = 0
         if not self.head_read:
             self._header_bytes += len(data)
         try:
@@ -97,6 +100,7 @@
         if len(self._body) + len(body) > self._limits().body_bytes:
             self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         self._body += body
+        self.chunks_read += 1
 
     def on_message_complete(self) -> None:
         """Pass the complete request on."""
--- a/trackwheel/http1/server.py
+++ b/trackwheel/http1/server.py
@@ -7,8 +7,14 @@
 from typing import Final, Protocol, cast
 
 from trackwheel.clock import steady_now
-from trackwheel.http1.const import MAX_PIPELINED_REQUESTS, NEW_CONNECTION_GRACE_S
+from trackwheel.http1.const import (
+    MAX_CHUNKS_PER_READ,
+    MAX_PIPELINED_REQUESTS,
+    NEW_CONNECTION_GRACE_S,
+    READ_BYTES,
+)
 from trackwheel.http1.models import Headers, Request, Response
+from trackwheel.http1.read_turns import ReadTurns
 from trackwheel.http1.request_reader import RequestReader
 from trackwheel.http1.sockets import set_tcp_options
 from trackwheel.routing.models import Limits
@@ -53,6 +59,9 @@
         self.limits = limits
         self.on_refused = on_refused
         self.stopping = False
+        self.turns = ReadTurns()
+        self.read_buffer = bytearray(READ_BYTES)
+        """Used by all connections: what one has read is parsed before another one reads."""
         self.connections: set[ServerConnection] = set()
 
     @property
@@ -116,7 +125,7 @@
             handler()
 
 
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(asyncio.BufferedProtocol):
     """Read requests from one client and write their answers in order."""
 
     def __init__(self, state: ServerState) -> None:
@@ -128,6 +137,8 @@
         self._current: _ServerExchange | None = None
         self._refusal: Response | None = None
         """Refuses the request that was read last; sent after the answers to those before it."""
+        self._queue_full = False
+        self._awaits_turn = False
         self.opened_at = steady_now()
 
     @property
@@ -146,6 +157,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify the handler of an unanswered request that the client has disconnected."""
         self._state.connections.discard(self)
+        self._state.turns.leave(self)
         self._stop_timer()
         self._pipelined.clear()
         self._reader.close()
@@ -153,13 +165,18 @@
         if current is not None:
             current.notify_disconnect()
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return the buffer for the next read."""
+        return self._state.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Read requests; refuse an invalid or oversized one."""
-        if self._refusal is not None:
-            return
-        status = self._reader.feed(data)
-        if status is not None:
-            self._reject(status)
+        if self._refusal is None:
+            status = self._reader.feed(memoryview(self._state.read_buffer)[:nbytes])
+            if status is not None:
+                self._reject(status)
+        if nbytes == READ_BYTES or self._reader.chunks_read > MAX_CHUNKS_PER_READ:
+            self._wait_for_turn()
 
     def request_begun(self) -> None:
         """Start the timeout for the headers."""
@@ -176,9 +193,9 @@
     def request_read(self, request: Request, keep_alive: bool) -> None:
         """Queue the complete request."""
         self._pipelined.append((request, keep_alive))
-        if len(self._pipelined) >= MAX_PIPELINED_REQUESTS and self._transport is not None:
-            self._transport.pause_reading()
         self._handle_next()
+        self._queue_full = len(self._pipelined) >= MAX_PIPELINED_REQUESTS
+        self._update_reading()
 
     def write_response(self, response: Response, head_only: bool, keep_alive: bool) -> None:
         """Write the answer to the current request and handle the next one."""
@@ -194,9 +211,9 @@
             self._stop_timer()
             transport.close()
             return
-        if len(self._pipelined) < MAX_PIPELINED_REQUESTS:
-            transport.resume_reading()
         self._handle_next()
+        self._queue_full = len(self._pipelined) >= MAX_PIPELINED_REQUESTS
+        self._update_reading()
 
     def end_request(self) -> None:
         """Have the request in progress answered at once, if there is one."""
@@ -233,6 +250,25 @@
         self._current = exchange
         self._state.handler(request, exchange)
 
+    def _wait_for_turn(self) -> None:
+        """Pause reading until it is this connection's turn: there is mostly more to read."""
+        self._awaits_turn = True
+        self._update_reading()
+        self._state.turns.wait(self, self._take_turn)
+
+    def _take_turn(self) -> None:
+        self._awaits_turn = False
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        if self._queue_full or self._awaits_turn:
+            transport.pause_reading()
+        else:
+            transport.resume_reading()
+
     def _header_timeout(self) -> None:
         self._reject(HTTPStatus.REQUEST_TIMEOUT)
 
