Limit the receive buffer of clients' connections

What has arrived and is not read counts toward the memory of a box on the users' machines. The kernel grows a receive buffer to megabytes where its reader is fast at first, so that each client whose requests must wait costs as much.

No test of its own fails yet.

--- a/trackwheel/entry/run.py
+++ b/trackwheel/entry/run.py
@@ -25,6 +25,7 @@
 from trackwheel.entry.signals import SIGNALS, is_stop_pending, unblock_signals
 from trackwheel.garbage import tune_garbage_collection
 from trackwheel.http1.server import ServerConnection, ServerState
+from trackwheel.http1.sockets import open_listening_socket
 from trackwheel.platform.settings import read_settings
 from trackwheel.relay.const import RETRY_AFTER_S
 
@@ -79,7 +80,8 @@
 async def _listen(state: ServerState, address: str) -> asyncio.Server:
     host, port = split_address(address)
     loop = asyncio.get_running_loop()
-    return await loop.create_server(lambda: ServerConnection(state), host, port, backlog=BACKLOG)
+    sock = open_listening_socket(host, port)
+    return await loop.create_server(lambda: ServerConnection(state), sock=sock, backlog=BACKLOG)
 
 
 async def _listen_for_metrics(box: EntryBox) -> None:
--- a/trackwheel/http1/sockets.py
+++ b/trackwheel/http1/sockets.py
@@ -1,4 +1,4 @@
-"""TCP options that detect unresponsive peers."""
+"""Listening sockets, and TCP options that detect unresponsive peers."""
 
 import asyncio
 import socket
@@ -7,6 +7,7 @@
     KEEPALIVE_IDLE_S,
     KEEPALIVE_PERIOD_S,
     KEEPALIVE_PROBES,
+    RECEIVE_BUFFER_BYTES,
     TCP_USER_TIMEOUT_MS,
 )
 
@@ -28,3 +29,17 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_PERIOD_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms)
+
+
+def open_listening_socket(host: str, port: int) -> socket.socket:
+    """Return a bound socket whose connections have a receive buffer of limited size."""
+    sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        sock.setblocking(False)
+        sock.bind((host, port))
+    except OSError:
+        sock.close()
+        raise
+    return sock
