Handle pipelined requests one after the other

A client that sent some hundred requests behind one in progress made its box raise a RecursionError when that one was answered: each answer handled the next request, one inside the other. No request behind it was answered. The connection handles them in a loop now.

test_many_requests_behind_one_in_progress_are_answered failed before with the RecursionError.

--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -289,3 +289,26 @@
             assert b"connection: close" in third
 
     run(scenario())
+
+
+def test_many_requests_behind_one_in_progress_are_answered(run: Run) -> None:
+    """Each answer handled the next request, one inside the other, until the stack was full."""
+    held: list[Exchange] = []
+
+    def handle(request: Request, exchange: Exchange) -> None:
+        if request.target == b"/hold":
+            held.append(exchange)
+        else:
+            exchange.respond(Response(404, (), b""))
+
+    async def scenario() -> None:
+        async with RecordingServer(handle) as server:
+            reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+            writer.write(b"GET /hold HTTP/1.1\r\nHost: h\r\n\r\n" + GET * 450)
+            await asyncio.sleep(0.02)
+            held[0].respond(Response(200, (), b""))
+            for status in (200, *(404,) * 450):
+                answer = await reader.readuntil(b"\r\n\r\n")
+                assert answer.startswith(b"HTTP/1.1 %d " % status)
+
+    run(scenario())
--- a/trackwheel/http1/server.py
+++ b/trackwheel/http1/server.py
@@ -135,6 +135,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._pipelined: deque[tuple[Request, bool]] = deque()
         self._current: _ServerExchange | None = None
+        self._handling = False
         self._refusal: Response | None = None
         """Refuses the request that was read last; sent after the answers to those before it."""
         self._queue_full = False
@@ -232,24 +233,39 @@
             self._transport.close()
 
     def _handle_next(self) -> None:
-        """Pass the next request to the handler unless one is in progress."""
-        if self._current is not None:
-            return
-        if not self._pipelined:
-            if self._refusal is not None:
-                self._send_refusal()
-            elif self._reader.in_message:
-                # No timeout runs for it while another request is in progress.
-                self._set_timer(self._state.limits().idle_s, self._header_timeout)
-            else:
-                self._set_timer(self._state.limits().idle_s, self.close)
+        """Pass requests to the handler while none is in progress, then await the next one."""
+        if self._handling:
+            # A handler has answered at once: the loop below continues.
             return
+        self._handling = True
+        try:
+            while self._current is None and self._pipelined and not self._closing:
+                self._handle(*self._pipelined.popleft())
+        finally:
+            self._handling = False
+        if self._current is None and not self._closing:
+            self._await_request()
+
+    def _handle(self, request: Request, keep_alive: bool) -> None:
         self._stop_timer()
-        request, keep_alive = self._pipelined.popleft()
         exchange = _ServerExchange(self, request.method == b"HEAD", keep_alive)
         self._current = exchange
         self._state.handler(request, exchange)
 
+    def _await_request(self) -> None:
+        """Set the timer for the next request, or refuse the one that was read last."""
+        if self._refusal is not None:
+            self._send_refusal()
+        elif self._reader.in_message:
+            # No timeout runs for it while another request is in progress.
+            self._set_timer(self._state.limits().idle_s, self._header_timeout)
+        else:
+            self._set_timer(self._state.limits().idle_s, self.close)
+
+    @property
+    def _closing(self) -> bool:
+        return self._transport is None or self._transport.is_closing()
+
     def _wait_for_turn(self) -> None:
         """Pause reading until it is this connection's turn: there is mostly more to read."""
         self._awaits_turn = True
