Limit trailers, chunk extensions and heads that arrive at once

A trailer without end lay in the memory of the parser as long as its client sent: 30 of them held 169 MB on a machine of 100 MB. A chunk extension without end took time only, until the timeout. And a head over its limit passed where it arrived in one read.

More framing than a head may have, without any content between, is refused (431). No client within the limits sends that: framing of one byte a chunk counts only between two pieces of content. A complete head is checked by its lines.

--- a/tests/http1/test_request_reader.py
+++ b/tests/http1/test_request_reader.py
@@ -2,6 +2,7 @@
 
 import tracemalloc
 from collections.abc import Iterator
+from http import HTTPStatus
 from typing import Final
 
 import pytest
@@ -63,3 +64,44 @@
         assert reader.feed(part) is None
     (request,) = listener.requests
     assert request.body == b"c" * BODY_BYTES
+
+
+@pytest.mark.parametrize(
+    "repeated",
+    [
+        pytest.param(b"v" * 1_024, id="trailer-value"),
+        pytest.param(b"v: " + b"v" * 100 + b"\r\nX-Filler: ", id="trailer-lines"),
+    ],
+)
+def test_trailers_without_end_are_refused(repeated: bytes) -> None:
+    """The parser keeps an unfinished trailer whole, and no limit counted its bytes."""
+    reader = RequestReader(RecordingListener(), lambda: LIMITS)
+    trailers = CHUNKED + b"1\r\nc\r\n0\r\nX-Filler: " + repeated * (200_000 // len(repeated))
+    statuses = [reader.feed(part) for part in in_reads(trailers)][:4]
+    assert HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE in statuses
+
+
+def test_chunk_extension_without_end_is_refused() -> None:
+    """No limit counted its bytes, so that only the timeout ended such a request."""
+    reader = RequestReader(RecordingListener(), lambda: LIMITS)
+    extension = CHUNKED + b"1;e=" + b"x" * 100_000
+    statuses = [reader.feed(part) for part in in_reads(extension)][:4]
+    assert HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE in statuses
+
+
+@pytest.mark.parametrize("lines", [1, 500])
+def test_head_is_limited_also_where_it_ends_within_one_read(lines: int) -> None:
+    """Whether an oversized head passed depended on how many bytes arrived at once."""
+    value = b"v" * ((LIMITS.header_bytes + 100) // lines)
+    fields = b"".join(b"X-%d: %s\r\n" % (number, value) for number in range(lines))
+    reader = RequestReader(RecordingListener(), lambda: LIMITS)
+    status = reader.feed(b"GET /a HTTP/1.1\r\n" + fields + b"\r\n")
+    assert status is HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+
+
+def test_head_within_its_limit_is_read() -> None:
+    listener = RecordingListener()
+    reader = RequestReader(listener, lambda: LIMITS)
+    lines = b"a: b\r\n" * ((LIMITS.header_bytes - 50) // 6)
+    assert reader.feed(b"GET /a HTTP/1.1\r\n" + lines + b"\r\n") is None
+    assert len(listener.requests) == 1
--- a/trackwheel/http1/request_reader.py
+++ b/trackwheel/http1/request_reader.py
@@ -41,6 +41,9 @@
         """Whether a part of a request has been read."""
         self.head_read = False
         self._header_bytes = 0
+        """Received since the end of the last request, until the head is read."""
+        self._framing_bytes = 0
+        """Received in reads without any content: chunk extensions and trailers."""
         self._url = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._body = bytearray()
@@ -56,9 +59,11 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             return self._refusal
-        if not self.head_read and self._header_bytes > self._limits().header_bytes:
-            return HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-        return None
+        if self.head_read:
+            self._framing_bytes = 0 if self.chunks_read else self._framing_bytes + len(data)
+        limit = self._limits().header_bytes
+        oversized = self._framing_bytes if self.head_read else self._header_bytes
+        return HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE if oversized > limit else None
 
     def close(self) -> None:
         """Drop what has been read of an unfinished request."""
@@ -87,7 +92,11 @@
     def on_headers_complete(self) -> None:
         """Check the announced size of the body."""
         self.head_read = True
-        self._header_bytes = 0
+        self._header_bytes = self._framing_bytes = 0
+        lines_bytes = sum(len(name) + len(value) for name, value in self._headers)
+        if len(self._url) + lines_bytes > self._limits().header_bytes:
+            # The bytes received are checked only after a read that leaves the head unfinished.
+            self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
         expects_continue = False
         for name, value in self._headers:
             if name == b"content-length" and int(value) > self._limits().body_bytes:
