Bound the requests of all clients together

Clients that kept requests unfinished, sent them behind one in progress, or at a slow target took the memory of a box, each within its own limit: 171 to 310 MB on a machine of 100 MB (five crowd tests). Nothing counted them together, and a head of short lines takes many times its bytes.

An eighth of the machine's memory is for requests now, counted as what they hold: content, lines of the head, the connection, and the receive buffer where reading is paused. Beyond it, the client that holds most is refused first, among equal ones the one that has not moved for the longest: 503 with Retry-After, since nothing of such a request has run; answers to requests before it are sent first. A request that was passed on is never dropped; one more is passed on if it takes at most an eighth of what those in progress leave, so that small ones go on beside a crowd of large ones. AnswerLimits uses the same rule, which is its own module now.

--- a/tests/http1/test_request_reader.py
+++ b/tests/http1/test_request_reader.py
@@ -29,7 +29,7 @@
     def head_read(self, expects_continue: bool) -> None:
         """Ignore the head."""
 
-    def request_read(self, request: Request, keep_alive: bool) -> None:
+    def request_read(self, request: Request, size: int, keep_alive: bool) -> None:
         """Record the request."""
         self.requests.append(request)
 
--- a/trackwheel/entry/box.py
+++ b/trackwheel/entry/box.py
@@ -3,6 +3,7 @@
 import os
 import time
 from collections import Counter
+from http import HTTPStatus
 from itertools import chain
 from typing import Final
 
@@ -27,6 +28,7 @@
 from trackwheel.fleet.models import FLEET_MESSAGES, Member, Status
 from trackwheel.fleet.service import FleetService
 from trackwheel.http1.answer_limits import AnswerLimits
+from trackwheel.http1.client_limits import ClientLimits, EndCause
 from trackwheel.http1.models import Request, Response
 from trackwheel.http1.server import Exchange, ServerState
 from trackwheel.limits.models import LIMIT_MESSAGES
@@ -100,6 +102,7 @@
             watchers_per_domain=WATCHERS_PER_DOMAIN,
         )
         self.answer_limits = AnswerLimits(settings.memory_bytes)
+        self.client_limits = ClientLimits(settings.memory_bytes)
         self.store = StoreClient(settings.store, STORE_TIMEOUT_S, self.log, self.answer_limits)
         self.directory = DirectoryService(
             self.hub,
@@ -160,10 +163,15 @@
         self.clients = ServerState(
             self.relay.handle,
             self._limits,
-            lambda status: self.log.write("refused_unread", status=status),
+            self._log_client_end,
+            self.client_limits,
+        )
+        self.readiness = ServerState(
+            self._serve_readiness, self._limits, self._log_client_end, self.client_limits
+        )
+        self.metrics = ServerState(
+            self._serve_metrics, self._limits, self._log_client_end, self.client_limits
         )
-        self.readiness = ServerState(self._serve_readiness, self._limits)
-        self.metrics = ServerState(self._serve_metrics, self._limits)
         self.stopping = False
         self._wire_parts()
         add_figures(
@@ -182,6 +190,7 @@
                 self.limits,
                 self.store,
                 self.answer_limits,
+                self.client_limits,
             ),
         )
 
@@ -283,6 +292,12 @@
         table = self.directory.table
         return DEFAULT_LIMITS if table is None else table.limits
 
+    def _log_client_end(self, cause: EndCause, status: HTTPStatus | None) -> None:
+        if status is None:
+            self.log.write("client_closed", cause=cause.value)
+        else:
+            self.log.write("refused_unread", status=int(status), cause=cause.value)
+
     def _serve_metrics(self, request: Request, exchange: Exchange) -> None:
         if request.target != PATH_METRICS:
             exchange.respond(Response(404, (), b""))
--- a/trackwheel/entry/figures.py
+++ b/trackwheel/entry/figures.py
@@ -5,6 +5,7 @@
 from trackwheel.directory.service import DirectoryService
 from trackwheel.fleet.service import FleetService
 from trackwheel.http1.answer_limits import AnswerLimits
+from trackwheel.http1.client_limits import ClientLimits
 from trackwheel.http1.server import ServerState
 from trackwheel.limits.service import GroupLimits
 from trackwheel.peers.hub import Hub
@@ -34,6 +35,7 @@
     limits: GroupLimits
     store: StoreClient
     answer_limits: AnswerLimits
+    client_limits: ClientLimits
 
 
 def add_figures(figures: Figures, box: CountedParts) -> None:
@@ -81,6 +83,12 @@
         ("group", "decision"),
         lambda: box.limits.counted,
     )
+    figures.add_counters(
+        "clients_ended_total",
+        "Requests refused unread and connections closed, by cause",
+        ("cause",),
+        lambda: box.client_limits.ended_by_cause,
+    )
     figures.add_gauges(
         "group_tokens",
         "Tokens of groups that are counted at this box",
@@ -125,6 +133,11 @@
             "Bytes of unfinished answers of targets and of the store",
             lambda: float(box.answer_limits.held_bytes),
         ),
+        (
+            "client_request_bytes_held",
+            "Bytes of clients' requests, unfinished, waiting and in progress",
+            lambda: float(box.client_limits.requests.held_bytes),
+        ),
         ("members", "Known boxes", lambda: float(len(box.fleet.members))),
         ("repeats_denied", "Repeats denied by the retry budget", lambda: float(box.budget.denied)),
         (
--- a/trackwheel/http1/answer_limits.py
+++ b/trackwheel/http1/answer_limits.py
@@ -8,6 +8,7 @@
     MIN_BODY_LIMIT_BYTES,
     RECEIVE_SHARE_OF_MEMORY,
 )
+from trackwheel.http1.memory_share import MemoryShare
 
 
 class Receiver(Protocol):
@@ -26,16 +27,18 @@
 
     def __init__(self, memory_bytes: int = DEFAULT_MEMORY_BYTES) -> None:
         self.body_bytes = max(MIN_BODY_LIMIT_BYTES, int(memory_bytes * BODY_SHARE_OF_MEMORY))
-        self._total_bytes = max(self.body_bytes, int(memory_bytes * RECEIVE_SHARE_OF_MEMORY))
-        self._bytes_by_receiver: dict[Receiver, int] = {}
-        self.held_bytes = 0
+        total_bytes = max(self.body_bytes, int(memory_bytes * RECEIVE_SHARE_OF_MEMORY))
+        self._unfinished: MemoryShare[Receiver] = MemoryShare(total_bytes, _end)
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes of all unfinished answers."""
+        return self._unfinished.held_bytes
 
     def hold(self, receiver: Receiver, size: int) -> None:
         """Record how many bytes of an unfinished answer a receiver holds; 0 releases them."""
-        self.held_bytes += size - self._bytes_by_receiver.pop(receiver, 0)
-        if size:
-            self._bytes_by_receiver[receiver] = size
-        while self.held_bytes > self._total_bytes:
-            largest = max(self._bytes_by_receiver, key=self._bytes_by_receiver.__getitem__)
-            self.hold(largest, 0)
-            largest.end_oversized("all unfinished answers exceed the memory for them")
+        self._unfinished.hold(receiver, size)
+
+
+def _end(receiver: Receiver) -> None:
+    receiver.end_oversized("all unfinished answers exceed the memory for them")
--- a/trackwheel/http1/const.py
+++ b/trackwheel/http1/const.py
@@ -58,3 +58,15 @@
 RECEIVE_BUFFER_BYTES: Final = 65_536
 """Receive buffer of a client's connection. The kernel would grow it to megabytes, and what has
 arrived unread counts toward the memory of a box."""
+REQUEST_SHARE_OF_MEMORY: Final = 1 / 8
+"""Limit on the requests of all clients together, unfinished, waiting and in progress."""
+RESERVE_SHARE_OF_REST: Final = 1 / 8
+"""Part of the unreserved memory that one request in progress may take."""
+CONNECTION_BYTES: Final = 4_096
+"""Memory of a connection without any request."""
+REQUEST_BYTES: Final = 1_024
+"""Memory of a request without its content."""
+HEADER_LINE_BYTES: Final = 160
+"""Memory of a header line without its content: two bytes objects and their pair."""
+REFUSED_RETRY_AFTER_S: Final = 1.0
+"""Retry-After of a request for which a box has no memory: unfinished ones end within seconds."""
--- a/trackwheel/http1/request_reader.py
+++ b/trackwheel/http1/request_reader.py
@@ -7,6 +7,7 @@
 import httptools
 
 from trackwheel.clock import steady_now
+from trackwheel.http1.const import HEADER_LINE_BYTES, REQUEST_BYTES
 from trackwheel.http1.models import Request
 from trackwheel.routing.models import Limits
 
@@ -20,8 +21,8 @@
     def head_read(self, expects_continue: bool) -> None:
         """Handle the end of a request's headers."""
 
-    def request_read(self, request: Request, keep_alive: bool) -> None:
-        """Handle a complete request."""
+    def request_read(self, request: Request, size: int, keep_alive: bool) -> None:
+        """Handle a complete request, which takes `size` bytes of memory."""
 
 
 class _RefusedError(Exception):
@@ -46,6 +47,8 @@
         """Received in reads without any content: chunk extensions and trailers."""
         self._url = b""
         self._headers: list[tuple[bytes, bytes]] = []
+        self._headers_bytes = 0
+        """Memory of the request target and the headers."""
         self._body = bytearray()
         self.chunks_read = 0
         """Parts of bodies in the last data."""
@@ -65,36 +68,52 @@
         oversized = self._framing_bytes if self.head_read else self._header_bytes
         return HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE if oversized > limit else None
 
-    def close(self) -> None:
+    @property
+    def held_bytes(self) -> int:
+        """Return the memory of the unfinished request."""
+        if not self.in_message:
+            return 0
+        # The parser keeps an unfinished line whole.
+        return self._size + self._header_bytes + self._framing_bytes
+
+    @property
+    def _size(self) -> int:
+        return REQUEST_BYTES + self._headers_bytes + len(self._body)
+
+    def drop(self) -> None:
         """Drop what has been read of an unfinished request."""
-        # The parser refers back to this reader.
+        self._url, self._headers, self._body = b"", [], bytearray()
+        self._headers_bytes = 0
+
+    def close(self) -> None:
+        """Drop the parser, which refers back to this reader, and an unfinished request."""
+        self.drop()
         del self._parser
-        self._headers, self._body = [], bytearray()
 
     def on_message_begin(self) -> None:
         """Start a request."""
         self.in_message = True
         self.head_read = False
-        self._url = b""
-        self._headers = []
-        self._body = bytearray()
+        self.drop()
         self._listener.request_begun()
 
     def on_url(self, url: bytes) -> None:
         """Add a part of the request target."""
         self._url += url
+        self._headers_bytes += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header; trailers, which follow the body, are dropped."""
         if not self.head_read:
             self._headers.append((name.lower(), value))
+            self._headers_bytes += len(name) + len(value) + HEADER_LINE_BYTES
 
     def on_headers_complete(self) -> None:
         """Check the announced size of the body."""
         self.head_read = True
         self._header_bytes = self._framing_bytes = 0
-        lines_bytes = sum(len(name) + len(value) for name, value in self._headers)
-        if len(self._url) + lines_bytes > self._limits().header_bytes:
+        lines_bytes = self._headers_bytes - HEADER_LINE_BYTES * len(self._headers)
+        if lines_bytes > self._limits().header_bytes:
             # The bytes received are checked only after a read that leaves the head unfinished.
             self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
         expects_continue = False
@@ -123,9 +142,10 @@
             steady_now(),
             self._first_request,
         )
+        size = self._size
         self._first_request = False
-        self._headers, self._body = [], bytearray()
-        self._listener.request_read(request, self._parser.should_keep_alive())
+        self.drop()
+        self._listener.request_read(request, size, self._parser.should_keep_alive())
 
     def _refuse(self, status: HTTPStatus) -> None:
         """Refuse the request that is being read."""
--- a/trackwheel/http1/server.py
+++ b/trackwheel/http1/server.py
@@ -4,14 +4,18 @@
 from collections import deque
 from collections.abc import Callable
 from http import HTTPStatus
-from typing import Final, Protocol, cast
+from typing import Final, NamedTuple, Protocol, cast
 
 from trackwheel.clock import steady_now
+from trackwheel.http1.client_limits import ClientLimits, EndCause
 from trackwheel.http1.const import (
+    CONNECTION_BYTES,
     MAX_CHUNKS_PER_READ,
     MAX_PIPELINED_REQUESTS,
     NEW_CONNECTION_GRACE_S,
     READ_BYTES,
+    RECEIVE_BUFFER_BYTES,
+    REFUSED_RETRY_AFTER_S,
 )
 from trackwheel.http1.models import Headers, Request, Response
 from trackwheel.http1.read_turns import ReadTurns
@@ -53,11 +57,13 @@
         self,
         handler: Handler,
         limits: Callable[[], Limits],
-        on_refused: Callable[[int], None] = lambda status: None,
+        on_ended: Callable[[EndCause, HTTPStatus | None], None] = lambda cause, status: None,
+        client_limits: ClientLimits | None = None,
     ) -> None:
         self.handler = handler
         self.limits = limits
-        self.on_refused = on_refused
+        self.on_ended = on_ended
+        self.client_limits = client_limits or ClientLimits()
         self.stopping = False
         self.turns = ReadTurns()
         self.read_buffer = bytearray(READ_BYTES)
@@ -69,6 +75,11 @@
         """Return the number of connections with a request in progress."""
         return sum(connection.busy for connection in self.connections)
 
+    def count_end(self, cause: EndCause, status: HTTPStatus | None = None) -> None:
+        """Count and report a request that was refused with a status, or a closed connection."""
+        self.client_limits.ended_by_cause[(cause.value,)] += 1
+        self.on_ended(cause, status)
+
     def end_requests(self) -> None:
         """Have every request in progress answered at once."""
         for connection in tuple(self.connections):
@@ -87,6 +98,14 @@
                 connection.close()
 
 
+class _Waiting(NamedTuple):
+    """A complete request that waits for those before it; `size` is its memory in bytes."""
+
+    request: Request
+    size: int
+    keep_alive: bool
+
+
 class _ServerExchange:
     """An `Exchange` on a server connection."""
 
@@ -133,8 +152,13 @@
         self._transport: asyncio.Transport | None = None
         self._reader = RequestReader(self, state.limits)
         self._timer: asyncio.TimerHandle | None = None
-        self._pipelined: deque[tuple[Request, bool]] = deque()
+        self._pipelined: deque[_Waiting] = deque()
+        self._pipelined_bytes = 0
         self._current: _ServerExchange | None = None
+        self._current_bytes = 0
+        """Reserved for the request in progress."""
+        self._held_bytes = 0
+        """Held beside the request in progress."""
         self._handling = False
         self._refusal: Response | None = None
         """Refuses the request that was read last; sent after the answers to those before it."""
@@ -153,6 +177,7 @@
         self._transport = cast(asyncio.Transport, transport)
         set_tcp_options(transport)
         self._state.connections.add(self)
+        self._update_memory()
         self._set_timer(self._state.limits().idle_s, self.close)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -160,9 +185,11 @@
         self._state.connections.discard(self)
         self._state.turns.leave(self)
         self._stop_timer()
-        self._pipelined.clear()
+        self._clear_pipelined()
         self._reader.close()
+        self._state.client_limits.requests.hold(self, 0)
         current, self._current = self._current, None
+        self._release_current()
         if current is not None:
             current.notify_disconnect()
 
@@ -175,9 +202,10 @@
         if self._refusal is None:
             status = self._reader.feed(memoryview(self._state.read_buffer)[:nbytes])
             if status is not None:
-                self._reject(status)
+                self._reject(status, EndCause.INVALID)
         if nbytes == READ_BYTES or self._reader.chunks_read > MAX_CHUNKS_PER_READ:
             self._wait_for_turn()
+        self._update_memory()
 
     def request_begun(self) -> None:
         """Start the timeout for the headers."""
@@ -191,16 +219,33 @@
         if expects_continue and self._transport is not None:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    def request_read(self, request: Request, keep_alive: bool) -> None:
+    def request_read(self, request: Request, size: int, keep_alive: bool) -> None:
         """Queue the complete request."""
-        self._pipelined.append((request, keep_alive))
+        if self._refusal is not None:
+            return
+        self._pipelined.append(_Waiting(request, size, keep_alive))
+        self._pipelined_bytes += size
         self._handle_next()
-        self._queue_full = len(self._pipelined) >= MAX_PIPELINED_REQUESTS
-        self._update_reading()
+        self._update_queue_full()
+
+    def drop_requests(self) -> None:
+        """Refuse all requests that have not been passed on; close an idle connection."""
+        self._held_bytes = 0
+        if self._closing or self._refusal is not None:
+            return
+        unanswered = bool(self._pipelined) or self._reader.in_message
+        self._clear_pipelined()
+        self._reader.drop()
+        if unanswered:
+            self._reject(HTTPStatus.SERVICE_UNAVAILABLE, EndCause.MEMORY, REFUSED_RETRY_AFTER_S)
+        elif self._current is None:
+            self._state.count_end(EndCause.MEMORY)
+            self.close()
 
     def write_response(self, response: Response, head_only: bool, keep_alive: bool) -> None:
         """Write the answer to the current request and handle the next one."""
         self._current = None
+        self._release_current()
         transport = self._transport
         if transport is None or transport.is_closing():
             return
@@ -213,8 +258,8 @@
             transport.close()
             return
         self._handle_next()
-        self._queue_full = len(self._pipelined) >= MAX_PIPELINED_REQUESTS
-        self._update_reading()
+        self._update_queue_full()
+        self._update_memory()
 
     def end_request(self) -> None:
         """Have the request in progress answered at once, if there is one."""
@@ -224,8 +269,7 @@
     def refuse_unread(self, retry_after_s: float) -> None:
         """Refuse a request of which only a part has been read."""
         if self._reader.in_message and self._current is None:
-            retry_after = (b"retry-after", b"%.2f" % retry_after_s)
-            self._reject(HTTPStatus.SERVICE_UNAVAILABLE, (retry_after,))
+            self._reject(HTTPStatus.SERVICE_UNAVAILABLE, EndCause.STOPPING, retry_after_s)
 
     def close(self) -> None:
         """Close the connection after flushing the written data."""
@@ -240,16 +284,27 @@
         self._handling = True
         try:
             while self._current is None and self._pipelined and not self._closing:
-                self._handle(*self._pipelined.popleft())
+                self._handle(self._pipelined.popleft())
         finally:
             self._handling = False
         if self._current is None and not self._closing:
             self._await_request()
 
-    def _handle(self, request: Request, keep_alive: bool) -> None:
+    def _handle(self, waiting: _Waiting) -> None:
+        """Pass a request on; refuse it if the requests in progress leave too little memory."""
         self._stop_timer()
-        exchange = _ServerExchange(self, request.method == b"HEAD", keep_alive)
+        self._pipelined_bytes -= waiting.size
+        request = waiting.request
+        exchange = _ServerExchange(self, request.method == b"HEAD", waiting.keep_alive)
         self._current = exchange
+        self._update_memory()
+        reserved_bytes = CONNECTION_BYTES + waiting.size
+        if not self._state.client_limits.requests.reserve(reserved_bytes):
+            status = HTTPStatus.SERVICE_UNAVAILABLE
+            self._state.count_end(EndCause.MEMORY, status)
+            exchange.respond(_refusal(status, REFUSED_RETRY_AFTER_S))
+            return
+        self._current_bytes = reserved_bytes
         self._state.handler(request, exchange)
 
     def _await_request(self) -> None:
@@ -276,24 +331,55 @@
         self._awaits_turn = False
         self._update_reading()
 
+    def _update_queue_full(self) -> None:
+        self._queue_full = len(self._pipelined) >= MAX_PIPELINED_REQUESTS
+        self._update_reading()
+
     def _update_reading(self) -> None:
-        transport = self._transport
-        if transport is None or transport.is_closing():
+        if self._closing:
             return
-        if self._queue_full or self._awaits_turn:
-            transport.pause_reading()
+        assert self._transport is not None
+        if self._paused:
+            self._transport.pause_reading()
         else:
-            transport.resume_reading()
+            self._transport.resume_reading()
+
+    @property
+    def _paused(self) -> bool:
+        return self._queue_full or self._awaits_turn
+
+    def _update_memory(self) -> None:
+        """Tell what this connection holds beside the request in progress."""
+        if self._closing:
+            return
+        size = self._pipelined_bytes + self._reader.held_bytes
+        if self._paused:
+            size += RECEIVE_BUFFER_BYTES
+        if self._current is None:
+            size += CONNECTION_BYTES
+        if size != self._held_bytes:
+            self._held_bytes = size
+            self._state.client_limits.requests.hold(self, size)
+
+    def _clear_pipelined(self) -> None:
+        self._pipelined.clear()
+        self._pipelined_bytes = 0
+
+    def _release_current(self) -> None:
+        self._state.client_limits.requests.release(self._current_bytes)
+        self._current_bytes = 0
 
     def _header_timeout(self) -> None:
-        self._reject(HTTPStatus.REQUEST_TIMEOUT)
+        self._reject(HTTPStatus.REQUEST_TIMEOUT, EndCause.LATE)
 
-    def _reject(self, status: HTTPStatus, headers: Headers = ()) -> None:
+    def _reject(
+        self, status: HTTPStatus, cause: EndCause, retry_after_s: float | None = None
+    ) -> None:
         """Refuse the request that was read last, after the answers to the requests before it."""
-        if self._refusal is not None or self._transport is None or self._transport.is_closing():
+        if self._refusal is not None or self._closing:
             return
-        self._refusal = Response(status, headers, b"")
-        self._state.on_refused(status.value)
+        self._refusal = _refusal(status, retry_after_s)
+        self._state.count_end(cause, status)
         if self._current is None:
             self._send_refusal()
 
@@ -314,6 +400,13 @@
             self._timer = None
 
 
+def _refusal(status: HTTPStatus, retry_after_s: float | None = None) -> Response:
+    """Return the answer to a request of which nothing has run."""
+    if retry_after_s is None:
+        return Response(status, (), b"")
+    return Response(status, ((b"retry-after", b"%.2f" % retry_after_s),), b"")
+
+
 def encode_response(response: Response, head_only: bool, keep_alive: bool) -> bytes:
     """Return a response as bytes, with Content-Length and Connection headers as needed."""
     reason = _REASON_BY_STATUS.get(response.status, b"Status")
