Send one copy of a request's body to all of its targets

A single request within the limits took the memory of a box: its body was joined to the head for each attempt, so that a query over 200 shards held 53 MB for a body of 262,144 bytes until the targets had read it. Head and body are written one after the other now, and all connections refer to one body.

test_body_for_many_targets_is_held_once failed before (52,682,912 bytes held).

--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -5,12 +5,15 @@
 import itertools
 import socket
 import struct
+import tracemalloc
 from collections.abc import Awaitable, Callable
 
 import anyio
 import pytest
 
 from tests.http1.conftest import Run
+from trackwheel.http1.answer_limits import AnswerLimits
+from trackwheel.http1.client import ClientConnection
 from trackwheel.http1.models import ExchangeOutcome, ExchangeResult, Request, Response, header
 from trackwheel.http1.pool import Job, TargetPool
 
@@ -324,3 +327,39 @@
             pool.close()
 
     run(scenario())
+
+
+class UnreadTransport(asyncio.Transport):
+    """A transport whose peer reads nothing: it keeps what is written."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.written: list[bytes | bytearray | memoryview] = []
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        """Keep the data."""
+        self.written.append(data)
+
+    def is_closing(self) -> bool:
+        """Stay open."""
+        return False
+
+
+def test_body_for_many_targets_is_held_once() -> None:
+    """A query with a large body took the memory of a box: each shard got a copy of its own."""
+    body = bytes(262_144)
+    request = Request(b"POST", b"/a", ((b"host", b"h"),), body, 0.0)
+    transports = [UnreadTransport() for _ in range(200)]
+    connections = [ClientConnection(lambda _: None, AnswerLimits()) for _ in transports]
+    for connection, transport in zip(connections, transports, strict=True):
+        connection.connection_made(transport)
+    tracemalloc.start()
+    try:
+        for connection in connections:
+            connection.send(request, lambda _: "", lambda _: None)
+        held_bytes, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert held_bytes < 4 * len(body)
+    head = b"POST /a HTTP/1.1\r\nhost: h\r\ncontent-length: 262144\r\n\r\n"
+    assert b"".join(transports[0].written) == head + body
--- a/trackwheel/http1/client.py
+++ b/trackwheel/http1/client.py
@@ -31,14 +31,13 @@
 """Returns why an answer does not belong to its request, or an empty string if it does."""
 
 
-def encode_request(request: Request) -> bytes:
-    """Return a request as bytes; a body is sent with a Content-Length header."""
+def encode_head(request: Request) -> bytes:
+    """Return the head of a request as bytes; a body is sent with a Content-Length header."""
     lines = [b"%s %s HTTP/1.1\r\n" % (request.method, request.target)]
     lines += [b"%s: %s\r\n" % pair for pair in request.headers]
     if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
         lines.append(b"content-length: %d\r\n" % len(request.body))
     lines.append(b"\r\n")
-    lines.append(request.body)
     return b"".join(lines)
 
 
@@ -100,7 +99,10 @@
         self._response_started = False
         self._received_bytes = self._body_bytes = 0
         self._is_chunked = False
-        self._transport.write(encode_request(request))
+        self._transport.write(encode_head(request))
+        if request.body:
+            # Not joined to the head: one body may go to hundreds of targets at once.
+            self._transport.write(request.body)
 
     def abandon(self) -> None:
         """Close without waiting for the answer; most targets then cancel the request."""
