Send answers as fast as clients read them, and bound what they leave unread

Clients that asked for long answers and read them slowly or not at all took the memory of a box (283 to 299 MB on a machine of 100 MB for 40 of them), and one that sent requests without reading made its connection grow with each answer (416 MB for ten). Answers were written without flow control, and a connection that closed waited for its client without any limit.

An answer is written in pieces of 64 KiB as the kernel takes them; its connection handles no further request until all is sent. What is unread counts toward an eighth of the machine's memory for all clients together, apart from their requests: beyond it, the connection that holds most is closed, among equal ones the one that has not moved for the longest.

--- a/tests/http1/test_read_turns.py
+++ b/tests/http1/test_read_turns.py
@@ -30,6 +30,9 @@
         """Remember it."""
         self.paused = False
 
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        """Accept any limits: nothing is written here."""
+
     def is_closing(self) -> bool:
         """Stay open."""
         return False
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -6,7 +6,8 @@
 
 from tests.http1.conftest import RecordingServer, Run
 from trackwheel.http1.models import Request, Response
-from trackwheel.http1.server import Exchange, encode_response
+from trackwheel.http1.response_writer import encode_response
+from trackwheel.http1.server import Exchange
 
 GET = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
 
@@ -216,7 +217,7 @@
     ],
 )
 def test_encoding(response: Response, head_only: bool, keep_alive: bool, expected: bytes) -> None:
-    assert encode_response(response, head_only, keep_alive) == expected
+    assert b"".join(encode_response(response, head_only, keep_alive)) == expected
 
 
 def test_trailers_are_not_headers(run: Run) -> None:
--- a/trackwheel/entry/figures.py
+++ b/trackwheel/entry/figures.py
@@ -138,6 +138,11 @@
             "Bytes of clients' requests, unfinished, waiting and in progress",
             lambda: float(box.client_limits.requests.held_bytes),
         ),
+        (
+            "client_answer_bytes_held",
+            "Bytes of answers that clients have not read",
+            lambda: float(box.client_limits.answers.held_bytes),
+        ),
         ("members", "Known boxes", lambda: float(len(box.fleet.members))),
         ("repeats_denied", "Repeats denied by the retry budget", lambda: float(box.budget.denied)),
         (
--- a/trackwheel/http1/client_limits.py
+++ b/trackwheel/http1/client_limits.py
@@ -4,7 +4,12 @@
 from enum import StrEnum
 from typing import Protocol
 
-from trackwheel.http1.const import DEFAULT_MEMORY_BYTES, REQUEST_SHARE_OF_MEMORY
+from trackwheel.http1.const import (
+    ANSWER_SHARE_OF_MEMORY,
+    DEFAULT_MEMORY_BYTES,
+    MIN_BODY_LIMIT_BYTES,
+    REQUEST_SHARE_OF_MEMORY,
+)
 from trackwheel.http1.memory_share import MemoryShare
 
 
@@ -15,6 +20,8 @@
     LATE = "late"
     STOPPING = "stopping"
     MEMORY = "memory"
+    ANSWER_MEMORY = "answer_memory"
+    ANSWER_STALLED = "answer_stalled"
 
 
 class RequestHolder(Protocol):
@@ -24,6 +31,13 @@
         """Refuse these requests and release their memory."""
 
 
+class AnswerHolder(Protocol):
+    """Holds answers that its client has not read."""
+
+    def drop_answers(self) -> None:
+        """Close the connection and release the memory of its answers."""
+
+
 class ClientLimits:
     """Bound the memory that the clients of a box take together, whichever address they use."""
 
@@ -31,8 +45,15 @@
         self.requests: MemoryShare[RequestHolder] = MemoryShare(
             int(memory_bytes * REQUEST_SHARE_OF_MEMORY), _drop_requests
         )
+        self.answers: MemoryShare[AnswerHolder] = MemoryShare(
+            max(MIN_BODY_LIMIT_BYTES, int(memory_bytes * ANSWER_SHARE_OF_MEMORY)), _drop_answers
+        )
         self.ended_by_cause: Counter[tuple[str]] = Counter()
 
 
 def _drop_requests(holder: RequestHolder) -> None:
     holder.drop_requests()
+
+
+def _drop_answers(holder: AnswerHolder) -> None:
+    holder.drop_answers()
--- a/trackwheel/http1/const.py
+++ b/trackwheel/http1/const.py
@@ -60,6 +60,12 @@
 arrived unread counts toward the memory of a box."""
 REQUEST_SHARE_OF_MEMORY: Final = 1 / 8
 """Limit on the requests of all clients together, unfinished, waiting and in progress."""
+ANSWER_SHARE_OF_MEMORY: Final = 1 / 8
+"""Limit on the answers that all clients together have not read yet."""
+WRITE_BYTES: Final = 65_536
+"""Most bytes of an answer that are written at once."""
+ANSWER_STALL_S: Final = 60.0
+"""A connection ends if nothing of its answer is sent for this long; clients do not wait longer."""
 RESERVE_SHARE_OF_REST: Final = 1 / 8
 """Part of the unreserved memory that one request in progress may take."""
 CONNECTION_BYTES: Final = 4_096
--- a/trackwheel/http1/server.py
+++ b/trackwheel/http1/server.py
@@ -3,12 +3,14 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from functools import partial
 from http import HTTPStatus
-from typing import Final, NamedTuple, Protocol, cast
+from typing import NamedTuple, Protocol, cast
 
 from trackwheel.clock import steady_now
 from trackwheel.http1.client_limits import ClientLimits, EndCause
 from trackwheel.http1.const import (
+    ANSWER_STALL_S,
     CONNECTION_BYTES,
     MAX_CHUNKS_PER_READ,
     MAX_PIPELINED_REQUESTS,
@@ -17,14 +19,13 @@
     RECEIVE_BUFFER_BYTES,
     REFUSED_RETRY_AFTER_S,
 )
-from trackwheel.http1.models import Headers, Request, Response
+from trackwheel.http1.models import Request, Response
 from trackwheel.http1.read_turns import ReadTurns
 from trackwheel.http1.request_reader import RequestReader
+from trackwheel.http1.response_writer import ResponseWriter, encode_response
 from trackwheel.http1.sockets import set_tcp_options
 from trackwheel.routing.models import Limits
 
-_REASON_BY_STATUS: Final = {status.value: status.phrase.encode() for status in HTTPStatus}
-
 
 class Exchange(Protocol):
     """The handler's side of one request."""
@@ -150,6 +151,8 @@
     def __init__(self, state: ServerState) -> None:
         self._state = state
         self._transport: asyncio.Transport | None = None
+        self._writer: ResponseWriter | None = None
+        self._close_when_sent = False
         self._reader = RequestReader(self, state.limits)
         self._timer: asyncio.TimerHandle | None = None
         self._pipelined: deque[_Waiting] = deque()
@@ -168,13 +171,23 @@
 
     @property
     def busy(self) -> bool:
-        """Return whether a request is being read, queued or handled."""
-        return self._current is not None or self._reader.in_message or bool(self._pipelined)
+        """Return whether a request is being read, queued or handled, or an answer is unsent."""
+        return self._answering or self._reader.in_message or bool(self._pipelined)
+
+    @property
+    def _answering(self) -> bool:
+        """Return whether a request is in progress or its answer has not been sent whole."""
+        return self._current is not None or self._unsent
+
+    @property
+    def _unsent(self) -> bool:
+        return self._writer is not None and self._writer.unsent_bytes > 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and start its idle timer."""
         # uvloop's transports do not subclass asyncio.Transport.
         self._transport = cast(asyncio.Transport, transport)
+        self._writer = ResponseWriter(self._transport, self._hold_answers)
         set_tcp_options(transport)
         self._state.connections.add(self)
         self._update_memory()
@@ -188,6 +201,9 @@
         self._clear_pipelined()
         self._reader.close()
         self._state.client_limits.requests.hold(self, 0)
+        self._state.client_limits.answers.hold(self, 0)
+        # The writer refers back to this connection.
+        self._writer = None
         current, self._current = self._current, None
         self._release_current()
         if current is not None:
@@ -207,17 +223,33 @@
             self._wait_for_turn()
         self._update_memory()
 
+    def eof_received(self) -> bool:
+        """Return whether the connection stays open: an answer may still be read."""
+        self._close_when_sent = True
+        return self._unsent
+
+    def pause_writing(self) -> None:
+        """Keep the rest of the answer until the client reads."""
+        if self._writer is not None:
+            self._writer.pause()
+
+    def resume_writing(self) -> None:
+        """Send more of the answer."""
+        if self._writer is not None:
+            self._writer.resume()
+
     def request_begun(self) -> None:
         """Start the timeout for the headers."""
-        if self._current is None:
+        if not self._answering:
             self._set_timer(self._state.limits().header_s, self._header_timeout)
 
     def head_read(self, expects_continue: bool) -> None:
         """Start the timeout for the body and confirm `Expect: 100-continue`."""
-        if self._current is None:
-            self._set_timer(self._state.limits().idle_s, self._header_timeout)
-        if expects_continue and self._transport is not None:
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        if self._answering or self._writer is None:
+            return
+        self._set_timer(self._state.limits().idle_s, self._header_timeout)
+        if expects_continue:
+            self._writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def request_read(self, request: Request, size: int, keep_alive: bool) -> None:
         """Queue the complete request."""
@@ -238,28 +270,28 @@
         self._reader.drop()
         if unanswered:
             self._reject(HTTPStatus.SERVICE_UNAVAILABLE, EndCause.MEMORY, REFUSED_RETRY_AFTER_S)
-        elif self._current is None:
+        elif not self._answering:
             self._state.count_end(EndCause.MEMORY)
             self.close()
 
+    def drop_answers(self) -> None:
+        """Close the connection of a client that reads too slowly."""
+        self._abort(EndCause.ANSWER_MEMORY)
+
     def write_response(self, response: Response, head_only: bool, keep_alive: bool) -> None:
         """Write the answer to the current request and handle the next one."""
         self._current = None
         self._release_current()
-        transport = self._transport
-        if transport is None or transport.is_closing():
+        if self._closing or self._writer is None:
             return
         # After a close, the client of a pipelined request could not tell whether it has run.
         behind = bool(self._pipelined) or self._refusal is not None
         keep_alive = keep_alive and (behind or not self._state.stopping)
-        transport.write(encode_response(response, head_only, keep_alive))
-        if not keep_alive:
-            self._stop_timer()
-            transport.close()
-            return
-        self._handle_next()
-        self._update_queue_full()
-        self._update_memory()
+        self._close_when_sent = self._close_when_sent or not keep_alive
+        self._stop_timer()
+        self._writer.write(*encode_response(response, head_only, keep_alive))
+        if not self._unsent:
+            self._continue()
 
     def end_request(self) -> None:
         """Have the request in progress answered at once, if there is one."""
@@ -268,14 +300,51 @@
 
     def refuse_unread(self, retry_after_s: float) -> None:
         """Refuse a request of which only a part has been read."""
-        if self._reader.in_message and self._current is None:
+        if self._reader.in_message and not self._answering:
             self._reject(HTTPStatus.SERVICE_UNAVAILABLE, EndCause.STOPPING, retry_after_s)
 
     def close(self) -> None:
-        """Close the connection after flushing the written data."""
+        """Close a connection on which no answer is unsent."""
         if self._transport is not None:
             self._transport.close()
 
+    def _hold_answers(self, size: int) -> None:
+        """Count unsent answers; go on with the next request when all are sent."""
+        self._state.client_limits.answers.hold(self, size)
+        if self._closing:
+            return
+        if size:
+            self._await_reader(0)
+        else:
+            self._stop_timer()
+            self._continue()
+
+    def _await_reader(self, left_before: int) -> None:
+        """Close the connection if nothing of an answer is sent for some time."""
+        assert self._writer is not None
+        left_bytes = self._writer.left_bytes
+        if left_bytes == left_before:
+            self._abort(EndCause.ANSWER_STALLED)
+        else:
+            self._set_timer(ANSWER_STALL_S, partial(self._await_reader, left_bytes))
+
+    def _abort(self, cause: EndCause) -> None:
+        if self._closing or self._writer is None:
+            return
+        self._state.count_end(cause)
+        self._stop_timer()
+        self._writer.abort()
+
+    def _continue(self) -> None:
+        """After an answer was sent, close the connection or handle the next request."""
+        if self._close_when_sent:
+            self._stop_timer()
+            self.close()
+            return
+        self._handle_next()
+        self._update_queue_full()
+        self._update_memory()
+
     def _handle_next(self) -> None:
         """Pass requests to the handler while none is in progress, then await the next one."""
         if self._handling:
@@ -283,11 +352,11 @@
             return
         self._handling = True
         try:
-            while self._current is None and self._pipelined and not self._closing:
+            while self._pipelined and not self._answering and not self._closing:
                 self._handle(self._pipelined.popleft())
         finally:
             self._handling = False
-        if self._current is None and not self._closing:
+        if not self._answering and not self._closing:
             self._await_request()
 
     def _handle(self, waiting: _Waiting) -> None:
@@ -380,15 +449,17 @@
             return
         self._refusal = _refusal(status, retry_after_s)
         self._state.count_end(cause, status)
-        if self._current is None:
+        if not self._answering:
             self._send_refusal()
 
     def _send_refusal(self) -> None:
         """Send the refusal and close the connection."""
-        assert self._transport is not None and self._refusal is not None
+        assert self._writer is not None and self._refusal is not None
         self._stop_timer()
-        self._transport.write(encode_response(self._refusal, False, False))
-        self._transport.close()
+        self._close_when_sent = True
+        self._writer.write(*encode_response(self._refusal, False, False))
+        if not self._unsent:
+            self._continue()
 
     def _set_timer(self, delay_s: float, action: Callable[[], None]) -> None:
         self._stop_timer()
@@ -405,23 +476,3 @@
     if retry_after_s is None:
         return Response(status, (), b"")
     return Response(status, ((b"retry-after", b"%.2f" % retry_after_s),), b"")
-
-
-def encode_response(response: Response, head_only: bool, keep_alive: bool) -> bytes:
-    """Return a response as bytes, with Content-Length and Connection headers as needed."""
-    reason = _REASON_BY_STATUS.get(response.status, b"Status")
-    lines = [b"HTTP/1.1 %d %s\r\n" % (response.status, reason)]
-    lines += [b"%s: %s\r\n" % pair for pair in response.headers]
-    length = _content_length(response.headers)
-    if length is None:
-        lines.append(b"content-length: %d\r\n" % len(response.body))
-    if not keep_alive:
-        lines.append(b"connection: close\r\n")
-    lines.append(b"\r\n")
-    if not head_only:
-        lines.append(response.body)
-    return b"".join(lines)
-
-
-def _content_length(headers: Headers) -> bytes | None:
-    return next((value for name, value in headers if name == b"content-length"), None)
