Keep sockets of a box free for its own work

Idle clients took all descriptors of a box (limits.max_fds was read by nobody): none was left for targets, the store, peers and readiness, and no ordinary client was answered beside them.

Clients get three quarters of the sockets that the settings leave beside those set aside for files; readiness and metrics have sixteen connections each. At the limit a connection gives way to the new one: an idle one first, then one whose request has been read in part (503, since nothing has run), then one whose answer is read slowly; of several the one read the longest ago. Requests in progress go on: if there is one on each connection, the new one is closed unread.

--- a/tests/http1/test_client_limits.py
+++ b/tests/http1/test_client_limits.py
@@ -6,7 +6,8 @@
 import pytest
 
 from tests.http1.conftest import RecordingServer, Run
-from trackwheel.http1.client_limits import ClientLimits
+from trackwheel.http1.client_limits import ClientLimits, EndCause
+from trackwheel.http1.connection_table import ConnectionTable
 from trackwheel.http1.const import REQUEST_SHARE_OF_MEMORY
 from trackwheel.http1.models import Request, Response
 from trackwheel.http1.server import Exchange
@@ -136,3 +137,34 @@
             writer.close()
 
     run(scenario())
+
+
+def test_connections_are_limited_and_requests_in_progress_go_on(run: Run) -> None:
+    """A server accepted connections until its process had no descriptor left."""
+    exchanges: list[Exchange] = []
+
+    def hold(request: Request, exchange: Exchange) -> None:
+        exchanges.append(exchange)
+
+    async def scenario() -> None:
+        async with limited_server() as server:
+            server.state.handler = hold
+            server.state.connections = ConnectionTable(2)
+            pairs = [await asyncio.open_connection("127.0.0.1", server.port) for _ in range(3)]
+            assert await pairs[0][0].read() == b""
+            for _, writer in pairs[1:]:
+                writer.write(GET)
+            await asyncio.sleep(0.05)
+            late, writer = await asyncio.open_connection("127.0.0.1", server.port)
+            assert await late.read() == b""
+            assert len(exchanges) == 2
+            for exchange in exchanges:
+                exchange.respond(Response(200, (), b""))
+            for reader, _ in pairs[1:]:
+                assert (await reader.readline()).startswith(b"HTTP/1.1 200 ")
+            ended = server.state.client_limits.ended_by_cause
+            assert ended[(EndCause.DESCRIPTORS.value,)] == 2
+            for _, one in (*pairs, (late, writer)):
+                one.close()
+
+    run(scenario())
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -49,6 +49,17 @@
     assert parse_settings("s.conf", GOOD + limits).speed == speed
 
 
+@pytest.mark.parametrize(
+    ("limits", "sockets"),
+    [
+        pytest.param("", 3_896, id="no-limit"),
+        pytest.param("limits.max_fds=2870\n", 2_670, id="without-those-for-files"),
+    ],
+)
+def test_sockets_come_from_the_limits(limits: str, sockets: int) -> None:
+    assert parse_settings("s.conf", GOOD + limits).sockets == sockets
+
+
 @pytest.mark.parametrize(
     ("before", "after", "expected"),
     [
@@ -66,6 +77,12 @@
             "limits.cpu_share: `x` is not",
             id="share-not-a-number",
         ),
+        pytest.param(
+            "something.new=1",
+            "limits.max_fds=200",
+            "limits.max_fds: `200` leaves no sockets",
+            id="descriptors-for-files-only",
+        ),
     ],
 )
 def test_problems_name_the_file_and_key(before: str, after: str, expected: str) -> None:
--- a/trackwheel/entry/box.py
+++ b/trackwheel/entry/box.py
@@ -19,7 +19,9 @@
 from trackwheel.directory.targets import TargetDirectory
 from trackwheel.directory.watcher_election import WatcherElection
 from trackwheel.entry.const import (
+    CLIENT_SHARE_OF_SOCKETS,
     DEFAULT_LIMITS,
+    OWN_CONNECTIONS,
     PATH_METRICS,
     TIMING,
     WATCHERS_PER_DOMAIN,
@@ -30,7 +32,7 @@
 from trackwheel.http1.answer_limits import AnswerLimits
 from trackwheel.http1.client_limits import ClientLimits, EndCause
 from trackwheel.http1.models import Request, Response
-from trackwheel.http1.server import Exchange, ServerState
+from trackwheel.http1.server import Exchange, Handler, ServerState
 from trackwheel.limits.models import LIMIT_MESSAGES
 from trackwheel.limits.service import GroupLimits
 from trackwheel.peers.codec import Codec
@@ -165,13 +167,10 @@
             self._limits,
             self._log_client_end,
             self.client_limits,
+            int(settings.sockets * CLIENT_SHARE_OF_SOCKETS),
         )
-        self.readiness = ServerState(
-            self._serve_readiness, self._limits, self._log_client_end, self.client_limits
-        )
-        self.metrics = ServerState(
-            self._serve_metrics, self._limits, self._log_client_end, self.client_limits
-        )
+        self.readiness = self._own_server(self._serve_readiness)
+        self.metrics = self._own_server(self._serve_metrics)
         self.stopping = False
         self._wire_parts()
         add_figures(
@@ -292,6 +291,12 @@
         table = self.directory.table
         return DEFAULT_LIMITS if table is None else table.limits
 
+    def _own_server(self, handler: Handler) -> ServerState:
+        """Return a server for the platform and operators."""
+        return ServerState(
+            handler, self._limits, self._log_client_end, self.client_limits, OWN_CONNECTIONS
+        )
+
     def _log_client_end(self, cause: EndCause, status: HTTPStatus | None) -> None:
         if status is None:
             self.log.write("client_closed", cause=cause.value)
--- a/trackwheel/entry/const.py
+++ b/trackwheel/entry/const.py
@@ -35,3 +35,7 @@
 STOP_POLL_PERIOD_S: Final = 0.05
 SUMMARY_PERIOD_S: Final = 10.0
 """Interval between the summary lines of the log."""
+CLIENT_SHARE_OF_SOCKETS: Final = 3 / 4
+"""Part of a box's sockets that clients may use; the rest is for targets, peers and the store."""
+OWN_CONNECTIONS: Final = 16
+"""Connections to the readiness address, and to the metrics: the platform asks once a second."""
--- a/trackwheel/entry/figures.py
+++ b/trackwheel/entry/figures.py
@@ -143,6 +143,11 @@
             "Bytes of answers that clients have not read",
             lambda: float(box.client_limits.answers.held_bytes),
         ),
+        (
+            "client_connections",
+            "Open connections of clients",
+            lambda: float(len(box.clients.connections)),
+        ),
         ("members", "Known boxes", lambda: float(len(box.fleet.members))),
         ("repeats_denied", "Repeats denied by the retry budget", lambda: float(box.budget.denied)),
         (
--- a/trackwheel/http1/client_limits.py
+++ b/trackwheel/http1/client_limits.py
@@ -22,6 +22,7 @@
     MEMORY = "memory"
     ANSWER_MEMORY = "answer_memory"
     ANSWER_STALLED = "answer_stalled"
+    DESCRIPTORS = "descriptors"
 
 
 class RequestHolder(Protocol):
--- a/trackwheel/http1/const.py
+++ b/trackwheel/http1/const.py
@@ -76,3 +76,5 @@
 """Memory of a header line without its content: two bytes objects and their pair."""
 REFUSED_RETRY_AFTER_S: Final = 1.0
 """Retry-After of a request for which a box has no memory: unfinished ones end within seconds."""
+DEFAULT_MAX_CONNECTIONS: Final = 4_096
+"""Connections of clients to a server without a limit of its own."""
--- a/trackwheel/http1/server.py
+++ b/trackwheel/http1/server.py
@@ -9,9 +9,11 @@
 
 from trackwheel.clock import steady_now
 from trackwheel.http1.client_limits import ClientLimits, EndCause
+from trackwheel.http1.connection_table import ConnectionTable, Use
 from trackwheel.http1.const import (
     ANSWER_STALL_S,
     CONNECTION_BYTES,
+    DEFAULT_MAX_CONNECTIONS,
     MAX_CHUNKS_PER_READ,
     MAX_PIPELINED_REQUESTS,
     NEW_CONNECTION_GRACE_S,
@@ -60,6 +62,7 @@
         limits: Callable[[], Limits],
         on_ended: Callable[[EndCause, HTTPStatus | None], None] = lambda cause, status: None,
         client_limits: ClientLimits | None = None,
+        max_connections: int = DEFAULT_MAX_CONNECTIONS,
     ) -> None:
         self.handler = handler
         self.limits = limits
@@ -69,7 +72,7 @@
         self.turns = ReadTurns()
         self.read_buffer = bytearray(READ_BYTES)
         """Used by all connections: what one has read is parsed before another one reads."""
-        self.connections: set[ServerConnection] = set()
+        self.connections: ConnectionTable[ServerConnection] = ConnectionTable(max_connections)
 
     @property
     def busy(self) -> int:
@@ -189,7 +192,10 @@
         self._transport = cast(asyncio.Transport, transport)
         self._writer = ResponseWriter(self._transport, self._hold_answers)
         set_tcp_options(transport)
-        self._state.connections.add(self)
+        if not self._state.connections.add(self):
+            self._state.count_end(EndCause.DESCRIPTORS)
+            self.close()
+            return
         self._update_memory()
         self._set_timer(self._state.limits().idle_s, self.close)
 
@@ -215,6 +221,7 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Read requests; refuse an invalid or oversized one."""
+        self._state.connections.touch(self)
         if self._refusal is None:
             status = self._reader.feed(memoryview(self._state.read_buffer)[:nbytes])
             if status is not None:
@@ -274,6 +281,27 @@
             self._state.count_end(EndCause.MEMORY)
             self.close()
 
+    @property
+    def use(self) -> Use:
+        """Return what the connection is used for."""
+        if self._current is not None or self._pipelined:
+            return Use.IN_PROGRESS
+        if self._unsent:
+            return Use.SENDING
+        return Use.READING if self._reader.in_message else Use.IDLE
+
+    def give_way(self) -> None:
+        """Close the connection for another one; refuse a request that has been read in part."""
+        match self.use:
+            case Use.SENDING:
+                self._abort(EndCause.DESCRIPTORS)
+            case Use.READING:
+                status = HTTPStatus.SERVICE_UNAVAILABLE
+                self._reject(status, EndCause.DESCRIPTORS, REFUSED_RETRY_AFTER_S)
+            case _:
+                self._state.count_end(EndCause.DESCRIPTORS)
+                self.close()
+
     def drop_answers(self) -> None:
         """Close the connection of a client that reads too slowly."""
         self._abort(EndCause.ANSWER_MEMORY)
--- a/trackwheel/platform/settings.py
+++ b/trackwheel/platform/settings.py
@@ -18,6 +18,12 @@
 """Bytes of a megabyte in the settings; the smaller of the two usual units."""
 
 
+FILE_DESCRIPTORS: Final = 200
+"""Descriptors of a process that the platform sets aside for files; sockets get the others."""
+DEFAULT_DESCRIPTORS: Final = 4_096
+"""Descriptors of a process whose settings name no limit."""
+
+
 class SettingsError(TrackwheelError):
     """The settings file cannot be used; names every key that is missing or invalid."""
 
@@ -44,6 +50,8 @@
     """Margin above the limits of groups; None where limits are not enforced."""
     memory_bytes: int = DEFAULT_MEMORY_BYTES
     """Memory above which the platform kills the process."""
+    sockets: int = DEFAULT_DESCRIPTORS - FILE_DESCRIPTORS
+    """Sockets that the process may have open."""
 
 
 class _SettingsReader:
@@ -59,7 +67,7 @@
         """Return a required value."""
         value = self.value_by_key.get(key, "")
         if not value:
-            self._add_problem(key, "the key is missing", f"set `{key}=...`")
+            self.add_problem(key, "the key is missing", f"set `{key}=...`")
         return value
 
     def number(self, key: str) -> float:
@@ -68,7 +76,7 @@
         try:
             return float(text) if text else 0.0
         except ValueError:
-            self._add_problem(key, f"`{text}` is not a number", "write a number")
+            self.add_problem(key, f"`{text}` is not a number", "write a number")
             return 0.0
 
     def optional(self, key: str, default: float) -> float:
@@ -77,7 +85,7 @@
             return default
         number = self.number(key)
         if number < 0.0:
-            self._add_problem(key, f"`{number:g}` is below 0", "write 0 or more")
+            self.add_problem(key, f"`{number:g}` is below 0", "write 0 or more")
         return number
 
     def positive(self, key: str, default: float) -> float:
@@ -86,7 +94,7 @@
             return default
         number = self.number(key)
         if number <= 0.0 and not any(f": {key}: " in problem for problem in self.problems):
-            self._add_problem(key, f"`{number:g}` is not above 0", "write a number above 0")
+            self.add_problem(key, f"`{number:g}` is not above 0", "write a number above 0")
         return number
 
     def address(self, key: str) -> str:
@@ -96,10 +104,11 @@
             split_address(text)
         except ValueError as error:
             if text:
-                self._add_problem(key, f"`{text}`: {error}", "write IP:PORT")
+                self.add_problem(key, f"`{text}`: {error}", "write IP:PORT")
         return text
 
-    def _add_problem(self, key: str, detail: str, remedy: str) -> None:
+    def add_problem(self, key: str, detail: str, remedy: str) -> None:
+        """Report a value that cannot be used."""
         self.problems.append(f"{self._file}: {key}: {detail}; remedy: {remedy}")
 
 
@@ -139,6 +148,7 @@
         memory_bytes=int(
             reader.positive("limits.memory_mb", DEFAULT_MEMORY_BYTES / MEGABYTE) * MEGABYTE
         ),
+        sockets=_read_sockets(reader),
     )
     if reader.problems:
         raise SettingsError(Problem("bad_settings", "read", file, "; ".join(reader.problems)))
@@ -155,6 +165,17 @@
     return parse_settings(str(path), text)
 
 
+def _read_sockets(reader: _SettingsReader) -> int:
+    descriptors = int(reader.positive("limits.max_fds", DEFAULT_DESCRIPTORS))
+    if descriptors <= FILE_DESCRIPTORS:
+        reader.add_problem(
+            "limits.max_fds",
+            f"`{descriptors}` leaves no sockets beside {FILE_DESCRIPTORS} files",
+            f"write more than {FILE_DESCRIPTORS}",
+        )
+    return descriptors - FILE_DESCRIPTORS
+
+
 def _read_limit_margin(reader: _SettingsReader) -> LimitMargin | None:
     """Return the margin above groups' limits; None without all of its settings."""
     keys = ("bounds.quota_window_s", "bounds.quota_overshoot", "bounds.quota_slack")
