Take an answer whose status HTTP does not have for a broken one

A target that answered with status 000 (or 099) was taken to send an interim answer: with no other target its request waited until the deadline and ended with 504, where 502 could be told at once. 600 and 999 reached the client as they were.

A final status is 200 to 599, and 1xx is interim; with any other, the exchange is broken and its connection closed, as with other bytes that are no answer: repeated where the request may be, else told as 502, since it may have run. One place decides it for requests, parts, groups, health pages and the store, which all use this client.

--- a/standins/shard_target.py
+++ b/standins/shard_target.py
@@ -14,6 +14,20 @@
 HEALTH_PATH = "/health"
 CRASH_AFTER_S = 0.03
 """How long a request runs before the target ends under it."""
+ODD_STATUS_CLOSE_S = 10.0
+
+
+ODD_STATUSES = ("000", "099", "600", "999")
+"""Faults: an answer with this status, which HTTP does not have."""
+
+
+async def _write_status(transport: asyncio.Transport, status: str, headers: dict[str, str]) -> None:
+    """Write an answer with any status and close the connection."""
+    lines = [f"HTTP/1.1 {status} Odd", *(f"{name}: {value}" for name, value in headers.items())]
+    transport.write("\r\n".join([*lines, "Content-Length: 3", "", "odd"]).encode())
+    # So long that the close is not what ends the exchange.
+    await asyncio.sleep(ODD_STATUS_CLOSE_S)
+    transport.close()
 
 
 class ShardTarget:
@@ -128,6 +142,9 @@
         }
         if self.fault == "error":
             return web.Response(status=500, headers=headers, body=b"failed")
+        if self.fault in ODD_STATUSES:
+            assert request.transport is not None
+            await _write_status(request.transport, self.fault, headers)
         if self.fault in FORM_BY_NAME:
             assert request.transport is not None
             await write_without_end(request.transport, FORM_BY_NAME[self.fault])
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -127,6 +127,15 @@
             respond_with(b"", then="reset"), ExchangeOutcome.CLOSED, 2, id="reset-without-answer"
         ),
         pytest.param(respond_with(b"rubbish\r\n\r\n"), ExchangeOutcome.BROKEN, 2, id="not-http"),
+        *(
+            pytest.param(
+                respond_with(OK.replace(b" 200 ", b" %s " % status)),
+                ExchangeOutcome.BROKEN,
+                2,
+                id=f"status-{status.decode()}",
+            )
+            for status in (b"000", b"001", b"099", b"600", b"999")
+        ),
         pytest.param(
             respond_with(FOREIGN), ExchangeOutcome.BROKEN, 2, id="answer-to-another-request"
         ),
--- a/tests/whole/test_entry.py
+++ b/tests/whole/test_entry.py
@@ -11,6 +11,7 @@
 
 from standins.entry_fleet import EntryFleet
 from standins.fleet import wait_until
+from standins.shard_target import ODD_STATUSES
 
 SHARDS = [f"shard-{number}" for number in range(6)]
 QUERY = {
@@ -131,6 +132,30 @@
     assert sum(len(target.runs) for target in targets) == 1
 
 
+@pytest.mark.parametrize("status", ODD_STATUSES)
+def test_answer_with_a_status_that_http_does_not_have_is_told_as_no_answer(
+    shared_fleet: EntryFleet, status: str
+) -> None:
+    """000 was awaited until the deadline, and 600 reached the client."""
+    targets = [shared_fleet.target_by_instance[f"lookup-{region}"] for region in ("east", "west")]
+    for target in targets:
+        target.fault = status
+    answer = shared_fleet.ask(shared_fleet.boxes[0], "/o/x", content=b"promise")
+    assert answer.status_code == 502
+    assert sum(len(target.runs) for target in targets) == 1
+
+
+@pytest.mark.parametrize("status", ODD_STATUSES)
+def test_part_with_a_status_that_http_does_not_have_is_replaced(
+    shared_fleet: EntryFleet, status: str
+) -> None:
+    for number in range(4):
+        shared_fleet.target_by_instance[f"shard-{number}-east"].fault = status
+    answer = shared_fleet.ask(shared_fleet.boxes[0], "/q/x")
+    check_answer_against_targets(shared_fleet, answer)
+    assert answer.headers["x-missing-parts"] == "0"
+
+
 def test_refusal_of_a_request_that_did_not_run_has_retry_after(shared_fleet: EntryFleet) -> None:
     targets = [shared_fleet.target_by_instance[f"lookup-{region}"] for region in ("east", "west")]
     for target in targets:
--- a/trackwheel/http1/client.py
+++ b/trackwheel/http1/client.py
@@ -13,7 +13,10 @@
 from trackwheel.http1.const import (
     BODILESS_STATUSES,
     DEFAULT_MAX_IDLE_S,
+    FIRST_FINAL_STATUS,
+    FIRST_STATUS,
     KEEP_ALIVE_MARGIN_S,
+    LAST_STATUS,
     MAX_FRAMING_BYTES,
     MAX_HEAD_BYTES,
     MAX_HEADERS,
@@ -24,7 +27,6 @@
 from trackwheel.http1.sockets import set_tcp_options
 
 _KEEP_ALIVE_TIMEOUT: Final = re.compile(rb"timeout=(\d+)")
-_FIRST_FINAL_STATUS: Final = 200
 
 OnResult = Callable[[ExchangeResult], None]
 Check = Callable[[Response], str]
@@ -195,18 +197,21 @@
         if self._result is not None:
             return
         self._status = self._parser.get_status_code()
+        if not FIRST_STATUS <= self._status <= LAST_STATUS:
+            self._end_broken(f"status {self._status:03}")
+            return
         if sum(len(name) + len(value) for name, value in self._headers) > MAX_HEAD_BYTES:
             # The size of the received data also counts, but only while the answer is incomplete.
             self._oversized = f"head over {MAX_HEAD_BYTES} bytes"
             return
-        if self._head_only and self._status >= _FIRST_FINAL_STATUS:
+        if self._head_only and self._status >= FIRST_FINAL_STATUS:
             self._complete(reusable=False)
             return
         names = {name for name, _ in self._headers}
         self._is_chunked = b"transfer-encoding" in names
         framed = b"content-length" in names or self._is_chunked
         has_body = self._status not in BODILESS_STATUSES
-        self._close_delimited = not framed and has_body and self._status >= _FIRST_FINAL_STATUS
+        self._close_delimited = not framed and has_body and self._status >= FIRST_FINAL_STATUS
         length = header(tuple(self._headers), b"content-length")
         if has_body and length is not None:
             self._check_body_size(int(length))
@@ -227,7 +232,7 @@
     def on_message_complete(self) -> None:
         """Complete the answer unless it is an interim response."""
         assert self._parser is not None
-        if self._result is not None or self._oversized or self._status < _FIRST_FINAL_STATUS:
+        if self._result is not None or self._oversized or self._status < FIRST_FINAL_STATUS:
             return
         self._complete(reusable=self._parser.should_keep_alive() and not self._close_delimited)
 
@@ -237,8 +242,7 @@
         answer = Response(self._status, tuple(self._headers), bytes(self._body))
         mismatch = self._check(answer)
         if mismatch:
-            self._close()
-            self._result = ExchangeResult(ExchangeOutcome.BROKEN, None, mismatch)
+            self._end_broken(mismatch)
             return
         self.idle_since = steady_now()
         self.max_idle_s = _max_idle_time(answer)
@@ -246,6 +250,11 @@
             self._close()
         self._result = ExchangeResult(ExchangeOutcome.ANSWERED, answer, "")
 
+    def _end_broken(self, detail: str) -> None:
+        """Close the connection and store the result of an answer that cannot be used."""
+        self._close()
+        self._result = ExchangeResult(ExchangeOutcome.BROKEN, None, detail)
+
     def _report_result(self) -> None:
         """Report the result of the exchange if there is one, and drop what belonged to it."""
         result, on_result = self._result, self._on_result
--- a/trackwheel/http1/const.py
+++ b/trackwheel/http1/const.py
@@ -4,6 +4,10 @@
 
 MAX_PIPELINED_REQUESTS: Final = 16
 """Reading from a connection pauses while this many pipelined requests are queued."""
+FIRST_STATUS: Final = 100
+FIRST_FINAL_STATUS: Final = 200
+LAST_STATUS: Final = 599
+"""Statuses of HTTP; those below the first final one are of interim answers."""
 BODILESS_STATUSES: Final = frozenset({204, 304})
 """Statuses of responses that never have a body."""
 TCP_USER_TIMEOUT_MS: Final = 4_000
