Take a status that HTTP does not have for a broken answer on the own path, too

aiohttp hands on 000 and 600 as final statuses, so that such bytes counted as an answer of the target: a refusal with such a status and its own nonce was believed. The exchange is broken now and its connection closed, as on the users' platform. Four cases of the test failed before.

--- a/tests/targets/test_client.py
+++ b/tests/targets/test_client.py
@@ -114,6 +114,10 @@
         pytest.param(
             b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabc", id="half-a-chunk"
         ),
+        *(
+            pytest.param(response(b"{}").replace(b" 200 ", b" %s " % status), id=status.decode())
+            for status in (b"000", b"099", b"600", b"999")
+        ),
     ],
 )
 def test_incomplete_reply_is_broken_and_never_sent_again(answer: bytes) -> None:
--- a/trackwheel/targets/client.py
+++ b/trackwheel/targets/client.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 
+from trackwheel.http1.const import FIRST_FINAL_STATUS, LAST_STATUS
 from trackwheel.targets.const import (
     HEADER_BOOT,
     HEADER_DEADLINE,
@@ -58,6 +59,9 @@
             async with self._session.request(
                 method, url, data=body, headers=headers, allow_redirects=False
             ) as response:
+                if not FIRST_FINAL_STATUS <= response.status <= LAST_STATUS:
+                    response.close()
+                    raise ValueError(f"status {response.status:03}")
                 content = await self._read(response)
         except aiohttp.ClientConnectorError as error:
             raise unreachable_error(target, error) from error
