Bound the bodies of all callers together on the product's own path

Callers of a group who kept bodies unfinished took the memory of a box: 1,500 of them held 385 and 419 MB on a machine of 200 MB. Each body was bounded, and all of them were not.

The bodies that are being received, and those of requests in progress, share an eighth of the memory that the new setting [limits] memory_mb names (256). Beyond it the largest unfinished one is refused as overloaded with Retry-After, since nothing of it has run.

The number of connections is not bounded on this path, nor are answers that callers read slowly.

--- a/trackwheel/app.py
+++ b/trackwheel/app.py
@@ -20,6 +20,7 @@
 from trackwheel.fleet.models import FLEET_MESSAGES, LeavingTarget, Member, Status
 from trackwheel.fleet.service import FleetService
 from trackwheel.garbage import tune_garbage_collection
+from trackwheel.gateway.bodies import BodyReader
 from trackwheel.gateway.execution_runner import ExecutionRunner
 from trackwheel.gateway.forwarding import Forwarder
 from trackwheel.gateway.http import CallersApp
@@ -145,6 +146,7 @@
             self.forwarder,
             self.burn,
             self.stop_deadline,
+            BodyReader(self.settings.memory_bytes),
         )
 
     def operators_app(self) -> OperatorsApp:
--- a/trackwheel/gateway/const.py
+++ b/trackwheel/gateway/const.py
@@ -13,6 +13,12 @@
 MAX_REQUEST_BYTES: Final = 256_000
 READ_TIMEOUT_S: Final = 3.0
 """Time-out for receiving a request body."""
+REQUEST_BYTES: Final = 4_096
+"""Memory of a request beside its body."""
+RECEIVING_BYTES: Final = 131_072
+"""Memory of the buffers of a connection on which a body is being received."""
+MEMORY_RETRY_AFTER_S: Final = READ_TIMEOUT_S
+"""Retry-After where bodies take too much memory: unfinished ones have ended by then."""
 MAX_ATTEMPTS_PER_TARGET: Final = 2
 """Sub-requests per target of an instance; each instance gets one more in total."""
 
--- a/trackwheel/gateway/http.py
+++ b/trackwheel/gateway/http.py
@@ -12,7 +12,7 @@
 from trackwheel.clock import steady_now
 from trackwheel.dispatch.models import RunOutcome
 from trackwheel.files.models import GroupSpec, InForce, Policy, ServiceSpec
-from trackwheel.gateway.bodies import ExecuteBody, IdsBody, QueryBody, read_body
+from trackwheel.gateway.bodies import BodyReader, ExecuteBody, IdsBody, QueryBody
 from trackwheel.gateway.const import (
     HEADER_QUERY_ID,
     HEADER_RETRY_AFTER_MS,
@@ -59,8 +59,10 @@
         forwarder: Forwarder,
         burn: Burn,
         stop: StopDeadline = NO_STOP,
+        bodies: BodyReader | None = None,
     ) -> None:
         """Initialize; after a stop signal, requests that would end after `stop` end by then."""
+        self._bodies = bodies or BodyReader()
         self._stop = stop
         self._in_force = in_force
         self._ready = ready
@@ -95,6 +97,8 @@
                 remedy = "Report it to your operators"
                 failure = refusal(Code.INTERNAL, "serve", type(error).__name__, remedy)
                 return error_response(failure)
+            finally:
+                self._bodies.release(request)
 
         return endpoint
 
@@ -139,7 +143,7 @@
         )
 
     async def _query(self, request: Request, group: GroupSpec) -> Response:
-        body = await read_body(request, QueryBody)
+        body = await self._bodies.read(request, QueryBody)
         service = self._service(group, body.service)
         policy = self._in_force().policy(group.name, service)
         policy = self._bounded(_with_deadline(policy, body.deadline_ms))
@@ -158,7 +162,7 @@
         return digest_response(msgspec.json.encode(answer), {HEADER_QUERY_ID: result.query_id})
 
     async def _ids(self, request: Request, group: GroupSpec) -> Response:
-        body = await read_body(request, IdsBody)
+        body = await self._bodies.read(request, IdsBody)
         if not 1 <= body.count <= MAX_IDS_PER_REQUEST:
             detail = f"count must be between 1 and {MAX_IDS_PER_REQUEST}"
             raise refusal(Code.BAD_REQUEST, "read", detail, "Request fewer ids at a time")
@@ -166,7 +170,7 @@
         return digest_response(msgspec.json.encode({"ids": ids, "end": True}), {})
 
     async def _execute(self, request: Request, group: GroupSpec) -> Response:
-        body = await read_body(request, ExecuteBody)
+        body = await self._bodies.read(request, ExecuteBody)
         if body.id is None:
             remedy = "Get ids with POST /v1/ids and send one with each request"
             detail = "an at-most-once request needs an id"
--- a/trackwheel/settings.py
+++ b/trackwheel/settings.py
@@ -5,7 +5,14 @@
 from typing import Final, NamedTuple
 
 from trackwheel.addresses import split_address
-from trackwheel.ini import IniError, IniReader, InvalidIniError, parse_duration, parse_words
+from trackwheel.ini import (
+    IniError,
+    IniReader,
+    InvalidIniError,
+    parse_count,
+    parse_duration,
+    parse_words,
+)
 
 SECTION_BOX: Final = "box"
 SECTION_LISTEN: Final = "listen"
@@ -15,6 +22,7 @@
 SECTION_OPERATORS_TLS: Final = "operators_tls"
 SECTION_LOG: Final = "log"
 SECTION_FLEET: Final = "fleet"
+SECTION_LIMITS: Final = "limits"
 
 CONF_ID: Final = "id"
 CONF_REGION: Final = "region"
@@ -33,11 +41,14 @@
 CONF_PROBE_TIMEOUT: Final = "probe_timeout"
 CONF_SUSPICION: Final = "suspicion"
 CONF_DRAIN: Final = "drain"
+CONF_MEMORY_MB: Final = "memory_mb"
 
 DEFAULT_PROBE_PERIOD: Final = 0.5
 DEFAULT_PROBE_TIMEOUT: Final = 0.25
 DEFAULT_SUSPICION: Final = 0.6
 DEFAULT_DRAIN: Final = 30.0
+DEFAULT_MEMORY_MB: Final = 256
+MEGABYTE: Final = 1_000_000
 LOG_FORMATS: Final = ("text", "json")
 LOG_LEVELS: Final = ("debug", "info", "warning", "error")
 
@@ -78,6 +89,8 @@
     probe_timeout_s: float
     suspicion_s: float
     drain_s: float
+    memory_bytes: int = DEFAULT_MEMORY_MB * MEGABYTE
+    """Memory of the machine for this box."""
 
 
 def _parse_address(text: str) -> str:
@@ -119,6 +132,7 @@
         SECTION_OPERATORS_TLS,
         SECTION_LOG,
         SECTION_FLEET,
+        SECTION_LIMITS,
     )
     for section in reader.sections():
         if section not in known:
@@ -144,6 +158,8 @@
         probe_timeout_s=_duration(reader, CONF_PROBE_TIMEOUT, DEFAULT_PROBE_TIMEOUT),
         suspicion_s=_duration(reader, CONF_SUSPICION, DEFAULT_SUSPICION),
         drain_s=_duration(reader, CONF_DRAIN, DEFAULT_DRAIN),
+        memory_bytes=MEGABYTE
+        * reader.get(SECTION_LIMITS, CONF_MEMORY_MB, parse_count, DEFAULT_MEMORY_MB),
     )
     reader.check_unknown()
     reader.finish()
--- a/trackwheel/tls.py
+++ b/trackwheel/tls.py
@@ -1,12 +1,14 @@
 """TLS between boxes and for callers and operators; certificates are reloaded without a restart."""
 
+import socket
 import ssl
 from collections.abc import Callable
 from functools import partial
 from typing import Final
 
-from hypercorn.config import Config
+from hypercorn.config import Config, Sockets
 
+from trackwheel.http1.const import RECEIVE_BUFFER_BYTES
 from trackwheel.settings import HttpTlsSettings, Settings, TlsSettings
 from trackwheel.telemetry.logs import Log
 
@@ -96,6 +98,13 @@
             self.ca_certs = str(settings.authority)
             self.verify_mode = ssl.CERT_REQUIRED
 
+    def create_sockets(self) -> Sockets:
+        """Return the bound sockets, whose connections have a receive buffer of limited size."""
+        sockets = super().create_sockets()
+        for sock in (*sockets.secure_sockets, *sockets.insecure_sockets):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        return sockets
+
     def create_ssl_context(self) -> ssl.SSLContext | None:
         """Return the SSL context for hypercorn, None without TLS."""
         if not self.ssl_enabled:
