--- a/soak/const.py
+++ b/soak/const.py
@@ -58,3 +58,8 @@
 """Part of a run after which that happens."""
 KEY_IN_FORCE_S: Final = 5.0
 """How long after it a box in touch may accept the key: the platform's bound for a version."""
+CROWD_SHARE: Final = 0.6
+"""Part of the runs in which a crowd keeps requests unfinished at one box."""
+CROWD_CLIENTS: Final = 150
+CROWD_FIRST_S: Final = 1.5
+CROWD_LONGEST_S: Final = 6.0
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,6 +10,7 @@
 from soak.checks import check_all
 from soak.clients import Balancer, Client, Told, key_of, send_ending
 from soak.const import BOX_MEMORY_BYTES, CLIENTS, ENDING_PATHS, KEY_TAKEN_SHARE, SHARDS
+from soak.crowds import send_crowds
 from soak.fleet import SoakFleet
 from soak.plan import draw_faults
 from standins.entry_fleet import EntryPlace
@@ -55,6 +56,7 @@
         for path in endings:
             tasks.create_task(send_ending(seed, path, balancer, until))
         tasks.create_task(fleet.run(faults))
+        tasks.create_task(send_crowds(seed, seconds, fleet.boxes))
         tasks.create_task(_take_key_away(fleet, KEY_TAKEN_SHARE * seconds))
         tasks.create_task(balancer.run(until))
         for client in clients:
