--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -95,6 +95,7 @@
 AT_MOST_ONCE = "at most once"
 AT_ONCE = "given up on: final answer at once, with when to come back"
 LEAVING = "a leaving target gets no new work"
+CLIENTS = "no clients can take the memory, the time or the sockets of a box"
 BOUNDED = "no target and no store can take the memory of a box"
 IN_TIME = "what the operator writes is in force everywhere in time"
 SET_BACK = "a store that comes back from an older copy takes nothing back"
@@ -1248,7 +1249,7 @@
         HTTP_CLIENT + "test_stopping_server_answers_pipelined_requests_before_it_closes",
         Mutant(
             "trackwheel/http1/server.py",
-            "(not self._state.stopping or bool(self._pipelined))",
+            "(behind or not self._state.stopping)",
             "not self._state.stopping",
         ),
     ),
@@ -1740,11 +1741,94 @@
         "many answers at once, each below the limit of one",
         ANSWER_LIMITS + "test_many_endless_answers_share_their_memory",
         Mutant(
-            "trackwheel/http1/answer_limits.py",
-            "while self.held_bytes > self._total_bytes:",
+            "trackwheel/http1/memory_share.py",
+            "while self.held_bytes > self.limit_bytes and self._bytes_by_holder:",
             "while False:",
         ),
     ),
+    Row(
+        PLATFORM,
+        CLIENTS,
+        "eleven crowds at a real box: bodies in large and small chunks, heads, trailers, bodies "
+        "behind and at a slow target, answers unread",
+        "tests/whole/test_crowds.py::"
+        "test_crowd_leaves_a_box_its_memory_and_others_their_answers",
+    ),
+    Row(
+        PLATFORM,
+        CLIENTS,
+        "idle connections to a real box until its descriptors are used up",
+        "tests/whole/test_crowds.py::" "test_idle_crowd_leaves_a_box_descriptors_for_its_own_work",
+    ),
+    Row(
+        PLATFORM,
+        CLIENTS,
+        "many requests that stop short of their end, each within its own limit",
+        "tests/http1/test_client_limits.py::"
+        "test_unfinished_requests_over_the_limit_are_refused_and_none_has_run",
+        Mutant(
+            "trackwheel/http1/memory_share.py",
+            "while self.held_bytes > self.limit_bytes and self._bytes_by_holder:",
+            "while False:",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        CLIENTS,
+        "large bodies fill what is there for requests in progress",
+        "tests/http1/test_client_limits.py::"
+        "test_requests_in_progress_leave_memory_for_small_ones",
+        Mutant(
+            "trackwheel/http1/memory_share.py",
+            "if size > (self.limit_bytes - self._reserved_bytes) * RESERVE_SHARE_OF_REST:",
+            "if False:",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        CLIENTS,
+        "long answers that many clients do not read",
+        "tests/http1/test_response_writer.py::"
+        "test_answers_that_nobody_reads_are_bounded_together",
+        Mutant(
+            "trackwheel/http1/server.py",
+            "self._state.client_limits.answers.hold(self, size)",
+            "pass",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        CLIENTS,
+        "one client sends megabytes in small chunks",
+        "tests/http1/test_read_turns.py::" "test_connection_with_much_to_read_waits_for_its_turn",
+        Mutant(
+            "trackwheel/http1/server.py",
+            "if nbytes == READ_BYTES or self._reader.chunks_read > MAX_CHUNKS_PER_READ:",
+            "if False:",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        CLIENTS,
+        "more connections than a box has sockets for",
+        "tests/http1/test_connection_table.py::test_connection_of_least_use_gives_way",
+        Mutant(
+            "trackwheel/http1/connection_table.py",
+            "if len(self._connections) >= self._limit and not self._make_room():",
+            "if False:",
+        ),
+    ),
+    Row(
+        PLATFORM,
+        OWN,
+        "an answer whose status HTTP does not have",
+        "tests/http1/test_client.py::test_answers",
+        Mutant(
+            "trackwheel/http1/client.py",
+            "if not FIRST_STATUS <= self._status <= LAST_STATUS:",
+            "if False:",
+        ),
+    ),
     Row(
         PLATFORM,
         LEAVING,
